--- /dev/null
+++ b/source/common/settings.h
@@ -0,0 +1,77 @@
+#ifndef AMARANTHLANE_COMMON_SETTINGS_H_
+#define AMARANTHLANE_COMMON_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/error.h"
+
+namespace amaranthlane {
+
+// The settings of one VM's daemon, in layers: the defaults below, then the settings file, then the command line. The
+// table in settings_table.h declares each one with its range and meaning; docs/SETTINGS.md is generated from it.
+struct Settings {
+  std::string vm;
+  std::string data_centre;
+  std::string region;
+  std::string callers_address = "127.0.0.1:7400";
+  std::string peers_address = "127.0.0.1:7500";
+  std::string operators_address = "127.0.0.1:7600";
+  std::string platform_address;
+  std::vector<std::string> seeds;
+
+  std::uint64_t max_caller_connections = 8192;
+  std::uint64_t max_body_bytes = 1024 * 1024;
+  std::chrono::milliseconds default_time_limit{5000};
+
+  std::chrono::milliseconds leadership_beat{500};
+  std::chrono::milliseconds leadership_promise{3000};
+  std::chrono::milliseconds leadership_margin{250};
+  std::chrono::milliseconds leadership_detection{1500};
+
+  std::chrono::milliseconds promotion_silence{1000};
+  std::chrono::milliseconds promotion_probe{500};
+
+  std::string log_level = "info";
+  std::uint64_t trace_ring_size = 4096;
+};
+
+// A settings file or command line that can't be used.
+class SettingsError : public Error {
+ public:
+  // `source` is the file's name or "command line", `line` counts from 1 and is 0 where there is none, `key` is the
+  // setting's dotted key and `expected` what should stand there.
+  SettingsError(std::string source, std::size_t line, std::string key, std::string expected);
+
+  std::string source;
+  std::size_t line;
+  std::string key;
+  std::string expected;
+};
+
+// One `--set key=value` of the command line.
+struct SettingOverride {
+  std::string key;
+  std::string value;
+};
+
+// Parses the text of a settings file over the defaults, then applies the overrides, then checks that the settings fit
+// together. `source` names the file in errors. Throws SettingsError.
+Settings ParseSettings(std::string_view text, const std::string& source,
+                       const std::vector<SettingOverride>& overrides = {});
+
+// Reads the file and parses it. Throws SettingsError, also when the file can't be read.
+Settings LoadSettings(const std::string& path, const std::vector<SettingOverride>& overrides = {});
+
+// Splits "key=value". Throws SettingsError.
+SettingOverride ParseSettingOverride(std::string_view argument);
+
+// The reference of all settings as a Markdown document.
+std::string SettingsReference();
+
+}  // namespace amaranthlane
+
+#endif  // AMARANTHLANE_COMMON_SETTINGS_H_
--- /dev/null
+++ b/source/core/configuration/caller_directory.h
@@ -0,0 +1,40 @@
+#ifndef AMARANTHLANE_CORE_CONFIGURATION_CALLER_DIRECTORY_H_
+#define AMARANTHLANE_CORE_CONFIGURATION_CALLER_DIRECTORY_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "common/sha256.h"
+#include "core/configuration/object_fault.h"
+#include "core/configuration/object_store.h"
+
+namespace amaranthlane::configuration {
+
+// The callers in force, found by the hashes of their bearer keys. The keys themselves are nowhere kept.
+class CallerDirectory {
+ public:
+  // Takes the callers from the store if they changed. Returns whether they did.
+  bool Refresh(const ObjectStore& store);
+
+  // The name of the caller that holds this bearer key, or null. The pointer lasts until the next Refresh.
+  const std::string* Authenticate(std::string_view bearer_key) const;
+
+  // The objects that couldn't be read and so have no effect.
+  const std::vector<ObjectFault>& Faults() const;
+
+ private:
+  struct DigestHash {
+    std::size_t operator()(const Sha256Digest& digest) const;
+  };
+
+  std::uint64_t revision = 0;
+  std::unordered_map<Sha256Digest, std::string, DigestHash> callers;
+  std::vector<ObjectFault> faults;
+};
+
+}  // namespace amaranthlane::configuration
+
+#endif  // AMARANTHLANE_CORE_CONFIGURATION_CALLER_DIRECTORY_H_
--- /dev/null
+++ b/source/core/configuration/differences.h
@@ -0,0 +1,54 @@
+#ifndef AMARANTHLANE_CORE_CONFIGURATION_DIFFERENCES_H_
+#define AMARANTHLANE_CORE_CONFIGURATION_DIFFERENCES_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "core/configuration/platform_object.h"
+#include "core/types.h"
+
+// The messages of anti-entropy between two VMs: `POST /v1/peer/objects`.
+namespace amaranthlane::configuration {
+
+// The hashes of one kind's buckets at the VM that asks. An object's bucket follows from its name.
+struct KindBuckets {
+  std::string kind;
+  std::vector<std::uint64_t> hashes;
+
+  bool operator==(const KindBuckets&) const = default;
+};
+
+// Asks a peer for the objects that the sender lacks.
+struct DifferencesRequest {
+  VmName vm;
+  // Only objects with a version above this one are sent.
+  ObjectVersion after = 0;
+  // Empty: objects of all kinds. Otherwise only objects of these kinds, from buckets whose hashes differ at the peer.
+  std::vector<KindBuckets> buckets;
+
+  bool operator==(const DifferencesRequest&) const = default;
+};
+
+struct DifferencesAnswer {
+  // A sender that was complete through `DifferencesRequest::after` is complete through this version once it has
+  // applied `objects`.
+  ObjectVersion complete_through = 0;
+  // In rising order of version.
+  std::vector<PlatformObject> objects;
+  // True: the bound on the message's size was reached. The next request's `after` is the last object's version.
+  bool more = false;
+
+  bool operator==(const DifferencesAnswer&) const = default;
+};
+
+// All parse functions throw ParseError.
+DifferencesRequest ParseDifferencesRequest(const nlohmann::json& message);
+nlohmann::json ToJson(const DifferencesRequest& request);
+DifferencesAnswer ParseDifferencesAnswer(const nlohmann::json& message);
+nlohmann::json ToJson(const DifferencesAnswer& answer);
+
+}  // namespace amaranthlane::configuration
+
+#endif  // AMARANTHLANE_CORE_CONFIGURATION_DIFFERENCES_H_
--- /dev/null
+++ b/source/core/configuration/labels.h
@@ -0,0 +1,27 @@
+#ifndef AMARANTHLANE_CORE_CONFIGURATION_LABELS_H_
+#define AMARANTHLANE_CORE_CONFIGURATION_LABELS_H_
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace amaranthlane::configuration {
+
+// Label keys and their values, in the order of keys.
+using LabelSet = std::map<std::string, std::string, std::less<>>;
+
+// A `labels` object: labels and the things that carry them.
+struct Labels {
+  std::vector<std::string> groups;
+  std::vector<std::string> callers;
+  std::vector<std::string> kinds;
+  LabelSet labels;
+};
+
+// Throws ParseError.
+Labels ParseLabels(const nlohmann::json& value);
+
+}  // namespace amaranthlane::configuration
+
+#endif  // AMARANTHLANE_CORE_CONFIGURATION_LABELS_H_
--- /dev/null
+++ b/source/core/configuration/selector.h
@@ -0,0 +1,57 @@
+#ifndef AMARANTHLANE_CORE_CONFIGURATION_SELECTOR_H_
+#define AMARANTHLANE_CORE_CONFIGURATION_SELECTOR_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/configuration/labels.h"
+#include "core/types.h"
+
+namespace amaranthlane::configuration {
+
+enum class MatchOperator : std::uint8_t { kEquals, kIn, kExists, kNotIn };
+
+// One condition on the labels of a request.
+struct MatchExpression {
+  std::string key;
+  MatchOperator op = MatchOperator::kExists;
+  // One value for kEquals, any number for kIn and kNotIn, none for kExists.
+  std::vector<std::string> values;
+  // For kExists: false demands that the key be absent.
+  bool exists = true;
+};
+
+// The parts of an Obligation that a selector states.
+struct OwedObligation {
+  std::optional<Rank> rank;
+  std::optional<Duration> freshness;
+  std::optional<AcknowledgementLevel> acknowledgement;
+  std::optional<bool> read_your_writes;
+  std::optional<bool> idempotent;
+  std::optional<Duration> time_limit;
+  std::optional<double> floor;
+};
+
+// A `selectors` object: what is owed to the requests whose labels match every expression.
+struct Selector {
+  std::vector<MatchExpression> match;
+  // A higher priority is merged later and so wins.
+  std::uint64_t priority = 0;
+  OwedObligation owes;
+};
+
+// Throws ParseError.
+Selector ParseSelector(const nlohmann::json& value);
+
+// True when the labels satisfy every expression of the selector. A key that is absent satisfies not_in.
+bool Matches(const Selector& selector, const LabelSet& labels);
+
+// Overwrites the members of `obligation` that `owed` states.
+void Merge(const OwedObligation& owed, Obligation& obligation);
+
+}  // namespace amaranthlane::configuration
+
+#endif  // AMARANTHLANE_CORE_CONFIGURATION_SELECTOR_H_
