Read the settings of a VM from YAML in typed layers

Cause: the daemon learns its addresses, data centre and timings from its settings. Change: one table declares each setting; errors name file, line, key and what was expected.

--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -5,6 +5,7 @@
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(YAML_CPP REQUIRED IMPORTED_TARGET yaml-cpp)
 pkg_check_modules(POPT REQUIRED IMPORTED_TARGET popt)
+pkg_check_modules(LIBCRYPTO REQUIRED IMPORTED_TARGET libcrypto)
 find_package(fmt REQUIRED)
 
 # The package ships easylogging++ as one source file to be compiled by its users.
--- a/scripts/install_dependencies.sh
+++ b/scripts/install_dependencies.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages="g++ cmake ninja-build ccache lld clang-format clang-tidy git python3
   librestinio-dev libhttp-parser-dev libboost-dev nlohmann-json3-dev libyaml-cpp-dev libpopt-dev
-  libeasyloggingpp-dev libopentracing-dev libfmt-dev libxxhash-dev
+  libeasyloggingpp-dev libopentracing-dev libfmt-dev libxxhash-dev libssl-dev
   libgtest-dev libgmock-dev librapidcheck-dev libbenchmark-dev"
 missing=$(dpkg-query -W -f='${Status} ${Package}\n' $packages 2>/dev/null |
   awk '$1 == "install" && $3 == "installed" {print $4}' | sort > /tmp/amaranthlane-installed.$$ || true
--- /dev/null
+++ b/source/common/ip_address.h
@@ -0,0 +1,13 @@
+#ifndef AMARANTHLANE_COMMON_IP_ADDRESS_H_
+#define AMARANTHLANE_COMMON_IP_ADDRESS_H_
+
+#include <string_view>
+
+namespace amaranthlane {
+
+// True for "ip:port" with an IPv4 number, or an IPv6 number in brackets, and a port from 1 to 65535.
+bool IsIpAndPort(std::string_view text);
+
+}  // namespace amaranthlane
+
+#endif  // AMARANTHLANE_COMMON_IP_ADDRESS_H_
--- /dev/null
+++ b/source/common/settings_table.cc
@@ -0,0 +1,222 @@
+#include "common/settings_table.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <type_traits>
+
+#include "common/ip_address.h"
+
+namespace amaranthlane {
+
+namespace {
+
+constexpr std::size_t kMaximumNameLength = 63;
+constexpr std::uint64_t kMaximumTimingMs = 60 * 1000;
+constexpr std::uint64_t kMaximumTimeLimitMs = 10 * 60 * 1000;
+constexpr std::uint64_t kMaximumConnections = 1000 * 1000;
+constexpr std::uint64_t kMaximumBodyBytes = 64ULL * 1024 * 1024;
+constexpr std::uint64_t kMaximumTraceSpans = 1000 * 1000;
+
+bool IsNameCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_';
+}
+
+bool IsName(std::string_view text) {
+  return !text.empty() && text.size() <= kMaximumNameLength && std::all_of(text.begin(), text.end(), IsNameCharacter);
+}
+
+bool IsLogLevel(std::string_view text) {
+  constexpr std::array<std::string_view, 5> kLevels = {"debug", "info", "warning", "error", "fatal"};
+  return std::find(kLevels.begin(), kLevels.end(), text) != kLevels.end();
+}
+
+constexpr TextRule kName = {IsName, "1 to 63 characters of a-z, 0-9, '-', '.' and '_'"};
+constexpr TextRule kAddress = {IsIpAndPort, "an address as ip:port"};
+constexpr TextRule kLogLevel = {IsLogLevel, "debug, info, warning, error or fatal"};
+
+const std::array kDeclarations = {
+    SettingDeclaration{.key = "vm",
+                       .member = &Settings::vm,
+                       .rule = &kName,
+                       .required = true,
+                       .help = "The name of this VM, unique in the fleet."},
+    SettingDeclaration{.key = "data_centre",
+                       .member = &Settings::data_centre,
+                       .rule = &kName,
+                       .required = true,
+                       .help = "The data centre of this VM."},
+    SettingDeclaration{.key = "region",
+                       .member = &Settings::region,
+                       .rule = &kName,
+                       .required = true,
+                       .help = "The region of the data centre."},
+    SettingDeclaration{.key = "addresses.callers",
+                       .member = &Settings::callers_address,
+                       .rule = &kAddress,
+                       .help = "Where callers connect."},
+    SettingDeclaration{.key = "addresses.peers",
+                       .member = &Settings::peers_address,
+                       .rule = &kAddress,
+                       .help = "Where the other VMs connect; they must be able to reach this address."},
+    SettingDeclaration{.key = "addresses.operators",
+                       .member = &Settings::operators_address,
+                       .rule = &kAddress,
+                       .help = "Where operators and scrapers of metrics connect."},
+    SettingDeclaration{.key = "addresses.platform",
+                       .member = &Settings::platform_address,
+                       .rule = &kAddress,
+                       .required = true,
+                       .help = "The platform's object API."},
+    SettingDeclaration{.key = "seeds",
+                       .member = &Settings::seeds,
+                       .rule = &kAddress,
+                       .help = "Peers' addresses to learn from when the platform is down at the start."},
+    SettingDeclaration{.key = "limits.caller_connections",
+                       .member = &Settings::max_caller_connections,
+                       .minimum = 1,
+                       .maximum = kMaximumConnections,
+                       .help = "Callers' connections that are open at once."},
+    SettingDeclaration{.key = "limits.body_bytes",
+                       .member = &Settings::max_body_bytes,
+                       .minimum = 1024,
+                       .maximum = kMaximumBodyBytes,
+                       .help = "The largest request body, in bytes."},
+    SettingDeclaration{.key = "limits.default_time_limit_ms",
+                       .member = &Settings::default_time_limit,
+                       .minimum = 1,
+                       .maximum = kMaximumTimeLimitMs,
+                       .help = "The time that a request may take when neither it nor a selector states one."},
+    SettingDeclaration{.key = "leadership.beat_ms",
+                       .member = &Settings::leadership_beat,
+                       .minimum = 10,
+                       .maximum = kMaximumTimingMs,
+                       .help = "The interval between a leader's promise requests."},
+    SettingDeclaration{.key = "leadership.promise_ms",
+                       .member = &Settings::leadership_promise,
+                       .minimum = 100,
+                       .maximum = kMaximumTimingMs,
+                       .help = "How long a witness promises to help no other leader."},
+    SettingDeclaration{.key = "leadership.margin_ms",
+                       .member = &Settings::leadership_margin,
+                       .minimum = 1,
+                       .maximum = kMaximumTimingMs,
+                       .help = "How much earlier than the promise a leader stops, to cover clock drift."},
+    SettingDeclaration{.key = "leadership.detection_ms",
+                       .member = &Settings::leadership_detection,
+                       .minimum = 20,
+                       .maximum = kMaximumTimingMs,
+                       .help = "The silence after which a successor takes a leader for dead."},
+    SettingDeclaration{.key = "promotion.silence_ms",
+                       .member = &Settings::promotion_silence,
+                       .minimum = 10,
+                       .maximum = kMaximumTimingMs,
+                       .help = "The silence of a primary's connections after which a new connection is tried."},
+    SettingDeclaration{.key = "promotion.probe_ms",
+                       .member = &Settings::promotion_probe,
+                       .minimum = 10,
+                       .maximum = kMaximumTimingMs,
+                       .help = "How long that new connection may take."},
+    SettingDeclaration{.key = "log.level",
+                       .member = &Settings::log_level,
+                       .rule = &kLogLevel,
+                       .help = "The lowest level of message that is logged."},
+    SettingDeclaration{.key = "trace.ring_size",
+                       .member = &Settings::trace_ring_size,
+                       .minimum = 1,
+                       .maximum = kMaximumTraceSpans,
+                       .help = "Finished spans that are kept for GET /v1/traces."},
+};
+
+bool ParseWhole(std::string_view text, std::uint64_t& number) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  return error == std::errc() && end == text.data() + text.size();
+}
+
+bool ParseInRange(const SettingDeclaration& declaration, std::string_view text, std::uint64_t& number) {
+  return ParseWhole(text, number) && number >= declaration.minimum && number <= declaration.maximum;
+}
+
+}  // namespace
+
+std::span<const SettingDeclaration> SettingDeclarations() { return kDeclarations; }
+
+const SettingDeclaration* FindSetting(std::string_view key) {
+  for (const SettingDeclaration& declaration : kDeclarations) {
+    if (declaration.key == key) {
+      return &declaration;
+    }
+  }
+  return nullptr;
+}
+
+bool IsSettingSection(std::string_view section) {
+  const std::string prefix = std::string(section) + ".";
+  return std::any_of(kDeclarations.begin(), kDeclarations.end(),
+                     [&prefix](const SettingDeclaration& declaration) { return declaration.key.starts_with(prefix); });
+}
+
+bool IsListSetting(const SettingDeclaration& declaration) {
+  return std::holds_alternative<std::vector<std::string> Settings::*>(declaration.member);
+}
+
+std::string ExpectedOf(const SettingDeclaration& declaration) {
+  if (declaration.rule != nullptr) {
+    return IsListSetting(declaration) ? std::string("a list, each ") + declaration.rule->expected
+                                      : declaration.rule->expected;
+  }
+  const bool is_time = std::holds_alternative<std::chrono::milliseconds Settings::*>(declaration.member);
+  return "a whole number " + std::string(is_time ? "of milliseconds " : "") + "from " +
+         std::to_string(declaration.minimum) + " to " + std::to_string(declaration.maximum);
+}
+
+bool AssignSetting(const SettingDeclaration& declaration, std::string_view text, Settings& settings) {
+  const auto assign = [&](auto member) {
+    using Value = std::remove_reference_t<decltype(settings.*member)>;
+    if constexpr (std::is_same_v<Value, std::string> || std::is_same_v<Value, std::vector<std::string>>) {
+      if (!declaration.rule->accepts(text)) {
+        return false;
+      }
+      if constexpr (std::is_same_v<Value, std::string>) {
+        settings.*member = text;
+      } else {
+        (settings.*member).emplace_back(text);
+      }
+      return true;
+    } else {
+      std::uint64_t number = 0;
+      const bool fits = ParseInRange(declaration, text, number);
+      settings.*member = fits ? Value(number) : settings.*member;
+      return fits;
+    }
+  };
+  return std::visit(assign, declaration.member);
+}
+
+void ClearListSetting(const SettingDeclaration& declaration, Settings& settings) {
+  if (const auto* member = std::get_if<std::vector<std::string> Settings::*>(&declaration.member)) {
+    (settings.**member).clear();
+  }
+}
+
+std::string SettingText(const SettingDeclaration& declaration, const Settings& settings) {
+  const auto text = [&settings](auto member) -> std::string {
+    using Value = std::remove_cvref_t<decltype(settings.*member)>;
+    if constexpr (std::is_same_v<Value, std::string>) {
+      return settings.*member;
+    } else if constexpr (std::is_same_v<Value, std::uint64_t>) {
+      return std::to_string(settings.*member);
+    } else if constexpr (std::is_same_v<Value, std::chrono::milliseconds>) {
+      return std::to_string((settings.*member).count());
+    } else {
+      std::string joined;
+      for (const std::string& element : settings.*member) {
+        joined += (joined.empty() ? "" : ",") + element;
+      }
+      return joined;
+    }
+  };
+  return std::visit(text, declaration.member);
+}
+
+}  // namespace amaranthlane
