--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -6,6 +6,7 @@
 pkg_check_modules(YAML_CPP REQUIRED IMPORTED_TARGET yaml-cpp)
 pkg_check_modules(POPT REQUIRED IMPORTED_TARGET popt)
 pkg_check_modules(LIBCRYPTO REQUIRED IMPORTED_TARGET libcrypto)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 find_package(fmt REQUIRED)
 
 # The package ships easylogging++ as one source file to be compiled by its users.
--- a/source/common/settings_table.cc
+++ b/source/common/settings_table.cc
@@ -6,32 +6,24 @@
 #include <type_traits>
 
 #include "common/ip_address.h"
+#include "common/names.h"
 
 namespace amaranthlane {
 
 namespace {
 
-constexpr std::size_t kMaximumNameLength = 63;
 constexpr std::uint64_t kMaximumTimingMs = 60 * 1000;
 constexpr std::uint64_t kMaximumTimeLimitMs = 10 * 60 * 1000;
 constexpr std::uint64_t kMaximumConnections = 1000 * 1000;
 constexpr std::uint64_t kMaximumBodyBytes = 64ULL * 1024 * 1024;
 constexpr std::uint64_t kMaximumTraceSpans = 1000 * 1000;
 
-bool IsNameCharacter(char c) {
-  return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_';
-}
-
-bool IsName(std::string_view text) {
-  return !text.empty() && text.size() <= kMaximumNameLength && std::all_of(text.begin(), text.end(), IsNameCharacter);
-}
-
 bool IsLogLevel(std::string_view text) {
   constexpr std::array<std::string_view, 5> kLevels = {"debug", "info", "warning", "error", "fatal"};
   return std::find(kLevels.begin(), kLevels.end(), text) != kLevels.end();
 }
 
-constexpr TextRule kName = {IsName, "1 to 63 characters of a-z, 0-9, '-', '.' and '_'"};
+constexpr TextRule kName = {IsName, kExpectedName};
 constexpr TextRule kAddress = {IsIpAndPort, "an address as ip:port"};
 constexpr TextRule kLogLevel = {IsLogLevel, "debug, info, warning, error or fatal"};
 
--- /dev/null
+++ b/source/core/configuration/anti_entropy.cc
@@ -0,0 +1,258 @@
+#include "core/configuration/anti_entropy.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace amaranthlane::configuration {
+
+namespace {
+
+const KindDigest* FindKind(const ConfigurationDigest& digest, const std::string& kind) {
+  for (const KindDigest& candidate : digest.kinds) {
+    if (candidate.kind == kind) {
+      return &candidate;
+    }
+  }
+  return nullptr;
+}
+
+ObjectVersion HighestOf(const ConfigurationDigest& digest, const std::string& kind) {
+  const KindDigest* found = FindKind(digest, kind);
+  return found == nullptr ? 0 : found->highest_version;
+}
+
+ObjectVersion HighestOf(const ConfigurationDigest& digest) {
+  ObjectVersion highest = 0;
+  for (const KindDigest& kind : digest.kinds) {
+    highest = std::max(highest, kind.highest_version);
+  }
+  return highest;
+}
+
+// True when the peer's highest version of some kind is above one's own and above `floor`.
+bool HasHigherKind(const ConfigurationDigest& own, const ConfigurationDigest& peers, ObjectVersion floor) {
+  return std::any_of(peers.kinds.begin(), peers.kinds.end(), [&](const KindDigest& kind) {
+    return kind.highest_version > std::max(floor, HighestOf(own, kind.kind));
+  });
+}
+
+}  // namespace
+
+DigestComparison CompareDigests(const ConfigurationDigest& own, const ConfigurationDigest& peers) {
+  if (own.kinds == peers.kinds) {
+    return peers.complete_through < own.complete_through ? DigestComparison::kPeerIsOlder : DigestComparison::kEqual;
+  }
+  if (peers.complete_through > own.complete_through || HasHigherKind(own, peers, own.complete_through)) {
+    return DigestComparison::kPeerIsNewer;
+  }
+  if (peers.complete_through == own.complete_through || HasHigherKind(own, peers, 0)) {
+    return DigestComparison::kObjectsDiffer;
+  }
+  return DigestComparison::kPeerIsOlder;
+}
+
+AntiEntropy::AntiEntropy(const Member& self, const DistributionConstants& constants, ObjectStore& store, Jitter& jitter)
+    : self(self), constants(constants), store(store), jitter(jitter) {}
+
+void AntiEntropy::SetMembers(TimePoint now, const std::vector<Member>& members) {
+  this->members = members;
+  std::set<VmName> alive;
+  std::set<std::string> data_centres;
+  for (const Member& member : members) {
+    alive.insert(member.vm);
+    data_centres.insert(member.data_centre);
+  }
+  std::erase_if(this->peers, [&alive](const auto& entry) { return !alive.contains(entry.first); });
+  const std::vector<VmName> own_relays = this->RelaysOf(this->self.data_centre);
+  const bool relay = std::find(own_relays.begin(), own_relays.end(), this->self.vm) != own_relays.end();
+  this->exchange_relays.clear();
+  for (const std::string& data_centre : data_centres) {
+    // Relays carry changes between data centres; other VMs turn to the relays of their own.
+    if (relay || data_centre == this->self.data_centre) {
+      const std::vector<VmName> relays = this->RelaysOf(data_centre);
+      this->exchange_relays.insert(this->exchange_relays.end(), relays.begin(), relays.end());
+    }
+  }
+  std::erase(this->exchange_relays, this->self.vm);
+  this->exchange_at = std::min(this->exchange_at, now + this->jitter.UpTo(this->ExchangeInterval()));
+}
+
+void AntiEntropy::On(TimePoint now, const PeerDigestReceived& event, std::vector<DistributionAction>& actions) {
+  if (event.vm == this->self.vm) {
+    return;
+  }
+  this->peers[event.vm].digest = event.digest;
+  if (this->pull.id == 0) {
+    this->Consider(now, event.vm, actions);
+  } else {
+    this->unconsidered.insert(event.vm);
+  }
+}
+
+bool AntiEntropy::On(TimePoint, const DifferencesReceived& event) {
+  bool changed = false;
+  for (const PlatformObject& object : event.answer.objects) {
+    changed = this->store.Apply(object) || changed;
+  }
+  if (event.id != this->pull.id || this->pull.id == 0) {
+    return changed;
+  }
+  // The answer to a request by buckets says nothing of the kinds that it didn't name.
+  const bool all_kinds = this->pull.request.buckets.empty();
+  if (all_kinds && this->pull.request.after <= this->store.CompleteThrough()) {
+    this->store.CompleteThrough(event.answer.complete_through);
+  }
+  this->continue_pull = event.answer.more && !event.answer.objects.empty();
+  if (this->continue_pull) {
+    this->pull.request.after = event.answer.objects.back().version;
+  } else {
+    this->EndPull();
+  }
+  return changed;
+}
+
+ObjectVersion AntiEntropy::On(const DifferencesFailed& event) {
+  return event.id == this->pull.id && this->pull.id != 0 ? this->EndPull() : 0;
+}
+
+void AntiEntropy::Push(TimePoint now) { this->push_at = std::min(this->push_at, std::max(now, this->push_not_before)); }
+
+ObjectVersion AntiEntropy::Run(TimePoint now, std::vector<DistributionAction>& actions) {
+  ObjectVersion unreachable = 0;
+  if (this->pull.id != 0 && now >= this->pull.deadline) {
+    unreachable = this->EndPull();
+  }
+  if (this->continue_pull) {
+    this->continue_pull = false;
+    this->StartPull(now, this->pull.peer, this->pull.request, actions);
+  }
+  while (this->pull.id == 0 && !this->unconsidered.empty()) {
+    const VmName vm = *this->unconsidered.begin();
+    this->unconsidered.erase(this->unconsidered.begin());
+    this->Consider(now, vm, actions);
+  }
+  this->RunPush(now, actions);
+  this->RunExchange(now, actions);
+  return unreachable;
+}
+
+TimePoint AntiEntropy::NextDeadline() const {
+  return std::min({this->pull.deadline, this->push_at, this->exchange_at});
+}
+
+std::vector<VmName> AntiEntropy::RelaysOf(const std::string& data_centre) const {
+  return SelectRelays(this->members, data_centre);
+}
+
+std::vector<InForceEntry> AntiEntropy::InForce() const {
+  std::vector<InForceEntry> entries;
+  for (const Member& member : this->members) {
+    const auto found = this->peers.find(member.vm);
+    ObjectVersion version = found == this->peers.end() ? 0 : found->second.digest.complete_through;
+    if (member.vm == this->self.vm) {
+      version = this->store.CompleteThrough();
+    }
+    entries.push_back({member.vm, member.data_centre, version});
+  }
+  return entries;
+}
+
+void AntiEntropy::Consider(TimePoint now, const VmName& vm, std::vector<DistributionAction>& actions) {
+  Peer& peer = this->peers[vm];
+  const ConfigurationDigest own = this->store.Digest();
+  switch (CompareDigests(own, peer.digest)) {
+    case DigestComparison::kEqual:
+      // The same objects are complete through whatever either side knows.
+      this->store.CompleteThrough(peer.digest.complete_through);
+      break;
+    case DigestComparison::kPeerIsNewer:
+      this->StartPull(now, vm, {this->self.vm, own.complete_through, {}}, actions);
+      break;
+    case DigestComparison::kObjectsDiffer: {
+      DifferencesRequest request{this->self.vm, 0, {}};
+      for (const KindDigest& kind : peer.digest.kinds) {
+        const KindDigest* mine = FindKind(own, kind.kind);
+        if (mine == nullptr || *mine != kind) {
+          request.buckets.push_back(this->store.Buckets(kind.kind));
+        }
+      }
+      if (!request.buckets.empty()) {
+        this->StartPull(now, vm, std::move(request), actions);
+      }
+      break;
+    }
+    case DigestComparison::kPeerIsOlder:
+      if (now >= peer.reply_not_before) {
+        peer.reply_not_before = now + this->constants.exchange_interval;
+        actions.emplace_back(SendDigest{{vm}});
+      }
+      break;
+  }
+}
+
+void AntiEntropy::StartPull(TimePoint now, const VmName& vm, DifferencesRequest request,
+                            std::vector<DistributionAction>& actions) {
+  this->pull = {this->next_id++, vm, std::move(request), now + this->constants.call_timeout};
+  actions.emplace_back(PullDifferences{this->pull.id, vm, this->pull.request});
+}
+
+void AntiEntropy::RunPush(TimePoint now, std::vector<DistributionAction>& actions) {
+  if (now < this->push_at) {
+    return;
+  }
+  this->push_at = kNever;
+  this->push_not_before = now + this->constants.push_interval;
+  SendDigest digest;
+  for (const Member& member : this->members) {
+    if (member.data_centre == this->self.data_centre && member.vm != this->self.vm) {
+      digest.to.push_back(member.vm);
+    }
+  }
+  if (!digest.to.empty()) {
+    actions.emplace_back(std::move(digest));
+  }
+}
+
+void AntiEntropy::RunExchange(TimePoint now, std::vector<DistributionAction>& actions) {
+  if (now < this->exchange_at) {
+    return;
+  }
+  // Half of the interval is random, so that VMs which started together drift apart.
+  const Duration half = this->ExchangeInterval() / 2;
+  this->exchange_at = now + half + this->jitter.UpTo(half);
+  if (std::optional<VmName> target = this->ExchangeTarget()) {
+    actions.emplace_back(SendDigest{{*std::move(target)}});
+  }
+}
+
+std::optional<VmName> AntiEntropy::ExchangeTarget() {
+  const bool any_member = this->jitter.Below(this->constants.any_member_share) == 0;
+  if (!any_member && !this->exchange_relays.empty()) {
+    return this->exchange_relays[this->jitter.Below(this->exchange_relays.size())];
+  }
+  if (this->members.empty()) {
+    return std::nullopt;
+  }
+  const Member& member = this->members[this->jitter.Below(this->members.size())];
+  return member.vm == this->self.vm ? std::nullopt : std::optional(member.vm);
+}
+
+Duration AntiEntropy::ExchangeInterval() const {
+  const auto same_data_centre = [this](const Member& member) { return member.data_centre == this->self.data_centre; };
+  const auto senders = std::count_if(this->members.begin(), this->members.end(), same_data_centre);
+  const Duration for_relays = Duration(std::chrono::seconds(senders)) /
+                              static_cast<Duration::rep>(this->constants.digests_per_relay * kRelaysPerDataCentre);
+  return std::max<Duration>(this->constants.exchange_interval, for_relays);
+}
+
+// Returns the highest version that the peer of the pull has shown.
+ObjectVersion AntiEntropy::EndPull() {
+  const auto found = this->peers.find(this->pull.peer);
+  const ObjectVersion shown = found == this->peers.end() ? 0 : HighestOf(found->second.digest);
+  this->pull = {};
+  this->continue_pull = false;
+  return shown;
+}
+
+}  // namespace amaranthlane::configuration
--- /dev/null
+++ b/source/core/configuration/differences.cc
@@ -0,0 +1,71 @@
+#include "core/configuration/differences.h"
+
+#include <utility>
+
+#include "common/error.h"
+#include "common/json.h"
+
+namespace amaranthlane::configuration {
+
+namespace {
+
+KindBuckets ParseKindBuckets(const nlohmann::json& message) {
+  const json::ObjectReader reader(message, "differences request");
+  reader.RejectUnknown({"kind", "hashes"});
+  KindBuckets buckets{reader.String("kind"), {}};
+  for (const nlohmann::json& hash : reader.Array("hashes")) {
+    if (!hash.is_number_unsigned()) {
+      throw ParseError("differences request", "hashes", "an array of whole numbers");
+    }
+    buckets.hashes.push_back(hash.get<std::uint64_t>());
+  }
+  if (buckets.hashes.size() != kBucketCount) {
+    throw ParseError("differences request", "hashes", "one hash for each bucket");
+  }
+  return buckets;
+}
+
+}  // namespace
+
+DifferencesRequest ParseDifferencesRequest(const nlohmann::json& message) {
+  const json::ObjectReader reader(message, "differences request");
+  reader.RejectUnknown({"vm", "after", "buckets"});
+  DifferencesRequest request{reader.String("vm"), reader.Unsigned("after"), {}};
+  for (const nlohmann::json& buckets : reader.Array("buckets")) {
+    request.buckets.push_back(ParseKindBuckets(buckets));
+  }
+  return request;
+}
+
+nlohmann::json ToJson(const DifferencesRequest& request) {
+  nlohmann::json buckets = nlohmann::json::array();
+  for (const KindBuckets& kind : request.buckets) {
+    buckets.push_back({{"kind", kind.kind}, {"hashes", kind.hashes}});
+  }
+  return {{"vm", request.vm}, {"after", request.after}, {"buckets", std::move(buckets)}};
+}
+
+DifferencesAnswer ParseDifferencesAnswer(const nlohmann::json& message) {
+  const json::ObjectReader reader(message, "differences answer");
+  reader.RejectUnknown({"complete_through", "objects", "more"});
+  DifferencesAnswer answer;
+  answer.complete_through = reader.Unsigned("complete_through");
+  answer.more = reader.Bool("more");
+  for (const nlohmann::json& object : reader.Array("objects")) {
+    answer.objects.push_back(ParsePlatformObject(object));
+  }
+  if (answer.more && answer.objects.empty()) {
+    throw ParseError("differences answer", "objects", "at least one object before more");
+  }
+  return answer;
+}
+
+nlohmann::json ToJson(const DifferencesAnswer& answer) {
+  nlohmann::json objects = nlohmann::json::array();
+  for (const PlatformObject& object : answer.objects) {
+    objects.push_back(ToJson(object));
+  }
+  return {{"complete_through", answer.complete_through}, {"objects", std::move(objects)}, {"more", answer.more}};
+}
+
+}  // namespace amaranthlane::configuration
--- a/source/core/configuration/differences.h
+++ b/source/core/configuration/differences.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTHLANE_CORE_CONFIGURATION_DIFFERENCES_H_
 #define AMARANTHLANE_CORE_CONFIGURATION_DIFFERENCES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -12,6 +13,9 @@
 // The messages of anti-entropy between two VMs: `POST /v1/peer/objects`.
 namespace amaranthlane::configuration {
 
+// The objects of each kind are divided into this many buckets by the hashes of their names.
+inline constexpr std::size_t kBucketCount = 64;
+
 // The hashes of one kind's buckets at the VM that asks. An object's bucket follows from its name.
 struct KindBuckets {
   std::string kind;
--- a/source/core/configuration/distribution_messages.h
+++ b/source/core/configuration/distribution_messages.h
@@ -129,6 +129,13 @@
 
 using DistributionAction = std::variant<OpenWatch, CloseWatch, ListObjects, ReadObject, SendDigest, PullDifferences>;
 
+// The version up to which a VM says that every change is in force there.
+struct InForceEntry {
+  VmName vm;
+  std::string data_centre;
+  ObjectVersion complete_through = 0;
+};
+
 }  // namespace amaranthlane::configuration
 
 #endif  // AMARANTHLANE_CORE_CONFIGURATION_DISTRIBUTION_MESSAGES_H_
--- a/source/core/configuration/edit_messages.h
+++ b/source/core/configuration/edit_messages.h
@@ -50,7 +50,7 @@
 // "not_applied" or "unknown".
 const char* EditEffectName(EditEffect effect);
 
-// The object changed between the operator's reading and the edit.
+// Another edit stands where this one was to go.
 struct EditConflict {
   Edit mine;
   // The object or tombstone that stands at the platform now.
--- /dev/null
+++ b/source/core/configuration/edit_system.cc
@@ -0,0 +1,239 @@
+#include "core/configuration/edit_system.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/error.h"
+#include "core/configuration/object_validation.h"
+
+namespace amaranthlane::configuration {
+
+namespace {
+
+constexpr std::chrono::milliseconds kRetryInterval{200};
+constexpr std::chrono::milliseconds kCallTimeout{2000};
+constexpr const char* kUpdateIdKey = "update_id";
+
+bool HasUpdateId(const PlatformObject& object, const std::string& update_id) {
+  if (object.deleted || !object.value.is_object()) {
+    return false;
+  }
+  const auto found = object.value.find(kUpdateIdKey);
+  return found != object.value.end() && *found == update_id;
+}
+
+bool SameVersion(const PlatformObject& left, const PlatformObject& right) {
+  return left.version == right.version && left.deleted == right.deleted;
+}
+
+// The version that the platform's condition names: 0 stands for no object and for a tombstone.
+ObjectVersion ConditionOf(const PlatformObject& base) { return base.deleted ? 0 : base.version; }
+
+}  // namespace
+
+const char* EditEffectName(EditEffect effect) { return effect == EditEffect::kNotApplied ? "not_applied" : "unknown"; }
+
+EditSystem::EditSystem(VmName vm, Incarnation incarnation) : vm(std::move(vm)), incarnation(incarnation) {}
+
+std::vector<EditAction> EditSystem::Tick(TimePoint now, std::span<const EditEvent> events) {
+  Step step{now, {}};
+  for (const EditEvent& event : events) {
+    std::visit([this, &step](const auto& typed) { this->On(step, typed); }, event);
+  }
+  std::vector<std::uint64_t> ids;
+  for (const auto& [id, edit] : this->edits) {
+    ids.push_back(id);
+  }
+  for (const std::uint64_t id : ids) {
+    this->RunOne(step, *this->Find(id));
+  }
+  return std::move(step.actions);
+}
+
+TimePoint EditSystem::NextDeadline() const {
+  TimePoint next = kNever;
+  for (const auto& [id, edit] : this->edits) {
+    next = std::min({next, edit.call_deadline, edit.retry_at, edit.deadline});
+  }
+  return next;
+}
+
+void EditSystem::On(Step& step, const EditSubmitted& event) {
+  PendingEdit edit;
+  edit.id = event.edit;
+  edit.wanted = event.wanted;
+  edit.deadline = event.deadline;
+  try {
+    if (event.wanted.remove && !IsEditableKind(event.wanted.kind)) {
+      throw ParseError("edit", "kind", "a kind that operators may edit");
+    }
+    if (!event.wanted.remove) {
+      ValidateObject(event.wanted.kind, event.wanted.name, event.wanted.value);
+    }
+  } catch (const ParseError& error) {
+    this->End(step, edit, EditInvalid{error.key, error.expected});
+    return;
+  }
+  edit.update_id = this->vm + "/" + std::to_string(this->incarnation) + "/" + std::to_string(this->next_update++);
+  if (!event.wanted.remove) {
+    edit.wanted.value[kUpdateIdKey] = edit.update_id;
+  }
+  const auto [entry, added] = this->edits.emplace(edit.id, std::move(edit));
+  if (added) {
+    this->SendRead(step, entry->second);
+  }
+}
+
+// Counts at any time: an answer that comes after the edit was taken to be in doubt settles it as well.
+void EditSystem::On(Step& step, const EditWriteAnswered& event) {
+  if (PendingEdit* edit = this->Find(event.edit)) {
+    const Edit& wanted = edit->wanted;
+    const nlohmann::json value = wanted.remove ? nlohmann::json() : wanted.value;
+    this->End(step, *edit, EditApplied{{wanted.kind, wanted.name, event.version, wanted.remove, value}});
+  }
+}
+
+void EditSystem::On(Step& step, const EditWriteConflicted& event) {
+  PendingEdit* edit = this->Find(event.edit);
+  if (edit == nullptr) {
+    return;
+  }
+  if (HasUpdateId(event.current, edit->update_id) || (edit->wanted.remove && event.current.deleted)) {
+    this->End(step, *edit, EditApplied{event.current});
+    return;
+  }
+  const EditEffect effect = edit->in_doubt ? EditEffect::kUnknown : EditEffect::kNotApplied;
+  this->End(step, *edit, EditConflict{edit->wanted, event.current, effect});
+}
+
+void EditSystem::On(Step& step, const EditWriteFailed& event) {
+  PendingEdit* edit = this->Find(event.edit);
+  if (edit == nullptr || edit->phase != Phase::kWriting) {
+    return;
+  }
+  if (event.sent) {
+    this->LoseAnswer(step, *edit);
+  } else {
+    this->RetryLater(step, *edit);
+  }
+}
+
+void EditSystem::On(Step& step, const EditReadAnswered& event) {
+  PendingEdit* edit = this->Find(event.edit);
+  if (edit == nullptr) {
+    return;
+  }
+  if (edit->phase == Phase::kReading) {
+    this->Begin(step, *edit, event.object);
+  } else if (edit->phase == Phase::kChecking) {
+    this->Check(step, *edit, event.object);
+  }
+}
+
+void EditSystem::On(Step& step, const EditReadFailed& event) {
+  PendingEdit* edit = this->Find(event.edit);
+  if (edit != nullptr && edit->phase != Phase::kWriting) {
+    this->RetryLater(step, *edit);
+  }
+}
+
+// Sends the first update on condition of what was read, unless the operator saw something else.
+void EditSystem::Begin(Step& step, PendingEdit& edit, const PlatformObject& base) {
+  edit.base = base;
+  if (edit.wanted.expected_version && *edit.wanted.expected_version != ConditionOf(base)) {
+    this->End(step, edit, EditConflict{edit.wanted, base, EditEffect::kNotApplied});
+    return;
+  }
+  if (edit.wanted.remove && base.deleted) {
+    this->End(step, edit, EditApplied{base});
+    return;
+  }
+  try {
+    if (!edit.wanted.remove && !base.deleted) {
+      ValidateChange(edit.wanted.kind, base.value, edit.wanted.value);
+    }
+  } catch (const ParseError& error) {
+    this->End(step, edit, EditInvalid{error.key, error.expected});
+    return;
+  }
+  this->SendWrite(step, edit);
+}
+
+// Settles an update whose answer was lost by what stands now.
+void EditSystem::Check(Step& step, PendingEdit& edit, const PlatformObject& current) {
+  if (HasUpdateId(current, edit.update_id) || (edit.wanted.remove && current.deleted)) {
+    this->End(step, edit, EditApplied{current});
+    return;
+  }
+  if (!SameVersion(current, edit.base)) {
+    // Its condition can't hold any more, but it may have held before.
+    this->End(step, edit, EditConflict{edit.wanted, current, EditEffect::kUnknown});
+    return;
+  }
+  if (edit.base.deleted) {
+    // The condition "no such object" would hold again once someone deletes what the lost update created, so sending it
+    // twice could take that deletion back. Only its arrival is awaited.
+    this->RetryLater(step, edit);
+    return;
+  }
+  this->SendWrite(step, edit);
+}
+
+void EditSystem::LoseAnswer(Step& step, PendingEdit& edit) {
+  edit.in_doubt = true;
+  edit.phase = Phase::kChecking;
+  this->SendRead(step, edit);
+}
+
+void EditSystem::RunOne(Step& step, PendingEdit& edit) {
+  const bool write_out = edit.phase == Phase::kWriting && edit.call_deadline != kNever;
+  if (step.now >= edit.deadline) {
+    const bool unknown = edit.in_doubt || write_out;
+    this->End(step, edit, EditUnavailable{unknown ? EditEffect::kUnknown : EditEffect::kNotApplied});
+  } else if (step.now >= edit.call_deadline) {
+    if (write_out) {
+      this->LoseAnswer(step, edit);
+    } else {
+      this->SendRead(step, edit);
+    }
+  } else if (step.now >= edit.retry_at) {
+    if (edit.phase == Phase::kWriting) {
+      this->SendWrite(step, edit);
+    } else {
+      this->SendRead(step, edit);
+    }
+  }
+}
+
+void EditSystem::SendWrite(Step& step, PendingEdit& edit) {
+  edit.phase = Phase::kWriting;
+  edit.call_deadline = step.now + kCallTimeout;
+  edit.retry_at = kNever;
+  const Edit& wanted = edit.wanted;
+  step.actions.emplace_back(
+      EditWrite{edit.id, wanted.kind, wanted.name, wanted.remove, ConditionOf(edit.base), wanted.value});
+}
+
+void EditSystem::SendRead(Step& step, PendingEdit& edit) {
+  edit.call_deadline = step.now + kCallTimeout;
+  edit.retry_at = kNever;
+  step.actions.emplace_back(EditRead{edit.id, edit.wanted.kind, edit.wanted.name});
+}
+
+void EditSystem::RetryLater(const Step& step, PendingEdit& edit) {
+  edit.call_deadline = kNever;
+  edit.retry_at = step.now + kRetryInterval;
+}
+
+void EditSystem::End(Step& step, const PendingEdit& edit, EditResult result) {
+  const std::uint64_t id = edit.id;
+  step.actions.emplace_back(EditEnded{id, std::move(result)});
+  this->edits.erase(id);
+}
+
+EditSystem::PendingEdit* EditSystem::Find(std::uint64_t edit) {
+  const auto found = this->edits.find(edit);
+  return found == this->edits.end() ? nullptr : &found->second;
+}
+
+}  // namespace amaranthlane::configuration
--- a/source/core/configuration/edit_system.h
+++ b/source/core/configuration/edit_system.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -27,11 +26,11 @@
 
  private:
   enum class Phase : std::uint8_t {
-    // Reading the version to set the update's condition.
+    // Reading what stands, to set the update's condition.
     kReading,
-    // An update is out.
+    // An update is out or about to be sent again.
     kWriting,
-    // An update's answer was lost; a read is out to see what stands.
+    // An update's answer was lost; reading what stands now.
     kChecking,
   };
 
@@ -40,9 +39,13 @@
     Edit wanted;
     std::string update_id;
     Phase phase = Phase::kReading;
-    ObjectVersion expected_version = 0;
-    // True once an update may have reached the platform without an answer.
-    bool may_have_applied = false;
+    // What stood at the platform when the edit began.
+    PlatformObject base;
+    // True once an update went out whose answer was lost.
+    bool in_doubt = false;
+    // When the call that is out counts as lost; kNever when none is out.
+    TimePoint call_deadline = kNever;
+    // When the next call of this phase goes out; kNever when none is due.
     TimePoint retry_at = kNever;
     TimePoint deadline = kNever;
   };
@@ -59,11 +62,14 @@
   void On(Step& step, const EditReadAnswered& event);
   void On(Step& step, const EditReadFailed& event);
 
+  void Begin(Step& step, PendingEdit& edit, const PlatformObject& base);
   void Check(Step& step, PendingEdit& edit, const PlatformObject& current);
+  void LoseAnswer(Step& step, PendingEdit& edit);
+  void RunOne(Step& step, PendingEdit& edit);
   void SendWrite(Step& step, PendingEdit& edit);
-  void SendRead(Step& step, const PendingEdit& edit);
-  void End(Step& step, std::uint64_t edit, EditResult result);
-  void Conflict(Step& step, const PendingEdit& edit, const PlatformObject& current);
+  void SendRead(Step& step, PendingEdit& edit);
+  void RetryLater(const Step& step, PendingEdit& edit);
+  void End(Step& step, const PendingEdit& edit, EditResult result);
   PendingEdit* Find(std::uint64_t edit);
 
   VmName vm;
--- /dev/null
+++ b/source/core/configuration/jitter.h
@@ -0,0 +1,33 @@
+#ifndef AMARANTHLANE_CORE_CONFIGURATION_JITTER_H_
+#define AMARANTHLANE_CORE_CONFIGURATION_JITTER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+
+#include "common/boot_clock.h"
+
+namespace amaranthlane::configuration {
+
+// Random delays and choices from a seeded generator, so that a run can be repeated.
+class Jitter {
+ public:
+  explicit Jitter(std::uint64_t seed) : generator(seed) {}
+
+  // A time from zero to `bound`, both inclusive.
+  Duration UpTo(Duration bound) {
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, bound.count())(this->generator));
+  }
+
+  // A number below `count`, which must not be 0.
+  std::size_t Below(std::size_t count) {
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(this->generator);
+  }
+
+ private:
+  std::mt19937_64 generator;
+};
+
+}  // namespace amaranthlane::configuration
+
+#endif  // AMARANTHLANE_CORE_CONFIGURATION_JITTER_H_
--- a/source/core/configuration/object_store.h
+++ b/source/core/configuration/object_store.h
@@ -17,8 +17,6 @@
 
 namespace amaranthlane::configuration {
 
-inline constexpr std::size_t kBucketCount = 64;
-
 // The table of all platform objects that this VM knows. An object is replaced only by a newer one and a deletion leaves
 // a tombstone with its version, so that no order of arrival takes anything back.
 class ObjectStore {
@@ -49,6 +47,9 @@
   // A number that rises with each change of an object of this kind; 0 for a kind that holds none.
   std::uint64_t Revision(std::string_view kind) const;
 
+  // The highest version of any object held.
+  ObjectVersion HighestVersion() const;
+
   ConfigurationDigest Digest() const;
 
   // The kind's bucket hashes, for the request to a peer whose digest of this kind differs.
@@ -70,6 +71,7 @@
 
   std::map<std::string, KindTable, std::less<>> kinds;
   ObjectVersion complete_through = 0;
+  ObjectVersion highest_version = 0;
 };
 
 }  // namespace amaranthlane::configuration
--- a/source/core/configuration/object_validation.h
+++ b/source/core/configuration/object_validation.h
@@ -11,6 +11,10 @@
 // operators may not edit.
 void ValidateObject(std::string_view kind, std::string_view name, const nlohmann::json& value);
 
+// Checks that an operator may change `current` to `value`: the term and the primary of a database group change only by
+// a promotion. Throws ParseError.
+void ValidateChange(std::string_view kind, const nlohmann::json& current, const nlohmann::json& value);
+
 // True for the kinds that operators may edit.
 bool IsEditableKind(std::string_view kind);
 
--- /dev/null
+++ b/source/core/configuration/platform_follower.cc
@@ -0,0 +1,164 @@
+#include "core/configuration/platform_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace amaranthlane::configuration {
+
+PlatformFollower::PlatformFollower(const DistributionConstants& constants, ObjectStore& store, Jitter& jitter)
+    : constants(constants), store(store), jitter(jitter) {}
+
+void PlatformFollower::Start(TimePoint now) {
+  if (this->active) {
+    return;
+  }
+  this->active = true;
+  this->watch = {};
+  this->watch.open_at = now;
+  this->ScheduleLists(now);
+}
+
+void PlatformFollower::Stop(std::vector<DistributionAction>& actions) {
+  if (this->watch.id != 0) {
+    actions.emplace_back(CloseWatch{this->watch.id});
+  }
+  this->active = false;
+  this->watch = {};
+  this->lists.clear();
+}
+
+bool PlatformFollower::Active() const { return this->active; }
+
+bool PlatformFollower::On(TimePoint now, const WatchAnswered& event) {
+  for (const PlatformObject& object : event.objects) {
+    this->store.Apply(object);
+  }
+  // Every watch starts at a version through which the store was complete, so this holds for a late answer too.
+  this->store.CompleteThrough(event.version);
+  if (event.id == this->watch.id && this->watch.id != 0) {
+    this->watch.id = 0;
+    this->watch.failures = 0;
+    this->watch.deadline = kNever;
+    this->watch.delivered = std::max(this->watch.delivered, event.version);
+    this->watch.open_at = std::max(now, this->watch.not_before);
+  }
+  return !event.objects.empty();
+}
+
+bool PlatformFollower::On(TimePoint, const ListAnswered& event) {
+  const bool changed = this->store.ApplyList(event.kind, event.version, event.objects);
+  std::erase_if(this->lists, [&event](const List& list) { return list.id == event.id; });
+  return changed;
+}
+
+void PlatformFollower::On(TimePoint now, const WatchFailed& event) {
+  if (event.id == this->watch.id && this->watch.id != 0) {
+    this->Reopen(now);
+  }
+}
+
+void PlatformFollower::On(TimePoint now, const ListFailed& event) {
+  for (List& list : this->lists) {
+    if (list.id == event.id) {
+      this->Reschedule(now, list);
+    }
+  }
+}
+
+void PlatformFollower::Suspect(TimePoint now, ObjectVersion version, std::vector<DistributionAction>& actions) {
+  if (this->watch.id != 0 && version > this->watch.delivered) {
+    this->Drop(now, actions);
+  }
+}
+
+void PlatformFollower::Run(TimePoint now, std::vector<DistributionAction>& actions) {
+  if (!this->active) {
+    return;
+  }
+  this->WatchForLag(now);
+  if (this->watch.id != 0 && now >= std::min(this->watch.deadline, this->watch.lag_deadline)) {
+    this->Drop(now, actions);
+  }
+  if (this->watch.id == 0 && now >= this->watch.open_at) {
+    this->OpenNext(now, actions);
+  }
+  this->RunLists(now, actions);
+}
+
+TimePoint PlatformFollower::NextDeadline() const {
+  if (!this->active) {
+    return kNever;
+  }
+  TimePoint next = this->watch.id == 0 ? this->watch.open_at : std::min(this->watch.deadline, this->watch.lag_deadline);
+  for (const List& list : this->lists) {
+    next = std::min(next, list.id == 0 ? list.start_at : list.deadline);
+  }
+  return next;
+}
+
+void PlatformFollower::OpenNext(TimePoint now, std::vector<DistributionAction>& actions) {
+  const ObjectVersion after = this->store.CompleteThrough();
+  this->watch.id = this->next_id++;
+  this->watch.open_at = kNever;
+  this->watch.deadline = now + this->constants.watch_wait + this->constants.watch_margin;
+  this->watch.lag_deadline = kNever;
+  this->watch.not_before = now + this->constants.watch_interval;
+  this->watch.delivered = std::max(this->watch.delivered, after);
+  actions.emplace_back(OpenWatch{this->watch.id, this->constants.kinds, after, this->constants.watch_wait});
+}
+
+void PlatformFollower::Drop(TimePoint now, std::vector<DistributionAction>& actions) {
+  actions.emplace_back(CloseWatch{this->watch.id});
+  this->Reopen(now);
+}
+
+// Sets the next opening after a failure. The random delay keeps the relays apart when all watches break at once.
+void PlatformFollower::Reopen(TimePoint now) {
+  const unsigned doublings = std::min(this->watch.failures, this->constants.watch_retry_doublings);
+  ++this->watch.failures;
+  this->watch.id = 0;
+  this->watch.deadline = kNever;
+  this->watch.lag_deadline = kNever;
+  this->watch.open_at = now + this->jitter.UpTo(this->constants.watch_retry * (1U << doublings));
+  this->ScheduleLists(now);
+}
+
+void PlatformFollower::ScheduleLists(TimePoint now) {
+  for (const std::string& kind : this->constants.kinds) {
+    const auto same_kind = [&kind](const List& list) { return list.kind == kind; };
+    if (std::none_of(this->lists.begin(), this->lists.end(), same_kind)) {
+      this->lists.push_back({kind, 0, now + this->jitter.UpTo(this->constants.list_spread), kNever});
+    }
+  }
+}
+
+void PlatformFollower::Reschedule(TimePoint now, List& list) {
+  list.id = 0;
+  list.deadline = kNever;
+  list.start_at = now + this->jitter.UpTo(this->constants.list_spread);
+}
+
+// The store learns from peers and edits too. What it holds above the watch's deliveries must soon come by the watch as
+// well, or the watch's connection has gone silent.
+void PlatformFollower::WatchForLag(TimePoint now) {
+  if (this->store.HighestVersion() <= this->watch.delivered) {
+    this->watch.lag_deadline = kNever;
+  } else if (this->watch.lag_deadline == kNever) {
+    this->watch.lag_deadline = now + this->constants.watch_lag_limit;
+  }
+}
+
+void PlatformFollower::RunLists(TimePoint now, std::vector<DistributionAction>& actions) {
+  for (List& list : this->lists) {
+    if (list.id != 0 && now >= list.deadline) {
+      this->Reschedule(now, list);
+    }
+    if (list.id == 0 && now >= list.start_at) {
+      list.id = this->next_id++;
+      list.deadline = now + this->constants.call_timeout;
+      actions.emplace_back(ListObjects{list.id, list.kind});
+    }
+  }
+}
+
+}  // namespace amaranthlane::configuration
