Test the store, distribution, edits and the resolver

Cause: nothing may revert, and an accepted edit must be in force within 2 s at 9 VMs and 16 s at 550.

--- a/source/core/configuration/obligation_resolver.cc
+++ b/source/core/configuration/obligation_resolver.cc
@@ -53,6 +53,8 @@
 
 }  // namespace
 
+ObligationResolver::ObligationResolver(Obligation defaults) : defaults(defaults) {}
+
 bool ObligationResolver::Refresh(const ObjectStore& store) {
   const std::uint64_t labels = store.Revision(kLabelsKind);
   const std::uint64_t selectors = store.Revision(kSelectorsKind);
@@ -76,7 +78,7 @@
   if (this->cache.size() >= kMaximumCacheEntries) {
     this->cache.clear();
   }
-  Obligation obligation;
+  Obligation obligation = this->defaults;
   const LabelSet labels = this->EffectiveLabels(work);
   for (const NamedSelector& entry : this->selectors) {
     if (Matches(entry.selector, labels)) {
--- a/source/core/configuration/obligation_resolver.h
+++ b/source/core/configuration/obligation_resolver.h
@@ -30,11 +30,14 @@
 // Resolves requests to what the selectors in force owe them. Not safe for use from several threads at once.
 class ObligationResolver {
  public:
+  // `defaults` is what work is owed that no selector matches.
+  explicit ObligationResolver(Obligation defaults = {});
+
   // Takes labels and selectors from the store if they changed. Returns whether they did. Until then all lookups use
   // the ones taken before.
   bool Refresh(const ObjectStore& store);
 
-  // Merges the matching selectors in rising order of priority, then of name, over the defaults of Obligation. A read
+  // Merges the matching selectors in rising order of priority, then of name, over the defaults. A read
   // is always idempotent. The reference lasts until the next call.
   const Obligation& Resolve(const WorkDescription& work);
 
@@ -75,6 +78,7 @@
   void TakeLabels(const ObjectStore& store);
   void TakeSelectors(const ObjectStore& store);
 
+  Obligation defaults;
   std::uint64_t labels_revision = 0;
   std::uint64_t selectors_revision = 0;
   LabelTable group_labels;
--- /dev/null
+++ b/tests/core/configuration/distribution_system_test.cc
@@ -0,0 +1,217 @@
+#include "core/configuration/distribution_system.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <iostream>
+#include <random>
+
+#include "core/configuration/fleet.h"
+
+namespace amaranthlane::configuration {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds kSmallFleetLimit{2};
+constexpr seconds kLargeFleetLimit{16};
+
+// Runs until the lists that follow the start are done.
+void Settle(Fleet& fleet) {
+  fleet.Put(kLabelsKind, "first");
+  fleet.RunUntil([] { return false; }, seconds(15));
+}
+
+milliseconds TimeToForce(Fleet& fleet, ObjectVersion version, milliseconds limit) {
+  return fleet.RunUntil([&] { return fleet.InForceEverywhere(version); }, limit);
+}
+
+std::vector<VmName> Relays(const Fleet& fleet) {
+  std::vector<VmName> relays;
+  for (const auto& [name, vm] : fleet.vms) {
+    if (vm->system.IsRelay()) {
+      relays.push_back(name);
+    }
+  }
+  return relays;
+}
+
+TEST(DistributionSystemTest, AnEditIsInForceInTimeAtNineVmsAndAt550) {
+  for (const auto& [data_centres, vms, limit] : {std::tuple{3, 3, kSmallFleetLimit}, {8, 69, kLargeFleetLimit}}) {
+    Fleet fleet(data_centres, vms, 1);
+    Settle(fleet);
+    EXPECT_EQ(Relays(fleet).size(), 2U * data_centres);
+    const std::size_t calls = fleet.watch_calls;
+    const milliseconds taken = TimeToForce(fleet, fleet.Put(kSelectorsKind, "urgent"), limit);
+    EXPECT_LT(taken, limit);
+    std::cout << fleet.vms.size() << " VMs: in force after " << taken.count() << " ms, " << fleet.watch_calls - calls
+              << " watch calls\n";
+  }
+}
+
+TEST(DistributionSystemTest, SilentWatchesAreMadeUpForByPeersAndReopened) {
+  Fleet fleet(3, 3, 2);
+  Settle(fleet);
+  std::vector<VmName> silent;
+  for (const VmName& relay : Relays(fleet)) {
+    if (relay.starts_with("dc-0")) {
+      silent.push_back(relay);
+    }
+  }
+  fleet.SilenceWatches(silent);
+  const std::size_t calls = fleet.watch_calls;
+  EXPECT_LT(TimeToForce(fleet, fleet.Put(kSelectorsKind, "urgent"), kSmallFleetLimit), kSmallFleetLimit);
+  fleet.RunUntil([] { return false; }, seconds(2));
+  // Four relays reopen after the answer; the two silent ones must have reopened too, well before the watch's wait.
+  EXPECT_GE(fleet.watch_calls - calls, 6U);
+}
+
+TEST(DistributionSystemTest, ASilentPlatformIsNoticedByTheWatchDeadline) {
+  Fleet fleet(3, 3, 3);
+  Settle(fleet);
+  fleet.SilenceWatches(Relays(fleet));
+  const ObjectVersion version = fleet.Put(kSelectorsKind, "urgent");
+  EXPECT_LT(TimeToForce(fleet, version, seconds(20)), seconds(13));
+}
+
+TEST(DistributionSystemTest, AVmThatStartsInAnOutageLearnsFromPeers) {
+  Fleet fleet(3, 3, 4);
+  Settle(fleet);
+  fleet.platform_up = false;
+  fleet.BreakWatches();
+  fleet.Add({"dc-0-new", "dc-0"});
+  const ObjectStore& store = fleet.vms.at("dc-0-new")->store;
+  EXPECT_LT(fleet.RunUntil([&] { return store.Find(kLabelsKind, "first") != nullptr; }, seconds(5)), seconds(2));
+}
+
+TEST(DistributionSystemTest, WatchesThatBreakAtOnceCauseNoHerd) {
+  Fleet fleet(8, 69, 5);
+  Settle(fleet);
+  fleet.platform_up = false;
+  fleet.BreakWatches();
+  fleet.RunUntil([] { return false; }, seconds(30));
+  fleet.platform_up = true;
+  std::size_t most = 0;
+  for (int second = 0; second < 12; ++second) {
+    const std::size_t before = fleet.watch_calls + fleet.read_calls;
+    fleet.RunUntil([] { return false; }, seconds(1));
+    most = std::max(most, fleet.watch_calls + fleet.read_calls - before);
+  }
+  std::cout << "most platform calls in one second after an outage: " << most << "\n";
+  EXPECT_LT(most, 100U);
+  EXPECT_LT(TimeToForce(fleet, fleet.Put(kSelectorsKind, "urgent"), kLargeFleetLimit), kLargeFleetLimit);
+}
+
+TEST(DistributionSystemTest, ADeletionThatOnlyAListRevealsReachesEveryVm) {
+  Fleet fleet(3, 3, 6);
+  Settle(fleet);
+  fleet.platform_up = false;
+  fleet.BreakWatches();
+  fleet.Forget(kLabelsKind, "first");
+  fleet.RunUntil([] { return false; }, seconds(5));
+  fleet.platform_up = true;
+  const auto gone = [&fleet] {
+    return std::all_of(fleet.vms.begin(), fleet.vms.end(),
+                       [](const auto& entry) { return entry.second->store.Find(kLabelsKind, "first") == nullptr; });
+  };
+  EXPECT_LT(fleet.RunUntil(gone, seconds(60)), seconds(20));
+  EXPECT_LT(fleet.RunUntil([&fleet] { return fleet.Converged(); }, seconds(60)), seconds(30));
+}
+
+TEST(DistributionSystemTest, ANewerVersionSeenElsewhereIsReadOnce) {
+  ObjectStore store;
+  DistributionSystem system({"dub-a-1", "dub-a"}, store, 7);
+  const std::vector<DistributionEvent> seen = {NewerVersionSeen{kDatabaseGroupsKind, "g", 9},
+                                               NewerVersionSeen{kDatabaseGroupsKind, "g", 9}};
+  EXPECT_EQ(system.Tick(TimePoint(seconds(1)), seen).size(), 1U);
+  const std::vector<DistributionEvent> learned = {ObjectLearned{{kDatabaseGroupsKind, "g", 9, true, nullptr}}};
+  system.Tick(TimePoint(seconds(1)), learned);
+  EXPECT_TRUE(system.Tick(TimePoint(seconds(2)), seen).empty());
+}
+
+TEST(DistributionSystemTest, DifferencesBelowTheCompleteVersionAreFoundByBuckets) {
+  ObjectStore with_tombstone;
+  ObjectStore without;
+  for (ObjectStore* store : {&with_tombstone, &without}) {
+    store->Apply({kLabelsKind, "a", 10, false, {{"v", 1}}});
+    store->Apply({kLabelsKind, "b", 48, false, {{"v", 1}}});
+    store->CompleteThrough(50);
+  }
+  with_tombstone.Apply({kLabelsKind, "a", 45, true, nullptr});
+  DistributionSystem peer({"dub-a-1", "dub-a"}, with_tombstone, 1);
+  DistributionSystem system({"dub-a-2", "dub-a"}, without, 2);
+  const std::vector<DistributionEvent> heard = {PeerDigestReceived{"dub-a-1", with_tombstone.Digest()}};
+  const std::vector<DistributionAction> actions = system.Tick(TimePoint(seconds(1)), heard);
+  ASSERT_EQ(actions.size(), 1U);
+  const auto& pull = std::get<PullDifferences>(actions[0]);
+  const std::vector<DistributionEvent> received = {DifferencesReceived{pull.id, pull.peer, peer.Answer(pull.request)}};
+  system.Tick(TimePoint(seconds(1)), received);
+  EXPECT_EQ(without.Digest(), with_tombstone.Digest());
+}
+
+TEST(DistributionSystemTest, AnAnswerByBucketsOrFromAboveProvesNothingOfTheRest) {
+  ObjectStore store;
+  store.Apply({kLabelsKind, "a", 10, false, {{"v", 1}}});
+  store.CompleteThrough(50);
+  DistributionSystem system({"dub-a-2", "dub-a"}, store, 2);
+  const std::vector<DistributionEvent> heard = {PeerDigestReceived{"dub-a-1", {50, {{kLabelsKind, 1, 10}}}}};
+  const auto pull = std::get<PullDifferences>(system.Tick(TimePoint(seconds(1)), heard).at(0));
+  ASSERT_FALSE(pull.request.buckets.empty());
+  const std::vector<DistributionEvent> late = {DifferencesReceived{pull.id + 1, "dub-a-1", {90, {}, false}}};
+  system.Tick(TimePoint(seconds(1)), late);
+  EXPECT_EQ(store.CompleteThrough(), 50U);
+  const std::vector<DistributionEvent> received = {DifferencesReceived{pull.id, "dub-a-1", {80, {}, false}}};
+  system.Tick(TimePoint(seconds(1)), received);
+  EXPECT_EQ(store.CompleteThrough(), 50U);
+}
+
+RC_GTEST_PROP(DistributionSystemTest, NothingRevertsAndAllConvergeAfterLossAndOutages, ()) {
+  Fleet fleet(3, 3, *rc::gen::arbitrary<std::uint32_t>());
+  std::mt19937_64 generator(*rc::gen::arbitrary<std::uint64_t>());
+  const std::uint64_t loss_percent = *rc::gen::inRange<std::uint64_t>(0, 80);
+  fleet.arrives = [&](const VmName&, const VmName&) { return generator() % 100 >= loss_percent; };
+  std::map<VmName, std::map<std::string, ObjectVersion>> held;
+  ObjectVersion last = 0;
+  for (int round = 0; round < 400; ++round) {
+    const std::uint64_t dice = generator() % 40;
+    if (dice < 4) {
+      last = fleet.Put(kLabelsKind, "object-" + std::to_string(dice), generator() % 4 == 0);
+    } else if (dice == 4) {
+      fleet.platform_up = !fleet.platform_up;
+      fleet.BreakWatches();
+    } else if (dice == 5) {
+      fleet.SilenceWatches(Relays(fleet));
+    }
+    fleet.Step();
+    RC_ASSERT(fleet.ClaimsHold());
+    for (const auto& [name, vm] : fleet.vms) {
+      for (const char* object : {"object-0", "object-1", "object-2", "object-3"}) {
+        const PlatformObject* now = vm->store.FindWithTombstone(kLabelsKind, object);
+        const ObjectVersion version = now == nullptr ? 0 : now->version;
+        RC_ASSERT(version >= held[name][object]);
+        held[name][object] = version;
+      }
+    }
+  }
+  fleet.platform_up = true;
+  fleet.arrives = [](const VmName&, const VmName&) { return true; };
+  RC_ASSERT(TimeToForce(fleet, last, seconds(60)) < seconds(60));
+  RC_ASSERT(fleet.Converged());
+}
+
+TEST(RelaySelectionTest, AChangeOfOneMemberReplacesAtMostOneRelay) {
+  std::vector<Member> members;
+  for (int i = 0; i < 10; ++i) {
+    members.push_back({"vm-" + std::to_string(i), "dub-a"});
+  }
+  const std::vector<VmName> before = SelectRelays(members, "dub-a");
+  ASSERT_EQ(before.size(), 2U);
+  std::erase(members, Member{before[0], "dub-a"});
+  const std::vector<VmName> after = SelectRelays(members, "dub-a");
+  EXPECT_EQ(after[0], before[1]);
+  EXPECT_EQ(SelectRelays(std::vector<Member>{{"a", "x"}, {"b", "y"}}, "x"), std::vector<VmName>{"a"});
+}
+
+}  // namespace
+}  // namespace amaranthlane::configuration
