--- /dev/null
+++ b/fuzz/common_parse_functions.cc
@@ -0,0 +1,40 @@
+#include "common/ip_address.h"
+#include "common/json.h"
+#include "common/settings.h"
+#include "common/sha256.h"
+#include "parse_functions.h"
+
+namespace amaranthlane::fuzz {
+
+namespace {
+
+constexpr const char* kSettings =
+    "vm: dub-a-1\ndata_centre: dub-a\nregion: eu-west-dub\naddresses:\n  callers: 127.0.0.1:7401\n"
+    "  platform: \"127.0.0.1:7000\"\nseeds: [127.0.0.1:7501, '[::1]:7502']\nlimits: {body_bytes: 65536}\n"
+    "leadership:\n  beat_ms: 500\n  promise_ms: 3000\nlog:\n  level: info\n";
+
+void ParseWholeSettings(std::string_view text) { ParseSettings(text, "vm.yaml"); }
+
+// Takes the text as the value of several settings of the command line.
+void ParseOverrides(std::string_view text) {
+  const SettingOverride override = ParseSettingOverride(text);
+  ParseSettings(kSettings, "vm.yaml", {override});
+}
+
+}  // namespace
+
+std::vector<ParseFunction> CommonParseFunctions() {
+  return {
+      {"Json",
+       [](std::string_view text) { json::Parse(text, "fuzz"); },
+       {R"({"a":[1,-2,3.5e7,"é\u00e9",null,true,{}]})"}},
+      {"Settings", ParseWholeSettings, {kSettings}},
+      {"SettingOverride", ParseOverrides, {"leadership.beat_ms=100", "seeds=127.0.0.1:1,[::1]:2", "log.level=debug"}},
+      {"IpAndPort", [](std::string_view text) { IsIpAndPort(text); }, {"127.0.0.1:7000", "[::1]:65535"}},
+      {"Sha256Hash",
+       [](std::string_view text) { ParseSha256(text); },
+       {"ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad"}},
+  };
+}
+
+}  // namespace amaranthlane::fuzz
--- /dev/null
+++ b/fuzz/configuration_parse_functions.cc
@@ -0,0 +1,75 @@
+#include <stdexcept>
+
+#include "common/json.h"
+#include "core/configuration/caller.h"
+#include "core/configuration/database_group.h"
+#include "core/configuration/differences.h"
+#include "core/configuration/digest.h"
+#include "core/configuration/labels.h"
+#include "core/configuration/platform_object.h"
+#include "core/configuration/selector.h"
+#include "parse_functions.h"
+
+namespace amaranthlane::fuzz {
+
+namespace {
+
+using namespace configuration;  // NOLINT(google-build-using-namespace): every entry here is of this subsystem
+
+// Parses the text, writes the message and parses it again.
+template <auto parse>
+void RoundTrip(std::string_view text) {
+  const auto message = parse(json::Parse(text, "fuzz"));
+  if (!(parse(ToJson(message)) == message)) {
+    throw std::logic_error("the message changed when written and read again");
+  }
+}
+
+template <auto parse>
+void ParseOnly(std::string_view text) {
+  parse(json::Parse(text, "fuzz"));
+}
+
+std::string DifferencesRequestSample() {
+  const DifferencesRequest request{"dub-a-1", 7, {{kLabelsKind, std::vector<std::uint64_t>(kBucketCount, 5)}}};
+  return ToJson(request).dump();
+}
+
+}  // namespace
+
+std::vector<ParseFunction> ConfigurationParseFunctions() {
+  return {
+      {"PlatformObject",
+       RoundTrip<ParsePlatformObject>,
+       {R"({"kind":"labels","name":"a","version":7,"deleted":false,"value":{"x":[1]}})",
+        R"({"kind":"labels","name":"a","version":8,"deleted":true})"}},
+      {"ConfigurationDigest",
+       RoundTrip<ParseConfigurationDigest>,
+       {R"({"complete_through":9,"kinds":[{"kind":"labels","hash":18446744073709551615,"highest_version":7}]})"}},
+      {"DifferencesRequest",
+       RoundTrip<ParseDifferencesRequest>,
+       {R"({"vm":"dub-a-1","after":7,"buckets":[]})", DifferencesRequestSample()}},
+      {"DifferencesAnswer",
+       RoundTrip<ParseDifferencesAnswer>,
+       {R"({"complete_through":9,"more":true,"objects":[{"kind":"labels","name":"a","version":7,"value":{}}]})"}},
+      {"DatabaseGroup",
+       RoundTrip<ParseDatabaseGroup>,
+       {R"({"group":"g","region":"r","term":1,"primary":"e1","slots":5,"connections":35,"update_id":"u","instances":[
+          {"endpoint":"e1","address":"127.0.0.1:1","data_centre":"d","state":"live"},
+          {"endpoint":"e2","address":"127.0.0.1:2","data_centre":"d","state":"leaving"}]})"}},
+      {"Labels",
+       ParseOnly<ParseLabels>,
+       {R"({"groups":["g"],"callers":["c"],"kinds":["k"],"labels":{"tier":"gold"},"update_id":"u"})"}},
+      {"Selector",
+       ParseOnly<ParseSelector>,
+       {R"({"priority":5,"match":[{"key":"kind.tier","equals":"a"},{"key":"b","in":["x","y"]},
+          {"key":"c","exists":false},{"key":"d","not_in":["z"]}],"owes":{"rank":"urgent","freshness_ms":0,
+          "acknowledgement":"replicated","read_your_writes":true,"idempotent":false,"time_limit_ms":900,
+          "floor":0.25}})"}},
+      {"Caller",
+       ParseOnly<ParseCaller>,
+       {R"({"key_sha256":["ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad"]})"}},
+  };
+}
+
+}  // namespace amaranthlane::fuzz
--- /dev/null
+++ b/fuzz/mutator.h
@@ -0,0 +1,34 @@
+#ifndef AMARANTHLANE_FUZZ_MUTATOR_H_
+#define AMARANTHLANE_FUZZ_MUTATOR_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace amaranthlane::fuzz {
+
+// Makes inputs that are almost valid from valid ones, by a seeded generator.
+class Mutator {
+ public:
+  Mutator(std::vector<std::string> samples, std::uint64_t seed);
+
+  std::string Next();
+
+ private:
+  std::size_t Below(std::size_t count);
+  std::string MutateText(std::string text);
+  // Replaces, removes or renames one member at any depth, so that the result is still JSON.
+  std::string MutateJson(nlohmann::json document);
+  nlohmann::json& AnyPart(nlohmann::json& document);
+  nlohmann::json AnyValue();
+
+  std::vector<std::string> samples;
+  std::mt19937_64 generator;
+};
+
+}  // namespace amaranthlane::fuzz
+
+#endif  // AMARANTHLANE_FUZZ_MUTATOR_H_
