--- a/source/common/settings.h
+++ b/source/common/settings.h
@@ -24,7 +24,7 @@
   std::vector<std::string> seeds;
 
   std::uint64_t max_caller_connections = 8192;
-  std::uint64_t max_body_bytes = 1024 * 1024;
+  std::uint64_t max_body_bytes = 1024UL * 1024;
   std::chrono::milliseconds default_time_limit{5000};
 
   std::chrono::milliseconds leadership_beat{500};
--- /dev/null
+++ b/tests/core/configuration/deployments_test.cc
@@ -0,0 +1,73 @@
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <string>
+
+#include "common/settings.h"
+#include "core/configuration/caller_directory.h"
+#include "core/configuration/object_validation.h"
+#include "core/configuration/obligation_resolver.h"
+
+namespace amaranthlane::configuration {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Loads the objects of a ready deployment and checks each as an edit would be.
+ObjectStore Seed(const std::string& deployment) {
+  std::ifstream file(std::string(AMARANTHLANE_DEPLOY_DIR) + "/" + deployment + "/objects.json");
+  ObjectStore store;
+  ObjectVersion version = 0;
+  const nlohmann::json document = nlohmann::json::parse(file);
+  for (const nlohmann::json& object : document.at("objects")) {
+    ValidateObject(object.at("kind").get<std::string>(), object.at("name").get<std::string>(), object.at("value"));
+    store.Apply({object.at("kind"), object.at("name"), ++version, false, object.at("value")});
+  }
+  return store;
+}
+
+Obligation Resolve(const ObjectStore& store, const char* kind, WorkMode mode) {
+  ObligationResolver resolver;
+  resolver.Refresh(store);
+  return resolver.Resolve({"caller", "group", kind, mode});
+}
+
+TEST(DeploymentsTest, SettingsFilesNeedOnlyAVmsOwnValues) {
+  for (const char* deployment : {"register", "rack"}) {
+    const std::string path = std::string(AMARANTHLANE_DEPLOY_DIR) + "/" + deployment + "/vm.yaml";
+    EXPECT_THROW(LoadSettings(path), SettingsError);
+    EXPECT_NO_THROW(LoadSettings(path, {{"vm", "a-1"}, {"data_centre", "a"}}));
+  }
+}
+
+TEST(DeploymentsTest, TheRegisterOwesWhatItsWorkNeeds) {
+  const ObjectStore store = Seed("register");
+  const Obligation lodgement = Resolve(store, "lodgement", WorkMode::kWrite);
+  EXPECT_EQ(lodgement.rank, Rank::kUrgent);
+  EXPECT_EQ(lodgement.acknowledgement, AcknowledgementLevel::kReplicated);
+  EXPECT_FALSE(lodgement.idempotent);
+  EXPECT_TRUE(lodgement.read_your_writes);
+  EXPECT_EQ(Resolve(store, "finding", WorkMode::kWrite).rank, Rank::kNormal);
+  const Obligation check = Resolve(store, "wrap-check", WorkMode::kRead);
+  EXPECT_EQ(check.rank, Rank::kBulk);
+  EXPECT_EQ(check.freshness, milliseconds(5000));
+  CallerDirectory directory;
+  directory.Refresh(store);
+  EXPECT_EQ(*directory.Authenticate("example-key-maker"), "maker");
+}
+
+TEST(DeploymentsTest, RackDivisionOwesWhatItsWorkNeeds) {
+  const ObjectStore store = Seed("rack");
+  EXPECT_EQ(Resolve(store, "order-confirmation", WorkMode::kWrite).rank, Rank::kUrgent);
+  EXPECT_FALSE(Resolve(store, "price-revision", WorkMode::kWrite).idempotent);
+  const Obligation stock = Resolve(store, "stock-lookup", WorkMode::kRead);
+  EXPECT_EQ(stock.rank, Rank::kNormal);
+  EXPECT_EQ(stock.freshness, Duration::zero());
+  const Obligation catalogue = Resolve(store, "catalogue-read", WorkMode::kRead);
+  EXPECT_EQ(catalogue.rank, Rank::kBulk);
+  EXPECT_EQ(catalogue.freshness, milliseconds(5000));
+  EXPECT_GT(catalogue.floor, 0.0);
+}
+
+}  // namespace
+}  // namespace amaranthlane::configuration
