--- /dev/null
+++ b/source/net/address.h
@@ -0,0 +1,25 @@
+#ifndef AMARANTHLANE_NET_ADDRESS_H_
+#define AMARANTHLANE_NET_ADDRESS_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace amaranthlane::net {
+
+// An IP number and a TCP port. Names are never resolved.
+struct Address {
+  std::string ip;
+  std::uint16_t port = 0;
+
+  bool operator==(const Address&) const = default;
+};
+
+// Reads `ip:port`; throws ParseError.
+Address ParseAddress(std::string_view text);
+
+std::string ToString(const Address& address);
+
+}  // namespace amaranthlane::net
+
+#endif  // AMARANTHLANE_NET_ADDRESS_H_
--- /dev/null
+++ b/source/net/http_connection.cc
@@ -0,0 +1,163 @@
+#include "net/http_connection.h"
+
+#include <string>
+#include <utility>
+
+namespace amaranthlane::net {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned kHttpVersion = 11;
+constexpr std::uint64_t kMaximumBodyBytes = 16ULL << 20;
+
+HttpResponse ToResponse(http::response<http::string_body> message) {
+  HttpResponse response;
+  response.status = message.result_int();
+  response.content_type = std::string(message[http::field::content_type]);
+  for (const auto& field : message) {
+    if (field.name() != http::field::content_length && field.name() != http::field::content_type) {
+      response.headers.push_back(HttpHeader{std::string(field.name_string()), std::string(field.value())});
+    }
+  }
+  response.body = std::move(message.body());
+  return response;
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(boost::asio::io_context& loop, const Address& address)
+    : socket(loop), timer(loop), target(boost::asio::ip::make_address(address.ip), address.port) {}
+
+void HttpConnection::Call(HttpRequest request, TimePoint deadline, Callback callback) {
+  if (this->Busy() || this->failed) {
+    callback(CallResult{CallStatus::kNotSent, {}});
+    return;
+  }
+  this->callback = std::move(callback);
+  this->sent = false;
+  this->outgoing = {};
+  this->outgoing.version(kHttpVersion);
+  this->outgoing.method_string(request.method);
+  this->outgoing.target(request.target);
+  for (const HttpHeader& header : request.headers) {
+    this->outgoing.set(header.name, header.value);
+  }
+  this->outgoing.set(http::field::host, this->target.address().to_string());
+  if (!request.body.empty()) {
+    this->outgoing.set(http::field::content_type, "application/json");
+  }
+  this->outgoing.body() = std::move(request.body);
+  this->outgoing.prepare_payload();
+  this->deadline = deadline;
+  this->ArmTimer(deadline);
+  if (this->connected) {
+    this->Write();
+  } else {
+    this->Connect();
+  }
+}
+
+void HttpConnection::Close() {
+  if (!this->failed) {
+    this->Finish(this->sent ? CallStatus::kBroken : CallStatus::kNotSent, {});
+  }
+}
+
+bool HttpConnection::Busy() const { return static_cast<bool>(this->callback); }
+
+bool HttpConnection::Usable() const { return !this->failed; }
+
+void HttpConnection::Connect() {
+  this->socket.async_connect(this->target, [self = this->shared_from_this()](boost::system::error_code error) {
+    if (self->failed) {
+      return;
+    }
+    if (error) {
+      self->Finish(CallStatus::kNotSent, {});
+      return;
+    }
+    self->connected = true;
+    boost::system::error_code ignored;
+    self->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    self->Write();
+  });
+}
+
+void HttpConnection::Write() {
+  this->sent = true;
+  http::async_write(this->socket, this->outgoing,
+                    [self = this->shared_from_this()](boost::system::error_code error, std::size_t /*bytes*/) {
+                      if (self->failed) {
+                        return;
+                      }
+                      if (error) {
+                        self->Finish(CallStatus::kBroken, {});
+                        return;
+                      }
+                      self->Read();
+                    });
+}
+
+void HttpConnection::Read() {
+  this->incoming.emplace();
+  this->incoming->body_limit(kMaximumBodyBytes);
+  http::async_read(this->socket, this->buffer, *this->incoming,
+                   [self = this->shared_from_this()](boost::system::error_code error, std::size_t /*bytes*/) {
+                     if (self->failed) {
+                       return;
+                     }
+                     if (error) {
+                       self->Finish(CallStatus::kBroken, {});
+                       return;
+                     }
+                     self->Finish(CallStatus::kAnswered, ToResponse(self->incoming->release()));
+                   });
+}
+
+void HttpConnection::ArmTimer(TimePoint deadline) {
+  // Re-arming for each call would cost more than the call's own bookkeeping. A timer that is already due no later than
+  // the new deadline is left to fire, and OnTimer arms it again.
+  if (this->timer_armed && this->timer.expiry() <= std::chrono::steady_clock::now() + (deadline - BootClock::now())) {
+    return;
+  }
+  this->timer_armed = true;
+  this->timer.expires_after(deadline - BootClock::now());
+  this->timer.async_wait([weak = this->weak_from_this()](boost::system::error_code error) {
+    const std::shared_ptr<HttpConnection> self = weak.lock();
+    if (!error && self != nullptr) {
+      self->OnTimer();
+    }
+  });
+}
+
+void HttpConnection::OnTimer() {
+  this->timer_armed = false;
+  if (!this->Busy() || this->failed) {
+    return;
+  }
+  if (BootClock::now() < this->deadline) {
+    this->ArmTimer(this->deadline);
+    return;
+  }
+  this->Finish(this->sent ? CallStatus::kTimedOut : CallStatus::kNotSent, {});
+}
+
+void HttpConnection::Finish(CallStatus status, HttpResponse response) {
+  // Bytes left over belong to no request of ours, so nothing that follows on this connection could be trusted.
+  const bool reusable = status == CallStatus::kAnswered && this->incoming->keep_alive() && this->buffer.size() == 0;
+  if (!reusable) {
+    this->failed = true;
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+    this->timer.cancel();
+  }
+  if (!this->callback) {
+    return;
+  }
+  const Callback finished = std::exchange(this->callback, nullptr);
+  finished(CallResult{status, std::move(response)});
+}
+
+}  // namespace amaranthlane::net
--- /dev/null
+++ b/source/net/http_message.cc
@@ -0,0 +1,97 @@
+#include "net/http_message.h"
+
+#include <boost/beast/core/string.hpp>
+#include <cctype>
+#include <optional>
+
+namespace amaranthlane::net {
+
+namespace {
+
+constexpr std::string_view kHexDigits = "0123456789ABCDEF";
+
+std::optional<unsigned> HexValue(char digit) {
+  const std::size_t value = kHexDigits.find(static_cast<char>(std::toupper(static_cast<unsigned char>(digit))));
+  if (value == std::string_view::npos) {
+    return std::nullopt;
+  }
+  return static_cast<unsigned>(value);
+}
+
+std::string PercentDecode(std::string_view text) {
+  std::string decoded;
+  decoded.reserve(text.size());
+  for (std::size_t index = 0; index < text.size(); ++index) {
+    if (text[index] == '%' && index + 2 < text.size()) {
+      const std::optional<unsigned> high = HexValue(text[index + 1]);
+      const std::optional<unsigned> low = HexValue(text[index + 2]);
+      if (high && low) {
+        decoded.push_back(static_cast<char>(*high * 16 + *low));
+        index += 2;
+        continue;
+      }
+    }
+    decoded.push_back(text[index]);
+  }
+  return decoded;
+}
+
+}  // namespace
+
+std::string_view FindHeader(const std::vector<HttpHeader>& headers, std::string_view name) {
+  const boost::beast::string_view wanted(name.data(), name.size());
+  for (const HttpHeader& header : headers) {
+    if (boost::beast::iequals(header.name, wanted)) {
+      return header.value;
+    }
+  }
+  return {};
+}
+
+std::string_view TargetPath(std::string_view target) { return target.substr(0, target.find('?')); }
+
+std::vector<std::string> PathSegments(std::string_view path) {
+  std::vector<std::string> segments;
+  std::size_t start = 0;
+  while (start < path.size()) {
+    if (path[start] == '/') {
+      ++start;
+      continue;
+    }
+    const std::size_t end = std::min(path.find('/', start), path.size());
+    segments.push_back(PercentDecode(path.substr(start, end - start)));
+    start = end;
+  }
+  return segments;
+}
+
+std::string QueryParameter(std::string_view target, std::string_view name) {
+  std::size_t start = target.find('?');
+  while (start != std::string_view::npos && start + 1 <= target.size()) {
+    const std::string_view rest = target.substr(start + 1);
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    const std::size_t equals = pair.find('=');
+    if (pair.substr(0, equals) == name) {
+      return equals == std::string_view::npos ? std::string() : PercentDecode(pair.substr(equals + 1));
+    }
+    start = target.find('&', start + 1);
+  }
+  return {};
+}
+
+std::string EncodePathSegment(std::string_view text) {
+  std::string encoded;
+  for (const char character : text) {
+    const auto byte = static_cast<unsigned char>(character);
+    if (std::isalnum(byte) != 0 || character == '-' || character == '_' || character == '.' || character == '~') {
+      encoded.push_back(character);
+      continue;
+    }
+    encoded.push_back('%');
+    encoded.push_back(kHexDigits[byte / 16]);
+    encoded.push_back(kHexDigits[byte % 16]);
+  }
+  return encoded;
+}
+
+}  // namespace amaranthlane::net
