Add tracing and metrics

Cause: each hop needs a span and each daemon needs metrics. Change: an OpenTracing tracer that carries W3C contexts and keeps sampled spans in a ring; counters, gauges and Boost.Histogram latencies exposed as Prometheus text.

--- /dev/null
+++ b/source/metrics/registry.h
@@ -0,0 +1,56 @@
+#ifndef AMARANTHLANE_METRICS_REGISTRY_H_
+#define AMARANTHLANE_METRICS_REGISTRY_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "metrics/latency_histogram.h"
+
+namespace amaranthlane::metrics {
+
+struct Label {
+  std::string name;
+  std::string value;
+
+  auto operator<=>(const Label&) const = default;
+};
+using Labels = std::vector<Label>;
+
+// A number that only grows.
+struct Counter {
+  std::uint64_t value = 0;
+};
+
+// A number that goes both ways.
+struct Gauge {
+  double value = 0;
+};
+
+// All metrics of a process, by name and labels. References stay valid for the registry's life, so hot paths look a
+// metric up once. Used on one thread.
+class Registry {
+ public:
+  Counter& GetCounter(const std::string& name, const std::string& help, const Labels& labels = {});
+  Gauge& GetGauge(const std::string& name, const std::string& help, const Labels& labels = {});
+  LatencyHistogram& GetHistogram(const std::string& name, const std::string& help, const Labels& labels = {});
+
+  // Writes all metrics in the Prometheus text format; histograms in seconds.
+  std::string Expose() const;
+
+ private:
+  template <typename Metric>
+  struct Family {
+    std::string help;
+    std::map<Labels, Metric> members;
+  };
+
+  std::map<std::string, Family<Counter>> counters;
+  std::map<std::string, Family<Gauge>> gauges;
+  std::map<std::string, Family<LatencyHistogram>> histograms;
+};
+
+}  // namespace amaranthlane::metrics
+
+#endif  // AMARANTHLANE_METRICS_REGISTRY_H_
--- /dev/null
+++ b/source/tracing/span_ring.h
@@ -0,0 +1,48 @@
+#ifndef AMARANTHLANE_TRACING_SPAN_RING_H_
+#define AMARANTHLANE_TRACING_SPAN_RING_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "tracing/trace_context.h"
+
+namespace amaranthlane::tracing {
+
+struct SpanTag {
+  std::string key;
+  std::string value;
+};
+
+// A span that has ended.
+struct SpanRecord {
+  std::string operation;
+  TraceContext context;
+  // Zero when the span began the trace.
+  std::uint64_t parent_span_id = 0;
+  std::chrono::system_clock::time_point start;
+  std::chrono::microseconds elapsed{0};
+  std::vector<SpanTag> tags;
+};
+
+// The latest spans of this process, oldest dropped first. Nothing is written to a disk.
+class SpanRing {
+ public:
+  explicit SpanRing(std::size_t capacity);
+
+  void Add(SpanRecord record);
+
+  // The kept spans of one trace, or of all when `trace_id` is empty, oldest first.
+  std::vector<SpanRecord> Find(const std::string& trace_id) const;
+
+ private:
+  std::vector<SpanRecord> records;
+  std::size_t capacity;
+  std::size_t next = 0;
+};
+
+}  // namespace amaranthlane::tracing
+
+#endif  // AMARANTHLANE_TRACING_SPAN_RING_H_
