--- /dev/null
+++ b/source/core/promotion/messages.h
@@ -0,0 +1,232 @@
+#ifndef AMARANTHLANE_CORE_PROMOTION_MESSAGES_H_
+#define AMARANTHLANE_CORE_PROMOTION_MESSAGES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/replicas/group_record.h"
+#include "core/replicas/position_answer.h"
+#include "core/types.h"
+
+// The events and actions of the promotion system.
+namespace amaranthlane::promotion {
+
+// Names a probe, read or configuration that the system asked for. Never zero.
+using RequestId = std::uint64_t;
+
+// --- Events ---
+
+// A request on a connection to the instance was open past its progress deadline, or the connection broke.
+struct ConnectionSilent {
+  EndpointName endpoint;
+};
+
+// The instance answered a position probe sent at `sent_at`, either one of the daemon's own (`request` 0, on a
+// connection that was open before) or one asked for by ProbeInstance.
+struct PositionHeard {
+  RequestId request = 0;
+  TimePoint sent_at;
+  replicas::PositionAnswer answer;
+};
+
+// A probe asked for by ProbeInstance failed, or its connection couldn't be opened.
+struct ProbeFailed {
+  RequestId request = 0;
+};
+
+// An endpoint refused a statement since it knows a higher term.
+struct HigherTermSeen {
+  EndpointName endpoint;
+  Term term = 0;
+};
+
+// The group's object was read or came by a watch. `request` is that of ReadGroupObject, or 0.
+struct GroupObjectRead {
+  RequestId request = 0;
+  ObjectVersion version = 0;
+  replicas::GroupRecord record;
+};
+
+struct GroupObjectReadFailed {
+  RequestId request = 0;
+};
+
+struct UpdateApplied {
+  std::string update_id;
+  ObjectVersion version = 0;
+};
+
+// The object had changed; `record` is its current value.
+struct UpdateConflicted {
+  std::string update_id;
+  ObjectVersion version = 0;
+  replicas::GroupRecord record;
+};
+
+// No answer came: the update may or may not have taken effect.
+struct UpdateUnanswered {
+  std::string update_id;
+};
+
+// The instance accepted the configuration of the request.
+struct ConfigureAccepted {
+  RequestId request = 0;
+};
+
+// The instance refused it since it knows a higher term.
+struct ConfigureRefused {
+  RequestId request = 0;
+  Term known_term = 0;
+};
+
+struct ConfigureFailed {
+  RequestId request = 0;
+};
+
+// No statement runs at the primary any more and no transaction is open; the answer to SuspendPrimary{planned}.
+struct PrimaryIdle {
+  Term term = 0;
+};
+
+// An operator asks for a planned change of primary.
+struct PromoteRequested {
+  // Without a target the most advanced instance is chosen.
+  std::optional<EndpointName> target;
+};
+
+using Event = std::variant<ConnectionSilent, PositionHeard, ProbeFailed, HigherTermSeen, GroupObjectRead,
+                           GroupObjectReadFailed, UpdateApplied, UpdateConflicted, UpdateUnanswered, ConfigureAccepted,
+                           ConfigureRefused, ConfigureFailed, PrimaryIdle, PromoteRequested>;
+
+// --- Actions ---
+
+// Send nothing new to the primary. `planned`: let running work finish and report PrimaryIdle, at the latest at
+// `drain_deadline`, when what still runs is cut off as unknown.
+struct SuspendPrimary {
+  Term term = 0;
+  bool planned = false;
+  TimePoint drain_deadline = kNever;
+};
+
+// The suspension ends without a change of primary.
+struct ResumePrimary {
+  Term term = 0;
+};
+
+// From now on no answer is an acknowledgement, until thawed or until PrimaryChanged.
+struct FreezeAcknowledgements {
+  Term term = 0;
+};
+
+struct ThawAcknowledgements {
+  Term term = 0;
+};
+
+// The instance answers on a new connection while open ones are silent: close those and open new ones.
+struct ReplaceConnections {
+  EndpointName endpoint;
+};
+
+// Ask the instance for its position on a connection opened for it. What comes after `deadline` is of no use.
+struct ProbeInstance {
+  RequestId request = 0;
+  EndpointName endpoint;
+  std::string address;
+  TimePoint deadline;
+};
+
+struct ReadGroupObject {
+  RequestId request = 0;
+};
+
+// Write `record` if the object's version is still `expected_version`. `record.update_id` names the update.
+struct UpdateGroupObject {
+  ObjectVersion expected_version = 0;
+  replicas::GroupRecord record;
+};
+
+// POST /v1/configure with the record's term, primary and instances.
+struct ConfigureInstance {
+  RequestId request = 0;
+  EndpointName endpoint;
+  std::string address;
+  TimePoint deadline;
+  replicas::GroupRecord record;
+};
+
+// A newer record is in force, and thus perhaps a newer term: hand it to ReplicaTable::ApplyRecord. Answers to
+// statements of an older term are no acknowledgements.
+struct RecordAdopted {
+  ObjectVersion version = 0;
+  replicas::GroupRecord record;
+};
+
+// The primary of the term accepted its configuration and answers: send to it. Ends any suspension and freeze.
+struct PrimaryChanged {
+  Term term = 0;
+  EndpointName primary;
+  // Present when no write can have run in the term yet: hand it to ReplicaTable::SetTermBase.
+  std::optional<replicas::TermBase> base;
+};
+
+enum class Phase : std::uint8_t {
+  // Reads the group's object and hears the instances.
+  kStarting,
+  kServing,
+  // Open connections are silent; a new one is being tried.
+  kSuspecting,
+  // A planned change waits for running work and for the target to have the full position.
+  kDraining,
+  // Asks the other instances for their positions.
+  kCollecting,
+  // Writes the group's object.
+  kUpdating,
+  // The new primary is being configured.
+  kConfiguring,
+};
+
+enum class WaitReason : std::uint8_t {
+  kNone,
+  kGroupObjectUnread,
+  // Too few instances answered to know that an acknowledged position is covered.
+  kTooFewInstancesHeard,
+  // No instance that could be chosen holds every acknowledged position.
+  kNoInstanceCovers,
+  kPlatformUnavailable,
+  kPrimaryUnreachable,
+  // The target of a planned change doesn't hold the primary's full position yet.
+  kTargetBehind,
+};
+
+struct StatusChanged {
+  Phase phase = Phase::kStarting;
+  WaitReason reason = WaitReason::kNone;
+};
+
+enum class PlannedOutcome : std::uint8_t {
+  kDone,
+  // The target is no live instance of the group, is the primary already, or there is no other instance.
+  kTargetUnfit,
+  // Another change is going on.
+  kBusy,
+  // The target didn't catch up in time; the primary serves on.
+  kTimedOut,
+  // The primary failed, or another leader changed it, meanwhile.
+  kOvertaken,
+};
+
+// The answer to PromoteRequested.
+struct PlannedChangeEnded {
+  PlannedOutcome outcome = PlannedOutcome::kDone;
+};
+
+using Action = std::variant<SuspendPrimary, ResumePrimary, FreezeAcknowledgements, ThawAcknowledgements,
+                            ReplaceConnections, ProbeInstance, ReadGroupObject, UpdateGroupObject, ConfigureInstance,
+                            RecordAdopted, PrimaryChanged, StatusChanged, PlannedChangeEnded>;
+
+}  // namespace amaranthlane::promotion
+
+#endif  // AMARANTHLANE_CORE_PROMOTION_MESSAGES_H_
--- /dev/null
+++ b/source/core/replicas/acknowledgement_waits.h
@@ -0,0 +1,55 @@
+#ifndef AMARANTHLANE_CORE_REPLICAS_ACKNOWLEDGEMENT_WAITS_H_
+#define AMARANTHLANE_CORE_REPLICAS_ACKNOWLEDGEMENT_WAITS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/types.h"
+
+// Commits that wait for a replica to hold them.
+namespace amaranthlane::replicas {
+
+// Names a statement or commit within its leader.
+using StatementId = std::uint64_t;
+
+enum class Replication : std::uint8_t {
+  // A replica that is synced in the commit's term holds it.
+  kReplicated,
+  // The deadline passed or the term moved first; the outcome of the commit is unknown.
+  kUnknown,
+};
+
+struct AcknowledgementResult {
+  StatementId statement = 0;
+  LogPosition position;
+  Replication replication = Replication::kUnknown;
+};
+
+// The waits of one group in one term, by log offset.
+class AcknowledgementWaits {
+ public:
+  void Add(StatementId statement, const LogPosition& position, TimePoint deadline);
+  // Ends every wait up to `offset` as replicated.
+  std::vector<AcknowledgementResult> Confirm(std::uint64_t offset);
+  // Ends every wait whose deadline isn't after `now` as unknown.
+  std::vector<AcknowledgementResult> Expire(TimePoint now);
+  // Ends every wait as unknown.
+  std::vector<AcknowledgementResult> FailAll();
+  TimePoint NextDeadline() const;
+
+ private:
+  struct Wait {
+    StatementId statement = 0;
+    LogPosition position;
+    TimePoint deadline;
+  };
+
+  std::multimap<std::uint64_t, Wait> waits;
+  std::multimap<TimePoint, std::multimap<std::uint64_t, Wait>::iterator> deadlines;
+};
+
+}  // namespace amaranthlane::replicas
+
+#endif  // AMARANTHLANE_CORE_REPLICAS_ACKNOWLEDGEMENT_WAITS_H_
--- /dev/null
+++ b/source/core/replicas/replica_table.h
@@ -0,0 +1,142 @@
+#ifndef AMARANTHLANE_CORE_REPLICAS_REPLICA_TABLE_H_
+#define AMARANTHLANE_CORE_REPLICAS_REPLICA_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/replicas/acknowledgement_waits.h"
+#include "core/replicas/age_history.h"
+#include "core/replicas/group_record.h"
+#include "core/replicas/position_answer.h"
+#include "core/replicas/term_history.h"
+#include "core/types.h"
+
+// What the leader of a group knows of the group's instances: their positions, the age of their data, and which of them
+// may serve a read.
+namespace amaranthlane::replicas {
+
+struct ReplicaSettings {
+  // Samples of the primary that age bounds rest on.
+  std::size_t age_samples = 512;
+  // The time that a read is expected to take until its answer is checked, at first and at least.
+  Duration least_read_time = std::chrono::milliseconds(1);
+};
+
+// One row of the table.
+struct InstanceState {
+  Instance instance;
+  Role role = Role::kUnconfigured;
+  Term term = 0;
+  LogPosition position;
+  Term synced_term = 0;
+  // When the latest answered probe was sent, and when its answer came. Nothing before the first answer.
+  std::optional<TimePoint> heard_sent_at;
+  std::optional<TimePoint> heard_received_at;
+  // The send time of a probe that isn't answered yet.
+  std::optional<TimePoint> probe_sent_at;
+  // The latest probe failed.
+  bool probe_failed = false;
+  // The expected time from sending a read to its answer.
+  Duration read_time = Duration::zero();
+};
+
+// How many reads and writes run or wait at an instance.
+struct InstanceLoad {
+  EndpointName endpoint;
+  std::uint32_t busy = 0;
+};
+
+// What a read is owed.
+struct ReadRequest {
+  // The greatest age of the answer; zero: from the primary.
+  Duration freshness = Duration::zero();
+  // The position in the caller's session token, when the read must cover it.
+  std::optional<LogPosition> token;
+  // Replicas in this data centre are preferred among equally loaded ones.
+  std::string data_centre;
+};
+
+enum class ReadOutcome : std::uint8_t {
+  kReplica,
+  kPrimary,
+  // The log of the current term doesn't hold the token's position: a failover lost it.
+  kPositionLost,
+  // The known history is too short to tell whether the token's position was lost.
+  kPositionUnknown,
+};
+
+struct ReadChoice {
+  ReadOutcome outcome = ReadOutcome::kPrimary;
+  // Empty unless the outcome is kReplica or kPrimary.
+  EndpointName endpoint;
+  // The age bound at the time of choice; zero at the primary.
+  Duration age_bound = Duration::zero();
+};
+
+// The instances of one led group. The daemon reports probes and their answers; all ages are counted from send times.
+class ReplicaTable {
+ public:
+  explicit ReplicaTable(ReplicaSettings settings);
+
+  // Takes the group's record. A new term clears the age history and fails the waits for acknowledgements as unknown.
+  // Returns the waits that ended. A record of an older term is ignored.
+  std::vector<AcknowledgementResult> ApplyRecord(const GroupRecord& record);
+  // The base of the current term, seen at its primary before any write in it (action PrimaryChanged).
+  void SetTermBase(const TermBase& base);
+
+  void ProbeSent(const EndpointName& endpoint, TimePoint sent_at);
+  void ProbeFailed(const EndpointName& endpoint, TimePoint sent_at);
+  // Takes the answer to a probe sent at `sent_at`. Returns the waits that it ended.
+  std::vector<AcknowledgementResult> ProbeAnswered(TimePoint now, TimePoint sent_at, const PositionAnswer& answer);
+  // Takes the time that a read took at an endpoint.
+  void ReadFinished(const EndpointName& endpoint, Duration took);
+
+  // The greatest age that data with this last entry can have, when it was read from `endpoint` under the current term;
+  // nothing when it can't be bounded. For the primary the bound is counted from `sent_at`, the time that the read was
+  // sent.
+  std::optional<Duration> AgeBound(TimePoint now, const EndpointName& endpoint, const LogPosition& position,
+                                   TimePoint sent_at) const;
+  // The same for the position that a replica last reported.
+  std::optional<Duration> AgeBound(TimePoint now, const EndpointName& endpoint) const;
+  ReadChoice ChooseReadEndpoint(TimePoint now, const ReadRequest& request, const std::vector<InstanceLoad>& load) const;
+  // Whether an answer read at `endpoint` may be passed on at `now`: it covers the token and its age is within what is
+  // owed.
+  bool MayPassOn(TimePoint now, const ReadRequest& request, const EndpointName& endpoint, const LogPosition& position,
+                 TimePoint sent_at) const;
+
+  // Waits until a replica synced in the current term holds `position`. Returns the result at once when it is known.
+  std::optional<AcknowledgementResult> AwaitReplicated(StatementId statement, const LogPosition& position,
+                                                       TimePoint deadline);
+  // While acknowledgements are frozen no wait resolves as replicated; waits still end at their deadlines. Thawing
+  // returns the waits that had been confirmed meanwhile.
+  void FreezeAcknowledgements();
+  std::vector<AcknowledgementResult> ThawAcknowledgements();
+  // Ends the waits that are due as unknown.
+  std::vector<AcknowledgementResult> Tick(TimePoint now);
+  TimePoint NextDeadline() const;
+
+  Term CurrentTerm() const;
+  const EndpointName& Primary() const;
+  // Null when there is no such instance.
+  const InstanceState* Find(const EndpointName& endpoint) const;
+  const std::vector<InstanceState>& Instances() const;
+
+ private:
+  InstanceState* FindMutable(const EndpointName& endpoint);
+  bool IsSynced(const InstanceState& state) const;
+  std::uint64_t HighestConfirmedOffset() const;
+
+  ReplicaSettings settings;
+  GroupRecord record;
+  std::vector<InstanceState> instances;
+  AgeHistory ages;
+  TermHistory terms;
+  AcknowledgementWaits waits;
+};
+
+}  // namespace amaranthlane::replicas
+
+#endif  // AMARANTHLANE_CORE_REPLICAS_REPLICA_TABLE_H_
