Declare the scheduler, sessions, transactions and outcomes

Cause: the daemon composes these decision systems and needs their interfaces first. Change: public headers of core/scheduling, core/sessions, core/transactions and core/outcomes.

--- /dev/null
+++ b/source/core/outcomes/outcome_errors.h
@@ -0,0 +1,30 @@
+#ifndef AMARANTHLANE_CORE_OUTCOMES_OUTCOME_ERRORS_H_
+#define AMARANTHLANE_CORE_OUTCOMES_OUTCOME_ERRORS_H_
+
+#include "common/error.h"
+#include "core/outcomes/request.h"
+
+namespace amaranthlane::outcomes {
+
+// A non-idempotent write came without an idempotency key. HTTP status 400.
+class MissingIdempotencyKeyError : public Error {
+ public:
+  MissingIdempotencyKeyError();
+};
+
+// The idempotency key is longer than kMaximumKeyLength or holds other than visible ASCII characters. HTTP status 400.
+class InvalidIdempotencyKeyError : public Error {
+ public:
+  InvalidIdempotencyKeyError();
+};
+
+// A request was opened with the id of one that is open.
+class DuplicateRequestError : public Error {
+ public:
+  explicit DuplicateRequestError(RequestId request);
+  RequestId request;
+};
+
+}  // namespace amaranthlane::outcomes
+
+#endif  // AMARANTHLANE_CORE_OUTCOMES_OUTCOME_ERRORS_H_
--- /dev/null
+++ b/source/core/scheduling/group_scheduler.h
@@ -0,0 +1,110 @@
+#ifndef AMARANTHLANE_CORE_SCHEDULING_GROUP_SCHEDULER_H_
+#define AMARANTHLANE_CORE_SCHEDULING_GROUP_SCHEDULER_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "core/scheduling/admission_control.h"
+#include "core/scheduling/rank_policy.h"
+#include "core/scheduling/service_estimate.h"
+#include "core/scheduling/work_item.h"
+#include "core/scheduling/work_queues.h"
+
+namespace amaranthlane::scheduling {
+
+// How a group's scheduler behaves.
+struct SchedulerSettings {
+  PolicyKind policy = PolicyKind::kFloors;
+  QueueOrder order = QueueOrder::kEarliestDeadline;
+  // False: nothing is refused for its deadline; a baseline for measurements.
+  bool refuse_unmeetable = true;
+  // The most memory that waiting statements may take.
+  std::size_t memory_limit_bytes = std::size_t{64} * 1024 * 1024;
+  // The slots that are assumed for a primary while there is none.
+  std::uint32_t assumed_primary_slots = 2;
+  // The time of service that is assumed of an endpoint before any statement has ended there.
+  Duration initial_service = std::chrono::milliseconds(2);
+};
+
+// Gives the slots of one database group's endpoints to the waiting statements. All of the group's work meets here, at
+// its leader. Every call takes O(log n) for n waiting statements, times the few distinct sets of endpoints in use.
+class GroupScheduler {
+ public:
+  explicit GroupScheduler(const SchedulerSettings& settings);
+
+  // Sets the number of statements that `endpoint` runs at once. Zero: it gets no new work (leaving or unreachable).
+  // Throws EndpointIndexError when the index is out of range.
+  void SetSlots(EndpointIndex endpoint, std::uint32_t slots);
+  // Sets the endpoint that kPrimaryBit stands for. Nothing: statements for the primary wait.
+  void SetPrimary(std::optional<EndpointIndex> endpoint);
+
+  // Queues a statement or refuses it; either way other statements of lower ranks may be refused to make room.
+  // Throws DuplicateWorkError when the id is queued or runs already.
+  void Submit(const WorkItem& item, TimePoint now, SchedulerActions& actions);
+  // Fills the free slots and refuses what can no longer meet its deadline.
+  void RunDue(TimePoint now, SchedulerActions& actions);
+  // Takes a statement out of the queue, e.g. when its caller has gone. False: it isn't queued (it runs or has ended).
+  bool Withdraw(WorkId id);
+  // Frees the slot of a statement that ended. The time of service enters the estimates if `ran_to_end`; a statement
+  // that the endpoint refused before running, or whose connection was lost, says nothing about the time of service.
+  // Throws UnknownWorkError when no such statement runs.
+  void Release(WorkId id, bool ran_to_end, TimePoint now);
+
+  // The load to report to the entry VMs. To be called once per report interval: the admission fraction moves with each.
+  PressureReport Report(TimePoint now);
+  // The time that a statement submitted now would wait.
+  Duration EstimateWait(Rank rank, EndpointSet eligible, TimePoint now) const;
+  // When RunDue has something to refuse, if nothing else happens before. kNever: nothing waits.
+  TimePoint NextDue() const;
+
+  std::size_t Waiting(Rank rank) const;
+  std::size_t Running(EndpointIndex endpoint) const;
+  std::uint32_t Slots(EndpointIndex endpoint) const;
+  std::size_t WaitingBytes() const;
+
+ private:
+  struct RunningWork {
+    Rank rank = Rank::kNormal;
+    EndpointIndex endpoint = 0;
+    TimePoint started;
+    Duration charged = Duration::zero();
+  };
+  struct EndpointState {
+    std::uint32_t slots = 0;
+    std::uint32_t running = 0;
+    std::array<ServiceEstimate, kRankCount> service;
+  };
+
+  EndpointSet Resolve(EndpointSet eligible) const;
+  double SlotsOf(EndpointSet eligible) const;
+  Duration ExpectedService(Rank rank, EndpointSet eligible, TimePoint now) const;
+  RankLoads LoadsFor(EndpointSet eligible, TimePoint now) const;
+  bool CanMeet(const WorkItem& item, EndpointSet eligible, TimePoint now) const;
+  bool IsIdle(EndpointSet eligible, Rank rank) const;
+  bool MakeRoom(const WorkItem& item, TimePoint now, SchedulerActions& actions);
+  void Refuse(const WorkItem& item, RefusalReason reason, TimePoint now, SchedulerActions& actions);
+  void DropUnmeetable(TimePoint now, SchedulerActions& actions);
+  void ShedExcess(TimePoint now, SchedulerActions& actions);
+  std::optional<EndpointIndex> NextFreeEndpoint(EndpointSet tried) const;
+  bool DispatchAt(EndpointIndex endpoint, TimePoint now, SchedulerActions& actions);
+  RankHeads HeadsAt(EndpointIndex endpoint, TimePoint now) const;
+
+  SchedulerSettings settings;
+  std::unique_ptr<RankPolicy> policy;
+  WorkQueues queues;
+  AdmissionControl admission;
+  std::array<EndpointState, kMaximumEndpoints> endpoints;
+  std::size_t endpoint_count = 0;
+  std::optional<EndpointIndex> primary;
+  std::array<double, kRankCount> floors{};
+  std::unordered_map<WorkId, RunningWork> running;
+};
+
+}  // namespace amaranthlane::scheduling
+
+#endif  // AMARANTHLANE_CORE_SCHEDULING_GROUP_SCHEDULER_H_
