--- /dev/null
+++ b/source/core/leadership/record.h
@@ -0,0 +1,74 @@
+#ifndef AMARANTHLANE_CORE_LEADERSHIP_RECORD_H_
+#define AMARANTHLANE_CORE_LEADERSHIP_RECORD_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "core/types.h"
+
+// The platform's object `leadership/<group>`: who leads a database group, who may take over, and which VMs witness it.
+namespace amaranthlane::leadership {
+
+// The number of an agreement on a group's leader. The platform's conditional update orders them.
+using Epoch = std::uint64_t;
+
+// One process on one VM. A process that restarted is another holder.
+struct Holder {
+  VmName vm;
+  Incarnation incarnation = 0;
+
+  auto operator<=>(const Holder&) const = default;
+};
+
+// The right to lead a group: rank 0 is the leader that the epoch names, rank N its Nth successor. A greater ballot
+// supersedes a lower one.
+struct Ballot {
+  Epoch epoch = 0;
+  std::uint32_t rank = 0;
+
+  auto operator<=>(const Ballot&) const = default;
+};
+
+// An earlier epoch whose holders may still be valid; a majority of its witnesses has to close it first.
+struct UnclosedEpoch {
+  Epoch epoch = 0;
+  std::vector<VmName> witnesses;
+
+  bool operator==(const UnclosedEpoch&) const = default;
+};
+
+// The value of the platform's object.
+struct LeadershipRecord {
+  Epoch epoch = 0;
+  Holder leader;
+  // In the order in which they may take over.
+  std::vector<VmName> successors;
+  std::vector<VmName> witnesses;
+  // In ascending order of epochs; empty once the leader has closed them all.
+  std::vector<UnclosedEpoch> unclosed;
+  // Names the update that wrote this value, so that its writer recognises it after a lost answer.
+  std::string update_id;
+  // True: the leader left in good order and acts no more.
+  bool released = false;
+
+  bool operator==(const LeadershipRecord&) const = default;
+};
+
+// The number of witnesses, of `count` in all, that decides.
+constexpr std::size_t Majority(std::size_t count) { return count / 2 + 1; }
+
+// Throws ParseError when `value` isn't a leadership record.
+LeadershipRecord ParseLeadershipRecord(const nlohmann::json& value);
+nlohmann::json ToJson(const LeadershipRecord& record);
+
+// Throws ParseError when `value` isn't a holder.
+Holder ParseHolder(const nlohmann::json& value);
+nlohmann::json ToJson(const Holder& holder);
+
+}  // namespace amaranthlane::leadership
+
+#endif  // AMARANTHLANE_CORE_LEADERSHIP_RECORD_H_
--- /dev/null
+++ b/source/core/leadership/tables.h
@@ -0,0 +1,131 @@
+#ifndef AMARANTHLANE_CORE_LEADERSHIP_TABLES_H_
+#define AMARANTHLANE_CORE_LEADERSHIP_TABLES_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/leadership/actions.h"
+#include "core/leadership/events.h"
+#include "core/leadership/record.h"
+#include "core/leadership/settings.h"
+#include "core/types.h"
+
+// The state that the leadership systems run over.
+namespace amaranthlane::leadership {
+
+// What this VM promised as a witness of one group.
+struct WitnessRow {
+  // Nothing below is granted any more.
+  Ballot floor;
+  // The last promise. It stands until `expires_at`, on this VM's clock.
+  Ballot promised;
+  Holder holder;
+  TimePoint granted_at = TimePoint::min();
+  TimePoint expires_at = TimePoint::min();
+  // This process heard the record from the platform, so that every closing after that is remembered.
+  bool platform_confirmed = false;
+  // The epoch of which enough other witnesses told this one what was closed; 0 for none.
+  Epoch peer_confirmed = 0;
+  // The inquiry that a restarted witness makes among the others: the epoch asked for and who answered.
+  Epoch inquired = 0;
+  std::set<VmName> inquiry_answers;
+  TimePoint next_inquiry = TimePoint::min();
+};
+
+// How far this VM has come on its way to lead a group.
+enum class Phase : std::uint8_t {
+  // Some other VM leads, or nobody does.
+  kIdle,
+  // It has the witnesses of earlier ballots close them.
+  kClosing,
+  // It asks its witnesses for promises and renews them every beat.
+  kHolding,
+};
+
+// One set of witnesses that has to close what is below this VM's ballot.
+struct Closing {
+  Epoch epoch = 0;
+  std::vector<VmName> witnesses;
+  // When the accepted request to each witness was sent. Only answers within one promise length of each other count.
+  std::map<VmName, TimePoint> accepted_at;
+  bool closed = false;
+};
+
+// This VM's own part in one group.
+struct HolderRow {
+  Phase phase = Phase::kIdle;
+  Ballot ballot;
+  // True: the record names this process for `ballot`. False: a takeover as a successor.
+  bool decided = false;
+  std::vector<VmName> witnesses;
+  std::vector<Closing> closings;
+  // The promises to holders of lower ballots have all ended by then.
+  TimePoint wait_until = TimePoint::min();
+  // When the granted request to each witness was sent, for `ballot`.
+  std::map<VmName, TimePoint> granted_at;
+  // The end of the validity, kept over a change of ballot: the promises of the earlier ballot stand until then.
+  TimePoint valid_until = TimePoint::min();
+  bool leading = false;
+  TimePoint next_request = TimePoint::min();
+  // A witness answered that this ballot is closed.
+  bool superseded = false;
+};
+
+// One conditional update on its way.
+struct PendingUpdate {
+  ObjectVersion expected_version = 0;
+  LeadershipRecord record;
+  TimePoint lost_at;
+  // The answer was lost: a read decides.
+  bool reading = false;
+};
+
+// One database group.
+struct GroupRow {
+  std::string region;
+  // In the list of groups that this fleet serves.
+  bool listed = false;
+  ObjectVersion version = 0;
+  std::optional<LeadershipRecord> record;
+  WitnessRow witness;
+  HolderRow holder;
+  std::optional<PendingUpdate> update;
+  // The read on its way counts as failed from then on; empty when there is none.
+  std::optional<TimePoint> read_lost_at;
+  TimePoint next_platform_attempt = TimePoint::min();
+  // Since when the group is without a usable leader; empty while it has one.
+  std::optional<TimePoint> vacant_since;
+  // Since when the witnesses or successors in the record should be replaced; empty while they are good.
+  std::optional<TimePoint> stale_since;
+  // The last holder heard of and its ballot, for routing.
+  Ballot heard_ballot;
+  Holder heard_holder;
+  // This process gave the group up while draining and tells the witnesses so.
+  bool released = false;
+  std::set<VmName> release_pending;
+};
+
+struct LeadershipTables {
+  Holder self;
+  LeadershipSettings settings;
+  // As a witness this VM is silent until then.
+  TimePoint silent_until;
+  std::map<GroupName, GroupRow> groups;
+  std::map<VmName, VmView> vms;
+  std::set<VmName> terminated;
+  bool draining = false;
+  bool platform_reachable = true;
+  std::uint64_t update_counter = 0;
+  // When the promises are renewed next; one moment for all groups, so that requests to one witness travel together.
+  TimePoint next_beat = TimePoint::min();
+  // The actions of the running tick.
+  std::vector<Action> actions;
+};
+
+}  // namespace amaranthlane::leadership
+
+#endif  // AMARANTHLANE_CORE_LEADERSHIP_TABLES_H_
--- /dev/null
+++ b/source/core/membership/heartbeat.h
@@ -0,0 +1,46 @@
+#ifndef AMARANTHLANE_CORE_MEMBERSHIP_HEARTBEAT_H_
+#define AMARANTHLANE_CORE_MEMBERSHIP_HEARTBEAT_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "core/types.h"
+
+// The membership's part of a heartbeat between VMs, and its JSON form.
+namespace amaranthlane::membership {
+
+// What a VM says of itself: it works, or it leaves and takes no new work.
+enum class VmState : std::uint8_t { kWorking, kLeaving };
+
+// The aliveness of one VM as passed on by others. Of two entries of one incarnation the higher counter is newer.
+struct DigestEntry {
+  VmName vm;
+  Incarnation incarnation = 0;
+  // Rises with every beat of that incarnation.
+  std::uint64_t counter = 0;
+  VmState state = VmState::kWorking;
+
+  bool operator==(const DigestEntry&) const = default;
+};
+
+// What a VM says of itself, with some entries of others.
+struct Heartbeat {
+  DigestEntry sender;
+  std::string data_centre;
+  std::string region;
+  // "ip:port" of the peers' interface.
+  std::string address;
+  std::vector<DigestEntry> digest;
+
+  bool operator==(const Heartbeat&) const = default;
+};
+
+// Throws ParseError when `value` isn't a heartbeat.
+Heartbeat ParseHeartbeat(const nlohmann::json& value);
+nlohmann::json ToJson(const Heartbeat& heartbeat);
+
+}  // namespace amaranthlane::membership
+
+#endif  // AMARANTHLANE_CORE_MEMBERSHIP_HEARTBEAT_H_
