--- /dev/null
+++ b/source/daemon/beat.cc
@@ -0,0 +1,42 @@
+#include "daemon/beat.h"
+
+#include <utility>
+
+#include "common/json.h"
+
+namespace amaranthlane::daemon {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char kDocument[] = "beat";
+
+}  // namespace
+
+std::string BeatText(const Beat& beat) {
+  Json leads = Json::array();
+  for (const LedGroup& led : beat.leads) {
+    leads.push_back(Json{{"group", led.group}, {"epoch", led.ballot.epoch}, {"rank", led.ballot.rank}});
+  }
+  const Json message{{"membership", membership::ToJson(beat.heartbeat)},
+                     {"configuration", configuration::ToJson(beat.configuration)},
+                     {"leads", std::move(leads)}};
+  return message.dump();
+}
+
+Beat ParseBeat(std::string_view text) {
+  const Json message = json::Parse(text, kDocument);
+  const json::ObjectReader reader(message, kDocument);
+  Beat beat;
+  beat.heartbeat = membership::ParseHeartbeat(reader.Object("membership"));
+  beat.configuration = configuration::ParseConfigurationDigest(reader.Object("configuration"));
+  for (const Json& element : reader.Array("leads")) {
+    const json::ObjectReader led(element, kDocument);
+    beat.leads.push_back(LedGroup{
+        led.String("group"), {led.Unsigned("epoch"), static_cast<std::uint32_t>(led.Unsigned("rank"))}});
+  }
+  return beat;
+}
+
+}  // namespace amaranthlane::daemon
--- /dev/null
+++ b/source/daemon/beat.h
@@ -0,0 +1,34 @@
+#ifndef AMARANTHLANE_DAEMON_BEAT_H_
+#define AMARANTHLANE_DAEMON_BEAT_H_
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/configuration/digest.h"
+#include "core/leadership/record.h"
+#include "core/membership/heartbeat.h"
+
+namespace amaranthlane::daemon {
+
+// A group that the sender of a beat leads.
+struct LedGroup {
+  GroupName group;
+  leadership::Ballot ballot;
+};
+
+// The message that VMs exchange at each heartbeat, as request and as answer.
+struct Beat {
+  membership::Heartbeat heartbeat;
+  configuration::ConfigurationDigest configuration;
+  std::vector<LedGroup> leads;
+};
+
+std::string BeatText(const Beat& beat);
+// Throws ParseError.
+Beat ParseBeat(std::string_view text);
+
+}  // namespace amaranthlane::daemon
+
+#endif  // AMARANTHLANE_DAEMON_BEAT_H_
--- /dev/null
+++ b/source/daemon/control_plane.h
@@ -0,0 +1,131 @@
+#ifndef AMARANTHLANE_DAEMON_CONTROL_PLANE_H_
+#define AMARANTHLANE_DAEMON_CONTROL_PLANE_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/settings.h"
+#include "core/configuration/distribution_system.h"
+#include "core/configuration/edit_system.h"
+#include "core/configuration/object_store.h"
+#include "core/leadership/leadership_system.h"
+#include "core/membership/membership_system.h"
+#include "daemon/beat.h"
+#include "daemon/peer_client.h"
+#include "daemon/platform_client.h"
+#include "daemon/system_runner.h"
+#include "net/http_server.h"
+
+namespace amaranthlane::daemon {
+
+// One VM's part in membership, leadership and the distribution of configuration: feeds those systems and carries out their
+// actions.
+class ControlPlane {
+ public:
+  struct Listener {
+    std::function<void(const GroupName&, const leadership::Ballot&, TimePoint valid_until)> became_leader;
+    std::function<void(const GroupName&, TimePoint valid_until)> validity_extended;
+    std::function<void(const GroupName&)> lost_leadership;
+    // Some object in the store changed.
+    std::function<void()> objects_changed;
+  };
+  using EditCallback = std::function<void(configuration::EditResult)>;
+
+  ControlPlane(const Settings& settings, Incarnation incarnation, TimePoint started_at, PlatformClient& platform,
+               PeerClient& peers, Listener listener);
+
+  void Start();
+  void Tick(TimePoint now);
+  // Tells the peers that this VM leaves; they give it no new part.
+  void AnnounceLeaving();
+  // Gives up what this VM leads.
+  void ReleaseLeadership();
+
+  // The peers' interface. Each answers once.
+  void HandleBeat(const std::string& body, const net::HttpServer::Answer& answer);
+  void HandlePromise(const std::string& body, net::HttpServer::Answer answer);
+  void HandleClose(const std::string& body, net::HttpServer::Answer answer);
+  void HandleObjects(const std::string& body, const net::HttpServer::Answer& answer);
+
+  // Changes an object on an operator's behalf.
+  void SubmitEdit(configuration::Edit edit, TimePoint deadline, EditCallback callback);
+  // Takes an object that this VM read from or wrote to the platform.
+  void ObjectLearned(configuration::PlatformObject object);
+
+  const configuration::ObjectStore& Objects() const;
+  const leadership::LeadershipSystem& Leadership() const;
+  const membership::MembershipSystem& Membership() const;
+  std::vector<configuration::InForceEntry> InForce() const;
+  // The peers' address of a VM; empty when it isn't known.
+  std::string AddressOf(const VmName& vm) const;
+  bool PlatformReachable() const;
+
+ private:
+  void Carry(const membership::SendHeartbeat& action);
+  void Carry(const membership::MembershipChanged& action);
+  void Carry(const membership::VmTerminated& action);
+  void Carry(const leadership::SendPromiseRequest& action);
+  void Carry(const leadership::AnswerPromise& action);
+  void Carry(const leadership::SendCloseRequest& action);
+  void Carry(const leadership::AnswerClose& action);
+  void Carry(const leadership::DropRequest& action);
+  void Carry(const leadership::UpdateRecord& action);
+  void Carry(const leadership::ReadRecord& action);
+  void Carry(const leadership::BecameLeader& action);
+  void Carry(const leadership::ValidityExtended& action);
+  void Carry(const leadership::LostLeadership& action);
+  void Carry(const configuration::OpenWatch& action);
+  void Carry(const configuration::CloseWatch& action);
+  void Carry(const configuration::ListObjects& action);
+  void Carry(const configuration::ReadObject& action);
+  void Carry(const configuration::SendDigest& action);
+  void Carry(const configuration::PullDifferences& action);
+  void Carry(const configuration::EditWrite& action);
+  void Carry(const configuration::EditRead& action);
+  void Carry(const configuration::EditEnded& action);
+
+  Beat MakeBeat(membership::Heartbeat heartbeat) const;
+  void SendBeat(const std::string& address, const Beat& beat);
+  void TakeBeat(const Beat& beat);
+  void TakePlatformStatus(PlatformStatus status);
+  void TakePlatformObjects(const std::vector<configuration::PlatformObject>& objects);
+  void SeeRecord(const configuration::PlatformObject& object, leadership::RecordSource source);
+  void NotifyDistribution(configuration::DistributionEvent event);
+  void StoreChanged();
+  void UpdateCloseVms();
+  void PollVmList(TimePoint now);
+
+  const Settings& settings;
+  leadership::Holder self;
+  PlatformClient& platform;
+  PeerClient& peers;
+  Listener listener;
+  configuration::ObjectStore store;
+  membership::MembershipSystem membership_system;
+  leadership::LeadershipSystem leadership_system;
+  configuration::DistributionSystem distribution_system;
+  configuration::EditSystem edit_system;
+  SystemRunner<membership::MembershipSystem, membership::Event, membership::Action> membership_runner;
+  SystemRunner<leadership::LeadershipSystem, leadership::Event, leadership::Action> leadership_runner;
+  SystemRunner<configuration::DistributionSystem, configuration::DistributionEvent, configuration::DistributionAction>
+      distribution_runner;
+  SystemRunner<configuration::EditSystem, configuration::EditEvent, configuration::EditAction> edit_runner;
+
+  std::map<std::uint64_t, net::HttpServer::Answer> open_replies;
+  std::uint64_t next_reply = 1;
+  std::map<std::uint64_t, EditCallback> open_edits;
+  std::uint64_t next_edit = 1;
+  std::map<GroupName, leadership::Ballot> led;
+  std::uint64_t groups_revision = 0;
+  std::uint64_t leadership_revision = 0;
+  TimePoint next_vm_list = TimePoint::min();
+  bool platform_reachable = true;
+  bool leaving = false;
+};
+
+}  // namespace amaranthlane::daemon
+
+#endif  // AMARANTHLANE_DAEMON_CONTROL_PLANE_H_
--- /dev/null
+++ b/source/daemon/endpoint_table.cc
@@ -0,0 +1,71 @@
+#include "daemon/endpoint_table.h"
+
+#include <algorithm>
+
+namespace amaranthlane::daemon {
+
+namespace {
+
+// Each instance's connections that statements don't use: for probes, configuration, and the next leader's first ones.
+constexpr std::uint64_t kSpareConnections = 4;
+
+}  // namespace
+
+EndpointTable::EndpointTable(boost::asio::io_context& loop, ConnectionNumbers& numbers)
+    : loop(loop), numbers(numbers) {}
+
+void EndpointTable::Apply(const replicas::GroupRecord& record, scheduling::GroupScheduler& scheduler) {
+  for (EndpointRow& row : this->rows) {
+    row.takes_work = false;
+  }
+  for (const replicas::Instance& instance : record.instances) {
+    this->FindOrAdd(instance, record.connections).takes_work = !instance.leaving;
+  }
+  for (std::size_t index = 0; index < this->rows.size(); ++index) {
+    const std::uint64_t slots = this->rows[index].takes_work ? record.slots : 0;
+    scheduler.SetSlots(static_cast<scheduling::EndpointIndex>(index), static_cast<std::uint32_t>(slots));
+    if (!this->rows[index].takes_work) {
+      this->rows[index].link->CloseIdle();
+    }
+  }
+}
+
+EndpointRow& EndpointTable::FindOrAdd(const replicas::Instance& instance, std::uint64_t connections) {
+  const net::Address address = net::ParseAddress(instance.address);
+  const std::uint64_t limit = connections > kSpareConnections ? connections - kSpareConnections : 1;
+  for (EndpointRow& row : this->rows) {
+    if (row.name == instance.endpoint && row.link->Target() == address) {
+      return row;
+    }
+  }
+  // An instance that moved to another address gets a row of its own; the old row takes no work.
+  this->rows.push_back(EndpointRow{
+      instance.endpoint, std::make_unique<EndpointLink>(this->loop, address, limit, this->numbers), false});
+  return this->rows.back();
+}
+
+std::optional<scheduling::EndpointIndex> EndpointTable::IndexOf(const EndpointName& name) const {
+  for (std::size_t index = this->rows.size(); index > 0; --index) {
+    if (this->rows[index - 1].name == name) {
+      return static_cast<scheduling::EndpointIndex>(index - 1);
+    }
+  }
+  return std::nullopt;
+}
+
+const EndpointName& EndpointTable::NameOf(scheduling::EndpointIndex index) const { return this->rows.at(index).name; }
+
+EndpointLink& EndpointTable::LinkOf(scheduling::EndpointIndex index) { return *this->rows.at(index).link; }
+
+EndpointLink* EndpointTable::LinkOfConnection(outcomes::ConnectionId connection) {
+  for (EndpointRow& row : this->rows) {
+    if (row.link->Has(connection)) {
+      return row.link.get();
+    }
+  }
+  return nullptr;
+}
+
+const std::vector<EndpointRow>& EndpointTable::Rows() const { return this->rows; }
+
+}  // namespace amaranthlane::daemon
--- /dev/null
+++ b/source/daemon/entry.cc
@@ -0,0 +1,331 @@
+#include "daemon/entry.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+#include <vector>
+
+#include "common/error.h"
+#include "core/outcomes/outcome_errors.h"
+#include "core/outcomes/retry_rule.h"
+#include "core/sessions/token_errors.h"
+#include "daemon/problem.h"
+
+namespace amaranthlane::daemon {
+
+namespace {
+
+constexpr char kBearerPrefix[] = "Bearer ";
+constexpr std::size_t kBearerPrefixLength = sizeof(kBearerPrefix) - 1;
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusNotFound = 404;
+// A leader that answers does so by the deadline; the rest is for the way back.
+constexpr std::chrono::milliseconds kPeerMargin{250};
+
+std::string_view BearerKey(const net::HttpRequest& request) {
+  std::string_view header = net::FindHeader(request.headers, "Authorization");
+  if (!header.starts_with(kBearerPrefix)) {
+    return {};
+  }
+  return header.substr(kBearerPrefixLength);
+}
+
+bool InTransaction(WorkKind kind) {
+  return kind == WorkKind::kTransactionStatement || kind == WorkKind::kCommit || kind == WorkKind::kRollback;
+}
+
+outcomes::ForwardEvent EventOf(const WorkAnswer& answer) {
+  const bool leader_changed =
+      answer.problem == WorkProblem::kLeadershipLost || answer.problem == WorkProblem::kTermMoved;
+  switch (answer.outcome) {
+    case Outcome::kDone:
+      return outcomes::ForwardEvent::kAnsweredDone;
+    case Outcome::kNotRun:
+      return leader_changed || answer.problem == WorkProblem::kNotLeader ? outcomes::ForwardEvent::kNotLeader
+                                                                         : outcomes::ForwardEvent::kAnsweredNotRun;
+    case Outcome::kUnknown:
+      return leader_changed ? outcomes::ForwardEvent::kLostAfterSend : outcomes::ForwardEvent::kAnsweredUnknown;
+  }
+  return outcomes::ForwardEvent::kAnsweredUnknown;
+}
+
+}  // namespace
+
+// A caller's request until it is answered.
+struct Entry::Call {
+  Call(boost::asio::io_context& loop, net::HttpServer::Answer answer) : answer(std::move(answer)), timer(loop) {}
+
+  outcomes::RequestId id = 0;
+  WorkRequest work;
+  outcomes::ForwardedRequest forwarded;
+  sessions::SessionToken token;
+  net::HttpServer::Answer answer;
+  boost::asio::steady_timer timer;
+  std::unique_ptr<opentracing::Span> span;
+  std::string kind;
+  TimePoint arrival;
+  // The VM that the present attempt was passed to, and the attempt's number. A late answer to an earlier one is dropped.
+  VmName leader;
+  std::uint64_t attempt = 0;
+};
+
+Entry::Entry(boost::asio::io_context& loop, const Settings& settings, ControlPlane& control, PeerClient& peers,
+             metrics::Registry& metrics, std::shared_ptr<tracing::RingTracer> tracer, std::mt19937_64& generator,
+             Host host)
+    : loop(loop),
+      settings(settings),
+      control(control),
+      peers(peers),
+      tracer(std::move(tracer)),
+      generator(generator),
+      host(std::move(host)),
+      metrics(metrics),
+      forwarding(generator()) {}
+
+void Entry::ObjectsChanged() {
+  this->callers.Refresh(this->control.Objects());
+  this->resolver.Refresh(this->control.Objects());
+}
+
+void Entry::Handle(const net::HttpRequest& request, net::HttpServer::Answer answer) {
+  const CallPointer call = this->Parse(request, answer);
+  if (call != nullptr) {
+    this->Forward(call);
+  }
+}
+
+Entry::CallPointer Entry::Parse(const net::HttpRequest& request, net::HttpServer::Answer& answer) {
+  const std::string* caller = this->callers.Authenticate(BearerKey(request));
+  if (caller == nullptr) {
+    answer(WorkProblemResponse(MakeRefusal(WorkProblem::kUnknownCaller), ""));
+    return nullptr;
+  }
+  try {
+    const CallerRequest parsed = ParseCallerRequest(request);
+    auto call = std::make_shared<Call>(this->loop, std::move(answer));
+    call->arrival = BootClock::now();
+    call->span = tracing::StartSpan(*this->tracer, "entry", net::FindHeader(request.headers, "traceparent"));
+    call->work.caller = *caller;
+    if (!this->Resolve(*call, parsed, net::FindHeader(request.headers, "Session-Token"))) {
+      return nullptr;
+    }
+    return call;
+  } catch (const UnknownCallError& failure) {
+    answer(ProblemResponse(kStatusNotFound, "unknown-call", failure.what()));
+  } catch (const ParseError& failure) {
+    answer(ProblemResponse(400, "invalid-request", failure.what()));
+  }
+  return nullptr;
+}
+
+bool Entry::Resolve(Call& call, const CallerRequest& request, std::string_view session_token) {
+  if (this->control.Objects().Find(configuration::kDatabaseGroupsKind, request.group) == nullptr) {
+    call.answer(WorkProblemResponse(MakeRefusal(WorkProblem::kUnknownGroup), ""));
+    return false;
+  }
+  const auto mode = request.mode == outcomes::StatementMode::kRead ? configuration::WorkMode::kRead
+                                                                   : configuration::WorkMode::kWrite;
+  WorkRequest& work = call.work;
+  call.kind = request.kind;
+  work.obligation = this->resolver.Resolve({work.caller, request.group, request.kind, mode});
+  work.kind = request.work;
+  work.group = request.group;
+  work.mode = request.mode;
+  work.statement = request.statement;
+  work.idempotency_key = request.idempotency_key;
+  work.transaction = request.transaction;
+  work.data_centre = this->settings.data_centre;
+  const Duration limit = request.time_limit ? std::min<Duration>(*request.time_limit, work.obligation.time_limit)
+                                            : work.obligation.time_limit;
+  work.deadline = call.arrival + limit;
+  try {
+    call.token = sessions::SessionToken::Parse(session_token);
+    work.token = call.token.PositionOf(work.group);
+    if (work.kind == WorkKind::kStatement) {
+      outcomes::CheckIdempotencyKey(work.obligation, work.mode, work.idempotency_key);
+    }
+  } catch (const sessions::TokenError&) {
+    call.answer(WorkProblemResponse(MakeRefusal(WorkProblem::kInvalidToken), ""));
+    return false;
+  } catch (const outcomes::MissingIdempotencyKeyError&) {
+    call.answer(WorkProblemResponse(MakeRefusal(WorkProblem::kMissingKey), ""));
+    return false;
+  } catch (const outcomes::InvalidIdempotencyKeyError& failure) {
+    call.answer(ProblemResponse(400, "invalid-idempotency-key", failure.what()));
+    return false;
+  }
+  work.traceparent = tracing::FormatTraceparent(tracing::ContextOf(*call.span));
+  call.id = this->next_call++;
+  outcomes::Request& forwarded = call.forwarded.request;
+  forwarded.id = call.id;
+  forwarded.caller = work.caller;
+  forwarded.idempotency_key = work.idempotency_key;
+  forwarded.obligation = work.obligation;
+  // A transaction that nobody uses ends by itself, so that opening one may be repeated like a read.
+  const bool repeatable = work.kind == WorkKind::kBegin || work.kind == WorkKind::kOutcomeQuery;
+  forwarded.mode = repeatable ? outcomes::StatementMode::kRead : work.mode;
+  forwarded.deadline = work.deadline;
+  return true;
+}
+
+void Entry::Forward(const CallPointer& call) {
+  const TimePoint now = BootClock::now();
+  if (!outcomes::ForwardingPolicy::MaySend(call->forwarded, now)) {
+    this->Decide(call, outcomes::ForwardEvent::kDeadlinePassed, MakeRefusal(WorkProblem::kDeadlinePassed));
+    return;
+  }
+  const std::optional<VmName> leader = this->control.Leadership().CurrentLeader(call->work.group);
+  if (!leader) {
+    this->Decide(call, outcomes::ForwardEvent::kNotSent, MakeRefusal(WorkProblem::kNoLeader));
+    return;
+  }
+  const std::uint64_t attempt = ++call->attempt;
+  call->leader = *leader;
+  GroupLeader* local = *leader == this->settings.vm ? this->host.local_leader(call->work.group) : nullptr;
+  if (local != nullptr) {
+    local->Submit(call->work, [this, call, attempt](WorkAnswer answer) {
+      if (attempt == call->attempt) {
+        this->TakeAnswer(call, std::move(answer));
+      }
+    });
+    return;
+  }
+  this->ForwardToPeer(call, *leader);
+}
+
+void Entry::ForwardToPeer(const CallPointer& call, const VmName& leader) {
+  const TimePoint now = BootClock::now();
+  const std::string address = this->control.AddressOf(leader);
+  if (address.empty()) {
+    this->Decide(call, outcomes::ForwardEvent::kNotSent, MakeRefusal(WorkProblem::kNoLeader));
+    return;
+  }
+  const auto refusal = this->admission.Check(call->work.group, call->work.obligation.rank, call->work.deadline, now,
+                                             this->generator);
+  if (refusal) {
+    WorkAnswer answer = MakeRefusal(WorkProblem::kOverload);
+    answer.retry_after = std::chrono::duration_cast<std::chrono::milliseconds>(refusal->retry_at - now);
+    this->Finish(call, std::move(answer));
+    return;
+  }
+  std::vector<net::HttpHeader> headers = {{"traceparent", call->work.traceparent}, {"from-vm", this->settings.vm}};
+  this->forwarded[call->id] = call;
+  this->peers.Work(address, WorkRequestText(call->work, now), std::move(headers), call->work.deadline + kPeerMargin,
+                   [this, call, attempt = call->attempt](const net::CallResult& result) {
+                     if (attempt == call->attempt) {
+                       this->TakeResult(call, result);
+                     }
+                   });
+}
+
+void Entry::TakeResult(const CallPointer& call, const net::CallResult& result) {
+  this->forwarded.erase(call->id);
+  if (result.status == net::CallStatus::kNotSent) {
+    this->Decide(call, outcomes::ForwardEvent::kNotSent, MakeRefusal(WorkProblem::kNoLeader));
+    return;
+  }
+  if (result.status == net::CallStatus::kAnswered && result.response.status == kStatusOk) {
+    try {
+      WorkAnswer answer = ParseWorkAnswer(result.response.body);
+      if (answer.pressure) {
+        this->admission.Receive(call->work.group, *answer.pressure, BootClock::now());
+      }
+      this->TakeAnswer(call, std::move(answer));
+      return;
+    } catch (const ParseError&) {
+      // An answer that can't be read tells as much as none.
+    }
+  }
+  this->Decide(call, outcomes::ForwardEvent::kLostAfterSend,
+               MakeRefusal(WorkProblem::kConnectionLost, Outcome::kUnknown));
+}
+
+void Entry::TakeAnswer(const CallPointer& call, WorkAnswer answer) {
+  const outcomes::ForwardEvent event = EventOf(answer);
+  this->Decide(call, event, std::move(answer));
+}
+
+void Entry::Decide(const CallPointer& call, outcomes::ForwardEvent event, WorkAnswer answer) {
+  // Calls of a transaction are never repeated: it lives and ends at one leader.
+  if (InTransaction(call->work.kind)) {
+    if (answer.problem == WorkProblem::kNotLeader || answer.problem == WorkProblem::kNoLeader) {
+      answer.problem = WorkProblem::kTransactionEnded;
+    }
+    this->Finish(call, std::move(answer));
+    return;
+  }
+  const outcomes::ForwardDecision decision = this->forwarding.Decide(call->forwarded, event, BootClock::now());
+  if (decision.kind == outcomes::ForwardDecisionKind::kForwardAgain) {
+    this->ForwardLater(call, decision.not_before);
+    return;
+  }
+  answer.outcome = decision.outcome;
+  this->Finish(call, std::move(answer));
+}
+
+void Entry::ForwardLater(const CallPointer& call, TimePoint not_before) {
+  call->timer.expires_after(not_before - BootClock::now());
+  call->timer.async_wait([this, call](boost::system::error_code error) {
+    if (!error) {
+      this->Forward(call);
+    }
+  });
+}
+
+void Entry::Tick(TimePoint /*now*/) {
+  std::vector<CallPointer> abandoned;
+  for (const auto& [id, call] : this->forwarded) {
+    const std::optional<VmName> leader = this->control.Leadership().CurrentLeader(call->work.group);
+    if (leader && *leader != call->leader) {
+      abandoned.push_back(call);
+    }
+  }
+  for (const CallPointer& call : abandoned) {
+    ++call->attempt;
+    this->forwarded.erase(call->id);
+    this->Decide(call, outcomes::ForwardEvent::kLostAfterSend,
+                 MakeRefusal(WorkProblem::kLeadershipLost, Outcome::kUnknown));
+  }
+}
+
+void Entry::Finish(const CallPointer& call, WorkAnswer answer) {
+  this->metrics.CountEnd(call->work.obligation.rank, answer.outcome, BootClock::now() - call->arrival);
+  call->span->SetTag("group", call->work.group);
+  call->span->SetTag("leader", call->leader);
+  call->span->SetTag("outcome", std::string(OutcomeName(answer.outcome)));
+  call->span->Finish();
+  if (answer.outcome == Outcome::kDone) {
+    call->answer(this->SuccessResponse(*call, answer));
+    if (call->work.kind == WorkKind::kStatement && call->work.mode == outcomes::StatementMode::kRead) {
+      this->metrics.CountRead(answer.from_replica);
+    }
+  } else {
+    call->answer(WorkProblemResponse(answer, call->work.idempotency_key));
+  }
+}
+
+net::HttpResponse Entry::SuccessResponse(Call& call, const WorkAnswer& answer) const {
+  std::string body = "{\"outcome\":\"done\"";
+  if (call.work.kind == WorkKind::kBegin) {
+    body += ",\"transaction\":\"" + TransactionName(call.work.group, call.kind, answer.transaction) + "\"}";
+    return JsonResponse(std::move(body));
+  }
+  body += ",\"result\":" + answer.result;
+  body += answer.replayed ? ",\"replayed\":true" : ",\"replayed\":false";
+  body += ",\"served_by\":{\"endpoint\":\"" + answer.endpoint + "\",\"role\":";
+  body += answer.from_replica ? "\"replica\"}" : "\"primary\"}";
+  body += ",\"age_bound_ms\":" + std::to_string(answer.age_bound.count());
+  body += ",\"position\":{\"term\":" + std::to_string(answer.position.term) +
+          ",\"offset\":" + std::to_string(answer.position.offset) + "}}";
+  net::HttpResponse response = JsonResponse(std::move(body));
+  const bool wrote = call.work.kind == WorkKind::kCommit ||
+                     (call.work.kind == WorkKind::kStatement && call.work.mode == outcomes::StatementMode::kWrite) ||
+                     call.work.kind == WorkKind::kOutcomeQuery;
+  if (wrote && answer.position.term != 0) {
+    call.token.Merge(call.work.group, answer.position);
+  }
+  response.headers.push_back({"Session-Token", call.token.Encode()});
+  return response;
+}
+
+}  // namespace amaranthlane::daemon
--- /dev/null
+++ b/source/daemon/entry.h
@@ -0,0 +1,79 @@
+#ifndef AMARANTHLANE_DAEMON_ENTRY_H_
+#define AMARANTHLANE_DAEMON_ENTRY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+#include "common/settings.h"
+#include "core/configuration/caller_directory.h"
+#include "core/configuration/obligation_resolver.h"
+#include "core/outcomes/forwarding_policy.h"
+#include "core/scheduling/entry_admission.h"
+#include "core/sessions/session_token.h"
+#include "daemon/caller_request.h"
+#include "daemon/control_plane.h"
+#include "daemon/entry_metrics.h"
+#include "daemon/group_leader.h"
+#include "daemon/peer_client.h"
+#include "net/http_server.h"
+#include "tracing/ring_tracer.h"
+
+namespace amaranthlane::daemon {
+
+// The callers' side of a VM: authenticates a request, looks up what it is owed, and passes it to its group's leader.
+class Entry {
+ public:
+  struct Host {
+    // Null when this VM doesn't lead the group.
+    std::function<GroupLeader*(const GroupName&)> local_leader;
+  };
+
+  Entry(boost::asio::io_context& loop, const Settings& settings, ControlPlane& control, PeerClient& peers,
+        metrics::Registry& metrics, std::shared_ptr<tracing::RingTracer> tracer, std::mt19937_64& generator,
+        Host host);
+
+  // The handler of the callers' interface.
+  void Handle(const net::HttpRequest& request, net::HttpServer::Answer answer);
+  // Takes labels, selectors and callers from the store if they changed.
+  void ObjectsChanged();
+  // Gives up attempts at leaders that were replaced.
+  void Tick(TimePoint now);
+
+ private:
+  struct Call;
+  using CallPointer = std::shared_ptr<Call>;
+
+  CallPointer Parse(const net::HttpRequest& request, net::HttpServer::Answer& answer);
+  bool Resolve(Call& call, const CallerRequest& request, std::string_view session_token);
+  void Forward(const CallPointer& call);
+  void ForwardToPeer(const CallPointer& call, const VmName& leader);
+  void TakeResult(const CallPointer& call, const net::CallResult& result);
+  void TakeAnswer(const CallPointer& call, WorkAnswer answer);
+  void Decide(const CallPointer& call, outcomes::ForwardEvent event, WorkAnswer answer);
+  void ForwardLater(const CallPointer& call, TimePoint not_before);
+  void Finish(const CallPointer& call, WorkAnswer answer);
+  net::HttpResponse SuccessResponse(Call& call, const WorkAnswer& answer) const;
+
+  boost::asio::io_context& loop;
+  const Settings& settings;
+  ControlPlane& control;
+  PeerClient& peers;
+  std::shared_ptr<tracing::RingTracer> tracer;
+  std::mt19937_64& generator;
+  Host host;
+  EntryMetrics metrics;
+  configuration::CallerDirectory callers;
+  configuration::ObligationResolver resolver;
+  outcomes::ForwardingPolicy forwarding;
+  scheduling::EntryAdmission admission;
+  // The calls that wait for another VM, by number.
+  std::unordered_map<outcomes::RequestId, CallPointer> forwarded;
+  outcomes::RequestId next_call = 1;
+};
+
+}  // namespace amaranthlane::daemon
+
+#endif  // AMARANTHLANE_DAEMON_ENTRY_H_
--- /dev/null
+++ b/source/daemon/entry_metrics.cc
@@ -0,0 +1,35 @@
+#include "daemon/entry_metrics.h"
+
+#include <string>
+
+namespace amaranthlane::daemon {
+
+EntryMetrics::EntryMetrics(metrics::Registry& registry)
+    : replica_reads(&registry.GetCounter("amaranthlane_reads_total", "Reads that were answered, by the endpoint's role.",
+                                         {{"role", "replica"}})),
+      primary_reads(&registry.GetCounter("amaranthlane_reads_total", "Reads that were answered, by the endpoint's role.",
+                                         {{"role", "primary"}})) {
+  for (const Rank rank : kRanks) {
+    const auto row = static_cast<std::size_t>(rank);
+    const std::string rank_name(RankName(rank));
+    for (const Outcome outcome : {Outcome::kDone, Outcome::kNotRun, Outcome::kUnknown}) {
+      this->ended[row][static_cast<std::size_t>(outcome)] =
+          &registry.GetCounter("amaranthlane_requests_total", "Callers' requests that have ended.",
+                               {{"outcome", std::string(OutcomeName(outcome))}, {"rank", rank_name}});
+    }
+    this->latency[row] = &registry.GetHistogram(
+        "amaranthlane_request_seconds", "The time from a request's arrival to its answer.", {{"rank", rank_name}});
+  }
+}
+
+void EntryMetrics::CountEnd(Rank rank, Outcome outcome, std::chrono::nanoseconds took) {
+  const auto row = static_cast<std::size_t>(rank);
+  ++this->ended[row][static_cast<std::size_t>(outcome)]->value;
+  this->latency[row]->Add(took);
+}
+
+void EntryMetrics::CountRead(bool from_replica) {
+  ++(from_replica ? this->replica_reads : this->primary_reads)->value;
+}
+
+}  // namespace amaranthlane::daemon
--- /dev/null
+++ b/source/daemon/entry_metrics.h
@@ -0,0 +1,33 @@
+#ifndef AMARANTHLANE_DAEMON_ENTRY_METRICS_H_
+#define AMARANTHLANE_DAEMON_ENTRY_METRICS_H_
+
+#include <array>
+#include <chrono>
+
+#include "core/types.h"
+#include "metrics/registry.h"
+
+namespace amaranthlane::daemon {
+
+// What an entry VM counts of its callers' requests.
+class EntryMetrics {
+ public:
+  explicit EntryMetrics(metrics::Registry& registry);
+
+  // Counts a request that has ended.
+  void CountEnd(Rank rank, Outcome outcome, std::chrono::nanoseconds took);
+  // Counts a read that was answered.
+  void CountRead(bool from_replica);
+
+ private:
+  static constexpr std::size_t kOutcomeCount = 3;
+
+  std::array<std::array<metrics::Counter*, kOutcomeCount>, kRankCount> ended{};
+  std::array<metrics::LatencyHistogram*, kRankCount> latency{};
+  metrics::Counter* replica_reads;
+  metrics::Counter* primary_reads;
+};
+
+}  // namespace amaranthlane::daemon
+
+#endif  // AMARANTHLANE_DAEMON_ENTRY_METRICS_H_
--- /dev/null
+++ b/source/daemon/group_context.h
@@ -0,0 +1,34 @@
+#ifndef AMARANTHLANE_DAEMON_GROUP_CONTEXT_H_
+#define AMARANTHLANE_DAEMON_GROUP_CONTEXT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+
+#include "common/settings.h"
+#include "core/configuration/platform_object.h"
+#include "daemon/endpoint_link.h"
+#include "daemon/platform_client.h"
+#include "metrics/registry.h"
+#include "tracing/ring_tracer.h"
+
+namespace amaranthlane::daemon {
+
+// What the led groups of one daemon share. Everything in it outlives them.
+struct GroupContext {
+  boost::asio::io_context& loop;
+  const Settings& settings;
+  PlatformClient& platform;
+  metrics::Registry& metrics;
+  std::shared_ptr<tracing::RingTracer> tracer;
+  std::mt19937_64& generator;
+  ConnectionNumbers& connection_numbers;
+  // Takes an object that this VM read from or wrote to the platform.
+  std::function<void(configuration::PlatformObject)> object_learned;
+};
+
+}  // namespace amaranthlane::daemon
+
+#endif  // AMARANTHLANE_DAEMON_GROUP_CONTEXT_H_
--- /dev/null
+++ b/source/daemon/group_supervisor.h
@@ -0,0 +1,89 @@
+#ifndef AMARANTHLANE_DAEMON_GROUP_SUPERVISOR_H_
+#define AMARANTHLANE_DAEMON_GROUP_SUPERVISOR_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/promotion/promotion_system.h"
+#include "core/replicas/replica_table.h"
+#include "daemon/group_context.h"
+#include "daemon/instance_prober.h"
+#include "daemon/system_runner.h"
+
+namespace amaranthlane::daemon {
+
+// Watches the instances of a led group and changes its primary: carries out the actions of the promotion system and feeds the
+// replica table.
+class GroupSupervisor : public std::enable_shared_from_this<GroupSupervisor> {
+ public:
+  struct Listener {
+    // A newer record is in force; its term may be higher.
+    std::function<void(const replicas::GroupRecord&)> record_adopted;
+    // Send nothing new to the primary. With a planned change, report PrimaryIdle by `drain_deadline`.
+    std::function<void(bool planned, TimePoint drain_deadline)> primary_suspended;
+    // The primary of the current term takes statements.
+    std::function<void()> primary_serving;
+    std::function<void(const EndpointName&)> replace_connections;
+    std::function<void(const std::vector<replicas::AcknowledgementResult>&)> acknowledged;
+    std::function<void(promotion::PlannedOutcome)> planned_change_ended;
+  };
+
+  GroupSupervisor(GroupContext& context, const GroupName& group, const std::string& update_id_prefix,
+                  Listener listener);
+
+  // Begins with what this VM knows of the group.
+  void Start();
+  // Ends for good: no action is carried out and no listener called any more.
+  void Stop();
+  // Hands an event to the promotion system and carries out what it decides.
+  void Notify(const promotion::Event& event);
+  // Runs what is due.
+  void Tick(TimePoint now);
+
+  // Whether a commit at `position` may be passed on as acknowledged now. A true result binds later promotions.
+  bool MayAcknowledge(AcknowledgementLevel level, const LogPosition& position);
+
+  replicas::ReplicaTable& Replicas();
+  promotion::PromotionSystem& Promotion();
+
+ private:
+  void Carry(const promotion::SuspendPrimary& action);
+  void Carry(const promotion::ResumePrimary& action);
+  void Carry(const promotion::FreezeAcknowledgements& action);
+  void Carry(const promotion::ThawAcknowledgements& action);
+  void Carry(const promotion::ReplaceConnections& action);
+  void Carry(const promotion::ProbeInstance& action);
+  void Carry(const promotion::ReadGroupObject& action);
+  void Carry(const promotion::UpdateGroupObject& action);
+  void Carry(const promotion::ConfigureInstance& action);
+  void Carry(const promotion::RecordAdopted& action);
+  void Carry(const promotion::PrimaryChanged& action);
+  void Carry(const promotion::StatusChanged& action);
+  void Carry(const promotion::PlannedChangeEnded& action);
+
+  void AdjustProbers(const replicas::GroupRecord& record);
+  std::shared_ptr<InstanceProber> MakeProber(const replicas::Instance& instance);
+  void FinishProbe(promotion::RequestId request, TimePoint sent_at, const net::CallResult& result);
+  void FinishConfigure(promotion::RequestId request, const net::CallResult& result);
+  void FinishRead(promotion::RequestId request, const PlatformReply& reply);
+  void FinishUpdate(const std::string& update_id, const replicas::GroupRecord& record, const PlatformReply& reply);
+  void LearnRecord(ObjectVersion version, const replicas::GroupRecord& record);
+
+  GroupContext& context;
+  GroupName group;
+  Listener listener;
+  replicas::ReplicaTable replica_table;
+  promotion::PromotionSystem promotion_system;
+  SystemRunner<promotion::PromotionSystem, promotion::Event, promotion::Action> runner;
+  std::map<EndpointName, std::shared_ptr<InstanceProber>> probers;
+  std::map<EndpointName, std::string> prober_addresses;
+  bool stopped = false;
+};
+
+}  // namespace amaranthlane::daemon
+
+#endif  // AMARANTHLANE_DAEMON_GROUP_SUPERVISOR_H_
--- /dev/null
+++ b/source/daemon/group_work.cc
@@ -0,0 +1,608 @@
+#include "daemon/group_work.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/outcomes/outcome_errors.h"
+#include "core/scheduling/scheduling_errors.h"
+#include "logging/log.h"
+
+namespace amaranthlane::daemon {
+
+namespace {
+
+// Beyond the caller's deadline the table of requests has ended the request itself.
+constexpr std::chrono::seconds kAnswerMargin{5};
+
+WorkProblem ProblemOf(outcomes::EndReason reason) {
+  switch (reason) {
+    case outcomes::EndReason::kAnswered:
+      return WorkProblem::kNone;
+    case outcomes::EndReason::kDeadlinePassed:
+      return WorkProblem::kDeadlinePassed;
+    case outcomes::EndReason::kConnectionLost:
+      return WorkProblem::kConnectionLost;
+    case outcomes::EndReason::kTermMoved:
+      return WorkProblem::kTermMoved;
+    case outcomes::EndReason::kLeadershipLost:
+      return WorkProblem::kLeadershipLost;
+    case outcomes::EndReason::kCallerGone:
+    case outcomes::EndReason::kShutdown:
+      return WorkProblem::kShutdown;
+    case outcomes::EndReason::kOverload:
+      return WorkProblem::kOverload;
+    case outcomes::EndReason::kRefusedByEndpoint:
+      return WorkProblem::kRefusedByEndpoint;
+    case outcomes::EndReason::kKeyConflict:
+      return WorkProblem::kKeyConflict;
+    case outcomes::EndReason::kInvalidStatement:
+      return WorkProblem::kInvalidStatement;
+  }
+  return WorkProblem::kRefusedByEndpoint;
+}
+
+replicas::ReadRequest ReadRequestOf(const WorkRequest& request) {
+  replicas::ReadRequest read;
+  read.freshness = request.obligation.freshness;
+  read.data_centre = request.data_centre;
+  if (request.obligation.read_your_writes) {
+    read.token = request.token;
+  }
+  return read;
+}
+
+bool IsRead(const OpenWork& work) {
+  return work.request.kind == WorkKind::kStatement && work.request.mode == outcomes::StatementMode::kRead;
+}
+
+outcomes::RequestTableSettings RequestSettings() { return outcomes::RequestTableSettings{}; }
+
+}  // namespace
+
+GroupWork::GroupWork(GroupContext& context, const GroupName& group, GroupSupervisor& supervisor)
+    : context(context),
+      group(group),
+      supervisor(supervisor),
+      scheduler(scheduling::SchedulerSettings{}),
+      requests(RequestSettings(), context.generator()),
+      endpoints(context.loop, context.connection_numbers),
+      transactions(context, group, supervisor, this->endpoints, this->open,
+                   TransactionRunner::Host{
+                       [this](outcomes::RequestId id, WorkAnswer answer) { this->Answer(id, std::move(answer)); },
+                       [this](outcomes::RequestId id, bool ran_to_end) { this->FreeSlot(id, ran_to_end); }}) {}
+
+GroupWork::~GroupWork() = default;
+
+void GroupWork::Submit(WorkRequest request, WorkCallback callback) {
+  const TimePoint now = BootClock::now();
+  const outcomes::RequestId id = this->next_request++;
+  OpenWork& work = this->open[id];
+  work.id = id;
+  work.arrival = now;
+  work.callback = std::move(callback);
+  if (this->context.tracer != nullptr) {
+    work.span = tracing::StartSpan(*this->context.tracer, "leader", request.traceparent);
+  }
+  work.request = std::move(request);
+  this->Open(work, now);
+  this->RunDue(now);
+}
+
+void GroupWork::Open(OpenWork& work, TimePoint now) {
+  switch (work.request.kind) {
+    case WorkKind::kStatement:
+      this->OpenStatement(work, now);
+      return;
+    case WorkKind::kBegin:
+      this->transactions.Begin(work, now);
+      return;
+    case WorkKind::kOutcomeQuery:
+      this->QueryOutcome(work, now);
+      return;
+    case WorkKind::kTransactionStatement:
+    case WorkKind::kCommit:
+    case WorkKind::kRollback:
+      if (this->transactions.Accept(work, now)) {
+        this->Queue(work, now);
+      }
+      return;
+  }
+}
+
+void GroupWork::OpenStatement(OpenWork& work, TimePoint now) {
+  outcomes::Request request;
+  request.id = work.id;
+  request.caller = work.request.caller;
+  request.idempotency_key = work.request.idempotency_key;
+  request.obligation = work.request.obligation;
+  request.mode = work.request.mode;
+  request.deadline = work.request.deadline;
+  try {
+    this->requests.Open(request);
+  } catch (const outcomes::MissingIdempotencyKeyError&) {
+    this->Answer(work.id, MakeRefusal(WorkProblem::kMissingKey));
+    return;
+  }
+  this->Queue(work, now);
+}
+
+void GroupWork::QueryOutcome(const OpenWork& work, TimePoint now) {
+  const auto primary = this->endpoints.IndexOf(this->supervisor.Promotion().Primary());
+  if (!this->supervisor.Promotion().MaySend() || !primary || now >= this->valid_until) {
+    this->Answer(work.id, MakeRefusal(WorkProblem::kTermMoved));
+    return;
+  }
+  const auto connection =
+      std::make_shared<net::HttpConnection>(this->context.loop, this->endpoints.LinkOf(*primary).Target());
+  connection->Call(OutcomeMessage(work.request.idempotency_key, this->supervisor.Promotion().CurrentTerm()),
+                   work.request.deadline,
+                   [this, alive = std::weak_ptr<bool>(this->alive), connection,
+                    id = work.id](const net::CallResult& result) {
+                     if (!alive.expired()) {
+                       this->OutcomeLearned(id, result);
+                     }
+                   });
+}
+
+void GroupWork::OutcomeLearned(outcomes::RequestId id, const net::CallResult& result) {
+  WorkAnswer answer = MakeRefusal(WorkProblem::kConnectionLost, Outcome::kUnknown);
+  try {
+    if (result.status == net::CallStatus::kAnswered && BootClock::now() < this->valid_until) {
+      const KeyOutcome outcome = ParseKeyOutcome(result.response);
+      if (outcome.known && this->supervisor.MayAcknowledge(AcknowledgementLevel::kPrimary, outcome.position)) {
+        answer.outcome = Outcome::kDone;
+        answer.problem = WorkProblem::kNone;
+        answer.result = outcome.result;
+        answer.replayed = true;
+        answer.position = outcome.position;
+      }
+    }
+  } catch (const Error&) {
+    // Not readable: the key's outcome stays unknown.
+  }
+  this->Answer(id, std::move(answer));
+}
+
+std::optional<scheduling::EndpointSet> GroupWork::EligibleFor(OpenWork& work, TimePoint now) {
+  if (!IsRead(work) || work.settling) {
+    return scheduling::kPrimaryBit;
+  }
+  std::vector<replicas::InstanceLoad> load;
+  for (std::size_t index = 0; index < this->endpoints.Rows().size(); ++index) {
+    const auto endpoint = static_cast<scheduling::EndpointIndex>(index);
+    load.push_back({this->endpoints.NameOf(endpoint), static_cast<std::uint32_t>(this->scheduler.Running(endpoint))});
+  }
+  const replicas::ReadChoice choice =
+      this->supervisor.Replicas().ChooseReadEndpoint(now, ReadRequestOf(work.request), load);
+  switch (choice.outcome) {
+    case replicas::ReadOutcome::kPositionLost:
+    case replicas::ReadOutcome::kPositionUnknown:
+      return std::nullopt;
+    case replicas::ReadOutcome::kPrimary:
+      return scheduling::kPrimaryBit;
+    case replicas::ReadOutcome::kReplica:
+      break;
+  }
+  const auto index = this->endpoints.IndexOf(choice.endpoint);
+  return index ? scheduling::SetOf(*index) : scheduling::kPrimaryBit;
+}
+
+void GroupWork::Queue(OpenWork& work, TimePoint now) {
+  const std::optional<scheduling::EndpointSet> eligible = this->EligibleFor(work, now);
+  if (!eligible) {
+    outcomes::Actions actions;
+    this->requests.Refused(work.id, outcomes::EndReason::kRefusedByEndpoint, now, actions);
+    work.answer.problem = WorkProblem::kPositionLost;
+    this->CarryOutcomes(actions);
+    return;
+  }
+  scheduling::WorkItem item;
+  item.id = work.id;
+  item.rank = work.request.obligation.rank;
+  item.floor = work.request.obligation.floor;
+  item.arrival = work.arrival;
+  item.deadline = work.request.deadline;
+  item.eligible = *eligible;
+  item.fallback = *eligible == scheduling::kPrimaryBit ? 0 : scheduling::kPrimaryBit;
+  item.bytes = sizeof(OpenWork) + work.request.statement.size();
+  scheduling::SchedulerActions actions;
+  this->scheduler.Submit(item, now, actions);
+  this->CarryScheduler(actions, now);
+}
+
+void GroupWork::RunDue(TimePoint now) {
+  scheduling::SchedulerActions actions;
+  this->scheduler.RunDue(now, actions);
+  this->CarryScheduler(actions, now);
+}
+
+void GroupWork::CarryScheduler(scheduling::SchedulerActions& actions, TimePoint now) {
+  for (const scheduling::Refusal& refusal : actions.refusals) {
+    const auto found = this->open.find(refusal.id);
+    if (found == this->open.end()) {
+      continue;
+    }
+    OpenWork& work = found->second;
+    work.answer.retry_after = std::chrono::duration_cast<std::chrono::milliseconds>(refusal.retry_at - now);
+    if (work.request.kind != WorkKind::kStatement) {
+      this->transactions.Refused(work, now);
+      continue;
+    }
+    outcomes::Actions ended;
+    this->requests.Refused(refusal.id, outcomes::EndReason::kOverload, now, ended);
+    this->CarryOutcomes(ended);
+  }
+  for (const scheduling::Dispatch& dispatch : actions.dispatches) {
+    this->Dispatch(dispatch, now);
+  }
+}
+
+void GroupWork::Dispatch(const scheduling::Dispatch& dispatch, TimePoint now) {
+  const auto found = this->open.find(dispatch.id);
+  if (found == this->open.end()) {
+    this->scheduler.Release(dispatch.id, /*ran_to_end=*/false, now);
+    return;
+  }
+  OpenWork& work = found->second;
+  work.endpoint = dispatch.endpoint;
+  work.sent_at = now;
+  work.holds_slot = true;
+  if (work.request.kind == WorkKind::kStatement) {
+    this->DispatchStatement(work, now);
+  } else {
+    this->transactions.Dispatched(work, now);
+  }
+}
+
+void GroupWork::DispatchStatement(OpenWork& work, TimePoint now) {
+  const outcomes::RequestId id = work.id;
+  EndpointLink& link = this->endpoints.LinkOf(work.endpoint);
+  const std::optional<outcomes::ConnectionId> connection = link.Acquire(work.fresh_connection);
+  outcomes::Actions actions;
+  if (!connection) {
+    this->FreeSlot(id, /*ran_to_end=*/false);
+    this->requests.Refused(id, outcomes::EndReason::kOverload, now, actions);
+    this->CarryOutcomes(actions);
+    return;
+  }
+  if (!this->requests.Dispatch(id, *connection, now, actions)) {
+    this->FreeSlot(id, /*ran_to_end=*/false);
+    link.Release(*connection);
+    this->CarryOutcomes(actions);
+    return;
+  }
+  this->CarryOutcomes(actions);
+  this->Send(work, *connection, now);
+}
+
+void GroupWork::Send(OpenWork& work, outcomes::ConnectionId connection, TimePoint now) {
+  EndpointStatement statement;
+  statement.request = work.id;
+  statement.term = this->supervisor.Promotion().CurrentTerm();
+  statement.mode = work.request.mode;
+  statement.statement = work.request.statement;
+  statement.idempotency_key = work.request.idempotency_key;
+  work.sent_at = now;
+  net::HttpRequest message = StatementMessage(statement);
+  if (work.span != nullptr && tracing::ContextOf(*work.span).sampled) {
+    message.headers.push_back({"traceparent", tracing::FormatTraceparent(tracing::ContextOf(*work.span))});
+  }
+  this->endpoints.LinkOf(work.endpoint)
+      .Call(connection, std::move(message), work.request.deadline + kAnswerMargin,
+            [this, alive = std::weak_ptr<bool>(this->alive), id = work.id](outcomes::ConnectionId connection,
+                                                                         const net::CallResult& result) {
+              if (!alive.expired()) {
+                this->Finish(id, connection, result);
+              }
+            });
+}
+
+void GroupWork::Finish(outcomes::RequestId id, outcomes::ConnectionId connection, const net::CallResult& result) {
+  const TimePoint now = BootClock::now();
+  const auto found = this->open.find(id);
+  std::optional<EndpointName> silent;
+  if (found != this->open.end() && result.status != net::CallStatus::kAnswered) {
+    silent = this->endpoints.NameOf(found->second.endpoint);
+  }
+  if (found != this->open.end() && result.status == net::CallStatus::kNotSent) {
+    this->TakeRefusal(found->second, connection, outcomes::EndpointRefusalReason::kBusy, now);
+  } else if (found == this->open.end() || !this->TryTakeReply(found->second, connection, result, now)) {
+    this->LoseConnection(connection, now);
+  }
+  // Last, since the promotion may end any work.
+  if (silent) {
+    this->supervisor.Notify(promotion::ConnectionSilent{*silent});
+  }
+  this->RunDue(now);
+}
+
+bool GroupWork::TryTakeReply(OpenWork& work, outcomes::ConnectionId connection, const net::CallResult& result,
+                             TimePoint now) {
+  if (result.status != net::CallStatus::kAnswered) {
+    return false;
+  }
+  EndpointReply reply;
+  try {
+    reply = ParseEndpointReply(result.response);
+  } catch (const ParseError& failure) {
+    logging::Write(logging::Level::kWarning, "an endpoint's answer is malformed",
+                   {{"group", this->group}, {"error", failure.what()}});
+    return false;
+  }
+  this->TakeReply(work, connection, reply, now);
+  return true;
+}
+
+void GroupWork::LoseConnection(outcomes::ConnectionId connection, TimePoint now) {
+  outcomes::Actions actions;
+  this->requests.ConnectionLost(connection, now, actions);
+  this->CarryOutcomes(actions);
+  if (EndpointLink* link = this->endpoints.LinkOfConnection(connection)) {
+    link->Close(connection);
+  }
+}
+
+void GroupWork::TakeReply(OpenWork& work, outcomes::ConnectionId connection, const EndpointReply& reply,
+                          TimePoint now) {
+  if (reply.refusal) {
+    this->TakeRefusal(work, connection, *reply.refusal, now);
+    return;
+  }
+  const EndpointName& endpoint = this->endpoints.NameOf(work.endpoint);
+  if (IsRead(work)) {
+    this->supervisor.Replicas().ReadFinished(endpoint, now - work.sent_at);
+    if (reply.request == work.id && !this->ReadMayPass(work, reply, now)) {
+      work.answer_discarded = true;
+      work.settling = true;
+      this->TakeRefusal(work, connection, outcomes::EndpointRefusalReason::kBusy, now);
+      return;
+    }
+    const auto age = this->supervisor.Replicas().AgeBound(now, endpoint, reply.position, work.sent_at);
+    work.answer.age_bound =
+        std::chrono::ceil<std::chrono::milliseconds>(age.value_or(Duration(std::chrono::milliseconds(0))));
+  }
+  work.answer.result = reply.result;
+  work.answer.endpoint = endpoint;
+  work.answer.from_replica = endpoint != this->supervisor.Promotion().Primary();
+  outcomes::EndpointAnswer answer;
+  answer.connection = connection;
+  answer.request = reply.request;
+  answer.term = reply.term;
+  answer.position = reply.position;
+  answer.replayed = reply.replayed;
+  outcomes::Actions actions;
+  this->requests.Answered(answer, now, actions);
+  this->CarryOutcomes(actions);
+}
+
+bool GroupWork::ReadMayPass(const OpenWork& work, const EndpointReply& reply, TimePoint now) const {
+  return this->supervisor.Replicas().MayPassOn(now, ReadRequestOf(work.request),
+                                               this->endpoints.NameOf(work.endpoint), reply.position, work.sent_at);
+}
+
+void GroupWork::TakeRefusal(OpenWork& work, outcomes::ConnectionId connection,
+                            outcomes::EndpointRefusalReason reason, TimePoint now) {
+  const EndpointName endpoint = this->endpoints.NameOf(work.endpoint);
+  outcomes::Actions actions;
+  this->requests.RefusedByEndpoint(outcomes::EndpointRefusal{connection, work.id, reason}, now, actions);
+  this->CarryOutcomes(actions);
+  if (reason == outcomes::EndpointRefusalReason::kStaleTerm) {
+    this->supervisor.Notify(
+        promotion::HigherTermSeen{endpoint, this->supervisor.Promotion().CurrentTerm() + 1});
+  }
+}
+
+void GroupWork::CarryOutcomes(const outcomes::Actions& actions) {
+  for (const outcomes::Action& action : actions) {
+    std::visit([this](const auto& typed) { this->Carry(typed); }, action);
+  }
+}
+
+void GroupWork::Carry(const outcomes::Requeue& action) {
+  this->delayed.emplace(action.not_before, DelayedWork{action.request, action.settling, action.fresh_connection});
+}
+
+void GroupWork::Carry(const outcomes::WithdrawQueued& action) { this->scheduler.Withdraw(action.request); }
+
+void GroupWork::Carry(const outcomes::CloseConnection& action) {
+  EndpointLink* link = this->endpoints.LinkOfConnection(action.connection);
+  if (link == nullptr) {
+    return;
+  }
+  link->Close(action.connection);
+  for (const EndpointRow& row : this->endpoints.Rows()) {
+    if (row.link.get() == link) {
+      this->supervisor.Notify(promotion::ConnectionSilent{EndpointName(row.name)});
+      return;
+    }
+  }
+}
+
+void GroupWork::Carry(const outcomes::ReleaseAttempt& action) {
+  this->FreeSlot(action.request, action.ran_to_end);
+  if (EndpointLink* link = this->endpoints.LinkOfConnection(action.connection)) {
+    link->Release(action.connection);
+  }
+}
+
+void GroupWork::Carry(const outcomes::AwaitReplication& action) {
+  const auto found = this->open.find(action.request);
+  if (found == this->open.end()) {
+    return;
+  }
+  const auto known = this->supervisor.Replicas().AwaitReplicated(action.request, action.position,
+                                                                 found->second.request.deadline);
+  if (known) {
+    this->Acknowledged({*known});
+  }
+}
+
+void GroupWork::Carry(const outcomes::AnswerCaller& action) {
+  const auto found = this->open.find(action.request);
+  if (found == this->open.end()) {
+    return;
+  }
+  OpenWork& work = found->second;
+  WorkAnswer answer = std::move(work.answer);
+  if (answer.problem == WorkProblem::kNone) {
+    answer.problem = ProblemOf(action.reason);
+  }
+  answer.outcome = action.outcome;
+  answer.position = action.position;
+  answer.replayed = action.replayed;
+  const bool written = work.request.mode == outcomes::StatementMode::kWrite && action.outcome == Outcome::kDone;
+  if (written &&
+      !this->supervisor.MayAcknowledge(work.request.obligation.acknowledgement, action.position)) {
+    answer = MakeRefusal(WorkProblem::kTermMoved, Outcome::kUnknown);
+  }
+  if (work.answer_discarded && answer.outcome == Outcome::kNotRun) {
+    answer.outcome = Outcome::kUnknown;
+  }
+  this->Answer(action.request, std::move(answer));
+}
+
+void GroupWork::FreeSlot(outcomes::RequestId id, bool ran_to_end) {
+  const auto found = this->open.find(id);
+  if (found != this->open.end() && found->second.holds_slot) {
+    found->second.holds_slot = false;
+    this->scheduler.Release(id, ran_to_end, BootClock::now());
+  }
+}
+
+void GroupWork::Answer(outcomes::RequestId id, WorkAnswer answer) {
+  const auto found = this->open.find(id);
+  if (found == this->open.end()) {
+    return;
+  }
+  this->FreeSlot(id, /*ran_to_end=*/false);
+  this->scheduler.Withdraw(id);
+  const OpenWork ended = std::move(found->second);
+  this->open.erase(found);
+  if (ended.span != nullptr) {
+    ended.span->SetTag("group", this->group);
+    ended.span->SetTag("endpoint", answer.endpoint);
+    ended.span->SetTag("outcome", std::string(OutcomeName(answer.outcome)));
+    ended.span->Finish();
+  }
+  ended.callback(std::move(answer));
+  this->ReportIdlePrimary();
+}
+
+void GroupWork::SetValidUntil(TimePoint until) {
+  this->valid_until = until;
+  this->requests.SetLeadershipValidUntil(until);
+  this->transactions.SetValidUntil(until);
+}
+
+void GroupWork::RecordAdopted(const replicas::GroupRecord& record) {
+  const TimePoint now = BootClock::now();
+  this->endpoints.Apply(record, this->scheduler);
+  outcomes::Actions actions;
+  this->requests.TermMoved(record.term, now, actions);
+  this->CarryOutcomes(actions);
+  this->transactions.TermMoved(record, now);
+}
+
+void GroupWork::PrimarySuspended(bool planned, TimePoint drain_deadline) {
+  this->scheduler.SetPrimary(std::nullopt);
+  if (planned) {
+    this->drain_deadline = drain_deadline;
+    this->ReportIdlePrimary();
+  }
+}
+
+void GroupWork::PrimaryServing() {
+  this->drain_deadline.reset();
+  const auto primary = this->endpoints.IndexOf(this->supervisor.Promotion().Primary());
+  this->scheduler.SetPrimary(primary);
+  this->RunDue(BootClock::now());
+}
+
+void GroupWork::ReplaceConnections(const EndpointName& endpoint) {
+  const auto index = this->endpoints.IndexOf(endpoint);
+  if (!index) {
+    return;
+  }
+  EndpointLink& link = this->endpoints.LinkOf(*index);
+  link.CloseIdle();
+  const TimePoint now = BootClock::now();
+  for (const outcomes::ConnectionId connection : link.InUse()) {
+    outcomes::Actions actions;
+    this->requests.ConnectionLost(connection, now, actions);
+    this->CarryOutcomes(actions);
+    this->transactions.ConnectionLost(connection, now);
+    link.Close(connection);
+  }
+  this->RunDue(now);
+}
+
+void GroupWork::Acknowledged(const std::vector<replicas::AcknowledgementResult>& results) {
+  const TimePoint now = BootClock::now();
+  for (const replicas::AcknowledgementResult& result : results) {
+    if (result.replication != replicas::Replication::kReplicated) {
+      continue;
+    }
+    outcomes::Actions actions;
+    this->requests.ReplicationReached(result.position, now, actions);
+    this->CarryOutcomes(actions);
+    this->transactions.ReplicationReached(result.position, now);
+  }
+}
+
+void GroupWork::LeadershipEnded() {
+  const TimePoint now = BootClock::now();
+  outcomes::Actions actions;
+  this->requests.LeadershipEnded(now, actions);
+  this->CarryOutcomes(actions);
+  this->transactions.LeadershipEnded(now);
+}
+
+void GroupWork::Drain(TimePoint until) { this->transactions.Drain(until); }
+
+void GroupWork::Tick(TimePoint now) {
+  std::vector<DelayedWork> due;
+  while (!this->delayed.empty() && this->delayed.begin()->first <= now) {
+    due.push_back(this->delayed.begin()->second);
+    this->delayed.erase(this->delayed.begin());
+  }
+  for (const DelayedWork& entry : due) {
+    const auto found = this->open.find(entry.id);
+    if (found != this->open.end()) {
+      found->second.settling = found->second.settling || entry.settling;
+      found->second.fresh_connection = entry.fresh_connection;
+      this->Queue(found->second, now);
+    }
+  }
+  if (this->requests.NextDeadline() <= now) {
+    outcomes::Actions actions;
+    this->requests.Tick(now, actions);
+    this->CarryOutcomes(actions);
+  }
+  this->transactions.Tick(now);
+  this->RunDue(now);
+  this->ReportIdlePrimary();
+}
+
+void GroupWork::ReportIdlePrimary() {
+  if (!this->drain_deadline) {
+    return;
+  }
+  const auto primary = this->endpoints.IndexOf(this->supervisor.Promotion().Primary());
+  const bool running = primary && this->scheduler.Running(*primary) > 0;
+  const bool overdue = BootClock::now() >= *this->drain_deadline;
+  if ((running || this->transactions.OpenTransactions() > 0) && !overdue) {
+    return;
+  }
+  this->drain_deadline.reset();
+  this->supervisor.Notify(promotion::PrimaryIdle{this->supervisor.Promotion().CurrentTerm()});
+}
+
+bool GroupWork::Idle() const { return this->open.empty() && this->transactions.OpenTransactions() == 0; }
+
+scheduling::PressureReport GroupWork::Pressure(TimePoint now) { return this->scheduler.Report(now); }
+
+std::size_t GroupWork::Waiting(Rank rank) const { return this->scheduler.Waiting(rank); }
+
+const EndpointTable& GroupWork::Endpoints() const { return this->endpoints; }
+
+}  // namespace amaranthlane::daemon
--- /dev/null
+++ b/source/daemon/group_work.h
@@ -0,0 +1,103 @@
+#ifndef AMARANTHLANE_DAEMON_GROUP_WORK_H_
+#define AMARANTHLANE_DAEMON_GROUP_WORK_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "core/outcomes/request_table.h"
+#include "core/scheduling/group_scheduler.h"
+#include "daemon/endpoint_table.h"
+#include "daemon/group_supervisor.h"
+#include "daemon/open_work.h"
+#include "daemon/transaction_runner.h"
+
+namespace amaranthlane::daemon {
+
+// Runs the work of a led group: queues it, gives it slots and connections, and passes answers on.
+class GroupWork {
+ public:
+  GroupWork(GroupContext& context, const GroupName& group, GroupSupervisor& supervisor);
+  ~GroupWork();
+  GroupWork(const GroupWork&) = delete;
+  GroupWork& operator=(const GroupWork&) = delete;
+
+  void Submit(WorkRequest request, WorkCallback callback);
+
+  void SetValidUntil(TimePoint until);
+  void RecordAdopted(const replicas::GroupRecord& record);
+  void PrimarySuspended(bool planned, TimePoint drain_deadline);
+  void PrimaryServing();
+  void ReplaceConnections(const EndpointName& endpoint);
+  void Acknowledged(const std::vector<replicas::AcknowledgementResult>& results);
+  void LeadershipEnded();
+  // Opens no more transactions; those that are open may go on until `until`.
+  void Drain(TimePoint until);
+  void Tick(TimePoint now);
+
+  // Nothing is open.
+  bool Idle() const;
+  scheduling::PressureReport Pressure(TimePoint now);
+  std::size_t Waiting(Rank rank) const;
+  const EndpointTable& Endpoints() const;
+
+ private:
+  struct DelayedWork {
+    outcomes::RequestId id = 0;
+    bool settling = false;
+    bool fresh_connection = false;
+  };
+
+  void Open(OpenWork& work, TimePoint now);
+  void OpenStatement(OpenWork& work, TimePoint now);
+  void QueryOutcome(const OpenWork& work, TimePoint now);
+  void OutcomeLearned(outcomes::RequestId id, const net::CallResult& result);
+  void Queue(OpenWork& work, TimePoint now);
+  std::optional<scheduling::EndpointSet> EligibleFor(OpenWork& work, TimePoint now);
+  void RunDue(TimePoint now);
+  void CarryScheduler(scheduling::SchedulerActions& actions, TimePoint now);
+  void Dispatch(const scheduling::Dispatch& dispatch, TimePoint now);
+  void DispatchStatement(OpenWork& work, TimePoint now);
+  void Send(OpenWork& work, outcomes::ConnectionId connection, TimePoint now);
+  void Finish(outcomes::RequestId id, outcomes::ConnectionId connection, const net::CallResult& result);
+  bool TryTakeReply(OpenWork& work, outcomes::ConnectionId connection, const net::CallResult& result, TimePoint now);
+  void LoseConnection(outcomes::ConnectionId connection, TimePoint now);
+  void TakeReply(OpenWork& work, outcomes::ConnectionId connection, const EndpointReply& reply, TimePoint now);
+  bool ReadMayPass(const OpenWork& work, const EndpointReply& reply, TimePoint now) const;
+  void TakeRefusal(OpenWork& work, outcomes::ConnectionId connection, outcomes::EndpointRefusalReason reason,
+                   TimePoint now);
+
+  void CarryOutcomes(const outcomes::Actions& actions);
+  void Carry(const outcomes::Requeue& action);
+  void Carry(const outcomes::WithdrawQueued& action);
+  void Carry(const outcomes::CloseConnection& action);
+  void Carry(const outcomes::ReleaseAttempt& action);
+  void Carry(const outcomes::AwaitReplication& action);
+  void Carry(const outcomes::AnswerCaller& action);
+
+  void FreeSlot(outcomes::RequestId id, bool ran_to_end);
+  void Answer(outcomes::RequestId id, WorkAnswer answer);
+  void ReportIdlePrimary();
+
+  GroupContext& context;
+  GroupName group;
+  GroupSupervisor& supervisor;
+  scheduling::GroupScheduler scheduler;
+  outcomes::RequestTable requests;
+  EndpointTable endpoints;
+  OpenWorkTable open;
+  TransactionRunner transactions;
+  std::multimap<TimePoint, DelayedWork> delayed;
+  outcomes::RequestId next_request = 1;
+  TimePoint valid_until = TimePoint::min();
+  // Set while a planned change of primary waits for running work.
+  std::optional<TimePoint> drain_deadline;
+  // Ends callbacks that outlive this object.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace amaranthlane::daemon
+
+#endif  // AMARANTHLANE_DAEMON_GROUP_WORK_H_
--- /dev/null
+++ b/source/daemon/instance_prober.cc
@@ -0,0 +1,83 @@
+#include "daemon/instance_prober.h"
+
+#include <utility>
+
+#include "common/error.h"
+#include "common/json.h"
+#include "daemon/endpoint_protocol.h"
+
+namespace amaranthlane::daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds kRetryPause{100};
+
+}  // namespace
+
+InstanceProber::InstanceProber(boost::asio::io_context& loop, const net::Address& address, Listener listener)
+    : loop(loop), address(address), listener(std::move(listener)), timer(loop) {}
+
+void InstanceProber::Run(const ProbeMode& mode) {
+  this->mode = mode;
+  if (!this->running) {
+    this->running = true;
+    this->Probe();
+  }
+}
+
+void InstanceProber::Stop() {
+  this->stopped = true;
+  this->timer.cancel();
+  if (this->connection != nullptr) {
+    this->connection->Close();
+  }
+}
+
+void InstanceProber::Probe() {
+  if (this->stopped) {
+    return;
+  }
+  if (this->connection == nullptr || !this->connection->Usable()) {
+    this->connection = std::make_shared<net::HttpConnection>(this->loop, this->address);
+  }
+  const TimePoint sent_at = BootClock::now();
+  const bool hold = this->mode.long_poll && this->last_offset.has_value();
+  const std::chrono::milliseconds wait = hold ? this->mode.wait : std::chrono::milliseconds(0);
+  this->listener.sent(sent_at);
+  this->connection->Call(PositionMessage(hold ? this->last_offset : std::nullopt, wait),
+                         sent_at + wait + this->mode.limit,
+                         [self = this->shared_from_this(), sent_at](const net::CallResult& result) {
+                           if (!self->stopped) {
+                             self->Finish(sent_at, result);
+                           }
+                         });
+}
+
+void InstanceProber::Pause(std::chrono::milliseconds pause) {
+  this->timer.expires_after(pause);
+  this->timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+    if (!error) {
+      self->Probe();
+    }
+  });
+}
+
+void InstanceProber::Finish(TimePoint sent_at, const net::CallResult& result) {
+  try {
+    if (result.status == net::CallStatus::kAnswered) {
+      const replicas::PositionAnswer answer =
+          replicas::ParsePositionAnswer(json::Parse(result.response.body, "position answer"));
+      this->last_offset = answer.position.offset;
+      this->listener.answered(sent_at, answer);
+      this->Pause(this->mode.long_poll ? std::chrono::milliseconds(0) : this->mode.pause);
+      return;
+    }
+  } catch (const ParseError&) {
+    this->connection->Close();
+  }
+  this->last_offset.reset();
+  this->listener.failed(sent_at);
+  this->Pause(kRetryPause);
+}
+
+}  // namespace amaranthlane::daemon
--- /dev/null
+++ b/source/daemon/operators_api.cc
@@ -0,0 +1,269 @@
+#include "daemon/operators_api.h"
+
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+#include "common/error.h"
+#include "common/json.h"
+#include "daemon/problem.h"
+
+namespace amaranthlane::daemon {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::chrono::seconds kEditLimit{5};
+constexpr char kDocument[] = "operator request";
+
+const char* LivenessName(membership::Liveness liveness) {
+  switch (liveness) {
+    case membership::Liveness::kUnheard:
+      return "unheard";
+    case membership::Liveness::kLive:
+      return "live";
+    case membership::Liveness::kSuspected:
+      return "suspected";
+    case membership::Liveness::kDead:
+      return "dead";
+  }
+  return "unheard";
+}
+
+std::optional<ObjectVersion> ParseVersion(const std::string& text) {
+  ObjectVersion version = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), version);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return version;
+}
+
+// Turns the end of an edit into an answer.
+struct EditAnswer {
+  net::HttpResponse operator()(const configuration::EditApplied& applied) const {
+    return JsonResponse(Json{{"version", applied.object.version}}.dump());
+  }
+  net::HttpResponse operator()(const configuration::EditInvalid& invalid) const {
+    return ProblemResponse(400, "invalid-object", "'" + invalid.key + "': expected " + invalid.expected);
+  }
+  net::HttpResponse operator()(const configuration::EditConflict& conflict) const {
+    Json mine{{"kind", conflict.mine.kind}, {"name", conflict.mine.name}, {"deleted", conflict.mine.remove}};
+    if (!conflict.mine.remove) {
+      mine["value"] = conflict.mine.value;
+    }
+    const Json body{{"type", "urn:amaranthlane:conflict"},
+                    {"title", "conflict"},
+                    {"status", 409},
+                    {"detail", "the object was changed since it was read"},
+                    {"effect", configuration::EditEffectName(conflict.effect)},
+                    {"mine", std::move(mine)},
+                    {"current", configuration::ToJson(conflict.current)}};
+    return net::HttpResponse{409, {}, "application/problem+json", body.dump()};
+  }
+  net::HttpResponse operator()(const configuration::EditUnavailable& unavailable) const {
+    const Json body{{"type", "urn:amaranthlane:platform-unavailable"},
+                    {"title", "platform-unavailable"},
+                    {"status", 503},
+                    {"detail", "the platform did not answer in time"},
+                    {"effect", configuration::EditEffectName(unavailable.effect)}};
+    return net::HttpResponse{503, {}, "application/problem+json", body.dump()};
+  }
+};
+
+Json ToJson(const tracing::SpanRecord& span) {
+  Json tags = Json::object();
+  for (const tracing::SpanTag& tag : span.tags) {
+    tags[tag.key] = tag.value;
+  }
+  const auto start = std::chrono::duration_cast<std::chrono::microseconds>(span.start.time_since_epoch());
+  return Json{{"trace_id", tracing::FormatTraceId(span.context)},
+              {"span_id", tracing::FormatSpanId(span.context.span_id)},
+              {"parent_span_id", tracing::FormatSpanId(span.parent_span_id)},
+              {"operation", span.operation},
+              {"start_us", start.count()},
+              {"elapsed_us", span.elapsed.count()},
+              {"tags", std::move(tags)}};
+}
+
+}  // namespace
+
+OperatorsApi::OperatorsApi(const Settings& settings, ControlPlane& control, metrics::Registry& metrics,
+                           std::shared_ptr<tracing::RingTracer> tracer, Host host)
+    : settings(settings), control(control), metrics(metrics), tracer(std::move(tracer)), host(std::move(host)) {}
+
+const std::vector<OperatorsApi::Route>& OperatorsApi::Routes() {
+  // `name` is the last fixed part of the path: the first segment, or the one after "v1".
+  static const std::vector<Route> routes = {
+      {"GET", "health", 1, &OperatorsApi::Health},         {"GET", "ready", 1, &OperatorsApi::Ready},
+      {"GET", "metrics", 1, &OperatorsApi::Metrics},       {"GET", "status", 2, &OperatorsApi::Status},
+      {"POST", "drain", 2, &OperatorsApi::Drain},          {"GET", "traces", 2, &OperatorsApi::Traces},
+      {"POST", "groups", 4, &OperatorsApi::Promote},       {"GET", "objects", 3, &OperatorsApi::ListObjects},
+      {"GET", "objects", 4, &OperatorsApi::GetObject},     {"PUT", "objects", 4, &OperatorsApi::PutObject},
+      {"DELETE", "objects", 4, &OperatorsApi::DeleteObject},
+  };
+  return routes;
+}
+
+void OperatorsApi::Handle(const net::HttpRequest& request, net::HttpServer::Answer answer) {
+  const Segments segments = net::PathSegments(net::TargetPath(request.target));
+  const std::size_t name_at = !segments.empty() && segments[0] == "v1" ? 1 : 0;
+  for (const Route& route : Routes()) {
+    if (segments.size() == route.segments && segments.size() > name_at && segments[name_at] == route.name &&
+        request.method == route.method) {
+      try {
+        (this->*route.handler)(request, segments, answer);
+      } catch (const ParseError& failure) {
+        answer(ProblemResponse(400, "invalid-request", failure.what()));
+      }
+      return;
+    }
+  }
+  answer(ProblemResponse(404, "unknown-call", "no such call"));
+}
+
+void OperatorsApi::Health(const net::HttpRequest& /*request*/, const Segments& /*segments*/,
+                          const net::HttpServer::Answer& answer) {
+  answer(JsonResponse(R"({"status":"ok"})"));
+}
+
+void OperatorsApi::Ready(const net::HttpRequest& /*request*/, const Segments& /*segments*/,
+                         const net::HttpServer::Answer& answer) {
+  if (this->host.draining()) {
+    answer(ProblemResponse(503, "draining", "this VM is shutting down"));
+    return;
+  }
+  std::size_t groups = 0;
+  std::string missing;
+  this->control.Objects().ForEach(configuration::kDatabaseGroupsKind,
+                                  [this, &groups, &missing](const configuration::PlatformObject& object) {
+                                    ++groups;
+                                    if (!this->control.Leadership().CurrentLeader(object.name)) {
+                                      missing = object.name;
+                                    }
+                                  });
+  if (groups == 0) {
+    answer(ProblemResponse(503, "no-configuration", "no database group is known yet"));
+  } else if (!missing.empty()) {
+    answer(ProblemResponse(503, "no-leader", "group " + missing + " has no leader"));
+  } else {
+    answer(JsonResponse(R"({"status":"ready"})"));
+  }
+}
+
+void OperatorsApi::Metrics(const net::HttpRequest& /*request*/, const Segments& /*segments*/,
+                           const net::HttpServer::Answer& answer) {
+  answer(net::HttpResponse{200, {}, "text/plain; version=0.0.4", this->metrics.Expose()});
+}
+
+void OperatorsApi::Status(const net::HttpRequest& /*request*/, const Segments& /*segments*/,
+                          const net::HttpServer::Answer& answer) {
+  Json vms = Json::array();
+  for (const auto& [name, row] : this->control.Membership().Vms()) {
+    vms.push_back(Json{{"vm", name},
+                       {"data_centre", row.data_centre},
+                       {"address", row.address},
+                       {"liveness", LivenessName(row.liveness)},
+                       {"leaving", row.Leaving()}});
+  }
+  Json leaders = Json::array();
+  this->control.Objects().ForEach(
+      configuration::kDatabaseGroupsKind, [this, &leaders](const configuration::PlatformObject& object) {
+        const auto leader = this->control.Leadership().CurrentLeader(object.name);
+        leaders.push_back(Json{{"group", object.name}, {"leader", leader ? *leader : ""}});
+      });
+  Json in_force = Json::array();
+  for (const configuration::InForceEntry& entry : this->control.InForce()) {
+    in_force.push_back(
+        Json{{"vm", entry.vm}, {"data_centre", entry.data_centre}, {"complete_through", entry.complete_through}});
+  }
+  const Json body{{"vm", this->settings.vm},
+                  {"data_centre", this->settings.data_centre},
+                  {"draining", this->host.draining()},
+                  {"platform_reachable", this->control.PlatformReachable()},
+                  {"complete_through", this->control.Objects().CompleteThrough()},
+                  {"vms", std::move(vms)},
+                  {"leaders", std::move(leaders)},
+                  {"led_groups", this->host.led_groups()},
+                  {"in_force", std::move(in_force)}};
+  answer(JsonResponse(body.dump()));
+}
+
+void OperatorsApi::Drain(const net::HttpRequest& /*request*/, const Segments& /*segments*/,
+                         const net::HttpServer::Answer& answer) {
+  answer(JsonResponse(R"({"status":"draining"})"));
+  this->host.drain();
+}
+
+void OperatorsApi::Traces(const net::HttpRequest& request, const Segments& /*segments*/,
+                          const net::HttpServer::Answer& answer) {
+  Json spans = Json::array();
+  for (const tracing::SpanRecord& span :
+       this->tracer->Spans().Find(net::QueryParameter(request.target, "trace_id"))) {
+    spans.push_back(ToJson(span));
+  }
+  answer(JsonResponse(Json{{"vm", this->settings.vm}, {"spans", std::move(spans)}}.dump()));
+}
+
+void OperatorsApi::Promote(const net::HttpRequest& request, const Segments& segments,
+                           const net::HttpServer::Answer& answer) {
+  if (segments[3] != "promote") {
+    answer(ProblemResponse(404, "unknown-call", "no such call"));
+    return;
+  }
+  this->host.promote(segments[2], request.body, answer);
+}
+
+void OperatorsApi::ListObjects(const net::HttpRequest& /*request*/, const Segments& segments,
+                               const net::HttpServer::Answer& answer) {
+  Json objects = Json::array();
+  this->control.Objects().ForEach(segments[2], [&objects](const configuration::PlatformObject& object) {
+    objects.push_back(configuration::ToJson(object));
+  });
+  answer(JsonResponse(Json{{"objects", std::move(objects)}}.dump()));
+}
+
+void OperatorsApi::GetObject(const net::HttpRequest& /*request*/, const Segments& segments,
+                             const net::HttpServer::Answer& answer) {
+  const configuration::PlatformObject* object = this->control.Objects().Find(segments[2], segments[3]);
+  if (object == nullptr) {
+    answer(ProblemResponse(404, "not-found", "no such object"));
+    return;
+  }
+  answer(JsonResponse(configuration::ToJson(*object).dump()));
+}
+
+void OperatorsApi::PutObject(const net::HttpRequest& request, const Segments& segments,
+                             const net::HttpServer::Answer& answer) {
+  const Json body = json::Parse(request.body, kDocument);
+  const json::ObjectReader reader(body, kDocument);
+  reader.RejectUnknown({"expected_version", "value"});
+  configuration::Edit edit;
+  edit.kind = segments[2];
+  edit.name = segments[3];
+  edit.value = reader.Object("value");
+  if (reader.Has("expected_version")) {
+    edit.expected_version = reader.Unsigned("expected_version");
+  }
+  this->Submit(std::move(edit), answer);
+}
+
+void OperatorsApi::DeleteObject(const net::HttpRequest& request, const Segments& segments,
+                                const net::HttpServer::Answer& answer) {
+  configuration::Edit edit;
+  edit.kind = segments[2];
+  edit.name = segments[3];
+  edit.remove = true;
+  edit.expected_version = ParseVersion(net::QueryParameter(request.target, "expected_version"));
+  this->Submit(std::move(edit), answer);
+}
+
+void OperatorsApi::Submit(configuration::Edit edit, const net::HttpServer::Answer& answer) {
+  this->control.SubmitEdit(std::move(edit), BootClock::now() + kEditLimit,
+                           [answer](const configuration::EditResult& result) {
+                             answer(std::visit(EditAnswer{}, result));
+                           });
+}
+
+}  // namespace amaranthlane::daemon
--- /dev/null
+++ b/source/daemon/operators_api.h
@@ -0,0 +1,71 @@
+#ifndef AMARANTHLANE_DAEMON_OPERATORS_API_H_
+#define AMARANTHLANE_DAEMON_OPERATORS_API_H_
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "common/settings.h"
+#include "daemon/control_plane.h"
+#include "metrics/registry.h"
+#include "net/http_server.h"
+#include "tracing/ring_tracer.h"
+
+namespace amaranthlane::daemon {
+
+// The operators' interface of a VM.
+class OperatorsApi {
+ public:
+  struct Host {
+    // The groups that this VM leads, as JSON.
+    std::function<nlohmann::json()> led_groups;
+    // Starts a graceful shutdown.
+    std::function<void()> drain;
+    // Changes a group's primary; the body and answer are those of `POST /v1/groups/{group}/promote`.
+    std::function<void(const GroupName&, const std::string& body, net::HttpServer::Answer)> promote;
+    std::function<bool()> draining;
+  };
+
+  OperatorsApi(const Settings& settings, ControlPlane& control, metrics::Registry& metrics,
+               std::shared_ptr<tracing::RingTracer> tracer, Host host);
+
+  void Handle(const net::HttpRequest& request, net::HttpServer::Answer answer);
+
+ private:
+  using Segments = std::vector<std::string>;
+  using Method = void (OperatorsApi::*)(const net::HttpRequest&, const Segments&, const net::HttpServer::Answer&);
+  struct Route {
+    const char* method;
+    const char* name;
+    std::size_t segments;
+    Method handler;
+  };
+
+  static const std::vector<Route>& Routes();
+
+  void Health(const net::HttpRequest& request, const Segments& segments, const net::HttpServer::Answer& answer);
+  void Ready(const net::HttpRequest& request, const Segments& segments, const net::HttpServer::Answer& answer);
+  void Metrics(const net::HttpRequest& request, const Segments& segments, const net::HttpServer::Answer& answer);
+  void Status(const net::HttpRequest& request, const Segments& segments, const net::HttpServer::Answer& answer);
+  void Drain(const net::HttpRequest& request, const Segments& segments, const net::HttpServer::Answer& answer);
+  void Traces(const net::HttpRequest& request, const Segments& segments, const net::HttpServer::Answer& answer);
+  void Promote(const net::HttpRequest& request, const Segments& segments, const net::HttpServer::Answer& answer);
+  void ListObjects(const net::HttpRequest& request, const Segments& segments, const net::HttpServer::Answer& answer);
+  void GetObject(const net::HttpRequest& request, const Segments& segments, const net::HttpServer::Answer& answer);
+  void PutObject(const net::HttpRequest& request, const Segments& segments, const net::HttpServer::Answer& answer);
+  void DeleteObject(const net::HttpRequest& request, const Segments& segments, const net::HttpServer::Answer& answer);
+
+  void Submit(configuration::Edit edit, const net::HttpServer::Answer& answer);
+
+  const Settings& settings;
+  ControlPlane& control;
+  metrics::Registry& metrics;
+  std::shared_ptr<tracing::RingTracer> tracer;
+  Host host;
+};
+
+}  // namespace amaranthlane::daemon
+
+#endif  // AMARANTHLANE_DAEMON_OPERATORS_API_H_
--- /dev/null
+++ b/source/daemon/peer_client.cc
@@ -0,0 +1,37 @@
+#include "daemon/peer_client.h"
+
+#include <utility>
+
+namespace amaranthlane::daemon {
+
+namespace {
+
+constexpr std::size_t kControlConnections = 4;
+constexpr std::size_t kWorkConnections = 256;
+
+}  // namespace
+
+PeerClient::PeerClient(boost::asio::io_context& loop) : loop(loop) {}
+
+void PeerClient::Control(const std::string& address, const std::string& target, std::string body, TimePoint deadline,
+                         net::HttpConnection::Callback callback) {
+  this->PoolFor(this->control_pools, address, kControlConnections)
+      .Call(net::HttpRequest{"POST", target, {}, std::move(body)}, deadline, std::move(callback));
+}
+
+void PeerClient::Work(const std::string& address, std::string body, std::vector<net::HttpHeader> headers,
+                      TimePoint deadline, net::HttpConnection::Callback callback) {
+  this->PoolFor(this->work_pools, address, kWorkConnections)
+      .Call(net::HttpRequest{"POST", "/v1/peer/work", std::move(headers), std::move(body)}, deadline,
+            std::move(callback));
+}
+
+net::HttpPool& PeerClient::PoolFor(Pools& pools, const std::string& address, std::size_t limit) {
+  std::unique_ptr<net::HttpPool>& pool = pools[address];
+  if (pool == nullptr) {
+    pool = std::make_unique<net::HttpPool>(this->loop, net::ParseAddress(address), limit);
+  }
+  return *pool;
+}
+
+}  // namespace amaranthlane::daemon
--- /dev/null
+++ b/source/daemon/platform_client.cc
@@ -0,0 +1,171 @@
+#include "daemon/platform_client.h"
+
+#include <utility>
+
+#include "common/error.h"
+#include "common/json.h"
+
+namespace amaranthlane::daemon {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::chrono::seconds kCallLimit{2};
+constexpr std::chrono::seconds kWatchMargin{2};
+constexpr std::size_t kPoolConnections = 4;
+constexpr char kDocument[] = "platform answer";
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusNotFound = 404;
+constexpr unsigned kStatusConflict = 409;
+
+std::string ObjectTarget(const std::string& kind, const std::string& name) {
+  return "/v1/objects/" + net::EncodePathSegment(kind) + "/" + net::EncodePathSegment(name);
+}
+
+membership::ListedVm ParseListedVm(const Json& value) {
+  const json::ObjectReader reader(value, kDocument);
+  membership::ListedVm vm;
+  vm.vm = reader.String("vm");
+  vm.data_centre = reader.String("data_centre");
+  vm.region = reader.String("region");
+  vm.address = reader.String("address");
+  vm.leaving = reader.String("state") == "leaving";
+  return vm;
+}
+
+void ReadSuccess(const Json& body, PlatformReply& reply) {
+  const json::ObjectReader reader(body, kDocument);
+  reply.status = PlatformStatus::kDone;
+  reply.version = reader.UnsignedOr("version", 0);
+  if (reader.Has("kind")) {
+    reply.object = configuration::ParsePlatformObject(body);
+  }
+  if (reader.Has("objects")) {
+    for (const Json& object : reader.Array("objects")) {
+      reply.objects.push_back(configuration::ParsePlatformObject(object));
+    }
+  }
+  if (reader.Has("vms")) {
+    for (const Json& vm : reader.Array("vms")) {
+      reply.vms.push_back(ParseListedVm(vm));
+    }
+  }
+}
+
+void ReadConflict(const Json& body, PlatformReply& reply) {
+  const json::ObjectReader reader(body, kDocument);
+  reply.object = configuration::ParsePlatformObject(reader.Object("current"));
+  reply.version = reply.object.version;
+  reply.status = PlatformStatus::kConflict;
+}
+
+PlatformReply ReadAnswer(const net::HttpResponse& response) {
+  PlatformReply reply;
+  const Json body = json::Parse(response.body, kDocument);
+  if (response.status == kStatusOk) {
+    ReadSuccess(body, reply);
+  } else if (response.status == kStatusNotFound) {
+    reply.status = PlatformStatus::kNotFound;
+    reply.version = json::ObjectReader(body, kDocument).UnsignedOr("version", 0);
+  } else if (response.status == kStatusConflict) {
+    ReadConflict(body, reply);
+  }
+  return reply;
+}
+
+PlatformReply ToReply(const net::CallResult& result) {
+  PlatformReply reply;
+  if (result.status == net::CallStatus::kNotSent) {
+    reply.status = PlatformStatus::kNotSent;
+  }
+  if (result.status != net::CallStatus::kAnswered) {
+    return reply;
+  }
+  try {
+    return ReadAnswer(result.response);
+  } catch (const ParseError&) {
+    // An answer that can't be read tells as much as none.
+    return PlatformReply{};
+  }
+}
+
+}  // namespace
+
+PlatformClient::PlatformClient(boost::asio::io_context& loop, const net::Address& address, metrics::Registry& metrics)
+    : loop(loop),
+      pool(loop, address, kPoolConnections),
+      reads(metrics.GetCounter("amaranthlane_platform_calls_total", "Calls to the platform.", {{"kind", "read"}})),
+      writes(metrics.GetCounter("amaranthlane_platform_calls_total", "Calls to the platform.", {{"kind", "write"}})),
+      watches(metrics.GetCounter("amaranthlane_platform_calls_total", "Calls to the platform.", {{"kind", "watch"}})) {}
+
+void PlatformClient::Get(const std::string& kind, const std::string& name, Callback callback) {
+  ++this->reads.value;
+  this->Call(net::HttpRequest{"GET", ObjectTarget(kind, name), {}, {}},
+             [kind, name, callback = std::move(callback)](PlatformReply reply) {
+               if (reply.status == PlatformStatus::kNotFound) {
+                 reply.object = configuration::PlatformObject{kind, name, reply.version, true, nullptr};
+               }
+               callback(std::move(reply));
+             });
+}
+
+void PlatformClient::List(const std::string& kind, Callback callback) {
+  ++this->reads.value;
+  this->Call(net::HttpRequest{"GET", "/v1/objects/" + net::EncodePathSegment(kind), {}, {}}, std::move(callback));
+}
+
+void PlatformClient::ListVms(Callback callback) {
+  ++this->reads.value;
+  this->Call(net::HttpRequest{"GET", "/v1/vms", {}, {}}, std::move(callback));
+}
+
+void PlatformClient::Put(const std::string& kind, const std::string& name, ObjectVersion expected_version,
+                         const Json& value, Callback callback) {
+  ++this->writes.value;
+  const Json body{{"expected_version", expected_version}, {"value", value}};
+  this->Call(net::HttpRequest{"PUT", ObjectTarget(kind, name), {}, body.dump()}, std::move(callback));
+}
+
+void PlatformClient::Delete(const std::string& kind, const std::string& name, ObjectVersion expected_version,
+                            Callback callback) {
+  ++this->writes.value;
+  const std::string target = ObjectTarget(kind, name) + "?expected_version=" + std::to_string(expected_version);
+  this->Call(net::HttpRequest{"DELETE", target, {}, {}}, std::move(callback));
+}
+
+void PlatformClient::Watch(const std::vector<std::string>& kinds, ObjectVersion after, std::chrono::milliseconds wait,
+                           Callback callback) {
+  ++this->watches.value;
+  std::string joined;
+  for (const std::string& kind : kinds) {
+    joined += (joined.empty() ? "" : ",") + net::EncodePathSegment(kind);
+  }
+  const std::string target =
+      "/v1/watch?kinds=" + joined + "&after=" + std::to_string(after) + "&wait_ms=" + std::to_string(wait.count());
+  if (this->watch == nullptr || !this->watch->Usable() || this->watch->Busy()) {
+    this->watch = std::make_shared<net::HttpConnection>(this->loop, this->pool.Target());
+  }
+  const std::uint64_t number = ++this->watch_number;
+  this->watch->Call(net::HttpRequest{"GET", target, {}, {}}, BootClock::now() + wait + kWatchMargin,
+                    [this, number, callback = std::move(callback)](const net::CallResult& result) {
+                      if (number == this->watch_number) {
+                        callback(ToReply(result));
+                      }
+                    });
+}
+
+void PlatformClient::CloseWatch() {
+  ++this->watch_number;
+  if (this->watch != nullptr) {
+    this->watch->Close();
+    this->watch = nullptr;
+  }
+}
+
+void PlatformClient::Call(net::HttpRequest request, Callback callback) {
+  this->pool.Call(std::move(request), BootClock::now() + kCallLimit,
+                  [callback = std::move(callback)](const net::CallResult& result) { callback(ToReply(result)); });
+}
+
+}  // namespace amaranthlane::daemon
--- /dev/null
+++ b/source/daemon/platform_client.h
@@ -0,0 +1,77 @@
+#ifndef AMARANTHLANE_DAEMON_PLATFORM_CLIENT_H_
+#define AMARANTHLANE_DAEMON_PLATFORM_CLIENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/configuration/platform_object.h"
+#include "core/membership/membership_system.h"
+#include "core/types.h"
+#include "metrics/registry.h"
+#include "net/http_connection.h"
+#include "net/http_pool.h"
+
+namespace amaranthlane::daemon {
+
+enum class PlatformStatus : std::uint8_t {
+  kDone,
+  // The object doesn't exist; `object` is its tombstone.
+  kNotFound,
+  // The condition of an update didn't hold; `object` is what stands there.
+  kConflict,
+  // The call was provably never sent.
+  kNotSent,
+  // No answer came that could be read: the call may have taken effect.
+  kLost,
+};
+
+struct PlatformReply {
+  PlatformStatus status = PlatformStatus::kLost;
+  ObjectVersion version = 0;
+  configuration::PlatformObject object;
+  std::vector<configuration::PlatformObject> objects;
+  std::vector<membership::ListedVm> vms;
+};
+
+// Calls the platform's object API. Each call ends once, by its answer or after a time limit.
+class PlatformClient {
+ public:
+  using Callback = std::function<void(PlatformReply)>;
+
+  PlatformClient(boost::asio::io_context& loop, const net::Address& address, metrics::Registry& metrics);
+
+  void Get(const std::string& kind, const std::string& name, Callback callback);
+  void List(const std::string& kind, Callback callback);
+  void ListVms(Callback callback);
+  // Writes `value` if the object's version is still `expected_version`; 0: it doesn't exist.
+  void Put(const std::string& kind, const std::string& name, ObjectVersion expected_version, const nlohmann::json& value,
+           Callback callback);
+  void Delete(const std::string& kind, const std::string& name, ObjectVersion expected_version, Callback callback);
+
+  // Waits for changes after `after` on a connection of its own, of which there is one at a time.
+  void Watch(const std::vector<std::string>& kinds, ObjectVersion after, std::chrono::milliseconds wait,
+             Callback callback);
+  // Closes the watch's connection; its callback doesn't run.
+  void CloseWatch();
+
+ private:
+  void Call(net::HttpRequest request, Callback callback);
+
+  boost::asio::io_context& loop;
+  net::HttpPool pool;
+  std::shared_ptr<net::HttpConnection> watch;
+  // Rises with each watch, so that a closed one's end is told apart.
+  std::uint64_t watch_number = 0;
+  metrics::Counter& reads;
+  metrics::Counter& writes;
+  metrics::Counter& watches;
+};
+
+}  // namespace amaranthlane::daemon
+
+#endif  // AMARANTHLANE_DAEMON_PLATFORM_CLIENT_H_
--- /dev/null
+++ b/source/daemon/system_runner.h
@@ -0,0 +1,66 @@
+#ifndef AMARANTHLANE_DAEMON_SYSTEM_RUNNER_H_
+#define AMARANTHLANE_DAEMON_SYSTEM_RUNNER_H_
+
+#include <functional>
+#include <span>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "common/boot_clock.h"
+
+namespace amaranthlane::daemon {
+
+// Feeds events to a system of the decision library and has its actions carried out, in order: an event that arises while actions
+// are carried out waits until they all are.
+template <typename System, typename Event, typename Action>
+class SystemRunner {
+ public:
+  SystemRunner(System& system, std::function<void(const Action&)> carry) : system(system), carry(std::move(carry)) {}
+
+  // Takes an event in and runs the system.
+  void Notify(Event event) {
+    this->pending.push_back(std::move(event));
+    this->Run();
+  }
+
+  // Runs the system if it has something to do at `now`.
+  void RunIfDue(TimePoint now) {
+    if (this->system.NextDeadline() <= now) {
+      this->RunNow();
+    }
+  }
+
+  // Runs the system once without an event.
+  void RunNow() {
+    this->run_wanted = true;
+    this->Run();
+  }
+
+ private:
+  void Run() {
+    if (this->running) {
+      return;
+    }
+    this->running = true;
+    while (!this->pending.empty() || this->run_wanted) {
+      this->run_wanted = false;
+      const std::vector<Event> events = std::exchange(this->pending, {});
+      const std::vector<Action> actions = this->system.Tick(BootClock::now(), std::span<const Event>(events));
+      for (const Action& action : actions) {
+        this->carry(action);
+      }
+    }
+    this->running = false;
+  }
+
+  System& system;
+  std::function<void(const Action&)> carry;
+  std::vector<Event> pending;
+  bool running = false;
+  bool run_wanted = false;
+};
+
+}  // namespace amaranthlane::daemon
+
+#endif  // AMARANTHLANE_DAEMON_SYSTEM_RUNNER_H_
--- /dev/null
+++ b/source/daemon/transaction_runner.cc
@@ -0,0 +1,328 @@
+#include "daemon/transaction_runner.h"
+
+#include <utility>
+
+#include "common/error.h"
+#include "core/transactions/transaction_errors.h"
+
+namespace amaranthlane::daemon {
+
+namespace {
+
+// Beyond the caller's deadline the table of transactions has ended the call itself.
+constexpr std::chrono::seconds kAnswerMargin{5};
+constexpr std::chrono::milliseconds kSettleLimit{500};
+
+WorkProblem ProblemOf(transactions::TransactionEndReason reason) {
+  switch (reason) {
+    case transactions::TransactionEndReason::kAnswered:
+      return WorkProblem::kNone;
+    case transactions::TransactionEndReason::kConnectionLost:
+      return WorkProblem::kConnectionLost;
+    case transactions::TransactionEndReason::kCallDeadline:
+      return WorkProblem::kDeadlinePassed;
+    case transactions::TransactionEndReason::kLeadershipLost:
+      return WorkProblem::kLeadershipLost;
+    case transactions::TransactionEndReason::kTermMoved:
+      return WorkProblem::kTermMoved;
+    case transactions::TransactionEndReason::kDrained:
+      return WorkProblem::kShutdown;
+    case transactions::TransactionEndReason::kRefusedByEndpoint:
+      return WorkProblem::kRefusedByEndpoint;
+    case transactions::TransactionEndReason::kCallerGone:
+    case transactions::TransactionEndReason::kIdleDeadline:
+    case transactions::TransactionEndReason::kTotalDeadline:
+      return WorkProblem::kTransactionEnded;
+  }
+  return WorkProblem::kTransactionEnded;
+}
+
+transactions::CallKind CallKindOf(WorkKind kind) {
+  switch (kind) {
+    case WorkKind::kCommit:
+      return transactions::CallKind::kCommit;
+    case WorkKind::kRollback:
+      return transactions::CallKind::kRollback;
+    case WorkKind::kStatement:
+    case WorkKind::kBegin:
+    case WorkKind::kTransactionStatement:
+    case WorkKind::kOutcomeQuery:
+      return transactions::CallKind::kStatement;
+  }
+  return transactions::CallKind::kStatement;
+}
+
+}  // namespace
+
+TransactionRunner::TransactionRunner(GroupContext& context, const GroupName& group, GroupSupervisor& supervisor,
+                                     EndpointTable& endpoints, OpenWorkTable& open, Host host)
+    : context(context),
+      group(group),
+      supervisor(supervisor),
+      endpoints(endpoints),
+      open(open),
+      host(std::move(host)),
+      table(transactions::TransactionTableSettings{}),
+      quota(scheduling::ConnectionQuotaSettings{}) {}
+
+void TransactionRunner::Begin(const OpenWork& work, TimePoint now) {
+  const auto primary = this->endpoints.IndexOf(this->supervisor.Promotion().Primary());
+  if (!this->supervisor.Promotion().MaySend() || !primary) {
+    this->host.answer(work.id, MakeRefusal(WorkProblem::kTermMoved));
+    return;
+  }
+  if (!this->quota.TryTake(work.request.obligation.rank)) {
+    this->host.answer(work.id, MakeRefusal(WorkProblem::kTooManyTransactions));
+    return;
+  }
+  EndpointLink& link = this->endpoints.LinkOf(*primary);
+  const auto connection = link.Acquire(/*fresh=*/false);
+  if (!connection) {
+    this->quota.GiveBack();
+    this->host.answer(work.id, MakeRefusal(WorkProblem::kTooManyTransactions));
+    return;
+  }
+  transactions::NewTransaction transaction;
+  transaction.id = {this->context.generator(), this->context.generator()};
+  transaction.owner = work.request.caller;
+  transaction.group = this->group;
+  transaction.connection = *connection;
+  transaction.rank = work.request.obligation.rank;
+  transaction.acknowledgement = work.request.obligation.acknowledgement;
+  transaction.term = this->supervisor.Promotion().CurrentTerm();
+  WorkAnswer answer;
+  try {
+    this->table.Open(transaction, now);
+    answer.outcome = Outcome::kDone;
+    answer.transaction = transaction.id;
+    answer.endpoint = this->endpoints.NameOf(*primary);
+  } catch (const Error&) {
+    this->quota.GiveBack();
+    link.Release(*connection);
+    answer = MakeRefusal(WorkProblem::kTooManyTransactions);
+  }
+  this->host.answer(work.id, std::move(answer));
+}
+
+bool TransactionRunner::Accept(const OpenWork& work, TimePoint now) {
+  transactions::TransactionCall call;
+  call.transaction = work.request.transaction;
+  call.caller = work.request.caller;
+  call.request = work.id;
+  call.kind = CallKindOf(work.request.kind);
+  call.deadline = work.request.deadline;
+  call.idempotency_key = work.request.idempotency_key;
+  try {
+    this->table.Call(call, now);
+    return true;
+  } catch (const transactions::TransactionNotFoundError&) {
+    this->host.answer(work.id, MakeRefusal(WorkProblem::kTransactionNotFound));
+  } catch (const transactions::TransactionBusyError&) {
+    this->host.answer(work.id, MakeRefusal(WorkProblem::kTransactionBusy));
+  }
+  return false;
+}
+
+void TransactionRunner::Dispatched(const OpenWork& work, TimePoint now) {
+  transactions::TransactionActions actions;
+  const outcomes::RequestId id = work.id;
+  if (!this->table.StartCall(work.request.transaction, id, now, actions)) {
+    this->host.free_slot(id, /*ran_to_end=*/false);
+  }
+  this->CarryAll(actions);
+}
+
+void TransactionRunner::Refused(const OpenWork& work, TimePoint now) {
+  transactions::TransactionActions actions;
+  this->table.RefuseCall(work.request.transaction, work.id, now, actions);
+  this->CarryAll(actions);
+}
+
+void TransactionRunner::SetValidUntil(TimePoint until) { this->table.SetLeadershipValidUntil(until); }
+
+void TransactionRunner::TermMoved(const replicas::GroupRecord& record, TimePoint now) {
+  transactions::TransactionActions actions;
+  this->table.TermMoved(record.term, now, actions);
+  this->CarryAll(actions);
+}
+
+void TransactionRunner::ReplicationReached(const LogPosition& position, TimePoint now) {
+  transactions::TransactionActions actions;
+  this->table.ReplicationReached(position, now, actions);
+  this->CarryAll(actions);
+}
+
+void TransactionRunner::ConnectionLost(outcomes::ConnectionId connection, TimePoint now) {
+  transactions::TransactionActions actions;
+  this->table.ConnectionLost(connection, now, actions);
+  this->CarryAll(actions);
+}
+
+void TransactionRunner::LeadershipEnded(TimePoint now) {
+  transactions::TransactionActions actions;
+  this->table.LeadershipEnded(now, actions);
+  this->CarryAll(actions);
+}
+
+void TransactionRunner::Drain(TimePoint until) { this->table.Drain(until); }
+
+void TransactionRunner::Tick(TimePoint now) {
+  if (this->table.NextDeadline() > now) {
+    return;
+  }
+  transactions::TransactionActions actions;
+  this->table.Tick(now, actions);
+  this->CarryAll(actions);
+}
+
+std::size_t TransactionRunner::OpenTransactions() const { return this->table.OpenTransactions(); }
+
+void TransactionRunner::CarryAll(const transactions::TransactionActions& actions) {
+  for (const transactions::TransactionAction& action : actions) {
+    std::visit([this](const auto& typed) { this->Carry(typed); }, action);
+  }
+}
+
+net::HttpRequest TransactionRunner::MessageFor(const transactions::SendCall& action, const OpenWork& work) const {
+  switch (action.kind) {
+    case transactions::CallKind::kCommit:
+      return CommitMessage(action.request, action.term, work.request.idempotency_key);
+    case transactions::CallKind::kRollback:
+      return RollbackMessage(action.request, action.term);
+    case transactions::CallKind::kStatement:
+      break;
+  }
+  return StatementMessage(
+      EndpointStatement{action.request, action.term, work.request.mode, work.request.statement, {}, false});
+}
+
+void TransactionRunner::Carry(const transactions::SendCall& action) {
+  const auto found = this->open.find(action.request);
+  EndpointLink* link = this->endpoints.LinkOfConnection(action.connection);
+  if (found == this->open.end() || link == nullptr) {
+    this->Finish(action.request, action.connection, net::CallResult{net::CallStatus::kBroken, {}});
+    return;
+  }
+  link->Call(action.connection, this->MessageFor(action, found->second), found->second.request.deadline + kAnswerMargin,
+             [this, alive = std::weak_ptr<bool>(this->alive), request = action.request](
+                 outcomes::ConnectionId connection, const net::CallResult& result) {
+               if (!alive.expired()) {
+                 this->Finish(request, connection, result);
+               }
+             });
+}
+
+void TransactionRunner::Finish(outcomes::RequestId request, outcomes::ConnectionId connection,
+                               const net::CallResult& result) {
+  this->host.free_slot(request, result.status == net::CallStatus::kAnswered);
+  if (result.status == net::CallStatus::kAnswered) {
+    try {
+      this->TakeReply(request, connection, ParseEndpointReply(result.response));
+      return;
+    } catch (const ParseError&) {
+      // An answer that can't be read is as good as a lost connection: nothing that follows on it can be trusted.
+    }
+  }
+  this->ConnectionLost(connection, BootClock::now());
+}
+
+void TransactionRunner::TakeReply(outcomes::RequestId request, outcomes::ConnectionId connection,
+                                  const EndpointReply& reply) {
+  const TimePoint now = BootClock::now();
+  transactions::TransactionActions actions;
+  bool matched = false;
+  if (reply.refusal) {
+    matched = this->table.RefusedByEndpoint(connection, reply.request == 0 ? request : reply.request, now, actions);
+  } else {
+    const auto found = this->open.find(request);
+    if (found != this->open.end()) {
+      found->second.answer.result = reply.result;
+      found->second.answer.replayed = reply.replayed;
+    }
+    matched = this->table.Answered(connection, reply.request, reply.term, reply.position, now, actions);
+  }
+  this->CarryAll(actions);
+  if (!matched) {
+    if (EndpointLink* link = this->endpoints.LinkOfConnection(connection)) {
+      link->Close(connection);
+    }
+  }
+}
+
+void TransactionRunner::Carry(const transactions::CloseTransactionConnection& action) {
+  this->quota.GiveBack();
+  if (EndpointLink* link = this->endpoints.LinkOfConnection(action.connection)) {
+    link->Close(action.connection);
+  }
+}
+
+void TransactionRunner::Carry(const transactions::ReturnConnection& action) {
+  this->quota.GiveBack();
+  if (EndpointLink* link = this->endpoints.LinkOfConnection(action.connection)) {
+    link->Release(action.connection);
+  }
+}
+
+void TransactionRunner::Carry(const transactions::AwaitCommitReplication& action) {
+  const auto known = this->supervisor.Replicas().AwaitReplicated(0, action.position, BootClock::now() + kAnswerMargin);
+  if (known && known->replication == replicas::Replication::kReplicated) {
+    this->ReplicationReached(action.position, BootClock::now());
+  }
+}
+
+void TransactionRunner::Carry(const transactions::AnswerCall& action) {
+  // A call whose connection was closed gets no answer from it, so that its slot is freed here.
+  this->host.free_slot(action.request, /*ran_to_end=*/false);
+  const auto found = this->open.find(action.request);
+  if (found == this->open.end()) {
+    return;
+  }
+  WorkAnswer answer = std::move(found->second.answer);
+  answer.outcome = action.outcome;
+  answer.problem = ProblemOf(action.reason);
+  answer.position = action.position;
+  answer.transaction = action.transaction;
+  answer.endpoint = this->supervisor.Promotion().Primary();
+  const bool committed = action.kind == transactions::CallKind::kCommit && action.outcome == Outcome::kDone;
+  if (committed &&
+      !this->supervisor.MayAcknowledge(found->second.request.obligation.acknowledgement, action.position)) {
+    answer = MakeRefusal(WorkProblem::kTermMoved, Outcome::kUnknown);
+  }
+  this->host.answer(action.request, std::move(answer));
+}
+
+void TransactionRunner::Carry(const transactions::SettleCommit& action) {
+  const auto primary = this->endpoints.IndexOf(this->supervisor.Promotion().Primary());
+  if (!primary) {
+    return;
+  }
+  const auto connection =
+      std::make_shared<net::HttpConnection>(this->context.loop, this->endpoints.LinkOf(*primary).Target());
+  connection->Call(OutcomeMessage(action.idempotency_key, this->supervisor.Promotion().CurrentTerm()),
+                   BootClock::now() + kSettleLimit,
+                   [this, alive = std::weak_ptr<bool>(this->alive), connection,
+                    transaction = action.transaction](const net::CallResult& result) {
+                     if (!alive.expired()) {
+                       this->Settled(transaction, result);
+                     }
+                   });
+}
+
+void TransactionRunner::Settled(const transactions::TransactionId& transaction, const net::CallResult& result) {
+  std::optional<LogPosition> position;
+  if (result.status == net::CallStatus::kAnswered) {
+    try {
+      const KeyOutcome outcome = ParseKeyOutcome(result.response);
+      if (outcome.known) {
+        position = outcome.position;
+      }
+    } catch (const ParseError&) {
+      // Not readable: the commit's outcome stays unknown.
+    }
+  }
+  transactions::TransactionActions actions;
+  this->table.CommitSettled(transaction, position, BootClock::now(), actions);
+  this->CarryAll(actions);
+}
+
+}  // namespace amaranthlane::daemon
--- /dev/null
+++ b/source/daemon/transaction_runner.h
@@ -0,0 +1,77 @@
+#ifndef AMARANTHLANE_DAEMON_TRANSACTION_RUNNER_H_
+#define AMARANTHLANE_DAEMON_TRANSACTION_RUNNER_H_
+
+#include <functional>
+#include <optional>
+#include <random>
+#include <unordered_map>
+
+#include "core/scheduling/connection_quota.h"
+#include "core/transactions/transaction_table.h"
+#include "daemon/endpoint_protocol.h"
+#include "daemon/endpoint_table.h"
+#include "daemon/group_supervisor.h"
+#include "daemon/open_work.h"
+
+namespace amaranthlane::daemon {
+
+// Runs the open transactions of a led group on their connections to the primary.
+class TransactionRunner {
+ public:
+  struct Host {
+    // Ends open work with an answer.
+    std::function<void(outcomes::RequestId, WorkAnswer)> answer;
+    // Frees the slot that open work holds, if it holds one.
+    std::function<void(outcomes::RequestId, bool ran_to_end)> free_slot;
+  };
+
+  TransactionRunner(GroupContext& context, const GroupName& group, GroupSupervisor& supervisor,
+                    EndpointTable& endpoints, OpenWorkTable& open, Host host);
+
+  // Opens a transaction for the work.
+  void Begin(const OpenWork& work, TimePoint now);
+  // Checks a statement, commit or rollback. True: it waits for its slot. False: it was answered.
+  bool Accept(const OpenWork& work, TimePoint now);
+  // The work got its slot at the primary.
+  void Dispatched(const OpenWork& work, TimePoint now);
+  // The scheduler refused the work.
+  void Refused(const OpenWork& work, TimePoint now);
+
+  void SetValidUntil(TimePoint until);
+  void TermMoved(const replicas::GroupRecord& record, TimePoint now);
+  void ReplicationReached(const LogPosition& position, TimePoint now);
+  void ConnectionLost(outcomes::ConnectionId connection, TimePoint now);
+  void LeadershipEnded(TimePoint now);
+  void Drain(TimePoint until);
+  void Tick(TimePoint now);
+  std::size_t OpenTransactions() const;
+
+ private:
+  void Carry(const transactions::SendCall& action);
+  void Carry(const transactions::CloseTransactionConnection& action);
+  void Carry(const transactions::ReturnConnection& action);
+  void Carry(const transactions::AwaitCommitReplication& action);
+  void Carry(const transactions::AnswerCall& action);
+  void Carry(const transactions::SettleCommit& action);
+  void CarryAll(const transactions::TransactionActions& actions);
+
+  void Finish(outcomes::RequestId request, outcomes::ConnectionId connection, const net::CallResult& result);
+  void TakeReply(outcomes::RequestId request, outcomes::ConnectionId connection, const EndpointReply& reply);
+  void Settled(const transactions::TransactionId& transaction, const net::CallResult& result);
+  net::HttpRequest MessageFor(const transactions::SendCall& action, const OpenWork& work) const;
+
+  GroupContext& context;
+  GroupName group;
+  GroupSupervisor& supervisor;
+  EndpointTable& endpoints;
+  OpenWorkTable& open;
+  Host host;
+  transactions::TransactionTable table;
+  scheduling::ConnectionQuota quota;
+  // Ends callbacks that outlive this object.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace amaranthlane::daemon
+
+#endif  // AMARANTHLANE_DAEMON_TRANSACTION_RUNNER_H_
--- /dev/null
+++ b/source/daemon/work.cc
@@ -0,0 +1,224 @@
+#include "daemon/work.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "common/error.h"
+#include "common/json.h"
+
+namespace amaranthlane::daemon {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char kRequestDocument[] = "work request";
+constexpr char kAnswerDocument[] = "work answer";
+
+constexpr std::array<std::string_view, 6> kKindNames = {
+    "statement", "begin", "transaction_statement", "commit", "rollback", "outcome_query",
+};
+
+// In the order of WorkProblem.
+constexpr std::array<std::string_view, 22> kProblemNames = {
+    "none",
+    "not-leader",
+    "overload",
+    "deadline-passed",
+    "connection-lost",
+    "term-moved",
+    "leadership-lost",
+    "shutdown",
+    "refused-by-endpoint",
+    "key-conflict",
+    "invalid-statement",
+    "missing-idempotency-key",
+    "position-lost",
+    "transaction-not-found",
+    "transaction-busy",
+    "transaction-ended",
+    "too-many-transactions",
+    "no-leader",
+    "unknown-group",
+    "unknown-caller",
+    "invalid-request",
+    "invalid-session-token",
+};
+
+std::chrono::milliseconds ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+Json ToJson(const Obligation& obligation) {
+  return Json{{"rank", RankName(obligation.rank)},
+              {"freshness_ms", ToMilliseconds(obligation.freshness).count()},
+              {"acknowledgement", AcknowledgementLevelName(obligation.acknowledgement)},
+              {"read_your_writes", obligation.read_your_writes},
+              {"idempotent", obligation.idempotent},
+              {"time_limit_ms", ToMilliseconds(obligation.time_limit).count()},
+              {"floor", obligation.floor}};
+}
+
+Obligation ParseObligation(const Json& value) {
+  const json::ObjectReader reader(value, kRequestDocument);
+  Obligation obligation;
+  obligation.rank = ParseRank(reader.String("rank"));
+  obligation.freshness = reader.Milliseconds("freshness_ms");
+  obligation.acknowledgement = ParseAcknowledgementLevel(reader.String("acknowledgement"));
+  obligation.read_your_writes = reader.Bool("read_your_writes");
+  obligation.idempotent = reader.Bool("idempotent");
+  obligation.time_limit = reader.Milliseconds("time_limit_ms");
+  obligation.floor = std::clamp(reader.Number("floor"), 0.0, 1.0);
+  return obligation;
+}
+
+Json ToJson(const LogPosition& position) { return Json{{"term", position.term}, {"offset", position.offset}}; }
+
+LogPosition ParsePosition(const Json& value, const char* document) {
+  const json::ObjectReader reader(value, document);
+  return LogPosition{reader.Unsigned("term"), reader.Unsigned("offset")};
+}
+
+template <std::size_t kCount>
+std::size_t IndexOf(const std::array<std::string_view, kCount>& names, std::string_view name, const char* document) {
+  const auto* const found = std::find(names.begin(), names.end(), name);
+  if (found == names.end()) {
+    throw ParseError(document, std::string(name), "a known name");
+  }
+  return static_cast<std::size_t>(found - names.begin());
+}
+
+Outcome ParseOutcome(std::string_view name) {
+  for (const Outcome outcome : {Outcome::kDone, Outcome::kNotRun, Outcome::kUnknown}) {
+    if (OutcomeName(outcome) == name) {
+      return outcome;
+    }
+  }
+  throw ParseError(kAnswerDocument, "outcome", "done, not_run or unknown");
+}
+
+Json ToJson(const scheduling::PressureReport& report) {
+  Json ranks = Json::array();
+  for (const scheduling::RankPressure& pressure : report.ranks) {
+    ranks.push_back(Json{{"wait_ms", ToMilliseconds(pressure.estimated_wait).count()},
+                         {"service_ms", ToMilliseconds(pressure.expected_service).count()},
+                         {"admission", pressure.admission_fraction}});
+  }
+  return ranks;
+}
+
+scheduling::PressureReport ParsePressure(const Json& ranks) {
+  scheduling::PressureReport report;
+  if (ranks.size() != report.ranks.size()) {
+    throw ParseError(kAnswerDocument, "pressure", "one element for each rank");
+  }
+  for (std::size_t index = 0; index < ranks.size(); ++index) {
+    const json::ObjectReader reader(ranks[index], kAnswerDocument);
+    report.ranks[index].estimated_wait = reader.Milliseconds("wait_ms");
+    report.ranks[index].expected_service = reader.Milliseconds("service_ms");
+    report.ranks[index].admission_fraction = std::clamp(reader.Number("admission"), 0.0, 1.0);
+  }
+  return report;
+}
+
+}  // namespace
+
+std::string_view WorkProblemName(WorkProblem problem) { return kProblemNames[static_cast<std::size_t>(problem)]; }
+
+WorkProblem ParseWorkProblem(std::string_view name) {
+  return static_cast<WorkProblem>(IndexOf(kProblemNames, name, kAnswerDocument));
+}
+
+WorkAnswer MakeRefusal(WorkProblem problem, Outcome outcome) {
+  WorkAnswer answer;
+  answer.problem = problem;
+  answer.outcome = outcome;
+  return answer;
+}
+
+std::string WorkRequestText(const WorkRequest& request, TimePoint now) {
+  Json message{{"work", kKindNames[static_cast<std::size_t>(request.kind)]},
+               {"caller", request.caller},
+               {"group", request.group},
+               {"mode", outcomes::StatementModeName(request.mode)},
+               {"statement", request.statement},
+               {"obligation", ToJson(request.obligation)},
+               {"left_ms", std::max<std::int64_t>(ToMilliseconds(request.deadline - now).count(), 0)},
+               {"data_centre", request.data_centre}};
+  if (!request.idempotency_key.empty()) {
+    message["idempotency_key"] = request.idempotency_key;
+  }
+  if (request.token) {
+    message["token"] = ToJson(*request.token);
+  }
+  if (request.kind != WorkKind::kStatement) {
+    message["transaction"] = transactions::TransactionIdText(request.transaction);
+  }
+  return message.dump();
+}
+
+WorkRequest ParseWorkRequest(std::string_view text, TimePoint now) {
+  const Json message = json::Parse(text, kRequestDocument);
+  const json::ObjectReader reader(message, kRequestDocument);
+  WorkRequest request;
+  request.kind = static_cast<WorkKind>(IndexOf(kKindNames, reader.String("work"), kRequestDocument));
+  request.caller = reader.String("caller");
+  request.group = reader.String("group");
+  request.mode = outcomes::ParseStatementMode(reader.String("mode"));
+  request.statement = reader.String("statement");
+  request.obligation = ParseObligation(reader.Object("obligation"));
+  request.deadline = now + reader.Milliseconds("left_ms");
+  request.data_centre = reader.String("data_centre");
+  request.idempotency_key = reader.StringOr("idempotency_key", "");
+  if (reader.Has("token")) {
+    request.token = ParsePosition(reader.Object("token"), kRequestDocument);
+  }
+  if (reader.Has("transaction")) {
+    request.transaction = transactions::ParseTransactionId(reader.String("transaction"));
+  }
+  return request;
+}
+
+std::string WorkAnswerText(const WorkAnswer& answer) {
+  Json message{{"outcome", OutcomeName(answer.outcome)}, {"problem", WorkProblemName(answer.problem)}};
+  if (answer.outcome == Outcome::kDone) {
+    message["result"] = answer.result;
+    message["replayed"] = answer.replayed;
+    message["endpoint"] = answer.endpoint;
+    message["from_replica"] = answer.from_replica;
+    message["age_bound_ms"] = answer.age_bound.count();
+    message["position"] = ToJson(answer.position);
+    message["transaction"] = transactions::TransactionIdText(answer.transaction);
+  } else {
+    message["retry_after_ms"] = answer.retry_after.count();
+  }
+  if (answer.pressure) {
+    message["pressure"] = ToJson(*answer.pressure);
+  }
+  return message.dump();
+}
+
+WorkAnswer ParseWorkAnswer(std::string_view text) {
+  const Json message = json::Parse(text, kAnswerDocument);
+  const json::ObjectReader reader(message, kAnswerDocument);
+  WorkAnswer answer;
+  answer.outcome = ParseOutcome(reader.String("outcome"));
+  answer.problem = ParseWorkProblem(reader.String("problem"));
+  if (answer.outcome == Outcome::kDone) {
+    answer.result = reader.String("result");
+    answer.replayed = reader.Bool("replayed");
+    answer.endpoint = reader.String("endpoint");
+    answer.from_replica = reader.Bool("from_replica");
+    answer.age_bound = reader.Milliseconds("age_bound_ms");
+    answer.position = ParsePosition(reader.Object("position"), kAnswerDocument);
+    answer.transaction = transactions::ParseTransactionId(reader.String("transaction"));
+  }
+  answer.retry_after = reader.MillisecondsOr("retry_after_ms", std::chrono::milliseconds(0));
+  if (reader.Has("pressure")) {
+    answer.pressure = ParsePressure(reader.Array("pressure"));
+  }
+  return answer;
+}
+
+}  // namespace amaranthlane::daemon
