Decide leadership: witnesses, holders, candidates and platform updates

Cause: the daemon needs the decisions behind the published headers. Change: promises and closings, takeover by rank, probing before a raise, conditional updates settled by reads.

--- /dev/null
+++ b/source/core/leadership/placement.cc
@@ -0,0 +1,150 @@
+#include "core/leadership/placement.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <utility>
+
+namespace amaranthlane::leadership {
+
+namespace {
+
+std::uint64_t RendezvousHash(std::string_view key, const VmName& vm) {
+  const XXH64_hash_t seed = XXH3_64bits(key.data(), key.size());
+  return XXH3_64bits_withSeed(vm.data(), vm.size(), seed);
+}
+
+std::size_t CountDataCentres(const std::vector<VmView>& vms) {
+  std::set<std::string_view> data_centres;
+  for (const VmView& vm : vms) {
+    data_centres.insert(vm.data_centre);
+  }
+  return data_centres.size();
+}
+
+std::vector<VmView> LiveOthers(const VmName& leader, const std::vector<VmView>& eligible) {
+  std::vector<VmView> others;
+  for (const VmView& vm : eligible) {
+    if (vm.live && vm.vm != leader) {
+      others.push_back(vm);
+    }
+  }
+  return others;
+}
+
+// Takes the first of `order` with at most `limit` VMs of each data centre.
+std::vector<VmName> TakeSpread(const std::vector<VmView>& order, std::size_t count, std::size_t limit) {
+  std::vector<VmName> taken;
+  std::map<std::string_view, std::size_t> per_data_centre;
+  for (const VmView& vm : order) {
+    if (taken.size() < count && per_data_centre[vm.data_centre] < limit) {
+      ++per_data_centre[vm.data_centre];
+      taken.push_back(vm.vm);
+    }
+  }
+  return taken;
+}
+
+}  // namespace
+
+std::vector<VmView> RendezvousOrder(std::string_view key, std::vector<VmView> vms) {
+  std::vector<std::pair<std::uint64_t, std::size_t>> hashes;
+  for (std::size_t index = 0; index < vms.size(); ++index) {
+    hashes.emplace_back(RendezvousHash(key, vms[index].vm), index);
+  }
+  std::sort(hashes.rbegin(), hashes.rend());
+  std::vector<VmView> order;
+  order.reserve(vms.size());
+  for (const auto& [hash, index] : hashes) {
+    order.push_back(std::move(vms[index]));
+  }
+  return order;
+}
+
+std::vector<VmView> EligibleVms(const std::map<VmName, VmView>& vms, const std::string& region) {
+  std::vector<VmView> inside;
+  std::vector<VmView> all;
+  for (const auto& [name, vm] : vms) {
+    if (vm.leaving) {
+      continue;
+    }
+    all.push_back(vm);
+    if (vm.region == region) {
+      inside.push_back(vm);
+    }
+  }
+  return inside.empty() ? all : inside;
+}
+
+std::map<GroupName, VmName> PreferredLeaders(const std::vector<GroupView>& groups,
+                                             const std::map<VmName, VmView>& vms) {
+  std::map<std::string, std::vector<GroupName>> by_region;
+  for (const GroupView& group : groups) {
+    by_region[group.region].push_back(group.group);
+  }
+  std::map<GroupName, VmName> preferred;
+  for (auto& [region, names] : by_region) {
+    const std::vector<VmView> live = LiveOthers("", EligibleVms(vms, region));
+    if (live.empty()) {
+      continue;
+    }
+    const std::size_t share = (names.size() + live.size() - 1) / live.size();
+    std::map<VmName, std::size_t> load;
+    std::sort(names.begin(), names.end());
+    for (const GroupName& name : names) {
+      const std::vector<VmView> order = RendezvousOrder(name, live);
+      const auto free =
+          std::find_if(order.begin(), order.end(), [&load, share](const VmView& vm) { return load[vm.vm] < share; });
+      ++load[free->vm];
+      preferred[name] = free->vm;
+    }
+  }
+  return preferred;
+}
+
+std::vector<VmName> ChooseSuccessors(const GroupName& group, const VmName& leader, const std::vector<VmView>& eligible,
+                                     const LeadershipSettings& settings) {
+  std::vector<VmView> order = RendezvousOrder(group, LiveOthers(leader, eligible));
+  std::string leader_data_centre;
+  for (const VmView& vm : eligible) {
+    if (vm.vm == leader) {
+      leader_data_centre = vm.data_centre;
+    }
+  }
+  const auto elsewhere = std::find_if(order.begin(), order.end(), [&leader_data_centre](const VmView& vm) {
+    return vm.data_centre != leader_data_centre;
+  });
+  if (elsewhere != order.end()) {
+    std::rotate(order.begin(), elsewhere, elsewhere + 1);
+  }
+  return TakeSpread(order, settings.successor_count, order.size());
+}
+
+std::vector<VmName> ChooseWitnesses(const VmName& leader, const std::vector<VmView>& eligible,
+                                    const std::vector<VmName>& present, const LeadershipSettings& settings) {
+  std::vector<VmName> witnesses;
+  if (eligible.size() <= settings.all_witness_limit) {
+    for (const VmView& vm : eligible) {
+      const bool kept = std::find(present.begin(), present.end(), vm.vm) != present.end();
+      if (vm.live || kept) {
+        witnesses.push_back(vm.vm);
+      }
+    }
+  } else {
+    const std::vector<VmView> order = RendezvousOrder(leader, LiveOthers(leader, eligible));
+    const std::size_t data_centres = std::max<std::size_t>(1, CountDataCentres(order));
+    const std::size_t limit = (settings.witness_count + data_centres - 1) / data_centres;
+    witnesses = TakeSpread(order, settings.witness_count, limit);
+    if (witnesses.size() < settings.witness_count) {
+      // The data centres are too uneven for an even spread.
+      witnesses = TakeSpread(order, settings.witness_count, settings.witness_count);
+    }
+  }
+  std::sort(witnesses.begin(), witnesses.end());
+  return witnesses;
+}
+
+}  // namespace amaranthlane::leadership
--- a/source/core/leadership/tables.h
+++ b/source/core/leadership/tables.h
@@ -1,6 +1,8 @@
 #ifndef AMARANTHLANE_CORE_LEADERSHIP_TABLES_H_
 #define AMARANTHLANE_CORE_LEADERSHIP_TABLES_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -30,7 +32,7 @@
   bool platform_confirmed = false;
   // The epoch of which enough other witnesses told this one what was closed; 0 for none.
   Epoch peer_confirmed = 0;
-  // The inquiry that a restarted witness makes among the others: the epoch asked for and who answered.
+  // The epoch that this restarted witness inquires about among the others; 0 for none.
   Epoch inquired = 0;
   std::set<VmName> inquiry_answers;
   TimePoint next_inquiry = TimePoint::min();
@@ -40,7 +42,9 @@
 enum class Phase : std::uint8_t {
   // Some other VM leads, or nobody does.
   kIdle,
-  // It has the witnesses of earlier ballots close them.
+  // It asks the witnesses of the record whether they still hear from a holder, before it raises the epoch.
+  kProbing,
+  // It has the witnesses of lower ballots close them.
   kClosing,
   // It asks its witnesses for promises and renews them every beat.
   kHolding,
@@ -48,7 +52,6 @@
 
 // One set of witnesses that has to close what is below this VM's ballot.
 struct Closing {
-  Epoch epoch = 0;
   std::vector<VmName> witnesses;
   // When the accepted request to each witness was sent. Only answers within one promise length of each other count.
   std::map<VmName, TimePoint> accepted_at;
@@ -58,6 +61,7 @@
 // This VM's own part in one group.
 struct HolderRow {
   Phase phase = Phase::kIdle;
+  // The ballot that it holds or wants; while probing, that of the record.
   Ballot ballot;
   // True: the record names this process for `ballot`. False: a takeover as a successor.
   bool decided = false;
@@ -67,12 +71,16 @@
   TimePoint wait_until = TimePoint::min();
   // When the granted request to each witness was sent, for `ballot`.
   std::map<VmName, TimePoint> granted_at;
+  // Witnesses that have closed `ballot`.
+  std::set<VmName> refused;
+  // When the request was sent to each witness that hears from no holder.
+  std::map<VmName, TimePoint> silent_at;
   // The end of the validity, kept over a change of ballot: the promises of the earlier ballot stand until then.
   TimePoint valid_until = TimePoint::min();
   bool leading = false;
   TimePoint next_request = TimePoint::min();
-  // A witness answered that this ballot is closed.
-  bool superseded = false;
+  // So many witnesses refused that this ballot and those below it can't be held any more.
+  Ballot superseded;
 };
 
 // One conditional update on its way.
@@ -84,11 +92,22 @@
   bool reading = false;
 };
 
+// The witnesses that a draining process still tells that it acts no more.
+struct Release {
+  Ballot ballot;
+  std::set<VmName> pending;
+  TimePoint next_request = TimePoint::min();
+  // The promises have ended by themselves.
+  TimePoint given_up_at = TimePoint::min();
+};
+
 // One database group.
 struct GroupRow {
   std::string region;
   // In the list of groups that this fleet serves.
   bool listed = false;
+  // Some RecordSeen came, if only to say that there is no record.
+  bool record_known = false;
   ObjectVersion version = 0;
   std::optional<LeadershipRecord> record;
   WitnessRow witness;
@@ -104,9 +123,14 @@
   // The last holder heard of and its ballot, for routing.
   Ballot heard_ballot;
   Holder heard_holder;
-  // This process gave the group up while draining and tells the witnesses so.
-  bool released = false;
-  std::set<VmName> release_pending;
+  std::optional<Release> release;
+  // This VM's turn in filling the vacancy, for the VMs and the record that it was worked out from.
+  std::optional<std::size_t> turn;
+  std::uint64_t turn_generation = 0;
+  ObjectVersion turn_version = 0;
+  // The VMs and the record for which the witnesses and successors were found good.
+  std::uint64_t good_generation = 0;
+  ObjectVersion good_version = 0;
 };
 
 struct LeadershipTables {
@@ -116,14 +140,36 @@
   TimePoint silent_until;
   std::map<GroupName, GroupRow> groups;
   std::map<VmName, VmView> vms;
+  // Rises with every change of `vms`.
+  std::uint64_t vms_generation = 0;
+  // The regions that have VMs which may take work.
+  std::set<std::string> regions;
   std::set<VmName> terminated;
+  // Who creates the record of a group that has none.
+  std::map<GroupName, VmName> preferred;
   bool draining = false;
   bool platform_reachable = true;
   std::uint64_t update_counter = 0;
-  // When the promises are renewed next; one moment for all groups, so that requests to one witness travel together.
+  // When the promises of all groups led are renewed next, so that the requests to one witness travel together.
   TimePoint next_beat = TimePoint::min();
+  // The promise requests of the running tick, by witness.
+  std::map<VmName, PromiseRequest> requests;
   // The actions of the running tick.
   std::vector<Action> actions;
+  // The earliest moment that the running tick found something to wait for.
+  TimePoint next_deadline = kNever;
+
+  // Has the next tick come at `when` at the latest.
+  void Wake(TimePoint when) { this->next_deadline = std::min(this->next_deadline, when); }
+
+  // Whether `when` has come; if not, a tick will come then.
+  bool IsDue(TimePoint now, TimePoint when) {
+    if (when <= now) {
+      return true;
+    }
+    this->Wake(when);
+    return false;
+  }
 };
 
 }  // namespace amaranthlane::leadership
