Decide membership: signs of life, digests and partners

Cause: leadership needs a live view of VMs that goes before the platform's lagging list. Change: liveness rows, full mesh up to 9 VMs, gossip beyond; leadership lists the VMs it needs to hear directly.

--- a/source/core/leadership/leadership_system.cc
+++ b/source/core/leadership/leadership_system.cc
@@ -1,5 +1,6 @@
 #include "core/leadership/leadership_system.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/leadership/candidate.h"
@@ -11,6 +12,10 @@
 
 namespace {
 
+bool Contains(const std::vector<VmName>& vms, const VmName& vm) {
+  return std::find(vms.begin(), vms.end(), vm) != vms.end();
+}
+
 void TakeVms(LeadershipTables& tables, const VmsChanged& event) {
   tables.vms.clear();
   tables.regions.clear();
@@ -146,6 +151,25 @@
   return leader;
 }
 
+CloseVms LeadershipSystem::ListCloseVms() const {
+  const VmName& self = this->tables.self.vm;
+  CloseVms close;
+  for (const auto& [name, group] : this->tables.groups) {
+    if (!group.record || group.record->released) {
+      continue;
+    }
+    const LeadershipRecord& record = *group.record;
+    if (record.leader.vm == self) {
+      close.send_to.insert(record.witnesses.begin(), record.witnesses.end());
+      close.send_to.insert(record.successors.begin(), record.successors.end());
+    } else if (Contains(record.witnesses, self) || Contains(record.successors, self)) {
+      close.hear_from.insert(record.leader.vm);
+    }
+  }
+  close.send_to.erase(self);
+  return close;
+}
+
 const LeadershipRecord* LeadershipSystem::Record(const GroupName& group) const {
   const auto found = this->tables.groups.find(group);
   const bool known = found != this->tables.groups.end() && found->second.record;
--- a/source/core/leadership/leadership_system.h
+++ b/source/core/leadership/leadership_system.h
@@ -2,6 +2,7 @@
 #define AMARANTHLANE_CORE_LEADERSHIP_LEADERSHIP_SYSTEM_H_
 
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -13,6 +14,16 @@
 
 namespace amaranthlane::leadership {
 
+// The VMs that leadership ties to this one.
+struct CloseVms {
+  // The witnesses and successors of the groups that this VM leads.
+  std::set<VmName> send_to;
+  // The leaders that this VM witnesses or succeeds.
+  std::set<VmName> hear_from;
+
+  bool operator==(const CloseVms&) const = default;
+};
+
 // Decides for one VM which database groups it leads, and serves other VMs as their witness. It is pure: the daemon
 // feeds it events and carries out its actions. All times are this VM's boot clock.
 class LeadershipSystem {
@@ -35,6 +46,9 @@
   // The VM to pass a request for `group` to; empty when none is known. A hint: that VM checks its own validity.
   std::optional<VmName> CurrentLeader(const GroupName& group) const;
 
+  // The VMs whose heartbeats this one needs every beat.
+  CloseVms ListCloseVms() const;
+
   // The newest record seen; null when none. Valid until the next Tick.
   const LeadershipRecord* Record(const GroupName& group) const;
 
--- a/source/core/membership/heartbeat.h
+++ b/source/core/membership/heartbeat.h
@@ -11,16 +11,22 @@
 // The membership's part of a heartbeat between VMs, and its JSON form.
 namespace amaranthlane::membership {
 
-// What a VM says of itself: it works, or it leaves and takes no new work.
-enum class VmState : std::uint8_t { kWorking, kLeaving };
+// What is said of a VM: it works, it leaves and takes no new work, or others found it dead.
+enum class VmState : std::uint8_t { kWorking, kLeaving, kDead };
 
-// The aliveness of one VM as passed on by others. Of two entries of one incarnation the higher counter is newer.
+// The aliveness of one VM as passed on by others. Of two entries of one incarnation the higher counter is newer; of two
+// with the same counter, that which says kDead.
 struct DigestEntry {
   VmName vm;
   Incarnation incarnation = 0;
   // Rises with every beat of that incarnation.
   std::uint64_t counter = 0;
   VmState state = VmState::kWorking;
+  // Empty unless the entry introduces the VM.
+  std::string data_centre;
+  std::string region;
+  // "ip:port" of the peers' interface.
+  std::string address;
 
   bool operator==(const DigestEntry&) const = default;
 };
@@ -28,10 +34,6 @@
 // What a VM says of itself, with some entries of others.
 struct Heartbeat {
   DigestEntry sender;
-  std::string data_centre;
-  std::string region;
-  // "ip:port" of the peers' interface.
-  std::string address;
   std::vector<DigestEntry> digest;
 
   bool operator==(const Heartbeat&) const = default;
--- /dev/null
+++ b/source/core/membership/liveness.cc
@@ -0,0 +1,207 @@
+#include "core/membership/liveness.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace amaranthlane::membership {
+
+namespace {
+
+constexpr std::size_t kPastIncarnations = 4;
+
+// Whether `vm` sends to this VM, or answers it, every beat.
+bool IsHeardDirectly(const MembershipTables& tables, const VmName& vm) {
+  return tables.IsFullMesh() || tables.send_to.contains(vm) || tables.hear_from.contains(vm);
+}
+
+void MarkChanged(MembershipTables& tables, VmRow& row) {
+  tables.changed = true;
+  row.urgent_sends = tables.settings.urgent_sends;
+}
+
+bool IsPast(const VmRow& row, Incarnation incarnation) {
+  return std::find(row.past.begin(), row.past.end(), incarnation) != row.past.end();
+}
+
+void StartIncarnation(MembershipTables& tables, VmRow& row, Incarnation incarnation) {
+  if (row.counter > 0) {
+    row.past.push_back(row.incarnation);
+  }
+  if (row.past.size() > kPastIncarnations) {
+    row.past.erase(row.past.begin());
+  }
+  row.incarnation = incarnation;
+  row.counter = 0;
+  MarkChanged(tables, row);
+}
+
+void Introduce(MembershipTables& tables, VmRow& row, const DigestEntry& entry) {
+  if (entry.address.empty() || entry.address == row.address) {
+    return;
+  }
+  row.data_centre = entry.data_centre;
+  row.region = entry.region;
+  row.address = entry.address;
+  MarkChanged(tables, row);
+}
+
+void MarkAlive(MembershipTables& tables, TimePoint now, VmRow& row, VmState state) {
+  if (row.liveness != Liveness::kLive || row.state != state) {
+    MarkChanged(tables, row);
+  }
+  row.liveness = Liveness::kLive;
+  row.state = state;
+  const Duration allowance = IsHeardDirectly(tables, row.vm) ? Duration::zero() : tables.settings.digest_allowance;
+  row.suspect_at = now + tables.settings.suspect_after + allowance;
+  row.dead_at = now + tables.settings.dead_after + allowance;
+  row.forget_at = row.dead_at + tables.settings.forget_after;
+}
+
+void MarkDead(MembershipTables& tables, TimePoint now, VmRow& row) {
+  row.liveness = Liveness::kDead;
+  row.dead_at = kNever;
+  row.forget_at = now + tables.settings.forget_after;
+  MarkChanged(tables, row);
+}
+
+VmRow& FindOrAdd(MembershipTables& tables, const VmName& vm) {
+  const auto [found, added] = tables.vms.try_emplace(vm);
+  if (added) {
+    found->second.vm = vm;
+    tables.changed = true;
+  }
+  return found->second;
+}
+
+void TakeSender(MembershipTables& tables, TimePoint now, const DigestEntry& sender) {
+  VmRow& row = FindOrAdd(tables, sender.vm);
+  if (IsPast(row, sender.incarnation)) {
+    return;
+  }
+  const bool restarted = row.counter > 0 && row.incarnation != sender.incarnation;
+  if (restarted || row.counter == 0) {
+    StartIncarnation(tables, row, sender.incarnation);
+  }
+  if (sender.counter < row.counter) {
+    return;
+  }
+  row.counter = sender.counter;
+  Introduce(tables, row, sender);
+  MarkAlive(tables, now, row, sender.state);
+}
+
+void TakeDeathReport(MembershipTables& tables, TimePoint now, VmRow& row, const DigestEntry& entry) {
+  // What this VM hears itself goes before what others report.
+  const bool heard_itself = IsHeardDirectly(tables, row.vm) && row.liveness == Liveness::kLive;
+  const bool applies = entry.incarnation == row.incarnation && entry.counter >= row.counter;
+  if (applies && !heard_itself && row.liveness != Liveness::kDead) {
+    MarkDead(tables, now, row);
+  }
+}
+
+void TakeEntry(MembershipTables& tables, TimePoint now, const DigestEntry& entry) {
+  const bool known = tables.vms.contains(entry.vm);
+  if (entry.vm == tables.self.vm || (!known && entry.state == VmState::kDead)) {
+    return;
+  }
+  VmRow& row = FindOrAdd(tables, entry.vm);
+  if (IsPast(row, entry.incarnation)) {
+    return;
+  }
+  if (entry.state == VmState::kDead) {
+    TakeDeathReport(tables, now, row, entry);
+    return;
+  }
+  if (row.counter == 0 || row.incarnation != entry.incarnation) {
+    StartIncarnation(tables, row, entry.incarnation);
+  }
+  Introduce(tables, row, entry);
+  if (entry.counter <= row.counter) {
+    return;
+  }
+  row.counter = entry.counter;
+  // A VM that this one should hear itself is live only while it does.
+  if (!IsHeardDirectly(tables, row.vm) || row.liveness == Liveness::kUnheard) {
+    MarkAlive(tables, now, row, entry.state);
+  }
+}
+
+bool IsSilent(const VmRow& row) { return row.liveness == Liveness::kDead || row.liveness == Liveness::kUnheard; }
+
+// Whether the row is to be removed.
+bool RunRow(MembershipTables& tables, TimePoint now, VmRow& row) {
+  if (row.liveness == Liveness::kLive && now >= row.suspect_at) {
+    row.liveness = Liveness::kSuspected;
+    tables.changed = true;
+  }
+  if (row.liveness == Liveness::kSuspected && now >= row.dead_at) {
+    MarkDead(tables, now, row);
+  }
+  if (row.listed || !IsSilent(row)) {
+    return false;
+  }
+  if (row.was_listed) {
+    tables.actions.emplace_back(VmTerminated{row.vm});
+    return true;
+  }
+  return now >= row.forget_at;
+}
+
+}  // namespace
+
+void TakeHeartbeat(MembershipTables& tables, TimePoint now, const Heartbeat& heartbeat) {
+  if (heartbeat.sender.vm != tables.self.vm) {
+    TakeSender(tables, now, heartbeat.sender);
+  }
+  for (const DigestEntry& entry : heartbeat.digest) {
+    TakeEntry(tables, now, entry);
+  }
+}
+
+void TakeList(MembershipTables& tables, const PlatformListSeen& event) {
+  for (auto& [name, row] : tables.vms) {
+    row.listed = false;
+  }
+  for (const ListedVm& listed : event.vms) {
+    if (listed.vm == tables.self.vm) {
+      continue;
+    }
+    VmRow& row = FindOrAdd(tables, listed.vm);
+    row.listed = true;
+    row.was_listed = true;
+    if (row.listed_leaving != listed.leaving) {
+      row.listed_leaving = listed.leaving;
+      tables.changed = true;
+    }
+    if (row.address.empty()) {
+      row.data_centre = listed.data_centre;
+      row.region = listed.region;
+      row.address = listed.address;
+    }
+  }
+}
+
+void TakeCloseVms(MembershipTables& tables, TimePoint now, const CloseVmsChanged& event) {
+  tables.send_to = event.send_to;
+  tables.hear_from = event.hear_from;
+  for (auto& [name, row] : tables.vms) {
+    if (row.liveness == Liveness::kLive && IsHeardDirectly(tables, name)) {
+      // Time for the exchange to begin.
+      row.suspect_at = std::min(row.suspect_at, now + tables.settings.dead_after);
+      row.dead_at = std::min(row.dead_at, now + tables.settings.dead_after);
+    }
+  }
+}
+
+void RunLiveness(MembershipTables& tables, TimePoint now) {
+  for (auto entry = tables.vms.begin(); entry != tables.vms.end();) {
+    if (RunRow(tables, now, entry->second)) {
+      tables.changed = true;
+      entry = tables.vms.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+}
+
+}  // namespace amaranthlane::membership
--- /dev/null
+++ b/source/core/membership/liveness.h
@@ -0,0 +1,18 @@
+#ifndef AMARANTHLANE_CORE_MEMBERSHIP_LIVENESS_H_
+#define AMARANTHLANE_CORE_MEMBERSHIP_LIVENESS_H_
+
+#include "core/membership/tables.h"
+
+// Keeps the rows of the VMs: signs of life, the platform's list, and the passing of time.
+namespace amaranthlane::membership {
+
+void TakeHeartbeat(MembershipTables& tables, TimePoint now, const Heartbeat& heartbeat);
+void TakeList(MembershipTables& tables, const PlatformListSeen& event);
+void TakeCloseVms(MembershipTables& tables, TimePoint now, const CloseVmsChanged& event);
+
+// Moves silent VMs from live over suspected to dead, and removes those that are gone.
+void RunLiveness(MembershipTables& tables, TimePoint now);
+
+}  // namespace amaranthlane::membership
+
+#endif  // AMARANTHLANE_CORE_MEMBERSHIP_LIVENESS_H_
--- /dev/null
+++ b/source/core/membership/membership_system.cc
@@ -0,0 +1,72 @@
+#include "core/membership/membership_system.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "core/membership/liveness.h"
+#include "core/membership/partners.h"
+
+namespace amaranthlane::membership {
+
+namespace {
+
+// Hands each event to the system that takes it in.
+struct Dispatcher {
+  MembershipTables& tables;
+  TimePoint now;
+
+  void operator()(const HeartbeatReceived& event) const { TakeHeartbeat(this->tables, this->now, event.heartbeat); }
+  void operator()(const PlatformListSeen& event) const { TakeList(this->tables, event); }
+  void operator()(const SeedsGiven& event) const {
+    this->tables.seeds = {event.addresses.begin(), event.addresses.end()};
+  }
+  void operator()(const CloseVmsChanged& event) const { TakeCloseVms(this->tables, this->now, event); }
+  void operator()(const DrainStarted&) const {
+    this->tables.state = VmState::kLeaving;
+    // Everybody is to know at once.
+    this->tables.next_beat = this->now;
+    this->tables.next_gossip = this->now;
+  }
+};
+
+}  // namespace
+
+MembershipSystem::MembershipSystem(Self self, MembershipSettings settings, TimePoint started_at) {
+  this->tables.self = std::move(self);
+  this->tables.settings = settings;
+  this->tables.next_beat = started_at;
+  this->tables.next_gossip = started_at;
+}
+
+std::vector<Action> MembershipSystem::Tick(TimePoint now, std::span<const Event> events) {
+  MembershipTables& tables = this->tables;
+  const Dispatcher dispatcher{tables, now};
+  for (const Event& event : events) {
+    std::visit(dispatcher, event);
+  }
+  RunLiveness(tables, now);
+  RunHeartbeats(tables, now);
+  if (std::exchange(tables.changed, false)) {
+    tables.actions.emplace_back(MembershipChanged{});
+  }
+  return std::exchange(tables.actions, {});
+}
+
+TimePoint MembershipSystem::NextDeadline() const {
+  TimePoint next = this->tables.next_beat;
+  for (const auto& [name, row] : this->tables.vms) {
+    const bool suspected = row.liveness == Liveness::kSuspected;
+    const TimePoint due = suspected ? row.dead_at : row.suspect_at;
+    if (suspected || row.liveness == Liveness::kLive) {
+      next = std::min(next, due);
+    }
+  }
+  return next;
+}
+
+Heartbeat MembershipSystem::OwnHeartbeat() const {
+  return {.sender = OwnEntry(this->tables, /*introduce=*/true), .digest = {}};
+}
+
+}  // namespace amaranthlane::membership
--- /dev/null
+++ b/source/core/membership/partners.cc
@@ -0,0 +1,168 @@
+#include "core/membership/partners.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace amaranthlane::membership {
+
+namespace {
+
+bool IsReachable(const VmRow& row) { return !row.address.empty() && row.liveness != Liveness::kDead; }
+
+// The row after `cursor`, going round. There must be a row.
+std::map<VmName, VmRow>::iterator NextRow(MembershipTables& tables, const VmName& cursor) {
+  const auto next = tables.vms.upper_bound(cursor);
+  return next == tables.vms.end() ? tables.vms.begin() : next;
+}
+
+DigestEntry EntryOf(const VmRow& row, bool introduce) {
+  DigestEntry entry{.vm = row.vm, .incarnation = row.incarnation, .counter = row.counter, .state = row.state};
+  if (row.liveness == Liveness::kDead) {
+    entry.state = VmState::kDead;
+  }
+  if (introduce) {
+    entry.data_centre = row.data_centre;
+    entry.region = row.region;
+    entry.address = row.address;
+  }
+  return entry;
+}
+
+// The entries that changed lately, with introductions.
+void AddUrgent(MembershipTables& tables, std::vector<DigestEntry>& digest) {
+  for (auto& [name, row] : tables.vms) {
+    if (digest.size() < tables.settings.digest_entries && row.urgent_sends > 0 && row.counter > 0) {
+      --row.urgent_sends;
+      digest.push_back(EntryOf(row, /*introduce=*/true));
+    }
+  }
+}
+
+void AddRotating(MembershipTables& tables, std::vector<DigestEntry>& digest) {
+  for (std::size_t step = 0; step < tables.vms.size(); ++step) {
+    if (digest.size() >= tables.settings.digest_entries) {
+      return;
+    }
+    const VmRow& row = NextRow(tables, tables.digest_cursor)->second;
+    tables.digest_cursor = row.vm;
+    if (row.liveness == Liveness::kLive) {
+      digest.push_back(EntryOf(row, /*introduce=*/false));
+    }
+  }
+}
+
+void Send(MembershipTables& tables, const VmName& vm, const std::string& address, Heartbeat heartbeat) {
+  tables.actions.emplace_back(SendHeartbeat{vm, address, std::move(heartbeat)});
+}
+
+// Seeds are asked until some VM is heard from that address.
+void SendToSeeds(MembershipTables& tables) {
+  std::set<std::string> known = {tables.self.address};
+  for (const auto& [name, row] : tables.vms) {
+    known.insert(row.address);
+  }
+  for (const std::string& address : tables.seeds) {
+    if (!known.contains(address)) {
+      Send(tables, "", address, {.sender = OwnEntry(tables, /*introduce=*/true), .digest = {}});
+    }
+  }
+}
+
+void SendToAll(MembershipTables& tables) {
+  for (const auto& [name, row] : tables.vms) {
+    // Dead VMs too: a silence of the network ends without anybody having to say so.
+    if (!row.address.empty()) {
+      Heartbeat heartbeat{.sender = OwnEntry(tables, /*introduce=*/true), .digest = {}};
+      AddUrgent(tables, heartbeat.digest);
+      Send(tables, name, row.address, std::move(heartbeat));
+    }
+  }
+}
+
+void SendToClose(MembershipTables& tables) {
+  for (const VmName& vm : tables.send_to) {
+    const auto found = tables.vms.find(vm);
+    if (found != tables.vms.end() && !found->second.address.empty()) {
+      Send(tables, vm, found->second.address, {.sender = OwnEntry(tables, /*introduce=*/false), .digest = {}});
+    }
+  }
+}
+
+std::vector<VmName> HashedPartners(const MembershipTables& tables) {
+  const XXH64_hash_t seed = XXH3_64bits(tables.self.vm.data(), tables.self.vm.size());
+  std::vector<std::pair<std::uint64_t, VmName>> order;
+  for (const auto& [name, row] : tables.vms) {
+    if (IsReachable(row)) {
+      order.emplace_back(XXH3_64bits_withSeed(name.data(), name.size(), seed), name);
+    }
+  }
+  const std::size_t count = std::min(order.size(), tables.settings.hashed_partners);
+  const auto middle = order.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(order.begin(), middle, order.end(), std::greater<>());
+  std::vector<VmName> partners;
+  for (auto entry = order.begin(); entry != middle; ++entry) {
+    partners.push_back(std::move(entry->second));
+  }
+  return partners;
+}
+
+// The next VMs in turn, dead ones included, so that both halves of a mended network find each other.
+void AddRotatingPartners(MembershipTables& tables, std::vector<VmName>& partners) {
+  for (std::size_t step = 0; step < tables.settings.rotating_partners; ++step) {
+    const VmRow& row = NextRow(tables, tables.partner_cursor)->second;
+    tables.partner_cursor = row.vm;
+    const bool chosen = std::find(partners.begin(), partners.end(), row.vm) != partners.end();
+    if (!chosen && !row.address.empty()) {
+      partners.push_back(row.vm);
+    }
+  }
+}
+
+void SendGossip(MembershipTables& tables) {
+  std::vector<VmName> partners = HashedPartners(tables);
+  AddRotatingPartners(tables, partners);
+  for (const VmName& vm : partners) {
+    Heartbeat heartbeat{.sender = OwnEntry(tables, /*introduce=*/true), .digest = {}};
+    AddUrgent(tables, heartbeat.digest);
+    AddRotating(tables, heartbeat.digest);
+    Send(tables, vm, tables.vms.at(vm).address, std::move(heartbeat));
+  }
+}
+
+}  // namespace
+
+DigestEntry OwnEntry(const MembershipTables& tables, bool introduce) {
+  DigestEntry entry{
+      .vm = tables.self.vm, .incarnation = tables.self.incarnation, .counter = tables.counter, .state = tables.state};
+  if (introduce) {
+    entry.data_centre = tables.self.data_centre;
+    entry.region = tables.self.region;
+    entry.address = tables.self.address;
+  }
+  return entry;
+}
+
+void RunHeartbeats(MembershipTables& tables, TimePoint now) {
+  if (now < tables.next_beat) {
+    return;
+  }
+  tables.next_beat = now + tables.settings.beat;
+  ++tables.counter;
+  SendToSeeds(tables);
+  if (tables.IsFullMesh()) {
+    SendToAll(tables);
+    return;
+  }
+  SendToClose(tables);
+  if (now >= tables.next_gossip) {
+    tables.next_gossip = now + tables.settings.gossip_beat;
+    SendGossip(tables);
+  }
+}
+
+}  // namespace amaranthlane::membership
--- a/source/core/membership/settings.h
+++ b/source/core/membership/settings.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 
 #include "core/types.h"
 
@@ -10,24 +11,28 @@
 
 // The configured intervals and sizes of the membership system.
 struct MembershipSettings {
-  // Between two heartbeats to the same partner.
+  // Between two heartbeats to the same direct partner.
   Duration beat = std::chrono::milliseconds(400);
+  // Between two heartbeats with a digest to the gossip partners of a larger fleet.
+  Duration gossip_beat = std::chrono::seconds(2);
   // A VM that was silent for so long is suspected.
   Duration suspect_after = std::chrono::seconds(1);
   // A VM that was silent for so long is dead.
   Duration dead_after = std::chrono::seconds(3);
-  // Both limits grow by so much for a VM that isn't a partner and is heard of through digests only.
-  Duration digest_allowance = std::chrono::seconds(12);
+  // Both limits grow by so much for a VM that doesn't send to this one regularly.
+  Duration digest_allowance = std::chrono::seconds(60);
   // A VM that is dead for so long and isn't on the platform's list is forgotten.
   Duration forget_after = std::chrono::minutes(2);
   // Up to this many VMs, each sends heartbeats to all others.
   std::size_t full_mesh_limit = 9;
-  // Partners by rendezvous hashing in a larger fleet, beyond the witnesses.
+  // Gossip partners by rendezvous hashing in a larger fleet.
   std::size_t hashed_partners = 5;
-  // Partners that change with every beat.
+  // Gossip partners that change with every gossip beat.
   std::size_t rotating_partners = 2;
   // The most entries of other VMs in one heartbeat.
   std::size_t digest_entries = 16;
+  // How often a changed entry is sent ahead of the rotation.
+  std::uint32_t urgent_sends = 28;
 };
 
 }  // namespace amaranthlane::membership
