Let direct heartbeats decide which incarnation is the present one

Cause: an old digest entry of an unknown incarnation could have displaced the present one for good. Change: digests accept only higher incarnations, a VM's own heartbeat any; answers introduce on request.

--- a/source/core/membership/heartbeat.h
+++ b/source/core/membership/heartbeat.h
@@ -14,8 +14,9 @@
 // What is said of a VM: it works, it leaves and takes no new work, or others found it dead.
 enum class VmState : std::uint8_t { kWorking, kLeaving, kDead };
 
-// The aliveness of one VM as passed on by others. Of two entries of one incarnation the higher counter is newer; of two
-// with the same counter, that which says kDead.
+// The aliveness of one VM as passed on by others. Incarnations should rise with each restart (a wall clock's reading at
+// the start will do), so that old entries are told from new ones; nothing but the speed of digests depends on it. Of
+// two entries of one incarnation the higher counter is newer; of two with the same counter, that which says kDead.
 struct DigestEntry {
   VmName vm;
   Incarnation incarnation = 0;
--- a/source/core/membership/liveness.cc
+++ b/source/core/membership/liveness.cc
@@ -1,14 +1,11 @@
 #include "core/membership/liveness.h"
 
 #include <algorithm>
-#include <cstddef>
 
 namespace amaranthlane::membership {
 
 namespace {
 
-constexpr std::size_t kPastIncarnations = 4;
-
 // Whether `vm` sends to this VM, or answers it, every beat.
 bool IsHeardDirectly(const MembershipTables& tables, const VmName& vm) {
   return tables.IsFullMesh() || tables.send_to.contains(vm) || tables.hear_from.contains(vm);
@@ -19,17 +16,7 @@
   row.urgent_sends = tables.settings.urgent_sends;
 }
 
-bool IsPast(const VmRow& row, Incarnation incarnation) {
-  return std::find(row.past.begin(), row.past.end(), incarnation) != row.past.end();
-}
-
 void StartIncarnation(MembershipTables& tables, VmRow& row, Incarnation incarnation) {
-  if (row.counter > 0) {
-    row.past.push_back(row.incarnation);
-  }
-  if (row.past.size() > kPastIncarnations) {
-    row.past.erase(row.past.begin());
-  }
   row.incarnation = incarnation;
   row.counter = 0;
   MarkChanged(tables, row);
@@ -75,11 +62,7 @@
 
 void TakeSender(MembershipTables& tables, TimePoint now, const DigestEntry& sender) {
   VmRow& row = FindOrAdd(tables, sender.vm);
-  if (IsPast(row, sender.incarnation)) {
-    return;
-  }
-  const bool restarted = row.counter > 0 && row.incarnation != sender.incarnation;
-  if (restarted || row.counter == 0) {
+  if (row.counter == 0 || row.incarnation != sender.incarnation) {
     StartIncarnation(tables, row, sender.incarnation);
   }
   if (sender.counter < row.counter) {
@@ -105,21 +88,19 @@
     return;
   }
   VmRow& row = FindOrAdd(tables, entry.vm);
-  if (IsPast(row, entry.incarnation)) {
-    return;
-  }
   if (entry.state == VmState::kDead) {
     TakeDeathReport(tables, now, row, entry);
     return;
   }
-  if (row.counter == 0 || row.incarnation != entry.incarnation) {
+  // Entries may be old: among them the higher incarnation is the newer one. A VM's own heartbeat goes before that.
+  if (row.counter == 0 || row.incarnation < entry.incarnation) {
     StartIncarnation(tables, row, entry.incarnation);
   }
-  Introduce(tables, row, entry);
-  if (entry.counter <= row.counter) {
+  if (entry.incarnation != row.incarnation || entry.counter <= row.counter) {
     return;
   }
   row.counter = entry.counter;
+  Introduce(tables, row, entry);
   // A VM that this one should hear itself is live only while it does.
   if (!IsHeardDirectly(tables, row.vm) || row.liveness == Liveness::kUnheard) {
     MarkAlive(tables, now, row, entry.state);
--- a/source/core/membership/membership_system.cc
+++ b/source/core/membership/membership_system.cc
@@ -65,8 +65,9 @@
   return next;
 }
 
-Heartbeat MembershipSystem::OwnHeartbeat() const {
-  return {.sender = OwnEntry(this->tables, /*introduce=*/true), .digest = {}};
+Heartbeat MembershipSystem::AnswerTo(const Heartbeat& heartbeat) const {
+  const bool introduce = !heartbeat.sender.address.empty();
+  return {.sender = OwnEntry(this->tables, introduce), .digest = {}};
 }
 
 }  // namespace amaranthlane::membership
--- a/source/core/membership/membership_system.h
+++ b/source/core/membership/membership_system.h
@@ -24,8 +24,8 @@
   // All known VMs but this one, by name.
   const std::map<VmName, VmRow>& Vms() const { return this->tables.vms; }
 
-  // This VM's heartbeat without a digest, for the answer to a received one.
-  Heartbeat OwnHeartbeat() const;
+  // The answer to a heartbeat: this VM's own, without a digest. It introduces this VM when the asker introduced itself.
+  Heartbeat AnswerTo(const Heartbeat& heartbeat) const;
 
  private:
   MembershipTables tables;
--- a/source/core/membership/partners.cc
+++ b/source/core/membership/partners.cc
@@ -21,7 +21,11 @@
 }
 
 DigestEntry EntryOf(const VmRow& row, bool introduce) {
-  DigestEntry entry{.vm = row.vm, .incarnation = row.incarnation, .counter = row.counter, .state = row.state};
+  DigestEntry entry;
+  entry.vm = row.vm;
+  entry.incarnation = row.incarnation;
+  entry.counter = row.counter;
+  entry.state = row.state;
   if (row.liveness == Liveness::kDead) {
     entry.state = VmState::kDead;
   }
@@ -137,8 +141,11 @@
 }  // namespace
 
 DigestEntry OwnEntry(const MembershipTables& tables, bool introduce) {
-  DigestEntry entry{
-      .vm = tables.self.vm, .incarnation = tables.self.incarnation, .counter = tables.counter, .state = tables.state};
+  DigestEntry entry;
+  entry.vm = tables.self.vm;
+  entry.incarnation = tables.self.incarnation;
+  entry.counter = tables.counter;
+  entry.state = tables.state;
   if (introduce) {
     entry.data_centre = tables.self.data_centre;
     entry.region = tables.self.region;
--- a/source/core/membership/tables.h
+++ b/source/core/membership/tables.h
@@ -108,8 +108,6 @@
   bool listed_leaving = false;
   // The entry is sent ahead of the rotation in this many more heartbeats.
   std::uint32_t urgent_sends = 0;
-  // Earlier incarnations, the latest last; what is still said of them is ignored.
-  std::vector<Incarnation> past;
 
   bool Leaving() const { return this->state == VmState::kLeaving || this->listed_leaving; }
 };
