Implement the replica table and the promotion system

Cause: the group leader needs ages, acknowledgement waits and changes of primary. Change: core/replicas (age history, term history, waits, read choice) and core/promotion (suspicion, candidate choice, object access, phases), without tests so far.

--- /dev/null
+++ b/source/core/promotion/group_object_access.h
@@ -0,0 +1,75 @@
+#ifndef AMARANTHLANE_CORE_PROMOTION_GROUP_OBJECT_ACCESS_H_
+#define AMARANTHLANE_CORE_PROMOTION_GROUP_OBJECT_ACCESS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/promotion/instance_requests.h"
+#include "core/promotion/messages.h"
+#include "core/types.h"
+
+// Reads and conditional updates of the group's object on a platform that may be down, slow, or lose answers.
+namespace amaranthlane::promotion {
+
+// How an update ended.
+struct UpdateResult {
+  // False: the object had changed otherwise, and the update can never take effect any more.
+  bool applied = false;
+  ObjectVersion version = 0;
+  replicas::GroupRecord record;
+};
+
+// One read and one update at a time. An unanswered update is settled by reading the object again: it was applied when
+// the object carries its id, it is sent again when the object is unchanged, and it is lost when the version moved on.
+class GroupObjectAccess {
+ public:
+  explicit GroupObjectAccess(RetrySettings settings);
+
+  // Reads the object, again after failures, until it is read. A read that was on its way is not waited for.
+  void Read(TimePoint now);
+  void Update(TimePoint now, ObjectVersion expected_version, const replicas::GroupRecord& record);
+  // Gives up the update without knowing whether it took effect.
+  void DropUpdate();
+  std::vector<Action> TakeDue(TimePoint now, RequestId& last_request);
+
+  // Returns true when the read was awaited.
+  bool OnRead(const GroupObjectRead& event, TimePoint now);
+  void OnReadFailed(RequestId request, TimePoint now);
+  void OnApplied(const UpdateApplied& event);
+  void OnConflict(const UpdateConflicted& event);
+  void OnUnanswered(const std::string& update_id, TimePoint now);
+  // A watch showed the object.
+  void OnObserved(ObjectVersion version, const replicas::GroupRecord& record);
+
+  // The end of the update, once.
+  std::optional<UpdateResult> TakeResult();
+  // The latest wanted read is done.
+  bool IsRead() const;
+  // The platform didn't answer the latest call.
+  bool Unavailable() const;
+  TimePoint NextDeadline() const;
+
+ private:
+  enum class UpdateState : std::uint8_t { kNone, kWaiting, kSent, kReading };
+
+  bool IsPending(const std::string& update_id) const;
+  void Finish(bool applied, ObjectVersion version, const replicas::GroupRecord& record);
+  void Settle(ObjectVersion version, const replicas::GroupRecord& record, TimePoint now);
+
+  RetrySettings settings;
+  bool read_wanted = false;
+  // 0 while the read waits to be sent.
+  RequestId read_request = 0;
+  TimePoint read_due = kNever;
+  UpdateState update_state = UpdateState::kNone;
+  UpdateGroupObject update;
+  TimePoint update_due = kNever;
+  std::uint32_t failures = 0;
+  std::optional<UpdateResult> result;
+};
+
+}  // namespace amaranthlane::promotion
+
+#endif  // AMARANTHLANE_CORE_PROMOTION_GROUP_OBJECT_ACCESS_H_
--- a/source/core/promotion/messages.h
+++ b/source/core/promotion/messages.h
@@ -86,11 +86,18 @@
   RequestId request = 0;
 };
 
-// No statement runs at the primary any more and no transaction is open; the answer to SuspendPrimary{planned}.
+// No statement runs at the primary any more, no transaction is open and no commit waits for its acknowledgement; the
+// answer to SuspendPrimary{planned}.
 struct PrimaryIdle {
   Term term = 0;
 };
 
+// The primary answers, but for longer than `replication_stall_limit` no replica has confirmed more of its log, although
+// there is more (ReplicaTable::StalledSince). It may be cut off from its replicas.
+struct ReplicationStalled {
+  Term term = 0;
+};
+
 // An operator asks for a planned change of primary.
 struct PromoteRequested {
   // Without a target the most advanced instance is chosen.
@@ -99,7 +106,7 @@
 
 using Event = std::variant<ConnectionSilent, PositionHeard, ProbeFailed, HigherTermSeen, GroupObjectRead,
                            GroupObjectReadFailed, UpdateApplied, UpdateConflicted, UpdateUnanswered, ConfigureAccepted,
-                           ConfigureRefused, ConfigureFailed, PrimaryIdle, PromoteRequested>;
+                           ConfigureRefused, ConfigureFailed, PrimaryIdle, ReplicationStalled, PromoteRequested>;
 
 // --- Actions ---
 
--- /dev/null
+++ b/source/core/promotion/promotion_system.cc
@@ -0,0 +1,375 @@
+#include "core/promotion/promotion_system.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace amaranthlane::promotion {
+
+using replicas::GroupRecord;
+using replicas::Instance;
+using replicas::PositionAnswer;
+using replicas::Role;
+
+namespace {
+
+// A tick goes through at most so many phases; more would be a loop.
+constexpr int kStepsInATick = 8;
+
+RetrySettings Retries(const PromotionSettings& settings, Duration answer_limit) {
+  return RetrySettings{answer_limit, settings.first_retry_delay, settings.greatest_retry_delay};
+}
+
+}  // namespace
+
+const std::array<PromotionSystem::PhaseStep, 6> PromotionSystem::kSteps = {{
+    {Phase::kStarting, &PromotionSystem::Collect},
+    {Phase::kServing, &PromotionSystem::Serve},
+    {Phase::kDraining, &PromotionSystem::Drain},
+    {Phase::kCollecting, &PromotionSystem::Collect},
+    {Phase::kUpdating, &PromotionSystem::AwaitUpdate},
+    {Phase::kConfiguring, &PromotionSystem::AwaitConfiguration},
+}};
+
+PromotionSystem::PromotionSystem(PromotionSettings settings, GroupName group, std::string update_id_prefix)
+    : settings(settings),
+      group(std::move(group)),
+      update_id_prefix(std::move(update_id_prefix)),
+      object(Retries(settings, settings.platform_limit)),
+      probes(Retries(settings, settings.position_probe_limit)),
+      configurations(Retries(settings, settings.configure_limit)),
+      suspicion({settings.new_connection_limit, settings.failed_connections_needed, settings.reconnect_pause}) {}
+
+std::vector<Action> PromotionSystem::Tick(TimePoint now, std::span<const Event> events) {
+  this->actions.clear();
+  this->ticked_at = now;
+  if (!this->started) {
+    this->started = true;
+    this->object.Read(now);
+  }
+  for (const Event& event : events) {
+    std::visit([this, now](const auto& typed) { this->On(typed, now); }, event);
+  }
+  this->Judge(this->suspicion.OnTime(now), now);
+  for (int step = 0; step < kStepsInATick; ++step) {
+    const Phase before = this->phase;
+    const auto row = std::ranges::find(kSteps, this->phase, &PhaseStep::phase);
+    (this->*row->step)(now);
+    if (this->phase == before) break;
+  }
+  this->TakeDue(now);
+  this->Report();
+  return std::exchange(this->actions, {});
+}
+
+TimePoint PromotionSystem::NextDeadline() const {
+  if (!this->started) return TimePoint::min();
+  TimePoint next = std::min({this->object.NextDeadline(), this->probes.NextDeadline(),
+                             this->configurations.NextDeadline(), this->suspicion.NextDeadline()});
+  const auto consider = [this, &next](TimePoint due) {
+    // What was due at the last tick has been seen to.
+    if (due > this->ticked_at) next = std::min(next, due);
+  };
+  const bool collecting = this->phase == Phase::kCollecting || this->phase == Phase::kStarting;
+  if (collecting) consider(this->choose_at);
+  if (collecting && this->stall_deadline) consider(*this->stall_deadline);
+  if (this->phase == Phase::kConfiguring) consider(this->configured_by);
+  if (this->planned) consider(this->planned->deadline);
+  return next;
+}
+
+bool PromotionSystem::MayAcknowledge(Term term, const LogPosition& position) {
+  return this->guard.MayAcknowledge(term, position);
+}
+
+bool PromotionSystem::MayPassOn(Term term) const { return !this->guard.Frozen() && term == this->CurrentTerm(); }
+
+bool PromotionSystem::MaySend() const { return this->opened && !this->suspended; }
+
+Term PromotionSystem::CurrentTerm() const { return this->record ? this->record->term : 0; }
+
+const EndpointName& PromotionSystem::Primary() const {
+  static const EndpointName kNone;
+  return this->record ? this->record->primary : kNone;
+}
+
+Phase PromotionSystem::CurrentPhase() const {
+  return this->phase == Phase::kServing && this->suspicion.Active() ? Phase::kSuspecting : this->phase;
+}
+
+WaitReason PromotionSystem::CurrentReason() const { return this->reason; }
+
+void PromotionSystem::On(const ConnectionSilent& event, TimePoint now) {
+  const bool used = this->phase == Phase::kServing || this->phase == Phase::kDraining;
+  if (used && event.endpoint == this->Primary()) this->suspicion.Begin(now);
+}
+
+void PromotionSystem::On(const PositionHeard& event, TimePoint now) {
+  const PositionAnswer& answer = event.answer;
+  this->probes.Answered(event.request);
+  Heard& latest = this->heard[answer.endpoint];
+  if (event.sent_at >= latest.sent_at) latest = Heard{event.sent_at, answer};
+  if (!this->record || this->record->Find(answer.endpoint) == nullptr) return;
+  if (answer.term > this->CurrentTerm()) {
+    this->LearnOfTerm(answer.term, now);
+    return;
+  }
+  if (answer.endpoint == this->Primary()) {
+    this->Judge(this->suspicion.OnAnswer(event.request, event.sent_at), now);
+    // A primary that was configured in this term and knows it no more has lost its data.
+    const bool lost = this->opened && event.sent_at >= this->opened_at && answer.term < this->CurrentTerm();
+    const bool used = this->phase == Phase::kServing || this->phase == Phase::kDraining;
+    if (lost && used) this->EnterCollecting(now, false);
+  } else if (this->opened && answer.term < this->CurrentTerm()) {
+    this->configurations.Schedule(answer.endpoint, now);
+  }
+}
+
+void PromotionSystem::On(const ProbeFailed& event, TimePoint now) {
+  this->probes.Failed(event.request, now);
+  this->Judge(this->suspicion.OnFailure(event.request, now), now);
+}
+
+void PromotionSystem::On(const HigherTermSeen& event, TimePoint now) { this->LearnOfTerm(event.term, now); }
+
+void PromotionSystem::On(const GroupObjectRead& event, TimePoint now) {
+  if (event.record.group != this->group) return;
+  if (this->object.OnRead(event, now)) {
+    this->record_confirmed = true;
+  } else {
+    this->object.OnObserved(event.version, event.record);
+  }
+  // An update on its way is settled by its own result.
+  if (this->phase != Phase::kUpdating) this->Adopt(event.version, event.record, now);
+}
+
+void PromotionSystem::On(const GroupObjectReadFailed& event, TimePoint now) {
+  this->object.OnReadFailed(event.request, now);
+}
+
+void PromotionSystem::On(const UpdateApplied& event, TimePoint /*now*/) { this->object.OnApplied(event); }
+
+void PromotionSystem::On(const UpdateConflicted& event, TimePoint /*now*/) { this->object.OnConflict(event); }
+
+void PromotionSystem::On(const UpdateUnanswered& event, TimePoint now) {
+  this->object.OnUnanswered(event.update_id, now);
+}
+
+void PromotionSystem::On(const ConfigureAccepted& event, TimePoint now) {
+  const std::optional<EndpointName> endpoint = this->configurations.Answered(event.request);
+  if (this->phase != Phase::kConfiguring || endpoint != this->Primary()) return;
+  this->primary_accepted = true;
+  // The answer to a probe sent from now on shows the base of the term.
+  this->frozen_at = now;
+  this->heard.erase(this->Primary());
+  this->probes.Remove(this->Primary());
+  this->probes.Schedule(this->Primary(), now);
+}
+
+void PromotionSystem::On(const ConfigureRefused& event, TimePoint now) {
+  this->configurations.Failed(event.request, now);
+  this->LearnOfTerm(event.known_term, now);
+}
+
+void PromotionSystem::On(const ConfigureFailed& event, TimePoint now) {
+  const std::optional<EndpointName> endpoint = this->configurations.Failed(event.request, now);
+  if (this->phase == Phase::kConfiguring && endpoint == this->Primary()) this->suspicion.Begin(now);
+}
+
+void PromotionSystem::On(const PrimaryIdle& event, TimePoint now) {
+  if (!this->planned || this->planned->stage != PlannedStage::kDraining || event.term != this->CurrentTerm()) return;
+  this->Freeze(now);
+  this->planned->stage = PlannedStage::kCatchingUp;
+  this->planned->deadline = now + this->settings.drain_limit;
+  this->probes.Clear();
+  this->probes.Schedule(this->Primary(), now);
+  this->probes.Schedule(this->planned->target, now);
+}
+
+void PromotionSystem::On(const ReplicationStalled& event, TimePoint now) {
+  if (this->phase != Phase::kServing || event.term != this->CurrentTerm() || now < this->stall_allowed_at) return;
+  this->stall_allowed_at = now + this->settings.stall_pause;
+  this->EnterCollecting(now, true);
+  this->stall_deadline = now + this->settings.stall_collect_limit;
+}
+
+void PromotionSystem::On(const PromoteRequested& event, TimePoint now) {
+  if (this->phase != Phase::kServing) {
+    this->actions.emplace_back(PlannedChangeEnded{PlannedOutcome::kBusy});
+    return;
+  }
+  const std::optional<EndpointName> target = this->PlannedTarget(event.target);
+  if (target) {
+    this->StartPlanned(PlannedChange{.target = *target, .by_operator = true}, now);
+  } else {
+    this->actions.emplace_back(PlannedChangeEnded{PlannedOutcome::kTargetUnfit});
+  }
+}
+
+void PromotionSystem::Adopt(ObjectVersion version, const GroupRecord& newer, TimePoint now) {
+  if (version <= this->version) return;
+  if (!this->record || newer.term > this->CurrentTerm()) {
+    // A change of primary by an earlier leader came to light. It may not know of what was acknowledged since.
+    this->AdoptTerm(version, newer);
+    this->guard.ForgetInherited();
+    this->EnterCollecting(now, false);
+    return;
+  }
+  this->version = version;
+  if (newer.term < this->CurrentTerm()) return;
+  const GroupRecord older = *this->record;
+  this->record = newer;
+  // The primary of a term never changes.
+  this->record->primary = older.primary;
+  this->actions.emplace_back(RecordAdopted{version, *this->record});
+  if (older.instances == newer.instances) return;
+  this->ForgetRemovedInstances(older);
+  if (this->opened) this->ConfigureOthers(now);
+}
+
+void PromotionSystem::AdoptTerm(ObjectVersion version, const GroupRecord& newer) {
+  this->guard.Freeze();
+  this->version = version;
+  this->record = newer;
+  this->highest_term = std::max(this->highest_term, newer.term);
+  this->opened = false;
+  this->suspended = false;
+  this->configurations.Clear();
+  this->suspicion.Clear();
+  this->actions.emplace_back(RecordAdopted{version, newer});
+}
+
+void PromotionSystem::EnterCollecting(TimePoint now, bool primary_gone) {
+  this->EndPlanned(PlannedOutcome::kOvertaken);
+  if (this->opened) this->Suspend(false, kNever);
+  this->Freeze(now);
+  this->primary_gone = primary_gone;
+  this->stall_deadline.reset();
+  this->choose_at = kNever;
+  this->phase = primary_gone ? Phase::kCollecting : Phase::kStarting;
+  this->object.Read(now);
+  this->probes.Clear();
+  this->suspicion.Clear();
+  if (!primary_gone) this->suspicion.Begin(now);
+  for (const Instance& instance : this->record->instances) {
+    if (primary_gone || instance.endpoint != this->Primary()) this->probes.Schedule(instance.endpoint, now);
+  }
+}
+
+void PromotionSystem::LearnOfTerm(Term term, TimePoint now) {
+  if (term <= this->highest_term) return;
+  this->highest_term = term;
+  // Only a read that is sent from now on shows the record of that term.
+  this->record_confirmed = false;
+  // An update that is on its way is settled first; its result shows the newer record.
+  if (this->phase == Phase::kUpdating) return;
+  this->object.Read(now);
+  if (this->record) this->EnterCollecting(now, false);
+}
+
+void PromotionSystem::Judge(Verdict verdict, TimePoint now) {
+  if (verdict == Verdict::kAnswers && this->opened) this->actions.emplace_back(ReplaceConnections{this->Primary()});
+  if (verdict != Verdict::kGone) return;
+  if (this->phase == Phase::kStarting) {
+    this->primary_gone = true;
+    this->phase = Phase::kCollecting;
+    this->probes.Schedule(this->Primary(), now + this->settings.first_retry_delay);
+  } else {
+    this->EnterCollecting(now, true);
+  }
+}
+
+void PromotionSystem::StartUpdate(const PositionAnswer& chosen, TimePoint now) {
+  GroupRecord next = *this->record;
+  next.term = std::max(this->record->term, this->highest_term) + 1;
+  next.primary = chosen.endpoint;
+  next.update_id = this->update_id_prefix + "-" + std::to_string(++this->updates);
+  // Only a log that matched the current term's is certain to keep its last entry.
+  const bool keeps_entries = chosen.synced_term == this->record->term || chosen.role == Role::kPrimary;
+  if (keeps_entries) next.history.push_back(replicas::TermBase{next.term, chosen.position});
+  if (next.history.size() > replicas::kTermHistoryLimit) next.history.erase(next.history.begin());
+  this->probes.Clear();
+  this->suspicion.Clear();
+  this->object.Update(now, this->version, next);
+  this->phase = Phase::kUpdating;
+}
+
+void PromotionSystem::StartConfiguring(TimePoint now) {
+  this->primary_accepted = false;
+  this->configured_by = now + this->settings.configure_limit;
+  this->probes.Clear();
+  this->suspicion.Clear();
+  this->configurations.Clear();
+  this->configurations.Schedule(this->Primary(), now);
+  this->phase = Phase::kConfiguring;
+}
+
+void PromotionSystem::ConfigureOthers(TimePoint now) {
+  for (const Instance& instance : this->record->instances) {
+    if (instance.endpoint != this->Primary()) this->configurations.Schedule(instance.endpoint, now);
+  }
+}
+
+void PromotionSystem::ForgetRemovedInstances(const GroupRecord& older) {
+  for (const Instance& instance : older.instances) {
+    if (this->record->Find(instance.endpoint) != nullptr) continue;
+    this->probes.Remove(instance.endpoint);
+    this->configurations.Remove(instance.endpoint);
+    this->heard.erase(instance.endpoint);
+  }
+}
+
+void PromotionSystem::Suspend(bool planned, TimePoint drain_deadline) {
+  if (this->suspended && planned) return;
+  this->suspended = true;
+  this->actions.emplace_back(SuspendPrimary{this->CurrentTerm(), planned, drain_deadline});
+}
+
+void PromotionSystem::Freeze(TimePoint now) {
+  if (!this->guard.Frozen()) this->actions.emplace_back(FreezeAcknowledgements{this->CurrentTerm()});
+  this->guard.Freeze();
+  this->frozen_at = now;
+}
+
+void PromotionSystem::TakeDue(TimePoint now) {
+  for (Action& action : this->object.TakeDue(now, this->last_request)) this->actions.push_back(std::move(action));
+  std::vector<DueRequest> due = this->probes.TakeDue(now, this->last_request);
+  const std::optional<DueRequest> suspect = this->suspicion.TakeDue(now, this->Primary(), this->last_request);
+  if (suspect) due.push_back(*suspect);
+  for (const DueRequest& probe : due) {
+    this->actions.emplace_back(
+        ProbeInstance{probe.request, probe.endpoint, this->AddressOf(probe.endpoint), probe.deadline});
+  }
+  for (const DueRequest& request : this->configurations.TakeDue(now, this->last_request)) {
+    this->actions.emplace_back(ConfigureInstance{request.request, request.endpoint, this->AddressOf(request.endpoint),
+                                                 request.deadline, *this->record});
+  }
+}
+
+void PromotionSystem::Report() {
+  const StatusChanged current{this->CurrentPhase(), this->reason};
+  if (current.phase == this->reported.phase && current.reason == this->reported.reason) return;
+  this->reported = current;
+  this->actions.emplace_back(current);
+}
+
+const PositionAnswer* PromotionSystem::FreshAnswer(const EndpointName& endpoint) const {
+  const auto found = this->heard.find(endpoint);
+  if (found == this->heard.end() || found->second.sent_at < this->frozen_at) return nullptr;
+  return &found->second.answer;
+}
+
+std::vector<PositionAnswer> PromotionSystem::FreshAnswers() const {
+  std::vector<PositionAnswer> answers;
+  for (const Instance& instance : this->record->instances) {
+    const PositionAnswer* answer = this->FreshAnswer(instance.endpoint);
+    if (answer != nullptr) answers.push_back(*answer);
+  }
+  return answers;
+}
+
+std::string PromotionSystem::AddressOf(const EndpointName& endpoint) const {
+  const Instance* instance = this->record ? this->record->Find(endpoint) : nullptr;
+  return instance == nullptr ? std::string() : instance->address;
+}
+
+}  // namespace amaranthlane::promotion
--- a/source/core/promotion/promotion_system.h
+++ b/source/core/promotion/promotion_system.h
@@ -1,12 +1,20 @@
 #ifndef AMARANTHLANE_CORE_PROMOTION_PROMOTION_SYSTEM_H_
 #define AMARANTHLANE_CORE_PROMOTION_PROMOTION_SYSTEM_H_
 
-#include <memory>
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
 
+#include "core/promotion/acknowledgement_guard.h"
+#include "core/promotion/group_object_access.h"
+#include "core/promotion/instance_requests.h"
 #include "core/promotion/messages.h"
+#include "core/promotion/planned_change.h"
+#include "core/promotion/suspicion.h"
 #include "core/types.h"
 
 // Decides when a group's primary is replaced, and by which instance.
@@ -33,6 +41,15 @@
   Duration platform_limit = std::chrono::milliseconds(500);
   // How long running work may take to finish in a planned change, and the target to catch up.
   Duration drain_limit = std::chrono::seconds(2);
+  // The pause between asking a target again for its position.
+  Duration catch_up_interval = std::chrono::milliseconds(10);
+  // The pause after a planned change that a leaving primary asked for, and that failed.
+  Duration planned_retry_pause = std::chrono::seconds(3);
+  // When a primary without confirmations is reported as ReplicationStalled, how long the replicas may take to answer
+  // then, and the least time between two such changes of primary.
+  Duration replication_stall_limit = std::chrono::milliseconds(600);
+  Duration stall_collect_limit = std::chrono::milliseconds(400);
+  Duration stall_pause = std::chrono::seconds(10);
 };
 
 // The promotion of one led group, from the start of one leadership to its end: a new leadership starts a new system.
@@ -40,9 +57,6 @@
  public:
   // `update_id_prefix` must be unique to this leadership, for instance VM, incarnation and epoch.
   PromotionSystem(PromotionSettings settings, GroupName group, std::string update_id_prefix);
-  ~PromotionSystem();
-  PromotionSystem(PromotionSystem&&) noexcept;
-  PromotionSystem& operator=(PromotionSystem&&) noexcept;
 
   std::vector<Action> Tick(TimePoint now, std::span<const Event> events);
   // When Tick is due without an event; kNever when not at all.
@@ -52,6 +66,8 @@
   // it at the moment of passing on, only for commits that are replicated; a true result is remembered, and later
   // primaries cover it.
   bool MayAcknowledge(Term term, const LogPosition& position);
+  // Whether an answer that isn't owed replication may be passed on; nothing is remembered.
+  bool MayPassOn(Term term) const;
   // Whether statements may be sent to the primary of the current term.
   bool MaySend() const;
 
@@ -61,8 +77,120 @@
   WaitReason CurrentReason() const;
 
  private:
-  class State;
-  std::unique_ptr<State> state;
+  // The latest answer of an instance.
+  struct Heard {
+    TimePoint sent_at;
+    replicas::PositionAnswer answer;
+  };
+
+  using Step = void (PromotionSystem::*)(TimePoint now);
+  struct PhaseStep {
+    Phase phase;
+    Step step;
+  };
+  static const std::array<PhaseStep, 6> kSteps;
+
+  void On(const ConnectionSilent& event, TimePoint now);
+  void On(const PositionHeard& event, TimePoint now);
+  void On(const ProbeFailed& event, TimePoint now);
+  void On(const HigherTermSeen& event, TimePoint now);
+  void On(const GroupObjectRead& event, TimePoint now);
+  void On(const GroupObjectReadFailed& event, TimePoint now);
+  void On(const UpdateApplied& event, TimePoint now);
+  void On(const UpdateConflicted& event, TimePoint now);
+  void On(const UpdateUnanswered& event, TimePoint now);
+  void On(const ConfigureAccepted& event, TimePoint now);
+  void On(const ConfigureRefused& event, TimePoint now);
+  void On(const ConfigureFailed& event, TimePoint now);
+  void On(const PrimaryIdle& event, TimePoint now);
+  void On(const ReplicationStalled& event, TimePoint now);
+  void On(const PromoteRequested& event, TimePoint now);
+
+  // One step of each phase.
+  void Collect(TimePoint now);
+  void Serve(TimePoint now);
+  void Drain(TimePoint now);
+  void AwaitUpdate(TimePoint now);
+  void AwaitConfiguration(TimePoint now);
+
+  // Takes a newer version of the group's object.
+  void Adopt(ObjectVersion version, const replicas::GroupRecord& newer, TimePoint now);
+  void AdoptTerm(ObjectVersion version, const replicas::GroupRecord& newer);
+  // Stops sends and acknowledgements, and asks all instances for their positions.
+  void EnterCollecting(TimePoint now, bool primary_gone);
+  void LearnOfTerm(Term term, TimePoint now);
+  void Judge(Verdict verdict, TimePoint now);
+  // The answer of the primary that opens its term, or nothing.
+  const replicas::PositionAnswer* OpeningAnswer() const;
+  bool KnowsNewestTerm() const;
+  void OpenTerm(const replicas::PositionAnswer& answer, TimePoint now);
+  void Resume();
+  void StartUpdate(const replicas::PositionAnswer& chosen, TimePoint now);
+  void StartConfiguring(TimePoint now);
+  void ConfigureOthers(TimePoint now);
+  void ForgetRemovedInstances(const replicas::GroupRecord& older);
+  void Suspend(bool planned, TimePoint drain_deadline);
+  void Freeze(TimePoint now);
+
+  void StartPlanned(PlannedChange change, TimePoint now);
+  // The most advanced live instance that could take over in good order, or `wanted` when it could.
+  std::optional<EndpointName> PlannedTarget(const std::optional<EndpointName>& wanted) const;
+  void DrainAfterRead(TimePoint now);
+  void CatchUp(TimePoint now);
+  // Ends a planned change; the primary serves on.
+  void CancelPlanned(PlannedOutcome outcome, TimePoint now);
+  void EndPlanned(PlannedOutcome outcome);
+
+  void TakeDue(TimePoint now);
+  void Report();
+  // The answer of an instance to a probe sent after acknowledgements were frozen; null when there is none.
+  const replicas::PositionAnswer* FreshAnswer(const EndpointName& endpoint) const;
+  std::vector<replicas::PositionAnswer> FreshAnswers() const;
+  std::string AddressOf(const EndpointName& endpoint) const;
+
+  PromotionSettings settings;
+  GroupName group;
+  std::string update_id_prefix;
+  std::uint64_t updates = 0;
+  RequestId last_request = 0;
+
+  Phase phase = Phase::kStarting;
+  WaitReason reason = WaitReason::kNone;
+  StatusChanged reported;
+  std::vector<Action> actions;
+
+  std::optional<replicas::GroupRecord> record;
+  ObjectVersion version = 0;
+  // This leadership read the object itself, after it had learned of `highest_term`.
+  bool record_confirmed = false;
+  Term highest_term = 0;
+  // The primary of the record's term was reported by PrimaryChanged.
+  bool opened = false;
+  TimePoint opened_at;
+  bool suspended = false;
+  bool started = false;
+  TimePoint ticked_at;
+
+  AcknowledgementGuard guard;
+  GroupObjectAccess object;
+  InstanceRequests probes;
+  InstanceRequests configurations;
+  Suspicion suspicion;
+  std::map<EndpointName, Heard> heard;
+
+  // While collecting: when acknowledgements were frozen, and when the choice is due.
+  TimePoint frozen_at;
+  TimePoint choose_at = kNever;
+  bool primary_gone = false;
+  // The primary was given up for stalled replication; it serves on when the replicas don't answer by then.
+  std::optional<TimePoint> stall_deadline;
+  TimePoint stall_allowed_at;
+  // While configuring: the primary accepted its configuration, and when it is suspected otherwise.
+  bool primary_accepted = false;
+  TimePoint configured_by = kNever;
+
+  std::optional<PlannedChange> planned;
+  TimePoint planned_allowed_at;
 };
 
 }  // namespace amaranthlane::promotion
--- a/source/core/replicas/acknowledgement_waits.h
+++ b/source/core/replicas/acknowledgement_waits.h
@@ -46,8 +46,13 @@
     TimePoint deadline;
   };
 
-  std::multimap<std::uint64_t, Wait> waits;
-  std::multimap<TimePoint, std::multimap<std::uint64_t, Wait>::iterator> deadlines;
+  // By log offset.
+  using WaitTable = std::multimap<std::uint64_t, Wait>;
+
+  AcknowledgementResult End(WaitTable::iterator wait, Replication replication);
+
+  WaitTable waits;
+  std::multimap<TimePoint, WaitTable::iterator> deadlines;
 };
 
 }  // namespace amaranthlane::replicas
--- /dev/null
+++ b/source/core/replicas/replica_table.cc
@@ -0,0 +1,216 @@
+#include "core/replicas/replica_table.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace amaranthlane::replicas {
+namespace {
+
+// A read time that was longer than recent ones is forgotten by this share with each read.
+constexpr int kReadTimeDecay = 8;
+
+std::uint32_t BusyCount(const std::vector<InstanceLoad>& load, const EndpointName& endpoint) {
+  const auto found = std::ranges::find(load, endpoint, &InstanceLoad::endpoint);
+  return found == load.end() ? 0 : found->busy;
+}
+
+}  // namespace
+
+ReplicaTable::ReplicaTable(ReplicaSettings settings) : settings(settings), ages(settings.age_samples) {}
+
+std::vector<AcknowledgementResult> ReplicaTable::ApplyRecord(const GroupRecord& record) {
+  if (record.term < this->record.term) return {};
+  std::vector<AcknowledgementResult> ended;
+  if (record.term > this->record.term) {
+    this->ages.Clear();
+    this->stalled_since.reset();
+    ended = this->waits.FailAll();
+  }
+  std::vector<InstanceState> updated;
+  for (const Instance& instance : record.instances) {
+    const InstanceState* known = this->Find(instance.endpoint);
+    InstanceState& state = updated.emplace_back(known == nullptr ? InstanceState() : *known);
+    state.instance = instance;
+    state.read_time = std::max(state.read_time, this->settings.least_read_time);
+  }
+  this->instances = std::move(updated);
+  this->record = record;
+  this->terms.Load(record.history);
+  return ended;
+}
+
+void ReplicaTable::SetTermBase(const TermBase& base) { this->terms.SetExact(base); }
+
+void ReplicaTable::ProbeSent(const EndpointName& endpoint, TimePoint sent_at) {
+  InstanceState* state = this->FindMutable(endpoint);
+  if (state != nullptr && !state->probe_sent_at) state->probe_sent_at = sent_at;
+}
+
+void ReplicaTable::ProbeFailed(const EndpointName& endpoint, TimePoint sent_at) {
+  InstanceState* state = this->FindMutable(endpoint);
+  if (state == nullptr) return;
+  if (state->probe_sent_at && *state->probe_sent_at <= sent_at) state->probe_sent_at.reset();
+  // A failure of an older probe says nothing after a newer answer.
+  if (!state->heard_sent_at || *state->heard_sent_at <= sent_at) state->probe_failed = true;
+}
+
+std::vector<AcknowledgementResult> ReplicaTable::ProbeAnswered(TimePoint now, TimePoint sent_at,
+                                                               const PositionAnswer& answer) {
+  InstanceState* state = this->FindMutable(answer.endpoint);
+  if (state == nullptr) return {};
+  if (state->probe_sent_at && *state->probe_sent_at <= sent_at) state->probe_sent_at.reset();
+  if (state->heard_sent_at && sent_at < *state->heard_sent_at) return {};
+  const std::uint64_t confirmed_before = this->ConfirmedOffset().value_or(0);
+  state->role = answer.role;
+  state->term = answer.term;
+  state->position = answer.position;
+  state->synced_term = answer.synced_term;
+  state->heard_sent_at = sent_at;
+  state->heard_received_at = now;
+  state->probe_failed = false;
+  this->FollowStall(now, confirmed_before);
+  if (this->IsPrimary(*state)) {
+    this->ages.Record(sent_at, answer.position.offset);
+    return {};
+  }
+  const std::optional<std::uint64_t> confirmed = this->ConfirmedOffset();
+  if (this->frozen || !confirmed) return {};
+  return this->waits.Confirm(*confirmed);
+}
+
+void ReplicaTable::ReadFinished(const EndpointName& endpoint, Duration took) {
+  InstanceState* state = this->FindMutable(endpoint);
+  if (state == nullptr) return;
+  const Duration decayed = state->read_time - (state->read_time - took) / kReadTimeDecay;
+  state->read_time = std::max({took, decayed, this->settings.least_read_time});
+}
+
+std::optional<Duration> ReplicaTable::AgeBound(TimePoint now, const ReadAnswer& answer) const {
+  const InstanceState* state = this->Find(answer.endpoint);
+  if (state == nullptr || answer.term != this->record.term) return std::nullopt;
+  if (answer.endpoint == this->record.primary) return std::max(Duration::zero(), now - answer.sent_at);
+  if (!this->IsSynced(*state)) return std::nullopt;
+  return this->ages.AgeBound(now, answer.position.offset);
+}
+
+std::optional<Duration> ReplicaTable::AgeBound(TimePoint now, const EndpointName& endpoint) const {
+  const InstanceState* state = this->Find(endpoint);
+  if (state == nullptr) return std::nullopt;
+  if (endpoint == this->record.primary) return Duration::zero();
+  if (!this->IsSynced(*state)) return std::nullopt;
+  return this->ages.AgeBound(now, state->position.offset);
+}
+
+ReadChoice ReplicaTable::ChooseReadEndpoint(TimePoint now, const ReadRequest& request,
+                                            const std::vector<InstanceLoad>& load) const {
+  const Coverage coverage = this->TokenCoverage(request);
+  if (coverage == Coverage::kLost) return ReadChoice{ReadOutcome::kPositionLost, {}, {}};
+  if (coverage == Coverage::kUnknown) return ReadChoice{ReadOutcome::kPositionUnknown, {}, {}};
+  const InstanceState* best = nullptr;
+  const auto order = [&load, &request](const InstanceState& state) {
+    return std::tuple(BusyCount(load, state.instance.endpoint), state.instance.data_centre != request.data_centre,
+                      ~state.position.offset);
+  };
+  for (const InstanceState& state : this->instances) {
+    if (!this->MayServe(now, request, state)) continue;
+    if (best == nullptr || order(state) < order(*best)) best = &state;
+  }
+  if (best == nullptr) return ReadChoice{ReadOutcome::kPrimary, this->record.primary, Duration::zero()};
+  const std::optional<Duration> age = this->AgeBound(now, best->instance.endpoint);
+  return ReadChoice{ReadOutcome::kReplica, best->instance.endpoint, age.value_or(request.freshness)};
+}
+
+bool ReplicaTable::MayPassOn(TimePoint now, const ReadRequest& request, const ReadAnswer& answer) const {
+  if (this->TokenCoverage(request) != Coverage::kCovered) return false;
+  if (request.token && answer.position.offset < request.token->offset) return false;
+  const std::optional<Duration> age = this->AgeBound(now, answer);
+  if (!age) return false;
+  return answer.endpoint == this->record.primary || *age <= request.freshness;
+}
+
+std::optional<AcknowledgementResult> ReplicaTable::AwaitReplicated(StatementId statement, Term term,
+                                                                   const LogPosition& position, TimePoint deadline) {
+  if (term != this->record.term) return AcknowledgementResult{statement, position, Replication::kUnknown};
+  if (!this->frozen && this->ConfirmedOffset().value_or(0) >= position.offset) {
+    return AcknowledgementResult{statement, position, Replication::kReplicated};
+  }
+  this->waits.Add(statement, position, deadline);
+  return std::nullopt;
+}
+
+std::optional<TimePoint> ReplicaTable::StalledSince() const { return this->stalled_since; }
+
+void ReplicaTable::FreezeAcknowledgements() { this->frozen = true; }
+
+std::vector<AcknowledgementResult> ReplicaTable::ThawAcknowledgements() {
+  this->frozen = false;
+  return this->waits.Confirm(this->ConfirmedOffset().value_or(0));
+}
+
+std::vector<AcknowledgementResult> ReplicaTable::Tick(TimePoint now) { return this->waits.Expire(now); }
+
+TimePoint ReplicaTable::NextDeadline() const { return this->waits.NextDeadline(); }
+
+Term ReplicaTable::CurrentTerm() const { return this->record.term; }
+
+const EndpointName& ReplicaTable::Primary() const { return this->record.primary; }
+
+const InstanceState* ReplicaTable::Find(const EndpointName& endpoint) const {
+  const auto found = std::ranges::find_if(
+      this->instances, [&endpoint](const InstanceState& state) { return state.instance.endpoint == endpoint; });
+  return found == this->instances.end() ? nullptr : &*found;
+}
+
+const std::vector<InstanceState>& ReplicaTable::Instances() const { return this->instances; }
+
+InstanceState* ReplicaTable::FindMutable(const EndpointName& endpoint) {
+  const auto found = std::ranges::find_if(
+      this->instances, [&endpoint](const InstanceState& state) { return state.instance.endpoint == endpoint; });
+  return found == this->instances.end() ? nullptr : &*found;
+}
+
+bool ReplicaTable::IsPrimary(const InstanceState& state) const {
+  return state.instance.endpoint == this->record.primary && state.role == Role::kPrimary &&
+         state.term == this->record.term;
+}
+
+bool ReplicaTable::IsSynced(const InstanceState& state) const {
+  return state.instance.endpoint != this->record.primary && state.role == Role::kReplica &&
+         state.term == this->record.term && state.synced_term == this->record.term;
+}
+
+bool ReplicaTable::MayServe(TimePoint now, const ReadRequest& request, const InstanceState& state) const {
+  if (request.freshness <= Duration::zero() || state.instance.leaving || state.probe_failed) return false;
+  if (state.probe_sent_at && now - *state.probe_sent_at > this->settings.probe_limit) return false;
+  if (!this->IsSynced(state)) return false;
+  if (request.token && state.position.offset < request.token->offset) return false;
+  const std::optional<Duration> age = this->ages.AgeBound(now, state.position.offset);
+  return age && *age + state.read_time <= request.freshness;
+}
+
+std::optional<std::uint64_t> ReplicaTable::ConfirmedOffset() const {
+  std::optional<std::uint64_t> confirmed;
+  for (const InstanceState& state : this->instances) {
+    // A leaving instance may be gone when its confirmation is needed.
+    if (state.instance.leaving || !this->IsSynced(state)) continue;
+    confirmed = std::max(confirmed.value_or(0), state.position.offset);
+  }
+  return confirmed;
+}
+
+void ReplicaTable::FollowStall(TimePoint now, std::uint64_t confirmed_before) {
+  const InstanceState* primary = this->Find(this->record.primary);
+  const std::uint64_t confirmed = this->ConfirmedOffset().value_or(0);
+  if (primary == nullptr || !this->IsPrimary(*primary) || primary->position.offset <= confirmed) {
+    this->stalled_since.reset();
+  } else if (!this->stalled_since || confirmed > confirmed_before) {
+    this->stalled_since = now;
+  }
+}
+
+Coverage ReplicaTable::TokenCoverage(const ReadRequest& request) const {
+  return request.token ? this->terms.CoverageOf(*request.token, this->record.term) : Coverage::kCovered;
+}
+
+}  // namespace amaranthlane::replicas
--- a/source/core/replicas/replica_table.h
+++ b/source/core/replicas/replica_table.h
@@ -23,6 +23,8 @@
   std::size_t age_samples = 512;
   // The time that a read is expected to take until its answer is checked, at first and at least.
   Duration least_read_time = std::chrono::milliseconds(1);
+  // A replica whose probe stays unanswered for longer gets no reads. It must exceed the wait of the long poll.
+  Duration probe_limit = std::chrono::milliseconds(1500);
 };
 
 // One row of the table.
@@ -59,6 +61,16 @@
   std::string data_centre;
 };
 
+// What came back from an instance for a read.
+struct ReadAnswer {
+  EndpointName endpoint;
+  // The term that the statement was sent under.
+  Term term = 0;
+  // The last entry of the instance's log when the read ran.
+  LogPosition position;
+  TimePoint sent_at;
+};
+
 enum class ReadOutcome : std::uint8_t {
   kReplica,
   kPrimary,
@@ -94,22 +106,23 @@
   // Takes the time that a read took at an endpoint.
   void ReadFinished(const EndpointName& endpoint, Duration took);
 
-  // The greatest age that data with this last entry can have, when it was read from `endpoint` under the current term;
-  // nothing when it can't be bounded. For the primary the bound is counted from `sent_at`, the time that the read was
-  // sent.
-  std::optional<Duration> AgeBound(TimePoint now, const EndpointName& endpoint, const LogPosition& position,
-                                   TimePoint sent_at) const;
-  // The same for the position that a replica last reported.
+  // The greatest age of the data in an answer; nothing when it can't be bounded, thus also when the term has moved
+  // since the read was sent. At the primary the age is counted from the time that the read was sent.
+  std::optional<Duration> AgeBound(TimePoint now, const ReadAnswer& answer) const;
+  // The same for data up to the position that an instance last reported; zero at the primary.
   std::optional<Duration> AgeBound(TimePoint now, const EndpointName& endpoint) const;
   ReadChoice ChooseReadEndpoint(TimePoint now, const ReadRequest& request, const std::vector<InstanceLoad>& load) const;
-  // Whether an answer read at `endpoint` may be passed on at `now`: it covers the token and its age is within what is
-  // owed.
-  bool MayPassOn(TimePoint now, const ReadRequest& request, const EndpointName& endpoint, const LogPosition& position,
-                 TimePoint sent_at) const;
+  // Whether an answer may be passed on at `now`: it covers the token, and it came from the primary or its age is within
+  // what is owed.
+  bool MayPassOn(TimePoint now, const ReadRequest& request, const ReadAnswer& answer) const;
 
-  // Waits until a replica synced in the current term holds `position`. Returns the result at once when it is known.
-  std::optional<AcknowledgementResult> AwaitReplicated(StatementId statement, const LogPosition& position,
+  // Waits until a replica synced in the current term holds `position`. `term` is the one that the commit was sent
+  // under; a replayed commit may stand at a position of an older one. Returns the result at once when it is known.
+  std::optional<AcknowledgementResult> AwaitReplicated(StatementId statement, Term term, const LogPosition& position,
                                                        TimePoint deadline);
+  // Since when no replica has confirmed more of the primary's log although there is more; nothing when all is
+  // confirmed.
+  std::optional<TimePoint> StalledSince() const;
   // While acknowledgements are frozen no wait resolves as replicated; waits still end at their deadlines. Thawing
   // returns the waits that had been confirmed meanwhile.
   void FreezeAcknowledgements();
@@ -126,8 +139,14 @@
 
  private:
   InstanceState* FindMutable(const EndpointName& endpoint);
+  bool IsPrimary(const InstanceState& state) const;
+  // The instance follows the primary of the current term, and its log is a prefix of that primary's.
   bool IsSynced(const InstanceState& state) const;
-  std::uint64_t HighestConfirmedOffset() const;
+  bool MayServe(TimePoint now, const ReadRequest& request, const InstanceState& state) const;
+  // The end of what a replica is known to hold; nothing when no replica is synced.
+  std::optional<std::uint64_t> ConfirmedOffset() const;
+  Coverage TokenCoverage(const ReadRequest& request) const;
+  void FollowStall(TimePoint now, std::uint64_t confirmed_before);
 
   ReplicaSettings settings;
   GroupRecord record;
@@ -135,6 +154,8 @@
   AgeHistory ages;
   TermHistory terms;
   AcknowledgementWaits waits;
+  bool frozen = false;
+  std::optional<TimePoint> stalled_since;
 };
 
 }  // namespace amaranthlane::replicas
