Add the group scheduler with floors and time-bounded queues

Cause: all of a group's work meets at its leader and must be served by rank without dead work. Change: floor, strict-priority and first-come policies, queues by rank and endpoints, admission and back-pressure.

--- /dev/null
+++ b/source/core/scheduling/admission_control.cc
@@ -0,0 +1,67 @@
+#include "core/scheduling/admission_control.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace amaranthlane::scheduling {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+// The time constant of the admitted slot time's fading.
+constexpr Seconds kMeterWindow{0.5};
+// The entry VMs pass on a little more than was served, so that slots don't run empty between two reports.
+constexpr double kOverOffer = 1.05;
+// The most that one report may lower the fraction.
+constexpr double kStrongestCut = 0.5;
+// How the fraction rises with each report without a refusal.
+constexpr double kRecoveryFactor = 1.25;
+constexpr double kRecoveryStep = 0.01;
+constexpr double kLeastFraction = 0.01;
+
+}  // namespace
+
+double AdmissionControl::SlotTimeMeter::SumAt(TimePoint now) const {
+  if (this->sum_seconds <= 0.0) {
+    return 0.0;
+  }
+  const Seconds age = std::max(now - this->updated, Duration::zero());
+  return this->sum_seconds * std::exp(-age / kMeterWindow);
+}
+
+void AdmissionControl::CountArrived(Rank rank, TargetKind target) { ++this->CountsOf(rank, target).arrived; }
+
+void AdmissionControl::CountRefused(Rank rank, TargetKind target) { ++this->CountsOf(rank, target).refused; }
+
+void AdmissionControl::CountAdmitted(Rank rank, EndpointIndex endpoint, Duration slot_time, TimePoint now) {
+  SlotTimeMeter& meter = this->meters[static_cast<std::size_t>(rank)][endpoint];
+  meter.sum_seconds = meter.SumAt(now) + Seconds(slot_time).count();
+  meter.updated = now;
+}
+
+double AdmissionControl::AdmittedSlots(Rank rank, EndpointIndex endpoint, TimePoint now) const {
+  return this->meters[static_cast<std::size_t>(rank)][endpoint].SumAt(now) / kMeterWindow.count();
+}
+
+double AdmissionControl::NextFraction(Rank rank, TargetKind target) {
+  Counts& counts = this->CountsOf(rank, target);
+  if (counts.refused > 0) {
+    // Work that was admitted before the last call may be refused after it, so the difference can be negative.
+    const double arrived = std::max(static_cast<double>(counts.arrived), 1.0);
+    const double passed = std::max(arrived - static_cast<double>(counts.refused), 0.0);
+    counts.fraction *= std::clamp(passed / arrived * kOverOffer, kStrongestCut, 1.0);
+  } else {
+    counts.fraction = counts.fraction * kRecoveryFactor + kRecoveryStep;
+  }
+  counts.fraction = std::clamp(counts.fraction, kLeastFraction, 1.0);
+  counts.arrived = 0;
+  counts.refused = 0;
+  return counts.fraction;
+}
+
+AdmissionControl::Counts& AdmissionControl::CountsOf(Rank rank, TargetKind target) {
+  return this->counts[static_cast<std::size_t>(rank)][static_cast<std::size_t>(target)];
+}
+
+}  // namespace amaranthlane::scheduling
--- a/source/core/scheduling/admission_control.h
+++ b/source/core/scheduling/admission_control.h
@@ -4,34 +4,43 @@
 #include <array>
 #include <cstdint>
 
-#include "core/types.h"
+#include "core/scheduling/work_item.h"
 
 namespace amaranthlane::scheduling {
 
-// Counts what a group's queue admits and refuses, by rank, and derives the rate of admitted work and the share of
-// arriving work that the entry VMs are to pass on.
+// Counts what a group's queue admits and refuses, and derives the rate of admitted work and the share of arriving work
+// that the entry VMs are to pass on.
 class AdmissionControl {
  public:
-  // Counts a statement that arrived with `expected_service`.
-  void CountAdmitted(Rank rank, Duration expected_service, TimePoint now);
-  // Counts a statement that was refused on admission or later.
-  void CountRefused(Rank rank);
-  // The slot time admitted per unit of time, in slots, over the last second or so.
-  double AdmittedSlots(Rank rank, TimePoint now) const;
-  // Moves the admission fraction of `rank` by what was refused since the last call, and returns it.
-  double NextFraction(Rank rank);
+  // Counts a statement that was submitted.
+  void CountArrived(Rank rank, TargetKind target);
+  // Counts a statement that was refused, on admission or later.
+  void CountRefused(Rank rank, TargetKind target);
+  // Counts slot time that was admitted to an endpoint's queue.
+  void CountAdmitted(Rank rank, EndpointIndex endpoint, Duration slot_time, TimePoint now);
+  // The slot time admitted to an endpoint's queue per unit of time, in slots, over the last half second or so.
+  double AdmittedSlots(Rank rank, EndpointIndex endpoint, TimePoint now) const;
+  // Moves the admission fraction by what was refused since the last call, and returns it.
+  double NextFraction(Rank rank, TargetKind target);
 
  private:
-  struct RankCounts {
-    // Fading sum of admitted slot time, in seconds, as of `updated`.
-    double admitted_seconds = 0.0;
+  // A sum of slot time that fades exponentially.
+  struct SlotTimeMeter {
+    double sum_seconds = 0.0;
     TimePoint updated;
-    std::uint64_t admitted = 0;
+
+    double SumAt(TimePoint now) const;
+  };
+  struct Counts {
+    std::uint64_t arrived = 0;
     std::uint64_t refused = 0;
     double fraction = 1.0;
   };
 
-  std::array<RankCounts, kRankCount> ranks;
+  Counts& CountsOf(Rank rank, TargetKind target);
+
+  std::array<std::array<Counts, kTargetKindCount>, kRankCount> counts;
+  std::array<std::array<SlotTimeMeter, kMaximumEndpoints>, kRankCount> meters;
 };
 
 }  // namespace amaranthlane::scheduling
--- /dev/null
+++ b/source/core/scheduling/entry_admission.cc
@@ -0,0 +1,57 @@
+#include "core/scheduling/entry_admission.h"
+
+#include <algorithm>
+
+namespace amaranthlane::scheduling {
+
+namespace {
+
+// A report counts fully until this age.
+constexpr Duration kReportFresh = std::chrono::seconds(1);
+// A report counts for nothing from this age on.
+constexpr Duration kReportExpired = std::chrono::seconds(3);
+// The soonest that a refused caller is asked to come again.
+constexpr Duration kLeastRetryDelay = std::chrono::milliseconds(100);
+
+// The weight, 1 to 0, of a report of that age.
+double WeightAt(Duration age) {
+  const double fading = static_cast<double>((age - kReportFresh).count());
+  const double span = static_cast<double>((kReportExpired - kReportFresh).count());
+  return std::clamp(1.0 - fading / span, 0.0, 1.0);
+}
+
+}  // namespace
+
+void EntryAdmission::Receive(const GroupName& group, const PressureReport& report, TimePoint now) {
+  this->reports.insert_or_assign(group, ReceivedReport{.report = report, .received = now});
+}
+
+std::optional<EntryRefusal> EntryAdmission::Check(const GroupName& group, Rank rank, TargetKind target,
+                                                  TimePoint deadline, TimePoint now,
+                                                  std::mt19937_64& generator) const {
+  const auto found = this->reports.find(group);
+  if (found == this->reports.end()) {
+    return std::nullopt;
+  }
+  const Duration age = now - found->second.received;
+  const double weight = WeightAt(age);
+  if (weight <= 0.0) {
+    return std::nullopt;
+  }
+  const RankPressure& pressure = found->second.report.Of(rank, target);
+  // The queue has drained since the report.
+  const Duration wait = std::max(pressure.estimated_wait - age, Duration::zero());
+  const TimePoint retry_at = now + std::max(wait, kLeastRetryDelay);
+  if (now + wait + pressure.expected_service > deadline) {
+    return EntryRefusal{.reason = RefusalReason::kWaitTooLong, .retry_at = retry_at};
+  }
+  const double fraction = 1.0 - weight * (1.0 - pressure.admission_fraction);
+  if (fraction < 1.0 && std::uniform_real_distribution<double>(0.0, 1.0)(generator) >= fraction) {
+    return EntryRefusal{.reason = RefusalReason::kBackPressure, .retry_at = retry_at};
+  }
+  return std::nullopt;
+}
+
+void EntryAdmission::Forget(const GroupName& group) { this->reports.erase(group); }
+
+}  // namespace amaranthlane::scheduling
--- /dev/null
+++ b/source/core/scheduling/group_scheduler.cc
@@ -0,0 +1,385 @@
+#include "core/scheduling/group_scheduler.h"
+
+#include <algorithm>
+#include <bit>
+
+#include "core/scheduling/floor_policy.h"
+#include "core/scheduling/scheduling_errors.h"
+
+namespace amaranthlane::scheduling {
+
+namespace {
+
+// Each statement moves its rank's mean floor by one part in this many.
+constexpr double kFloorSmoothing = 16.0;
+// How often the tails of the queues are compared with the estimated wait.
+constexpr Duration kShedInterval = std::chrono::milliseconds(1);
+// The most statements of one rank that one comparison sheds.
+constexpr int kMaximumShed = 64;
+// The soonest that a refused caller is asked to come again.
+constexpr Duration kLeastRetryDelay = std::chrono::milliseconds(50);
+
+constexpr double kNoFloorYet = -1.0;
+
+}  // namespace
+
+GroupScheduler::GroupScheduler(const SchedulerSettings& settings)
+    : settings(settings), policy(MakeRankPolicy(settings.policy)), queues(settings.order) {
+  this->floors.fill(kNoFloorYet);
+  for (EndpointState& endpoint : this->endpoints) {
+    for (ServiceEstimate& estimate : endpoint.service) {
+      estimate.Reset(settings.initial_service);
+    }
+  }
+}
+
+void GroupScheduler::SetSlots(EndpointIndex endpoint, std::uint32_t slots) {
+  if (endpoint >= kMaximumEndpoints) {
+    throw EndpointIndexError(endpoint);
+  }
+  this->endpoints[endpoint].slots = slots;
+  this->endpoint_count = std::max<EndpointIndex>(this->endpoint_count, endpoint + 1);
+}
+
+void GroupScheduler::SetPrimary(std::optional<EndpointIndex> endpoint) {
+  if (endpoint && *endpoint >= kMaximumEndpoints) {
+    throw EndpointIndexError(*endpoint);
+  }
+  this->primary = endpoint;
+}
+
+void GroupScheduler::Submit(const WorkItem& item, TimePoint now, SchedulerActions& actions) {
+  if (this->queues.Contains(item.id) || this->running.contains(item.id)) {
+    throw DuplicateWorkError(item.id);
+  }
+  this->NoteFloor(item);
+  EndpointSet eligible = item.eligible;
+  if (item.fallback != 0 && !this->CanMeet(item, eligible, now)) {
+    eligible |= item.fallback;
+  }
+  this->admission.CountArrived(item.rank, this->TargetOf(eligible));
+  if (this->settings.refuse_unmeetable && !this->CanMeet(item, eligible, now)) {
+    this->Refuse(item, eligible, RefusalReason::kWaitTooLong, now, actions);
+  } else if (!this->MakeRoom(item, now, actions)) {
+    this->Refuse(item, eligible, RefusalReason::kMemoryGuard, now, actions);
+  } else {
+    this->Admit(item, eligible, now);
+  }
+}
+
+void GroupScheduler::RunDue(TimePoint now, SchedulerActions& actions) {
+  if (this->settings.refuse_unmeetable) {
+    this->DropUnmeetable(now, actions);
+    this->ShedExcess(now, actions);
+  }
+  EndpointSet tried = 0;
+  while (const std::optional<EndpointIndex> endpoint = this->NextFreeEndpoint(tried)) {
+    if (!this->ServeAt(*endpoint, now, actions)) {
+      tried |= SetOf(*endpoint);
+    }
+  }
+}
+
+bool GroupScheduler::Withdraw(WorkId id) { return this->queues.Take(id).has_value(); }
+
+void GroupScheduler::Release(WorkId id, bool ran_to_end, TimePoint now) {
+  const auto found = this->running.find(id);
+  if (found == this->running.end()) {
+    throw UnknownWorkError(id);
+  }
+  const RunningWork work = found->second;
+  this->running.erase(found);
+  EndpointState& endpoint = this->endpoints[work.endpoint];
+  --endpoint.running;
+  const Duration slot_time = now - work.started;
+  if (ran_to_end) {
+    endpoint.service[static_cast<std::size_t>(work.rank)].Add(slot_time, now);
+  }
+  if (work.charged) {
+    this->policy->Correct(work.endpoint, work.rank, slot_time - work.expected_service);
+  }
+}
+
+PressureReport GroupScheduler::Report(TimePoint now) {
+  PressureReport report;
+  for (const Rank rank : kRanks) {
+    for (const TargetKind target : {TargetKind::kPrimary, TargetKind::kReplicas}) {
+      RankPressure& pressure = report.Of(rank, target);
+      pressure.admission_fraction = this->admission.NextFraction(rank, target);
+      pressure.estimated_wait = kLongestWait;
+      bool waits = false;
+      this->queues.VisitBacklogs(rank, [&](EndpointSet eligible, Duration /*backlog*/) {
+        if (this->TargetOf(eligible) == target) {
+          waits = true;
+          // The shortest of the waits: an entry VM is to refuse only what surely would be refused here.
+          pressure.estimated_wait = std::min(pressure.estimated_wait, this->EstimateWait(rank, eligible, now));
+          pressure.expected_service = this->FastestService(rank, eligible, now);
+        }
+      });
+      if (!waits) {
+        pressure.estimated_wait = Duration::zero();
+      }
+    }
+  }
+  return report;
+}
+
+Duration GroupScheduler::EstimateWait(Rank rank, EndpointSet eligible, TimePoint now) const {
+  return this->policy->EstimateWait(rank, this->LoadsFor(eligible, now));
+}
+
+TimePoint GroupScheduler::NextDue() const {
+  const QueuedWork* pressing = this->queues.MostPressing();
+  return pressing == nullptr || !this->settings.refuse_unmeetable ? kNever : pressing->latest_start;
+}
+
+std::size_t GroupScheduler::Waiting(Rank rank) const { return this->queues.Count(rank); }
+
+std::size_t GroupScheduler::Running(EndpointIndex endpoint) const { return this->endpoints.at(endpoint).running; }
+
+std::uint32_t GroupScheduler::Slots(EndpointIndex endpoint) const { return this->endpoints.at(endpoint).slots; }
+
+std::size_t GroupScheduler::WaitingBytes() const { return this->queues.Bytes(); }
+
+GroupScheduler::ResolvedSet GroupScheduler::Resolve(EndpointSet eligible) const {
+  ResolvedSet resolved;
+  if ((eligible & kPrimaryBit) != 0 && this->primary) {
+    eligible |= SetOf(*this->primary);
+  }
+  for (EndpointIndex index = 0; index < this->endpoint_count; ++index) {
+    if ((eligible & SetOf(index)) != 0 && this->endpoints[index].slots > 0) {
+      resolved.endpoints |= SetOf(index);
+      resolved.slots += this->endpoints[index].slots;
+    }
+  }
+  if (resolved.endpoints == 0) {
+    // Work waits for a new primary or the endpoint's return; its queue is bounded as if it were served.
+    resolved.slots = this->settings.assumed_primary_slots;
+  }
+  return resolved;
+}
+
+TargetKind GroupScheduler::TargetOf(EndpointSet eligible) const {
+  const EndpointSet of_primary = kPrimaryBit | (this->primary ? SetOf(*this->primary) : 0);
+  return (eligible & ~of_primary) == 0 ? TargetKind::kPrimary : TargetKind::kReplicas;
+}
+
+Duration GroupScheduler::MeanService(Rank rank, EndpointSet eligible, TimePoint now) const {
+  const ResolvedSet resolved = this->Resolve(eligible);
+  if (resolved.endpoints == 0) {
+    return this->settings.initial_service;
+  }
+  double nanoseconds = 0.0;
+  for (EndpointSet left = resolved.endpoints; left != 0; left &= left - 1) {
+    const EndpointState& endpoint = this->endpoints[static_cast<std::size_t>(std::countr_zero(left))];
+    const Duration expected = endpoint.service[static_cast<std::size_t>(rank)].Expected(now);
+    nanoseconds += static_cast<double>(expected.count()) * endpoint.slots;
+  }
+  return Duration(static_cast<Duration::rep>(nanoseconds / resolved.slots));
+}
+
+Duration GroupScheduler::FastestService(Rank rank, EndpointSet eligible, TimePoint now) const {
+  const ResolvedSet resolved = this->Resolve(eligible);
+  if (resolved.endpoints == 0) {
+    return this->settings.initial_service;
+  }
+  Duration fastest = Duration::max();
+  for (EndpointSet left = resolved.endpoints; left != 0; left &= left - 1) {
+    const EndpointState& endpoint = this->endpoints[static_cast<std::size_t>(std::countr_zero(left))];
+    fastest = std::min(fastest, endpoint.service[static_cast<std::size_t>(rank)].Expected(now));
+  }
+  return fastest;
+}
+
+RankLoads GroupScheduler::LoadsFor(EndpointSet eligible, TimePoint now) const {
+  const ResolvedSet own = this->Resolve(eligible);
+  RankLoads loads;
+  loads.slots = own.slots;
+  loads.floors = this->EffectiveFloors();
+  for (const Rank rank : kRanks) {
+    Duration& backlog = loads.backlogs[static_cast<std::size_t>(rank)];
+    this->queues.VisitBacklogs(rank, [&](EndpointSet other_eligible, Duration other_backlog) {
+      if (other_eligible == eligible) {
+        backlog += other_backlog;
+        return;
+      }
+      // Of another queue, the part that the shared endpoints are to serve.
+      const ResolvedSet other = this->Resolve(other_eligible);
+      const double shared = other.endpoints == 0 ? 0.0 : this->Resolve(other.endpoints & own.endpoints).slots;
+      if ((other.endpoints & own.endpoints) != 0) {
+        const double part = static_cast<double>(other_backlog.count()) * shared / other.slots;
+        backlog += Duration(static_cast<Duration::rep>(part));
+      }
+    });
+    for (EndpointSet left = own.endpoints; left != 0; left &= left - 1) {
+      const auto index = static_cast<EndpointIndex>(std::countr_zero(left));
+      loads.admitted_slots[static_cast<std::size_t>(rank)] += this->admission.AdmittedSlots(rank, index, now);
+    }
+  }
+  return loads;
+}
+
+RankFloors GroupScheduler::EffectiveFloors() const {
+  RankFloors effective{};
+  double sum = 0.0;
+  for (std::size_t lower = 1; lower < kRankCount; ++lower) {
+    effective[lower] = std::max(this->floors[lower], 0.0);
+    sum += effective[lower];
+  }
+  if (sum > kMaximumFloorSum) {
+    for (double& floor : effective) {
+      floor *= kMaximumFloorSum / sum;
+    }
+  }
+  return effective;
+}
+
+void GroupScheduler::NoteFloor(const WorkItem& item) {
+  double& floor = this->floors[static_cast<std::size_t>(item.rank)];
+  const double stated = std::clamp(item.floor, 0.0, 1.0);
+  floor = floor == kNoFloorYet ? stated : floor + (stated - floor) / kFloorSmoothing;
+}
+
+bool GroupScheduler::CanMeet(const WorkItem& item, EndpointSet eligible, TimePoint now) const {
+  const Duration wait = this->EstimateWait(item.rank, eligible, now);
+  return now + wait + this->FastestService(item.rank, eligible, now) <= item.deadline;
+}
+
+void GroupScheduler::Admit(const WorkItem& item, EndpointSet eligible, TimePoint now) {
+  const Duration expected = this->MeanService(item.rank, eligible, now);
+  const Duration fastest = this->FastestService(item.rank, eligible, now);
+  this->queues.Add({.item = item,
+                    .eligible = eligible,
+                    .expected_service = expected,
+                    .latest_start = item.deadline == kNever ? kNever : item.deadline - fastest});
+  const ResolvedSet resolved = this->Resolve(eligible);
+  for (EndpointSet left = resolved.endpoints; left != 0; left &= left - 1) {
+    const auto index = static_cast<EndpointIndex>(std::countr_zero(left));
+    const double part = static_cast<double>(expected.count()) * this->endpoints[index].slots / resolved.slots;
+    this->admission.CountAdmitted(item.rank, index, Duration(static_cast<Duration::rep>(part)), now);
+  }
+}
+
+bool GroupScheduler::MakeRoom(const WorkItem& item, TimePoint now, SchedulerActions& actions) {
+  for (std::size_t lowest = kRankCount - 1; lowest > static_cast<std::size_t>(item.rank); --lowest) {
+    while (this->queues.Bytes() + item.bytes > this->settings.memory_limit_bytes) {
+      const QueuedWork* last = this->queues.Last(kRanks[lowest]);
+      if (last == nullptr) {
+        break;
+      }
+      this->RefuseQueued(*last, RefusalReason::kShed, now, actions);
+    }
+  }
+  return this->queues.Bytes() + item.bytes <= this->settings.memory_limit_bytes;
+}
+
+void GroupScheduler::Refuse(const WorkItem& item, EndpointSet eligible, RefusalReason reason, TimePoint now,
+                            SchedulerActions& actions) {
+  this->admission.CountRefused(item.rank, this->TargetOf(eligible));
+  const Duration wait = std::max(this->EstimateWait(item.rank, eligible, now), kLeastRetryDelay);
+  actions.refusals.push_back({.id = item.id, .rank = item.rank, .reason = reason, .retry_at = now + wait});
+}
+
+void GroupScheduler::RefuseQueued(const QueuedWork& work, RefusalReason reason, TimePoint now,
+                                  SchedulerActions& actions) {
+  const std::optional<QueuedWork> taken = this->queues.Take(work.item.id);
+  this->Refuse(taken->item, taken->eligible, reason, now, actions);
+}
+
+void GroupScheduler::DropUnmeetable(TimePoint now, SchedulerActions& actions) {
+  const QueuedWork* pressing = this->queues.MostPressing();
+  while (pressing != nullptr && pressing->latest_start < now) {
+    this->RefuseQueued(*pressing, RefusalReason::kDeadlineUnmeetable, now, actions);
+    pressing = this->queues.MostPressing();
+  }
+}
+
+void GroupScheduler::ShedExcess(TimePoint now, SchedulerActions& actions) {
+  if (now < this->next_shed) {
+    return;
+  }
+  this->next_shed = now + kShedInterval;
+  for (std::size_t lowest = kRankCount; lowest-- > 0;) {
+    for (int shed = 0; shed < kMaximumShed; ++shed) {
+      const QueuedWork* excess = nullptr;
+      this->queues.VisitLast(kRanks[lowest], [&](const QueuedWork& last) {
+        excess = excess == nullptr && this->IsExcess(last, now) ? &last : excess;
+      });
+      if (excess == nullptr) {
+        break;
+      }
+      this->RefuseQueued(*excess, RefusalReason::kShed, now, actions);
+    }
+  }
+}
+
+bool GroupScheduler::IsExcess(const QueuedWork& work, TimePoint now) const {
+  RankLoads loads = this->LoadsFor(work.eligible, now);
+  // The statement doesn't wait for itself.
+  loads.backlogs[static_cast<std::size_t>(work.item.rank)] -= work.expected_service;
+  return work.latest_start != kNever && now + this->policy->EstimateWait(work.item.rank, loads) > work.latest_start;
+}
+
+std::optional<EndpointIndex> GroupScheduler::NextFreeEndpoint(EndpointSet tried) const {
+  std::optional<EndpointIndex> best;
+  std::uint32_t best_free = 0;
+  for (EndpointIndex index = 0; index < this->endpoint_count; ++index) {
+    const EndpointState& endpoint = this->endpoints[index];
+    if ((tried & SetOf(index)) != 0 || endpoint.running >= endpoint.slots) {
+      continue;
+    }
+    // The primary comes last, so that reads which may run at either go to a replica.
+    const std::uint32_t free = index == this->primary ? 0 : endpoint.slots - endpoint.running;
+    if (!best || free > best_free) {
+      best = index;
+      best_free = free;
+    }
+  }
+  return best;
+}
+
+bool GroupScheduler::ServeAt(EndpointIndex endpoint, TimePoint now, SchedulerActions& actions) {
+  const RankHeads heads = this->HeadsAt(endpoint, now);
+  const std::optional<Rank> rank = this->policy->Choose(endpoint, heads);
+  if (!rank) {
+    return false;
+  }
+  const QueuedWork* first = this->FirstAt(endpoint, *rank);
+  const TimePoint deadline = first->item.deadline;
+  if (this->settings.refuse_unmeetable && now + this->FastestService(*rank, first->eligible, now) > deadline) {
+    // The service has become slower since the admission.
+    this->RefuseQueued(*first, RefusalReason::kDeadlineUnmeetable, now, actions);
+    return true;
+  }
+  const QueuedWork work = *this->queues.Take(first->item.id);
+  const bool charged = this->policy->Charge(endpoint, *rank, heads, this->EffectiveFloors());
+  ++this->endpoints[endpoint].running;
+  this->running.emplace(work.item.id,
+                        RunningWork{.rank = *rank,
+                                    .endpoint = endpoint,
+                                    .started = now,
+                                    .expected_service = heads[static_cast<std::size_t>(*rank)].expected_service,
+                                    .charged = charged});
+  actions.dispatches.push_back({.id = work.item.id, .rank = *rank, .endpoint = endpoint});
+  return true;
+}
+
+const QueuedWork* GroupScheduler::FirstAt(EndpointIndex endpoint, Rank rank) const {
+  const EndpointSet as_primary = endpoint == this->primary ? kPrimaryBit : 0;
+  return this->queues.First(rank, SetOf(endpoint) | as_primary);
+}
+
+RankHeads GroupScheduler::HeadsAt(EndpointIndex endpoint, TimePoint now) const {
+  RankHeads heads;
+  for (const Rank rank : kRanks) {
+    if (const QueuedWork* first = this->FirstAt(endpoint, rank); first != nullptr) {
+      RankHead& head = heads[static_cast<std::size_t>(rank)];
+      head.waiting = true;
+      head.arrival = first->item.arrival;
+      head.expected_service = this->endpoints[endpoint].service[static_cast<std::size_t>(rank)].Expected(now);
+    }
+  }
+  return heads;
+}
+
+}  // namespace amaranthlane::scheduling
--- a/source/core/scheduling/group_scheduler.h
+++ b/source/core/scheduling/group_scheduler.h
@@ -72,26 +72,42 @@
     Rank rank = Rank::kNormal;
     EndpointIndex endpoint = 0;
     TimePoint started;
-    Duration charged = Duration::zero();
+    Duration expected_service = Duration::zero();
+    // The policy is to learn the real slot time.
+    bool charged = false;
   };
   struct EndpointState {
     std::uint32_t slots = 0;
     std::uint32_t running = 0;
     std::array<ServiceEstimate, kRankCount> service;
   };
+  // The endpoints of a set and their slots.
+  struct ResolvedSet {
+    EndpointSet endpoints = 0;
+    double slots = 0.0;
+  };
 
-  EndpointSet Resolve(EndpointSet eligible) const;
-  double SlotsOf(EndpointSet eligible) const;
-  Duration ExpectedService(Rank rank, EndpointSet eligible, TimePoint now) const;
+  ResolvedSet Resolve(EndpointSet eligible) const;
+  TargetKind TargetOf(EndpointSet eligible) const;
+  // The mean over the slots of the set, as the queue is served by all of them.
+  Duration MeanService(Rank rank, EndpointSet eligible, TimePoint now) const;
+  // That of the fastest endpoint of the set: what can't be met there can't be met at all.
+  Duration FastestService(Rank rank, EndpointSet eligible, TimePoint now) const;
   RankLoads LoadsFor(EndpointSet eligible, TimePoint now) const;
+  RankFloors EffectiveFloors() const;
+  void NoteFloor(const WorkItem& item);
   bool CanMeet(const WorkItem& item, EndpointSet eligible, TimePoint now) const;
-  bool IsIdle(EndpointSet eligible, Rank rank) const;
+  void Admit(const WorkItem& item, EndpointSet eligible, TimePoint now);
   bool MakeRoom(const WorkItem& item, TimePoint now, SchedulerActions& actions);
-  void Refuse(const WorkItem& item, RefusalReason reason, TimePoint now, SchedulerActions& actions);
+  void Refuse(const WorkItem& item, EndpointSet eligible, RefusalReason reason, TimePoint now,
+              SchedulerActions& actions);
+  void RefuseQueued(const QueuedWork& work, RefusalReason reason, TimePoint now, SchedulerActions& actions);
   void DropUnmeetable(TimePoint now, SchedulerActions& actions);
   void ShedExcess(TimePoint now, SchedulerActions& actions);
+  bool IsExcess(const QueuedWork& work, TimePoint now) const;
   std::optional<EndpointIndex> NextFreeEndpoint(EndpointSet tried) const;
-  bool DispatchAt(EndpointIndex endpoint, TimePoint now, SchedulerActions& actions);
+  bool ServeAt(EndpointIndex endpoint, TimePoint now, SchedulerActions& actions);
+  const QueuedWork* FirstAt(EndpointIndex endpoint, Rank rank) const;
   RankHeads HeadsAt(EndpointIndex endpoint, TimePoint now) const;
 
   SchedulerSettings settings;
@@ -99,9 +115,12 @@
   WorkQueues queues;
   AdmissionControl admission;
   std::array<EndpointState, kMaximumEndpoints> endpoints;
-  std::size_t endpoint_count = 0;
+  // One more than the highest index in use.
+  EndpointIndex endpoint_count = 0;
   std::optional<EndpointIndex> primary;
-  std::array<double, kRankCount> floors{};
+  // The moving mean of the floors that each rank's work states; negative before the first.
+  RankFloors floors;
+  TimePoint next_shed = TimePoint::min();
   std::unordered_map<WorkId, RunningWork> running;
 };
 
--- a/source/core/scheduling/rank_policy.h
+++ b/source/core/scheduling/rank_policy.h
@@ -2,6 +2,7 @@
 #define AMARANTHLANE_CORE_SCHEDULING_RANK_POLICY_H_
 
 #include <array>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -11,7 +12,10 @@
 // Strategies that choose the rank which gets the next free slot of an endpoint.
 namespace amaranthlane::scheduling {
 
-// The oldest waiting statement of one rank at one endpoint.
+// The share of slots that each rank keeps, indexed by rank.
+using RankFloors = std::array<double, kRankCount>;
+
+// The next statement of one rank at one endpoint.
 struct RankHead {
   bool waiting = false;
   TimePoint arrival;
@@ -20,18 +24,20 @@
 };
 using RankHeads = std::array<RankHead, kRankCount>;
 
-// What decides how long a statement of one rank will wait.
+// What decides how long a statement will wait.
 struct RankLoads {
   // The slot time that waits, by rank.
-  std::array<Duration, kRankCount> backlog{};
+  std::array<Duration, kRankCount> backlogs{};
   // The slot time admitted per unit of time, by rank, in slots.
   std::array<double, kRankCount> admitted_slots{};
-  // The share of slots that each rank keeps.
-  std::array<double, kRankCount> floors{};
+  RankFloors floors{};
   // The slots that the statement may use.
   double slots = 1.0;
 };
 
+// The longest wait that is estimated; it stands for a wait without end.
+inline constexpr Duration kLongestWait = std::chrono::hours(1);
+
 // The interface of the strategies. An object serves one group.
 class RankPolicy {
  public:
@@ -42,12 +48,12 @@
 
   // The rank that gets a free slot of `endpoint`; nothing if none has work waiting.
   virtual std::optional<Rank> Choose(EndpointIndex endpoint, const RankHeads& heads) const = 0;
-  // Accounts for a statement of `rank` that was given a slot of `endpoint`. `heads` are those before the dispatch.
-  virtual void Charge(EndpointIndex endpoint, Rank rank, const RankHeads& heads,
-                      const std::array<double, kRankCount>& floors);
-  // Accounts for the difference between the real and the expected slot time of a statement that has ended.
+  // Accounts for a statement of `rank` that was given a slot of `endpoint`. `heads` are those before the dispatch. True:
+  // Correct is to be called when the statement has ended.
+  virtual bool Charge(EndpointIndex endpoint, Rank rank, const RankHeads& heads, const RankFloors& floors);
+  // Accounts for the difference between the real and the expected slot time of a statement of `rank` that has ended.
   virtual void Correct(EndpointIndex endpoint, Rank rank, Duration difference);
-  // The time until a statement of `rank` that queues now gets its slot.
+  // The time until a statement of `rank` that queues now gets its slot, at most kLongestWait.
   virtual Duration EstimateWait(Rank rank, const RankLoads& loads) const = 0;
 };
 
@@ -57,7 +63,7 @@
   kFloors,
   // Urgent first, always. A baseline for measurements.
   kStrictPriority,
-  // Order of arrival, whatever the rank. A baseline for measurements.
+  // Order of arrival, whatever the rank. A baseline for measurements; it goes with QueueOrder::kArrival.
   kFirstCome,
 };
 std::string_view PolicyKindName(PolicyKind kind);
--- /dev/null
+++ b/source/core/scheduling/service_estimate.cc
@@ -0,0 +1,35 @@
+#include "core/scheduling/service_estimate.h"
+
+namespace amaranthlane::scheduling {
+
+namespace {
+
+// Each sample moves the mean by one part in this many.
+constexpr int kSmoothing = 8;
+// Without samples for so long, the estimate halves, and again after each such time.
+constexpr Duration kHalfLife = std::chrono::seconds(1);
+constexpr Duration::rep kMaximumHalvings = 40;
+
+}  // namespace
+
+void ServiceEstimate::Reset(Duration initial) {
+  this->mean = initial;
+  this->has_sample = false;
+}
+
+void ServiceEstimate::Add(Duration sample, TimePoint now) {
+  const Duration before = this->Expected(now);
+  this->mean = this->has_sample ? before + (sample - before) / kSmoothing : sample;
+  this->has_sample = true;
+  this->updated = now;
+}
+
+Duration ServiceEstimate::Expected(TimePoint now) const {
+  if (!this->has_sample || now - this->updated < kHalfLife) {
+    return this->mean;
+  }
+  const Duration::rep halvings = (now - this->updated) / kHalfLife;
+  return halvings < kMaximumHalvings ? this->mean / (Duration::rep{1} << halvings) : Duration::zero();
+}
+
+}  // namespace amaranthlane::scheduling
--- a/source/core/scheduling/work_item.h
+++ b/source/core/scheduling/work_item.h
@@ -54,6 +54,8 @@
   kShed,
   // The queue has reached its bound of memory.
   kMemoryGuard,
+  // At the entry VM: the group's leader asked for less work of that rank.
+  kBackPressure,
 };
 std::string_view RefusalReasonName(RefusalReason reason);
 
@@ -84,7 +86,12 @@
   }
 };
 
-// What a leader tells the entry VMs of its group's load, for one rank.
+// Where work may run, as far as an entry VM can tell: writes and reads of zero age go to the primary, other reads to the
+// replicas too.
+enum class TargetKind : std::uint8_t { kPrimary, kReplicas };
+inline constexpr std::size_t kTargetKindCount = 2;
+
+// What a leader tells the entry VMs of its group's load, for one rank and target.
 struct RankPressure {
   // The time that a statement admitted now would wait for its slot.
   Duration estimated_wait = Duration::zero();
@@ -94,9 +101,17 @@
   double admission_fraction = 1.0;
 };
 
-// The load of one group, indexed by rank.
+// The load of one group.
 struct PressureReport {
-  std::array<RankPressure, kRankCount> ranks;
+  // Indexed by rank, then by target.
+  std::array<std::array<RankPressure, kTargetKindCount>, kRankCount> pressures;
+
+  const RankPressure& Of(Rank rank, TargetKind target) const {
+    return this->pressures[static_cast<std::size_t>(rank)][static_cast<std::size_t>(target)];
+  }
+  RankPressure& Of(Rank rank, TargetKind target) {
+    return this->pressures[static_cast<std::size_t>(rank)][static_cast<std::size_t>(target)];
+  }
 };
 
 }  // namespace amaranthlane::scheduling
--- a/source/core/scheduling/work_queues.h
+++ b/source/core/scheduling/work_queues.h
@@ -4,7 +4,6 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <memory_resource>
 #include <optional>
@@ -24,38 +23,57 @@
   WorkItem item;
   // The endpoints whose queue it stands in.
   EndpointSet eligible = 0;
+  // The slot time that it is expected to take.
   Duration expected_service = Duration::zero();
+  // The last moment at which it can start and still meet its deadline.
+  TimePoint latest_start = kNever;
   // Rises with each statement.
   std::uint64_t sequence = 0;
 };
 
-// The waiting statements of one group: one ordered queue for each rank and set of eligible endpoints. The sets in use
-// are few (the primary, the replicas, all of them), so the queues of a rank are walked one by one.
+// The waiting statements of one group: one ordered queue for each rank and set of eligible endpoints. The sets in use are
+// few (the primary, the replicas, all of them), so the queues of a rank are walked one by one. Nodes come from a pool.
 class WorkQueues {
  public:
   explicit WorkQueues(QueueOrder order);
 
-  void Add(const WorkItem& item, EndpointSet eligible, Duration expected_service);
+  // Adds a statement; `work.sequence` is set here.
+  void Add(QueuedWork work);
   // Takes a statement out; nothing if it isn't queued.
   std::optional<QueuedWork> Take(WorkId id);
-  // The next statement of `rank` among the queues that share an endpoint with `endpoints`; null if there is none.
+  // The next statement of `rank` in the queues that share an endpoint with `endpoints`; null if there is none.
   const QueuedWork* First(Rank rank, EndpointSet endpoints) const;
-  // The newest statement of `rank` in the queues that share an endpoint with `endpoints`; null if there is none.
-  const QueuedWork* Newest(Rank rank, EndpointSet endpoints) const;
-  // The statement whose last moment to start comes first, and that moment; null if the queues are empty.
+  // The last statement of `rank` in the order of service, over all queues; null if there is none.
+  const QueuedWork* Last(Rank rank) const;
+  // The statement with the earliest latest start; null if the queues are empty.
   const QueuedWork* MostPressing() const;
-  // The last moment to start of MostPressing, by the service time expected on admission; kNever if the queues are
-  // empty.
-  TimePoint EarliestLatestStart() const;
-  // Calls `visit` with each set of endpoints that has statements of `rank` waiting, and their expected slot time.
-  void VisitBacklogs(Rank rank, const std::function<void(EndpointSet, Duration)>& visit) const;
+  // Calls visit(EndpointSet, Duration) with each set of endpoints that has statements of `rank` waiting, and the slot time
+  // that they are expected to take.
+  template <typename Visit>
+  void VisitBacklogs(Rank rank, Visit&& visit) const {
+    for (const Queue& queue : this->queues[static_cast<std::size_t>(rank)]) {
+      if (!queue.places.empty()) {
+        visit(queue.eligible, queue.backlog);
+      }
+    }
+  }
+
+  // Calls visit(const QueuedWork&) with the last statement in the order of service of each set of endpoints.
+  template <typename Visit>
+  void VisitLast(Rank rank, Visit&& visit) const {
+    for (const Queue& queue : this->queues[static_cast<std::size_t>(rank)]) {
+      if (!queue.places.empty()) {
+        visit(*queue.places.rbegin()->work);
+      }
+    }
+  }
 
   bool Contains(WorkId id) const;
   std::size_t Count(Rank rank) const;
   std::size_t Bytes() const;
 
  private:
-  // A place in one of the orders; `sequence` makes it unique.
+  // A place in an order; `sequence` makes it unique.
   struct Place {
     TimePoint time;
     std::uint64_t sequence = 0;
@@ -69,8 +87,7 @@
   struct Queue {
     EndpointSet eligible = 0;
     Duration backlog = Duration::zero();
-    Places serving;
-    Places arrivals;
+    Places places;
   };
 
   Queue& QueueFor(Rank rank, EndpointSet eligible);
