--- a/source/core/outcomes/forwarding_policy.h
+++ b/source/core/outcomes/forwarding_policy.h
@@ -12,8 +12,10 @@
 struct ForwardedRequest {
   Request request;
   std::uint32_t attempts = 0;
-  // An attempt was sent and isn't known to have been refused before running.
+  // An earlier attempt was sent and isn't known to have been refused before running.
   bool may_have_run = false;
+  // An attempt was sent and its end isn't known yet.
+  bool in_flight = false;
 };
 
 // What became of one attempt to pass the request on.
@@ -54,13 +56,15 @@
   // `seed` starts the generator of the backoff's jitter.
   explicit ForwardingPolicy(std::uint64_t seed);
 
-  // Whether the request may be sent at `now`. Counts the attempt if so; false: its deadline has passed.
+  // Whether the request may be sent at `now`. True: the attempt counts as sent from now on. False: its deadline has
+  // passed, or it may have run and mustn't be repeated.
   static bool MaySend(ForwardedRequest& forwarded, TimePoint now);
-  // Takes in the end of an attempt. kNotSent undoes the attempt's count as sent.
+  // Takes in the end of an attempt, or of the request.
   ForwardDecision Decide(ForwardedRequest& forwarded, ForwardEvent event, TimePoint now);
 
  private:
   ForwardDecision Again(const ForwardedRequest& forwarded, EndReason reason, TimePoint now);
+  ForwardDecision AgainIfRepeatable(ForwardedRequest& forwarded, EndReason reason, TimePoint now);
 
   std::mt19937_64 generator;
 };
--- /dev/null
+++ b/source/core/outcomes/outcome_errors.cc
@@ -0,0 +1,18 @@
+#include "core/outcomes/outcome_errors.h"
+
+#include <string>
+
+namespace amaranthlane::outcomes {
+
+MissingIdempotencyKeyError::MissingIdempotencyKeyError() : Error("a non-idempotent write needs an idempotency key") {}
+
+InvalidIdempotencyKeyError::InvalidIdempotencyKeyError()
+    : Error("the idempotency key is too long or holds other than visible ASCII characters") {}
+
+DuplicateRequestError::DuplicateRequestError(RequestId request)
+    : Error("request " + std::to_string(request) + " is open"), request(request) {}
+
+ConnectionInUseError::ConnectionInUseError(ConnectionId connection)
+    : Error("connection " + std::to_string(connection) + " runs another request"), connection(connection) {}
+
+}  // namespace amaranthlane::outcomes
--- a/source/core/outcomes/outcome_errors.h
+++ b/source/core/outcomes/outcome_errors.h
@@ -25,6 +25,13 @@
   RequestId request;
 };
 
+// A request was dispatched on a connection that still runs another one.
+class ConnectionInUseError : public Error {
+ public:
+  explicit ConnectionInUseError(ConnectionId connection);
+  ConnectionId connection;
+};
+
 }  // namespace amaranthlane::outcomes
 
 #endif  // AMARANTHLANE_CORE_OUTCOMES_OUTCOME_ERRORS_H_
--- a/source/core/outcomes/request.h
+++ b/source/core/outcomes/request.h
@@ -65,6 +65,13 @@
   EndpointRefusalReason reason = EndpointRefusalReason::kStaleTerm;
 };
 
+// What became of an answer or a refusal that an endpoint delivered.
+enum class DeliveryVerdict : std::uint8_t {
+  kAccepted,
+  // It belongs to no statement that runs on that connection. The connection is closed by an action.
+  kMismatched,
+};
+
 // Why a request ended as it did.
 enum class EndReason : std::uint8_t {
   kAnswered,
@@ -110,7 +117,8 @@
   bool ran_to_end = false;
 };
 
-// Watch the replicas until one has reached the position, then report it by ReplicationReached.
+// Watch the replicas until one has reached the position, then report it by ReplicationReached; at once if one has
+// already.
 struct AwaitReplication {
   RequestId request = 0;
   LogPosition position;
--- /dev/null
+++ b/source/core/outcomes/request_table.cc
@@ -0,0 +1,301 @@
+#include "core/outcomes/request_table.h"
+
+#include <algorithm>
+
+#include "core/outcomes/outcome_errors.h"
+#include "core/outcomes/retry_rule.h"
+
+namespace amaranthlane::outcomes {
+
+RequestTable::RequestTable(const RequestTableSettings& settings, std::uint64_t seed)
+    : settings(settings), generator(seed) {}
+
+void RequestTable::Open(const Request& request) {
+  const auto [place, inserted] = this->entries.try_emplace(request.id);
+  if (!inserted) {
+    throw DuplicateRequestError(request.id);
+  }
+  place->second.request = request;
+  this->SetDue(place->second, request.deadline);
+}
+
+void RequestTable::SetLeadershipValidUntil(TimePoint until) { this->leadership_valid_until = until; }
+
+void RequestTable::TermMoved(Term term, TimePoint now, Actions& actions) {
+  if (term <= this->term) {
+    return;
+  }
+  this->term = term;
+  for (const RequestId id : this->AllIds()) {
+    Entry& entry = *this->Find(id);
+    if (entry.state == State::kSent) {
+      actions.push_back(CloseConnection{.connection = entry.connection});
+      this->LoseAttempt(entry, EndReason::kTermMoved, now, actions);
+    } else if (entry.state == State::kAwaitingReplication) {
+      // The new primary may or may not have the commit.
+      entry.may_have_run = true;
+      this->awaited.erase({.offset = entry.position.offset, .request = id});
+      this->RepeatOrEnd(entry, EndReason::kTermMoved, now, actions);
+    }
+  }
+}
+
+bool RequestTable::Dispatch(RequestId request, ConnectionId connection, TimePoint now, Actions& actions) {
+  Entry* entry = this->Find(request);
+  if (entry == nullptr || entry->state != State::kQueued) {
+    return false;
+  }
+  if (now >= entry->request.deadline) {
+    this->Abandon(*entry, EndReason::kDeadlinePassed, actions);
+    return false;
+  }
+  if (!this->LeadershipValid(now)) {
+    this->Abandon(*entry, EndReason::kLeadershipLost, actions);
+    return false;
+  }
+  if (!this->connections.try_emplace(connection, request).second) {
+    throw ConnectionInUseError(connection);
+  }
+  entry->state = State::kSent;
+  entry->connection = connection;
+  ++entry->attempts;
+  entry->sent_term = this->term;
+  entry->progress_deadline = now + this->settings.progress_limit;
+  this->SetDue(*entry, std::min(entry->request.deadline, entry->progress_deadline));
+  return true;
+}
+
+void RequestTable::NotSent(RequestId request, TimePoint now, Actions& actions) {
+  Entry* entry = this->Find(request);
+  if (entry != nullptr && entry->state == State::kQueued) {
+    ++entry->attempts;
+    this->ReturnToQueue(*entry, /*fresh_connection=*/false, EndReason::kConnectionLost, now, actions);
+  }
+}
+
+void RequestTable::Refused(RequestId request, EndReason reason, TimePoint /*now*/, Actions& actions) {
+  Entry* entry = this->Find(request);
+  if (entry != nullptr && entry->state == State::kQueued) {
+    this->End(*entry, entry->may_have_run ? Outcome::kUnknown : Outcome::kNotRun, reason, actions);
+  }
+}
+
+DeliveryVerdict RequestTable::Answered(const EndpointAnswer& answer, TimePoint now, Actions& actions) {
+  Entry* entry = this->FindSent(answer.connection, answer.request);
+  if (entry == nullptr) {
+    return this->Mismatch(answer.connection, now, actions);
+  }
+  this->LeaveConnection(*entry, /*ran_to_end=*/true, actions);
+  entry->position = answer.position;
+  entry->replayed = answer.replayed;
+  if (answer.term != entry->sent_term) {
+    entry->may_have_run = true;
+    this->RepeatOrEnd(*entry, EndReason::kTermMoved, now, actions);
+    return DeliveryVerdict::kAccepted;
+  }
+  const Request& request = entry->request;
+  const bool await_replica =
+      request.mode == StatementMode::kWrite && request.obligation.acknowledgement == AcknowledgementLevel::kReplicated;
+  if (await_replica && !entry->caller_gone && this->LeadershipValid(now)) {
+    entry->state = State::kAwaitingReplication;
+    this->awaited.insert({.offset = answer.position.offset, .request = request.id});
+    this->SetDue(*entry, request.deadline);
+    actions.push_back(AwaitReplication{.request = request.id, .position = answer.position});
+  } else {
+    this->Acknowledge(*entry, now, actions);
+  }
+  return DeliveryVerdict::kAccepted;
+}
+
+DeliveryVerdict RequestTable::RefusedByEndpoint(const EndpointRefusal& refusal, TimePoint now, Actions& actions) {
+  Entry* entry = this->FindSent(refusal.connection, refusal.request);
+  if (entry == nullptr) {
+    return this->Mismatch(refusal.connection, now, actions);
+  }
+  this->LeaveConnection(*entry, /*ran_to_end=*/false, actions);
+  entry->state = State::kQueued;
+  // The refusal speaks for this attempt only; an earlier one may still run.
+  const Outcome outcome = entry->may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
+  if (refusal.reason == EndpointRefusalReason::kKeyConflict) {
+    this->End(*entry, outcome, EndReason::kKeyConflict, actions);
+  } else if (refusal.reason == EndpointRefusalReason::kInvalidStatement) {
+    this->End(*entry, outcome, EndReason::kInvalidStatement, actions);
+  } else {
+    this->ReturnToQueue(*entry, /*fresh_connection=*/false, EndReason::kRefusedByEndpoint, now, actions);
+  }
+  return DeliveryVerdict::kAccepted;
+}
+
+void RequestTable::ConnectionLost(ConnectionId connection, TimePoint now, Actions& actions) {
+  const auto found = this->connections.find(connection);
+  if (found != this->connections.end()) {
+    this->LoseAttempt(*this->Find(found->second), EndReason::kConnectionLost, now, actions);
+  }
+}
+
+void RequestTable::ReplicationReached(Term synced_term, std::uint64_t offset, TimePoint now, Actions& actions) {
+  if (synced_term != this->term) {
+    return;
+  }
+  while (!this->awaited.empty() && this->awaited.begin()->offset <= offset) {
+    Entry& entry = *this->Find(this->awaited.begin()->request);
+    this->awaited.erase(this->awaited.begin());
+    this->Acknowledge(entry, now, actions);
+  }
+}
+
+void RequestTable::CallerGone(RequestId request, TimePoint /*now*/, Actions& actions) {
+  Entry* entry = this->Find(request);
+  if (entry == nullptr) {
+    return;
+  }
+  entry->caller_gone = true;
+  if (entry->state != State::kSent) {
+    this->Abandon(*entry, EndReason::kCallerGone, actions);
+  }
+}
+
+void RequestTable::LeadershipEnded(TimePoint /*now*/, Actions& actions) {
+  this->leadership_valid_until = TimePoint::min();
+  for (const RequestId id : this->AllIds()) {
+    this->Abandon(*this->Find(id), EndReason::kLeadershipLost, actions);
+  }
+}
+
+void RequestTable::Shutdown(TimePoint /*now*/, Actions& actions) {
+  for (const RequestId id : this->AllIds()) {
+    this->Abandon(*this->Find(id), EndReason::kShutdown, actions);
+  }
+}
+
+void RequestTable::Tick(TimePoint now, Actions& actions) {
+  while (!this->due_times.empty() && this->due_times.begin()->time <= now) {
+    this->PassDue(*this->Find(this->due_times.begin()->request), now, actions);
+  }
+}
+
+TimePoint RequestTable::NextDeadline() const {
+  return this->due_times.empty() ? kNever : this->due_times.begin()->time;
+}
+
+std::size_t RequestTable::OpenRequests() const { return this->entries.size(); }
+
+RequestTable::Entry* RequestTable::Find(RequestId request) {
+  const auto found = this->entries.find(request);
+  return found == this->entries.end() ? nullptr : &found->second;
+}
+
+RequestTable::Entry* RequestTable::FindSent(ConnectionId connection, RequestId request) {
+  const auto found = this->connections.find(connection);
+  return found == this->connections.end() || found->second != request ? nullptr : this->Find(request);
+}
+
+DeliveryVerdict RequestTable::Mismatch(ConnectionId connection, TimePoint now, Actions& actions) {
+  actions.push_back(CloseConnection{.connection = connection});
+  this->ConnectionLost(connection, now, actions);
+  return DeliveryVerdict::kMismatched;
+}
+
+bool RequestTable::LeadershipValid(TimePoint now) const { return now < this->leadership_valid_until; }
+
+void RequestTable::SetDue(Entry& entry, TimePoint due) {
+  this->due_times.erase({.time = entry.due, .request = entry.request.id});
+  entry.due = due;
+  this->due_times.insert({.time = due, .request = entry.request.id});
+}
+
+void RequestTable::LeaveConnection(Entry& entry, bool ran_to_end, Actions& actions) {
+  this->connections.erase(entry.connection);
+  actions.push_back(
+      ReleaseAttempt{.request = entry.request.id, .connection = entry.connection, .ran_to_end = ran_to_end});
+}
+
+void RequestTable::Acknowledge(Entry& entry, TimePoint now, Actions& actions) {
+  if (this->LeadershipValid(now)) {
+    this->End(entry, Outcome::kDone, EndReason::kAnswered, actions);
+  } else {
+    this->End(entry, Outcome::kUnknown, EndReason::kLeadershipLost, actions);
+  }
+}
+
+void RequestTable::ReturnToQueue(Entry& entry, bool fresh_connection, EndReason reason, TimePoint now,
+                                 Actions& actions) {
+  const TimePoint not_before = now + BackoffDelay(entry.attempts, this->generator);
+  const bool leads = this->LeadershipValid(now);
+  if (!leads || not_before >= entry.request.deadline || entry.caller_gone) {
+    const Outcome outcome = entry.may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
+    this->End(entry, outcome, leads ? reason : EndReason::kLeadershipLost, actions);
+    return;
+  }
+  entry.state = State::kQueued;
+  this->SetDue(entry, entry.request.deadline);
+  actions.push_back(Requeue{.request = entry.request.id,
+                            .not_before = not_before,
+                            .settling = entry.may_have_run && entry.request.mode == StatementMode::kWrite,
+                            .fresh_connection = fresh_connection});
+}
+
+void RequestTable::RepeatOrEnd(Entry& entry, EndReason reason, TimePoint now, Actions& actions) {
+  if (MayRepeat(entry.request)) {
+    this->ReturnToQueue(entry, /*fresh_connection=*/true, reason, now, actions);
+  } else {
+    this->End(entry, Outcome::kUnknown, reason, actions);
+  }
+}
+
+void RequestTable::LoseAttempt(Entry& entry, EndReason reason, TimePoint now, Actions& actions) {
+  entry.may_have_run = true;
+  this->LeaveConnection(entry, /*ran_to_end=*/false, actions);
+  this->RepeatOrEnd(entry, reason, now, actions);
+}
+
+void RequestTable::End(Entry& entry, Outcome outcome, EndReason reason, Actions& actions) {
+  if (!entry.caller_gone) {
+    actions.push_back(AnswerCaller{.request = entry.request.id,
+                                   .outcome = outcome,
+                                   .reason = reason,
+                                   .position = entry.position,
+                                   .replayed = entry.replayed});
+  }
+  this->due_times.erase({.time = entry.due, .request = entry.request.id});
+  this->entries.erase(entry.request.id);
+}
+
+void RequestTable::Abandon(Entry& entry, EndReason reason, Actions& actions) {
+  Outcome outcome = Outcome::kUnknown;
+  switch (entry.state) {
+    case State::kQueued:
+      actions.push_back(WithdrawQueued{.request = entry.request.id});
+      outcome = entry.may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
+      break;
+    case State::kSent:
+      actions.push_back(CloseConnection{.connection = entry.connection});
+      this->LeaveConnection(entry, /*ran_to_end=*/false, actions);
+      break;
+    case State::kAwaitingReplication:
+      this->awaited.erase({.offset = entry.position.offset, .request = entry.request.id});
+      break;
+  }
+  this->End(entry, outcome, reason, actions);
+}
+
+void RequestTable::PassDue(Entry& entry, TimePoint now, Actions& actions) {
+  if (now >= entry.request.deadline) {
+    this->Abandon(entry, EndReason::kDeadlinePassed, actions);
+  } else {
+    // The connection is silent: whatever it still delivers mustn't count.
+    actions.push_back(CloseConnection{.connection = entry.connection});
+    this->LoseAttempt(entry, EndReason::kConnectionLost, now, actions);
+  }
+}
+
+std::vector<RequestId> RequestTable::AllIds() const {
+  std::vector<RequestId> ids;
+  ids.reserve(this->entries.size());
+  for (const auto& [id, entry] : this->entries) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+}  // namespace amaranthlane::outcomes
--- a/source/core/outcomes/request_table.h
+++ b/source/core/outcomes/request_table.h
@@ -19,13 +19,6 @@
   Duration progress_limit = std::chrono::seconds(1);
 };
 
-// What became of an answer or a refusal that an endpoint delivered.
-enum class DeliveryVerdict : std::uint8_t {
-  kAccepted,
-  // It belongs to no statement that runs on that connection. The connection is closed by an action.
-  kMismatched,
-};
-
 // The open requests of one group at its leader: decides after each event whether a request is sent, sent again, or
 // ended, and what its caller may be told. Every call takes O(log n) for n open requests, except TermMoved,
 // LeadershipEnded and Shutdown, which walk them all.
@@ -37,25 +30,27 @@
   // `seed` starts the generator of the backoff's jitter.
   RequestTable(const RequestTableSettings& settings, std::uint64_t seed);
 
-  // Adds a request as queued. Throws DuplicateRequestError, and MissingIdempotencyKeyError for a non-idempotent write
-  // without a key.
+  // Adds a request as queued. Throws DuplicateRequestError.
   void Open(const Request& request);
   // The moment until which this VM may act as the group's leader; later actions on it are withheld.
   void SetLeadershipValidUntil(TimePoint until);
-  // The group's term. A higher one than before resends or ends what was sent under the old one.
+  // The group's term, to be set before the first dispatch. A higher one than before resends or ends what was sent under
+  // the old one; a lower one changes nothing.
   void TermMoved(Term term, TimePoint now, Actions& actions);
 
-  // The scheduler gave the request a slot and `connection` is about to carry it. False: don't send it; if the request
-  // had not ended before, the reason was answered by an action. The caller then frees slot and connection unused.
+  // The request has its slot and `connection` is about to carry it. False: don't send it; if it hadn't ended before, it
+  // has by an action now. Slot and connection are then free, unused. Throws ConnectionInUseError.
   bool Dispatch(RequestId request, ConnectionId connection, TimePoint now, Actions& actions);
-  // The scheduler refused the request, or no connection could be had for it: it wasn't sent this time.
+  // The request had its slot, but no byte of it could be sent, e.g. since no connection could be had: queues it again.
+  void NotSent(RequestId request, TimePoint now, Actions& actions);
+  // The scheduler refused the queued request: ends it.
   void Refused(RequestId request, EndReason reason, TimePoint now, Actions& actions);
   DeliveryVerdict Answered(const EndpointAnswer& answer, TimePoint now, Actions& actions);
   DeliveryVerdict RefusedByEndpoint(const EndpointRefusal& refusal, TimePoint now, Actions& actions);
   // The connection broke, or its answer was cut short. Whatever ran on it may have run.
   void ConnectionLost(ConnectionId connection, TimePoint now, Actions& actions);
-  // A replica has reached `position` under the group's term.
-  void ReplicationReached(const LogPosition& position, TimePoint now, Actions& actions);
+  // A replica that matched its primary's log under `synced_term` has applied it up to `offset`.
+  void ReplicationReached(Term synced_term, std::uint64_t offset, TimePoint now, Actions& actions);
   // The caller's connection closed. Queued work is withdrawn; what was sent goes on unobserved and keeps its slot.
   void CallerGone(RequestId request, TimePoint now, Actions& actions);
   // This VM is no longer the leader: ends every request; nothing is acknowledged.
@@ -76,13 +71,14 @@
     State state = State::kQueued;
     ConnectionId connection = 0;
     std::uint32_t attempts = 0;
-    // An earlier attempt was sent and isn't known to have been refused.
+    // An earlier attempt was sent and isn't known to have been refused before running.
     bool may_have_run = false;
     bool caller_gone = false;
     Term sent_term = 0;
     LogPosition position;
     bool replayed = false;
     TimePoint progress_deadline = kNever;
+    // The next deadline, as it stands in due_times.
     TimePoint due = kNever;
   };
   struct DueTime {
@@ -90,23 +86,29 @@
     RequestId request = 0;
     auto operator<=>(const DueTime&) const = default;
   };
-  struct AwaitedPosition {
-    LogPosition position;
+  struct AwaitedOffset {
+    std::uint64_t offset = 0;
     RequestId request = 0;
-    auto operator<=>(const AwaitedPosition&) const = default;
+    auto operator<=>(const AwaitedOffset&) const = default;
   };
 
   Entry* Find(RequestId request);
+  // The entry whose attempt runs on the connection; null if it isn't that request's.
   Entry* FindSent(ConnectionId connection, RequestId request);
+  DeliveryVerdict Mismatch(ConnectionId connection, TimePoint now, Actions& actions);
+  bool LeadershipValid(TimePoint now) const;
   void SetDue(Entry& entry, TimePoint due);
-  void LeaveState(Entry& entry);
-  void ReturnToQueue(Entry& entry, bool fresh_connection, TimePoint now, Actions& actions);
+  // Takes the entry off its connection and frees the slot.
+  void LeaveConnection(Entry& entry, bool ran_to_end, Actions& actions);
+  void Acknowledge(Entry& entry, TimePoint now, Actions& actions);
+  void ReturnToQueue(Entry& entry, bool fresh_connection, EndReason reason, TimePoint now, Actions& actions);
   void RepeatOrEnd(Entry& entry, EndReason reason, TimePoint now, Actions& actions);
   void LoseAttempt(Entry& entry, EndReason reason, TimePoint now, Actions& actions);
   void End(Entry& entry, Outcome outcome, EndReason reason, Actions& actions);
-  void EndUnanswered(Entry& entry, EndReason reason, Actions& actions);
-  void EndAll(EndReason reason, Actions& actions);
+  // Ends an entry in any state, with the outcome that follows from what was sent.
+  void Abandon(Entry& entry, EndReason reason, Actions& actions);
   void PassDue(Entry& entry, TimePoint now, Actions& actions);
+  std::vector<RequestId> AllIds() const;
 
   RequestTableSettings settings;
   std::mt19937_64 generator;
@@ -115,7 +117,7 @@
   std::unordered_map<RequestId, Entry> entries;
   std::unordered_map<ConnectionId, RequestId> connections;
   std::set<DueTime> due_times;
-  std::set<AwaitedPosition> awaited;
+  std::set<AwaitedOffset> awaited;
 };
 
 }  // namespace amaranthlane::outcomes
--- a/source/core/scheduling/entry_admission.cc
+++ b/source/core/scheduling/entry_admission.cc
@@ -27,8 +27,7 @@
 }
 
 std::optional<EntryRefusal> EntryAdmission::Check(const GroupName& group, Rank rank, TargetKind target,
-                                                  TimePoint deadline, TimePoint now,
-                                                  std::mt19937_64& generator) const {
+                                                  TimePoint deadline, TimePoint now, std::mt19937_64& generator) const {
   const auto found = this->reports.find(group);
   if (found == this->reports.end()) {
     return std::nullopt;
--- a/source/core/scheduling/entry_admission.h
+++ b/source/core/scheduling/entry_admission.h
@@ -22,8 +22,8 @@
   // Takes in the report of `group`, received at `now`.
   void Receive(const GroupName& group, const PressureReport& report, TimePoint now);
   // Refuses a request that its group's leader would refuse. Nothing: pass it on. `generator` draws for the fractions.
-  std::optional<EntryRefusal> Check(const GroupName& group, Rank rank, TargetKind target, TimePoint deadline, TimePoint now,
-                                    std::mt19937_64& generator) const;
+  std::optional<EntryRefusal> Check(const GroupName& group, Rank rank, TargetKind target, TimePoint deadline,
+                                    TimePoint now, std::mt19937_64& generator) const;
   // Forgets a group, e.g. when its leader has changed.
   void Forget(const GroupName& group);
 
--- a/source/core/scheduling/floor_policy.h
+++ b/source/core/scheduling/floor_policy.h
@@ -8,7 +8,8 @@
 
 namespace amaranthlane::scheduling {
 
-// The greatest share of slots that the floors of all ranks together keep from urgent work; greater ones are scaled down.
+// The greatest share of slots that the floors of all ranks together keep from urgent work; greater ones are scaled
+// down.
 inline constexpr double kMaximumFloorSum = 0.8;
 
 // The highest rank that has work waiting.
@@ -19,8 +20,9 @@
 Duration EstimatePriorityWait(Rank rank, const RankLoads& loads, double slots);
 
 // Serves urgent work first, except that each lower rank earns credit, endpoint by endpoint, while it waits and a higher
-// rank waits too: its floor times the slot time handed out. Once the credit covers its next statement, that statement goes
-// first. Credit is counted in slot time and not in statements, so that long statements can't take more than the floor.
+// rank waits too: its floor times the slot time handed out. Once the credit covers its next statement, that statement
+// goes first. Credit is counted in slot time and not in statements, so that long statements can't take more than the
+// floor.
 class FloorPolicy : public RankPolicy {
  public:
   std::optional<Rank> Choose(EndpointIndex endpoint, const RankHeads& heads) const override;
--- a/source/core/scheduling/rank_policy.h
+++ b/source/core/scheduling/rank_policy.h
@@ -48,8 +48,8 @@
 
   // The rank that gets a free slot of `endpoint`; nothing if none has work waiting.
   virtual std::optional<Rank> Choose(EndpointIndex endpoint, const RankHeads& heads) const = 0;
-  // Accounts for a statement of `rank` that was given a slot of `endpoint`. `heads` are those before the dispatch. True:
-  // Correct is to be called when the statement has ended.
+  // Accounts for a statement of `rank` that was given a slot of `endpoint`. `heads` are those before the dispatch.
+  // True: Correct is to be called when the statement has ended.
   virtual bool Charge(EndpointIndex endpoint, Rank rank, const RankHeads& heads, const RankFloors& floors);
   // Accounts for the difference between the real and the expected slot time of a statement of `rank` that has ended.
   virtual void Correct(EndpointIndex endpoint, Rank rank, Duration difference);
--- a/source/core/scheduling/scheduling_errors.cc
+++ b/source/core/scheduling/scheduling_errors.cc
@@ -4,7 +4,8 @@
 
 namespace amaranthlane::scheduling {
 
-DuplicateWorkError::DuplicateWorkError(WorkId id) : Error("work " + std::to_string(id) + " is queued or runs"), id(id) {}
+DuplicateWorkError::DuplicateWorkError(WorkId id)
+    : Error("work " + std::to_string(id) + " is queued or runs"), id(id) {}
 
 UnknownWorkError::UnknownWorkError(WorkId id) : Error("work " + std::to_string(id) + " doesn't run"), id(id) {}
 
--- a/source/core/scheduling/work_item.h
+++ b/source/core/scheduling/work_item.h
@@ -86,8 +86,8 @@
   }
 };
 
-// Where work may run, as far as an entry VM can tell: writes and reads of zero age go to the primary, other reads to the
-// replicas too.
+// Where work may run, as far as an entry VM can tell: writes and reads of zero age go to the primary, other reads to
+// the replicas too.
 enum class TargetKind : std::uint8_t { kPrimary, kReplicas };
 inline constexpr std::size_t kTargetKindCount = 2;
 
--- a/source/core/scheduling/work_queues.h
+++ b/source/core/scheduling/work_queues.h
@@ -31,8 +31,9 @@
   std::uint64_t sequence = 0;
 };
 
-// The waiting statements of one group: one ordered queue for each rank and set of eligible endpoints. The sets in use are
-// few (the primary, the replicas, all of them), so the queues of a rank are walked one by one. Nodes come from a pool.
+// The waiting statements of one group: one ordered queue for each rank and set of eligible endpoints. The sets in use
+// are few (the primary, the replicas, all of them), so the queues of a rank are walked one by one. Nodes come from a
+// pool.
 class WorkQueues {
  public:
   explicit WorkQueues(QueueOrder order);
@@ -47,8 +48,8 @@
   const QueuedWork* Last(Rank rank) const;
   // The statement with the earliest latest start; null if the queues are empty.
   const QueuedWork* MostPressing() const;
-  // Calls visit(EndpointSet, Duration) with each set of endpoints that has statements of `rank` waiting, and the slot time
-  // that they are expected to take.
+  // Calls visit(EndpointSet, Duration) with each set of endpoints that has statements of `rank` waiting, and the slot
+  // time that they are expected to take.
   template <typename Visit>
   void VisitBacklogs(Rank rank, Visit&& visit) const {
     for (const Queue& queue : this->queues[static_cast<std::size_t>(rank)]) {
--- /dev/null
+++ b/source/core/sessions/session_token.cc
@@ -0,0 +1,189 @@
+#include "core/sessions/session_token.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdint>
+
+#include "core/sessions/base64_url.h"
+#include "core/sessions/session_errors.h"
+
+// Layout of a token's bytes: version (1), number of groups (1), then for each group the length of its name (1), its
+// name, term and offset as base-128 numbers, lowest part first; at the end the XXH3 hash (8, lowest byte first) of all
+// before.
+namespace amaranthlane::sessions {
+
+namespace {
+
+constexpr std::uint8_t kVersion = 1;
+constexpr std::size_t kChecksumSize = 8;
+constexpr std::size_t kHeaderSize = 2;
+constexpr int kNumberBits = 7;
+constexpr std::uint8_t kNumberContinues = 0x80;
+constexpr int kBitsOfNumber = 64;
+// The longest text that can be a token; longer ones aren't decoded at all.
+constexpr std::size_t kMaximumBytes =
+    kHeaderSize + kMaximumTokenGroups * (1 + kMaximumGroupNameLength + 20) + kChecksumSize;
+constexpr std::size_t kMaximumText = (kMaximumBytes * 4 + 2) / 3;
+
+std::uint64_t Checksum(std::string_view bytes) { return XXH3_64bits(bytes.data(), bytes.size()); }
+
+void AppendNumber(std::uint64_t number, std::string& bytes) {
+  while (number >= kNumberContinues) {
+    bytes.push_back(static_cast<char>(number | kNumberContinues));
+    number >>= kNumberBits;
+  }
+  bytes.push_back(static_cast<char>(number));
+}
+
+// Reads the content of a token from its front.
+class ContentReader {
+ public:
+  explicit ContentReader(std::string_view content) : rest(content) {}
+
+  std::uint8_t Byte() { return static_cast<std::uint8_t>(this->Bytes(1).front()); }
+
+  std::string_view Bytes(std::size_t count) {
+    if (count > this->rest.size()) {
+      throw TokenFormatError();
+    }
+    const std::string_view bytes = this->rest.substr(0, count);
+    this->rest.remove_prefix(count);
+    return bytes;
+  }
+
+  std::uint64_t Number() {
+    std::uint64_t number = 0;
+    for (int shift = 0; shift < kBitsOfNumber; shift += kNumberBits) {
+      const std::uint8_t byte = this->Byte();
+      const std::uint64_t part = byte & (kNumberContinues - 1U);
+      if ((part << shift) >> shift != part) {
+        throw TokenFormatError();
+      }
+      number |= part << shift;
+      if ((byte & kNumberContinues) == 0) {
+        return number;
+      }
+    }
+    throw TokenFormatError();
+  }
+
+  bool AtEnd() const { return this->rest.empty(); }
+
+ private:
+  std::string_view rest;
+};
+
+std::uint64_t ReadChecksum(std::string_view bytes) {
+  std::uint64_t checksum = 0;
+  for (std::size_t index = kChecksumSize; index-- > 0;) {
+    checksum = (checksum << 8) | static_cast<std::uint8_t>(bytes[index]);
+  }
+  return checksum;
+}
+
+// The content between the version and the checksum, after checking both.
+std::string_view CheckedContent(std::string_view bytes) {
+  if (bytes.size() < kHeaderSize + kChecksumSize) {
+    throw TokenFormatError();
+  }
+  const auto version = static_cast<std::uint8_t>(bytes.front());
+  if (version != kVersion) {
+    throw TokenVersionError(version);
+  }
+  const std::string_view covered = bytes.substr(0, bytes.size() - kChecksumSize);
+  if (Checksum(covered) != ReadChecksum(bytes.substr(covered.size()))) {
+    throw TokenChecksumError();
+  }
+  return covered.substr(1);
+}
+
+void CheckName(std::string_view group) {
+  if (group.empty() || group.size() > kMaximumGroupNameLength) {
+    throw TokenFormatError();
+  }
+}
+
+}  // namespace
+
+SessionToken SessionToken::Parse(std::string_view text) {
+  SessionToken token;
+  if (text.empty()) {
+    return token;
+  }
+  if (text.size() > kMaximumText) {
+    throw TokenFormatError();
+  }
+  const std::string bytes = DecodeBase64Url(text);
+  ContentReader reader(CheckedContent(bytes));
+  const std::size_t count = reader.Byte();
+  if (count > kMaximumTokenGroups) {
+    throw TokenFormatError();
+  }
+  for (std::size_t index = 0; index < count; ++index) {
+    const std::string_view group = reader.Bytes(reader.Byte());
+    CheckName(group);
+    if (token.PositionOf(group)) {
+      throw TokenFormatError();
+    }
+    const std::uint64_t term = reader.Number();
+    const std::uint64_t offset = reader.Number();
+    token.positions.push_back({.group = std::string(group), .position = {.term = term, .offset = offset}});
+  }
+  if (!reader.AtEnd()) {
+    throw TokenFormatError();
+  }
+  return token;
+}
+
+std::string SessionToken::Encode() const {
+  std::string bytes;
+  bytes.push_back(static_cast<char>(kVersion));
+  bytes.push_back(static_cast<char>(this->positions.size()));
+  for (const GroupPosition& seen : this->positions) {
+    bytes.push_back(static_cast<char>(seen.group.size()));
+    bytes += seen.group;
+    AppendNumber(seen.position.term, bytes);
+    AppendNumber(seen.position.offset, bytes);
+  }
+  std::uint64_t checksum = Checksum(bytes);
+  for (std::size_t index = 0; index < kChecksumSize; ++index) {
+    bytes.push_back(static_cast<char>(checksum & 0xff));
+    checksum >>= 8;
+  }
+  return EncodeBase64Url(bytes);
+}
+
+void SessionToken::Merge(std::string_view group, const LogPosition& position) {
+  CheckName(group);
+  GroupPosition merged{.group = std::string(group), .position = position};
+  const auto found = std::find_if(this->positions.begin(), this->positions.end(),
+                                  [&](const GroupPosition& seen) { return seen.group == group; });
+  if (found != this->positions.end()) {
+    merged.position = std::max(found->position, position);
+    this->positions.erase(found);
+  } else if (this->positions.size() == kMaximumTokenGroups) {
+    this->positions.erase(this->positions.begin());
+  }
+  this->positions.push_back(std::move(merged));
+}
+
+void SessionToken::Merge(const SessionToken& other) {
+  for (const GroupPosition& seen : other.positions) {
+    this->Merge(seen.group, seen.position);
+  }
+}
+
+std::optional<LogPosition> SessionToken::PositionOf(std::string_view group) const {
+  for (const GroupPosition& seen : this->positions) {
+    if (seen.group == group) {
+      return seen.position;
+    }
+  }
+  return std::nullopt;
+}
+
+const std::vector<GroupPosition>& SessionToken::Positions() const { return this->positions; }
+
+}  // namespace amaranthlane::sessions
--- a/source/core/transactions/transaction.h
+++ b/source/core/transactions/transaction.h
@@ -72,6 +72,8 @@
   kLeadershipLost,
   kTermMoved,
   kDrained,
+  // The scheduler refused the call; the transaction stays open.
+  kOverload,
   // The endpoint refused the call before running it, e.g. for a stale term.
   kRefusedByEndpoint,
 };
@@ -98,14 +100,17 @@
   ConnectionId connection = 0;
 };
 
-// Watch the replicas until one has reached the position of the commit, then report it by ReplicationReached.
+// Watch the replicas until one has reached the position of the commit, then report it by ReplicationReached; at once if
+// one has already.
 struct AwaitCommitReplication {
   TransactionId transaction;
   LogPosition position;
 };
 
-// Tell the caller the end of its call. For a statement kDone says that it ran in the transaction, and kNotRun that its
-// effects can't stand, because no commit was sent. For a commit it is the transaction's outcome.
+// Tell the caller the end of its call, and take the call out of the scheduler if it is still queued. For a statement
+// kDone says that it ran in the transaction, and kNotRun that its effects can't stand, because no commit was sent. For
+// a commit it is the transaction's outcome. A rollback is always kDone: without a commit nothing of the transaction can
+// stand.
 struct AnswerCall {
   TransactionId transaction;
   RequestId request = 0;
@@ -119,7 +124,11 @@
 // over another connection, then report it by CommitSettled.
 struct SettleCommit {
   TransactionId transaction;
-  std::string idempotency_key;
+  // The commit's call, whose key is asked for.
+  RequestId commit = 0;
+  // The term to ask under.
+  Term term = 0;
+  TimePoint not_before;
 };
 
 using TransactionAction = std::variant<SendCall, CloseTransactionConnection, ReturnConnection, AwaitCommitReplication,
--- /dev/null
+++ b/source/core/transactions/transaction_table.cc
@@ -0,0 +1,373 @@
+#include "core/transactions/transaction_table.h"
+
+#include <algorithm>
+
+#include "core/transactions/transaction_errors.h"
+
+namespace amaranthlane::transactions {
+
+using outcomes::DeliveryVerdict;
+using outcomes::EndpointAnswer;
+using outcomes::EndpointRefusal;
+
+namespace {
+
+// How often the outcome of a lost commit is asked for.
+constexpr Duration kSettleInterval = std::chrono::milliseconds(50);
+
+}  // namespace
+
+TransactionTable::TransactionTable(const TransactionTableSettings& settings) : settings(settings) {}
+
+void TransactionTable::Open(const NewTransaction& transaction, TimePoint now) {
+  if (this->drain_deadline != kNever) {
+    throw TransactionsDrainingError();
+  }
+  if (this->entries.size() >= this->settings.maximum_transactions) {
+    throw TooManyTransactionsError();
+  }
+  if (this->entries.contains(transaction.id) || this->connections.contains(transaction.connection)) {
+    throw TransactionInUseError();
+  }
+  Entry& entry = this->entries[transaction.id];
+  entry.transaction = transaction;
+  entry.total_deadline = now + this->settings.total_limit;
+  this->connections.emplace(transaction.connection, transaction.id);
+  this->BecomeIdle(entry, now);
+}
+
+void TransactionTable::Call(const TransactionCall& call, TimePoint /*now*/) {
+  Entry* entry = this->Find(call.transaction);
+  if (entry == nullptr || entry->transaction.owner != call.caller) {
+    throw TransactionNotFoundError();
+  }
+  if (entry->state != State::kIdle) {
+    throw TransactionBusyError();
+  }
+  entry->call = call;
+  this->Enter(*entry, State::kCallWaiting);
+}
+
+bool TransactionTable::StartCall(const TransactionId& transaction, RequestId request, TimePoint now,
+                                 TransactionActions& actions) {
+  Entry* entry = this->Find(transaction);
+  if (entry == nullptr || entry->state != State::kCallWaiting || entry->call.request != request) {
+    return false;
+  }
+  if (!this->LeadershipValid(now)) {
+    this->Break(*entry, TransactionEndReason::kLeadershipLost, now, actions);
+    return false;
+  }
+  if (now >= entry->due) {
+    this->PassDue(*entry, now, actions);
+    return false;
+  }
+  this->Enter(*entry, State::kCallSent);
+  actions.push_back(SendCall{.transaction = transaction,
+                             .request = request,
+                             .connection = entry->transaction.connection,
+                             .kind = entry->call.kind,
+                             .term = entry->transaction.term});
+  return true;
+}
+
+void TransactionTable::RefuseCall(const TransactionId& transaction, RequestId request, TimePoint now,
+                                  TransactionActions& actions) {
+  Entry* entry = this->Find(transaction);
+  if (entry != nullptr && entry->state == State::kCallWaiting && entry->call.request == request) {
+    this->AnswerCallOf(*entry, Outcome::kNotRun, TransactionEndReason::kOverload, actions);
+    this->BecomeIdle(*entry, now);
+  }
+}
+
+DeliveryVerdict TransactionTable::Answered(const EndpointAnswer& answer, TimePoint now, TransactionActions& actions) {
+  Entry* entry = this->FindSent(answer.connection, answer.request);
+  if (entry == nullptr) {
+    return this->Mismatch(answer.connection, now, actions);
+  }
+  if (answer.term != entry->transaction.term) {
+    this->Break(*entry, TransactionEndReason::kTermMoved, now, actions);
+    return DeliveryVerdict::kAccepted;
+  }
+  if (entry->call.kind == CallKind::kStatement) {
+    if (!this->LeadershipValid(now)) {
+      this->Break(*entry, TransactionEndReason::kLeadershipLost, now, actions);
+      return DeliveryVerdict::kAccepted;
+    }
+    entry->position = answer.position;
+    this->AnswerCallOf(*entry, Outcome::kDone, TransactionEndReason::kAnswered, actions);
+    this->BecomeIdle(*entry, now);
+    return DeliveryVerdict::kAccepted;
+  }
+  this->Return(*entry, actions);
+  if (entry->call.kind == CallKind::kRollback) {
+    this->End(*entry, Outcome::kDone, TransactionEndReason::kAnswered, actions);
+  } else {
+    this->FinishCommit(*entry, answer.position, now, actions);
+  }
+  return DeliveryVerdict::kAccepted;
+}
+
+DeliveryVerdict TransactionTable::RefusedByEndpoint(const EndpointRefusal& refusal, TimePoint now,
+                                                    TransactionActions& actions) {
+  Entry* entry = this->FindSent(refusal.connection, refusal.request);
+  if (entry == nullptr) {
+    return this->Mismatch(refusal.connection, now, actions);
+  }
+  // Not even a commit has run now, so that the transaction is as good as unsent.
+  this->Enter(*entry, State::kCallWaiting);
+  this->Break(*entry, TransactionEndReason::kRefusedByEndpoint, now, actions);
+  return DeliveryVerdict::kAccepted;
+}
+
+void TransactionTable::CommitSettled(const TransactionId& transaction, Term asked_term,
+                                     const std::optional<LogPosition>& position, TimePoint now,
+                                     TransactionActions& actions) {
+  Entry* entry = this->Find(transaction);
+  // A deposed primary may know a commit that its successor doesn't have.
+  if (entry == nullptr || entry->state != State::kSettling || asked_term != this->term) {
+    return;
+  }
+  if (position) {
+    this->FinishCommit(*entry, *position, now, actions);
+  } else {
+    this->SettleOrEnd(*entry, TransactionEndReason::kConnectionLost, now + kSettleInterval, now, actions);
+  }
+}
+
+void TransactionTable::ReplicationReached(Term synced_term, std::uint64_t offset, TimePoint now,
+                                          TransactionActions& actions) {
+  if (synced_term != this->term) {
+    return;
+  }
+  while (!this->awaited.empty() && this->awaited.begin()->offset <= offset) {
+    this->AcknowledgeCommit(*this->Find(this->awaited.begin()->transaction), now, actions);
+  }
+}
+
+void TransactionTable::ConnectionLost(ConnectionId connection, TimePoint now, TransactionActions& actions) {
+  if (Entry* entry = this->FindByConnection(connection); entry != nullptr) {
+    this->Break(*entry, TransactionEndReason::kConnectionLost, now, actions);
+  }
+}
+
+void TransactionTable::CallerGone(const std::string& owner, TimePoint now, TransactionActions& actions) {
+  for (const TransactionId& id : this->AllIds()) {
+    Entry& entry = *this->Find(id);
+    if (entry.transaction.owner == owner && !this->CommitSent(entry)) {
+      this->Break(entry, TransactionEndReason::kCallerGone, now, actions);
+    }
+  }
+}
+
+void TransactionTable::SetLeadershipValidUntil(TimePoint until) { this->leadership_valid_until = until; }
+
+void TransactionTable::LeadershipEnded(TimePoint now, TransactionActions& actions) {
+  this->leadership_valid_until = TimePoint::min();
+  this->BreakAll(TransactionEndReason::kLeadershipLost, now, actions);
+}
+
+void TransactionTable::TermMoved(Term term, TimePoint now, TransactionActions& actions) {
+  if (term > this->term) {
+    this->term = term;
+    this->BreakAll(TransactionEndReason::kTermMoved, now, actions);
+  }
+}
+
+void TransactionTable::Drain(TimePoint until, TimePoint now) {
+  this->drain_deadline = std::max(until, now);
+  for (const TransactionId& id : this->AllIds()) {
+    Entry& entry = *this->Find(id);
+    entry.total_deadline = std::min(entry.total_deadline, this->drain_deadline);
+    this->Enter(entry, entry.state);
+  }
+}
+
+void TransactionTable::Tick(TimePoint now, TransactionActions& actions) {
+  while (!this->due_times.empty() && this->due_times.begin()->time <= now) {
+    this->PassDue(*this->Find(this->due_times.begin()->transaction), now, actions);
+  }
+}
+
+TimePoint TransactionTable::NextDeadline() const {
+  return this->due_times.empty() ? kNever : this->due_times.begin()->time;
+}
+
+std::size_t TransactionTable::OpenTransactions() const { return this->entries.size(); }
+
+TransactionTable::Entry* TransactionTable::Find(const TransactionId& transaction) {
+  const auto found = this->entries.find(transaction);
+  return found == this->entries.end() ? nullptr : &found->second;
+}
+
+TransactionTable::Entry* TransactionTable::FindByConnection(ConnectionId connection) {
+  const auto found = this->connections.find(connection);
+  return found == this->connections.end() ? nullptr : this->Find(found->second);
+}
+
+TransactionTable::Entry* TransactionTable::FindSent(ConnectionId connection, RequestId request) {
+  Entry* entry = this->FindByConnection(connection);
+  const bool runs = entry != nullptr && entry->state == State::kCallSent && entry->call.request == request;
+  return runs ? entry : nullptr;
+}
+
+DeliveryVerdict TransactionTable::Mismatch(ConnectionId connection, TimePoint now, TransactionActions& actions) {
+  if (Entry* entry = this->FindByConnection(connection); entry != nullptr) {
+    this->Break(*entry, TransactionEndReason::kConnectionLost, now, actions);
+  } else {
+    actions.push_back(CloseTransactionConnection{.transaction = {}, .connection = connection});
+  }
+  return DeliveryVerdict::kMismatched;
+}
+
+bool TransactionTable::LeadershipValid(TimePoint now) const { return now < this->leadership_valid_until; }
+
+bool TransactionTable::CommitSent(const Entry& entry) const {
+  return !entry.connection_open || (entry.state == State::kCallSent && entry.call.kind == CallKind::kCommit);
+}
+
+void TransactionTable::Enter(Entry& entry, State state) {
+  entry.state = state;
+  TimePoint due = state == State::kIdle ? entry.idle_deadline : entry.call.deadline;
+  if (!this->CommitSent(entry)) {
+    due = std::min(due, entry.total_deadline);
+  }
+  this->due_times.erase({.time = entry.due, .transaction = entry.transaction.id});
+  entry.due = due;
+  this->due_times.insert({.time = due, .transaction = entry.transaction.id});
+}
+
+void TransactionTable::BecomeIdle(Entry& entry, TimePoint now) {
+  entry.idle_deadline = now + this->settings.idle_limit;
+  this->Enter(entry, State::kIdle);
+}
+
+void TransactionTable::AnswerCallOf(const Entry& entry, Outcome outcome, TransactionEndReason reason,
+                                    TransactionActions& actions) {
+  actions.push_back(AnswerCall{.transaction = entry.transaction.id,
+                               .request = entry.call.request,
+                               .kind = entry.call.kind,
+                               .outcome = outcome,
+                               .reason = reason,
+                               .position = entry.position});
+}
+
+void TransactionTable::FinishCommit(Entry& entry, const LogPosition& position, TimePoint now,
+                                    TransactionActions& actions) {
+  entry.position = position;
+  this->Enter(entry, State::kAwaitingReplication);
+  this->awaited.insert({.offset = position.offset, .transaction = entry.transaction.id});
+  if (entry.transaction.acknowledgement == AcknowledgementLevel::kPrimary || !this->LeadershipValid(now)) {
+    this->AcknowledgeCommit(entry, now, actions);
+  } else {
+    actions.push_back(AwaitCommitReplication{.transaction = entry.transaction.id, .position = position});
+  }
+}
+
+void TransactionTable::AcknowledgeCommit(Entry& entry, TimePoint now, TransactionActions& actions) {
+  if (this->LeadershipValid(now)) {
+    this->End(entry, Outcome::kDone, TransactionEndReason::kAnswered, actions);
+  } else {
+    this->End(entry, Outcome::kUnknown, TransactionEndReason::kLeadershipLost, actions);
+  }
+}
+
+void TransactionTable::CloseConnection(Entry& entry, TransactionActions& actions) {
+  if (entry.connection_open) {
+    entry.connection_open = false;
+    this->connections.erase(entry.transaction.connection);
+    actions.push_back(
+        CloseTransactionConnection{.transaction = entry.transaction.id, .connection = entry.transaction.connection});
+  }
+}
+
+void TransactionTable::Return(Entry& entry, TransactionActions& actions) {
+  entry.connection_open = false;
+  this->connections.erase(entry.transaction.connection);
+  actions.push_back(ReturnConnection{.transaction = entry.transaction.id, .connection = entry.transaction.connection});
+}
+
+void TransactionTable::Break(Entry& entry, TransactionEndReason reason, TimePoint now, TransactionActions& actions) {
+  const bool call_open = entry.state == State::kCallWaiting || entry.state == State::kCallSent;
+  const bool commit_sent = this->CommitSent(entry);
+  this->CloseConnection(entry, actions);
+  if (commit_sent) {
+    this->SettleOrEnd(entry, reason, now, now, actions);
+    return;
+  }
+  if (call_open) {
+    const Outcome outcome = entry.call.kind == CallKind::kRollback ? Outcome::kDone : Outcome::kNotRun;
+    this->AnswerCallOf(entry, outcome, reason, actions);
+  }
+  this->Forget(entry);
+}
+
+void TransactionTable::SettleOrEnd(Entry& entry, TransactionEndReason reason, TimePoint not_before, TimePoint now,
+                                   TransactionActions& actions) {
+  this->awaited.erase({.offset = entry.position.offset, .transaction = entry.transaction.id});
+  const bool may_settle = !entry.call.idempotency_key.empty() && this->LeadershipValid(now);
+  if (may_settle && not_before < entry.call.deadline) {
+    this->Enter(entry, State::kSettling);
+    actions.push_back(SettleCommit{.transaction = entry.transaction.id,
+                                   .commit = entry.call.request,
+                                   .term = this->term,
+                                   .not_before = not_before});
+  } else {
+    this->End(entry, Outcome::kUnknown, reason, actions);
+  }
+}
+
+void TransactionTable::End(Entry& entry, Outcome outcome, TransactionEndReason reason, TransactionActions& actions) {
+  this->AnswerCallOf(entry, outcome, reason, actions);
+  this->Forget(entry);
+}
+
+void TransactionTable::Forget(Entry& entry) {
+  this->awaited.erase({.offset = entry.position.offset, .transaction = entry.transaction.id});
+  this->due_times.erase({.time = entry.due, .transaction = entry.transaction.id});
+  this->entries.erase(entry.transaction.id);
+}
+
+void TransactionTable::PassDue(Entry& entry, TimePoint now, TransactionActions& actions) {
+  const bool total_passed = entry.connection_open && now >= entry.total_deadline;
+  const bool drained = now >= this->drain_deadline;
+  const TransactionEndReason total = drained ? TransactionEndReason::kDrained : TransactionEndReason::kTotalDeadline;
+  switch (entry.state) {
+    case State::kIdle:
+      this->Break(entry, total_passed ? total : TransactionEndReason::kIdleDeadline, now, actions);
+      return;
+    case State::kCallWaiting:
+      if (total_passed) {
+        this->Break(entry, total, now, actions);
+        return;
+      }
+      // Nothing was sent: the transaction is whole and stays open.
+      this->AnswerCallOf(entry, Outcome::kNotRun, TransactionEndReason::kCallDeadline, actions);
+      this->BecomeIdle(entry, now);
+      return;
+    case State::kCallSent:
+      this->Break(entry, now >= entry.call.deadline ? TransactionEndReason::kCallDeadline : total, now, actions);
+      return;
+    case State::kAwaitingReplication:
+    case State::kSettling:
+      this->End(entry, Outcome::kUnknown, TransactionEndReason::kCallDeadline, actions);
+      return;
+  }
+}
+
+void TransactionTable::BreakAll(TransactionEndReason reason, TimePoint now, TransactionActions& actions) {
+  for (const TransactionId& id : this->AllIds()) {
+    this->Break(*this->Find(id), reason, now, actions);
+  }
+}
+
+std::vector<TransactionId> TransactionTable::AllIds() const {
+  std::vector<TransactionId> ids;
+  ids.reserve(this->entries.size());
+  for (const auto& [id, entry] : this->entries) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+}  // namespace amaranthlane::transactions
--- a/source/core/transactions/transaction_table.h
+++ b/source/core/transactions/transaction_table.h
@@ -35,26 +35,31 @@
   bool StartCall(const TransactionId& transaction, RequestId request, TimePoint now, TransactionActions& actions);
   // The scheduler refused the call before it was sent: the transaction stays open.
   void RefuseCall(const TransactionId& transaction, RequestId request, TimePoint now, TransactionActions& actions);
-  // The endpoint answered on `connection` that it ran `request`. False: the answer matches no running call there; if a
-  // transaction owns the connection it ends, and the connection must be closed.
-  bool Answered(ConnectionId connection, RequestId request, Term term, const LogPosition& position, TimePoint now,
-                TransactionActions& actions);
-  // The endpoint refused `request` before running it. The transaction ends. False: as for Answered.
-  bool RefusedByEndpoint(ConnectionId connection, RequestId request, TimePoint now, TransactionActions& actions);
-  // The outcome of a lost commit's key was learnt: it is in the log at `position`, or (nothing) not known there. The
-  // latter proves nothing, since the commit may still be on its way.
-  void CommitSettled(const TransactionId& transaction, const std::optional<LogPosition>& position, TimePoint now,
-                     TransactionActions& actions);
-  void ReplicationReached(const LogPosition& position, TimePoint now, TransactionActions& actions);
+  // The endpoint answered on `connection` that it ran `request`. kMismatched: no such call runs there; the connection
+  // is closed by an action, and the transaction that owns it ends.
+  outcomes::DeliveryVerdict Answered(const outcomes::EndpointAnswer& answer, TimePoint now,
+                                     TransactionActions& actions);
+  // The endpoint refused a call before running it. The transaction ends.
+  outcomes::DeliveryVerdict RefusedByEndpoint(const outcomes::EndpointRefusal& refusal, TimePoint now,
+                                              TransactionActions& actions);
+  // The outcome of a lost commit's key was learnt from the primary of `asked_term`: it is in the log at `position`, or
+  // (nothing) not known there. The latter proves nothing, since the commit may still be on its way: it is asked again.
+  void CommitSettled(const TransactionId& transaction, Term asked_term, const std::optional<LogPosition>& position,
+                     TimePoint now, TransactionActions& actions);
+  // A replica that matched its primary's log under `synced_term` has applied it up to `offset`.
+  void ReplicationReached(Term synced_term, std::uint64_t offset, TimePoint now, TransactionActions& actions);
   void ConnectionLost(ConnectionId connection, TimePoint now, TransactionActions& actions);
-  // The caller's session closed: its transactions end, except those whose commit was sent, which end with its answer.
+  // The caller has gone: its transactions end, except those whose commit was sent, which end with the answer.
   void CallerGone(const std::string& owner, TimePoint now, TransactionActions& actions);
+  // The moment until which this VM may act as the group's leader; later actions on it are withheld.
   void SetLeadershipValidUntil(TimePoint until);
+  // This VM is no longer the leader: ends every transaction; nothing is acknowledged.
   void LeadershipEnded(TimePoint now, TransactionActions& actions);
-  // A higher term ends every transaction of a lower one.
+  // The group's term, to be set before the first transaction. A higher one than before ends the open transactions;
+  // commits that were sent are settled by their keys.
   void TermMoved(Term term, TimePoint now, TransactionActions& actions);
   // Refuses new transactions from now on; running ones may go on until `until`.
-  void Drain(TimePoint until);
+  void Drain(TimePoint until, TimePoint now);
   // Ends what is past a deadline.
   void Tick(TimePoint now, TransactionActions& actions);
 
@@ -69,9 +74,10 @@
     State state = State::kIdle;
     TransactionCall call;
     bool connection_open = true;
-    LogPosition commit_position;
+    LogPosition position;
     TimePoint idle_deadline = kNever;
     TimePoint total_deadline = kNever;
+    // The next deadline, as it stands in due_times.
     TimePoint due = kNever;
   };
   struct DueTime {
@@ -79,30 +85,45 @@
     TransactionId transaction;
     auto operator<=>(const DueTime&) const = default;
   };
+  struct AwaitedOffset {
+    std::uint64_t offset = 0;
+    TransactionId transaction;
+    auto operator<=>(const AwaitedOffset&) const = default;
+  };
 
-  Entry* FindOwned(const TransactionId& transaction, const std::string& caller);
   Entry* Find(const TransactionId& transaction);
   Entry* FindByConnection(ConnectionId connection);
+  // The entry whose call runs on the connection; null if that isn't the request.
+  Entry* FindSent(ConnectionId connection, RequestId request);
+  outcomes::DeliveryVerdict Mismatch(ConnectionId connection, TimePoint now, TransactionActions& actions);
+  bool LeadershipValid(TimePoint now) const;
   bool CommitSent(const Entry& entry) const;
-  void UpdateDue(Entry& entry);
+  void Enter(Entry& entry, State state);
   void BecomeIdle(Entry& entry, TimePoint now);
-  void CallAnswered(Entry& entry, const LogPosition& position, TimePoint now, TransactionActions& actions);
-  void CommitAnswered(Entry& entry, const LogPosition& position, TransactionActions& actions);
-  void Abort(Entry& entry, TransactionEndReason reason, TransactionActions& actions);
-  void LoseCommit(Entry& entry, TransactionEndReason reason, TransactionActions& actions);
-  void AnswerAndForget(Entry& entry, Outcome outcome, TransactionEndReason reason, TransactionActions& actions);
+  void AnswerCallOf(const Entry& entry, Outcome outcome, TransactionEndReason reason, TransactionActions& actions);
+  void FinishCommit(Entry& entry, const LogPosition& position, TimePoint now, TransactionActions& actions);
+  void AcknowledgeCommit(Entry& entry, TimePoint now, TransactionActions& actions);
   void CloseConnection(Entry& entry, TransactionActions& actions);
+  void Return(Entry& entry, TransactionActions& actions);
+  // Ends a transaction in any state. A commit that was sent is settled by its key if it has one.
+  void Break(Entry& entry, TransactionEndReason reason, TimePoint now, TransactionActions& actions);
+  void SettleOrEnd(Entry& entry, TransactionEndReason reason, TimePoint not_before, TimePoint now,
+                   TransactionActions& actions);
+  void End(Entry& entry, Outcome outcome, TransactionEndReason reason, TransactionActions& actions);
   void Forget(Entry& entry);
+  void PassDue(Entry& entry, TimePoint now, TransactionActions& actions);
+  void BreakAll(TransactionEndReason reason, TimePoint now, TransactionActions& actions);
   std::vector<TransactionId> AllIds() const;
 
   TransactionTableSettings settings;
   std::unordered_map<TransactionId, Entry, TransactionIdHash> entries;
   std::unordered_map<ConnectionId, TransactionId> connections;
   std::set<DueTime> due_times;
+  std::set<AwaitedOffset> awaited;
   TimePoint leadership_valid_until = TimePoint::min();
   Term term = 0;
-  bool draining = false;
-  TimePoint drain_until = kNever;
+  // When running transactions end for the drain; kNever: no drain.
+  TimePoint drain_deadline = kNever;
 };
 
 }  // namespace amaranthlane::transactions
