Add the platform stand-in and the HTTP server of the stand-ins

Cause: tests of the daemon need the platform's object API without the platform. Change: a small Beast server with one session per TCP connection, and the platform stand-in on it: versions, conditional updates, tombstones, watches.

--- /dev/null
+++ b/stand_ins/common/command_line.cc
@@ -0,0 +1,91 @@
+#include "stand_ins/common/command_line.h"
+
+#include <popt.h>
+
+#include <charconv>
+#include <limits>
+#include <memory>
+
+#include "stand_ins/common/errors.h"
+
+namespace amaranthlane::stand_ins {
+
+namespace {
+
+struct ContextDeleter {
+  void operator()(poptContext context) const { poptFreeContext(context); }
+};
+using ContextPtr = std::unique_ptr<std::remove_pointer_t<poptContext>, ContextDeleter>;
+
+std::uint64_t ParseNumber(const std::string& option, const std::string& text, std::uint64_t maximum) {
+  std::uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || stop != end || number > maximum) {
+    throw CommandLineError(option, "expected a whole number up to " + std::to_string(maximum));
+  }
+  return number;
+}
+
+constexpr std::uint64_t kMaximumInterval = 3'600'000'000;
+
+}  // namespace
+
+void CommandLine::Text(const char* name, const char* help, std::string* value) {
+  this->options.push_back({name, help, [value](const std::string& text) { *value = text; }});
+}
+
+void CommandLine::Texts(const char* name, const char* help, std::vector<std::string>* values) {
+  this->options.push_back({name, help, [values](const std::string& text) { values->push_back(text); }});
+}
+
+void CommandLine::Number(const char* name, const char* help, std::uint64_t* value) {
+  this->options.push_back({name, help, [name, value](const std::string& text) {
+                             *value = ParseNumber(name, text, std::numeric_limits<std::uint64_t>::max());
+                           }});
+}
+
+void CommandLine::Port(const char* name, const char* help, std::uint16_t* value) {
+  this->options.push_back({name, help, [name, value](const std::string& text) {
+                             const auto maximum = std::numeric_limits<std::uint16_t>::max();
+                             *value = static_cast<std::uint16_t>(ParseNumber(name, text, maximum));
+                           }});
+}
+
+void CommandLine::Milliseconds(const char* name, const char* help, std::chrono::milliseconds* value) {
+  this->options.push_back({name, help, [name, value](const std::string& text) {
+                             *value = std::chrono::milliseconds(ParseNumber(name, text, kMaximumInterval));
+                           }});
+}
+
+void CommandLine::Microseconds(const char* name, const char* help, std::chrono::microseconds* value) {
+  this->options.push_back({name, help, [name, value](const std::string& text) {
+                             *value = std::chrono::microseconds(ParseNumber(name, text, kMaximumInterval));
+                           }});
+}
+
+void CommandLine::Parse(int argc, const char** argv) const {
+  std::vector<poptOption> table;
+  int number = 1;
+  for (const Option& option : this->options) {
+    table.push_back({option.name, '\0', POPT_ARG_STRING, nullptr, number, option.help, "VALUE"});
+    ++number;
+  }
+  poptOption help[] = {POPT_AUTOHELP POPT_TABLEEND};
+  table.push_back(help[0]);
+  table.push_back(help[1]);
+  const ContextPtr context(poptGetContext(nullptr, argc, argv, table.data(), 0));
+  int found = 0;
+  while ((found = poptGetNextOpt(context.get())) > 0) {
+    const std::unique_ptr<char, decltype(&free)> value(poptGetOptArg(context.get()), &free);
+    this->options[static_cast<std::size_t>(found) - 1].assign(value ? value.get() : "");
+  }
+  if (found < -1) {
+    throw CommandLineError(poptBadOption(context.get(), 0), poptStrerror(found));
+  }
+  if (poptPeekArg(context.get()) != nullptr) {
+    throw CommandLineError(poptPeekArg(context.get()), "unexpected argument");
+  }
+}
+
+}  // namespace amaranthlane::stand_ins
--- /dev/null
+++ b/stand_ins/common/command_line.h
@@ -0,0 +1,37 @@
+#ifndef AMARANTHLANE_STAND_INS_COMMON_COMMAND_LINE_H_
+#define AMARANTHLANE_STAND_INS_COMMON_COMMAND_LINE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace amaranthlane::stand_ins {
+
+// The long options of a program, each bound to the place that takes its value.
+class CommandLine {
+ public:
+  void Text(const char* name, const char* help, std::string* value);
+  // Collects every occurrence of the option.
+  void Texts(const char* name, const char* help, std::vector<std::string>* values);
+  void Number(const char* name, const char* help, std::uint64_t* value);
+  void Port(const char* name, const char* help, std::uint16_t* value);
+  void Milliseconds(const char* name, const char* help, std::chrono::milliseconds* value);
+  void Microseconds(const char* name, const char* help, std::chrono::microseconds* value);
+  // Reads the arguments. Throws CommandLineError on an unknown option or a bad value. Exits on --help.
+  void Parse(int argc, const char** argv) const;
+
+ private:
+  struct Option {
+    const char* name;
+    const char* help;
+    std::function<void(const std::string&)> assign;
+  };
+
+  std::vector<Option> options;
+};
+
+}  // namespace amaranthlane::stand_ins
+
+#endif  // AMARANTHLANE_STAND_INS_COMMON_COMMAND_LINE_H_
--- /dev/null
+++ b/stand_ins/common/http_connection.cc
@@ -0,0 +1,201 @@
+#include "stand_ins/common/http_connection.h"
+
+#include <boost/asio/write.hpp>
+
+#include "stand_ins/common/problem.h"
+
+namespace amaranthlane::stand_ins {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::size_t kReadBytes = 8192;
+constexpr std::uint64_t kBodyLimitBytes = 4ULL << 20;
+constexpr unsigned kFirstErrorStatus = 400;
+
+// Formats the head by hand: the general serializer costs several allocations for each answer.
+void AppendHead(std::string& output, unsigned status, std::size_t length) {
+  const auto reason = http::obsolete_reason(http::int_to_status(status));
+  output += "HTTP/1.1 ";
+  output += std::to_string(status);
+  output += ' ';
+  output.append(reason.data(), reason.size());
+  output += status < kFirstErrorStatus ? "\r\nContent-Type: application/json\r\nContent-Length: "
+                                       : "\r\nContent-Type: application/problem+json\r\nContent-Length: ";
+  output += std::to_string(length);
+  output += "\r\n\r\n";
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(std::uint64_t id, boost::asio::ip::tcp::socket socket, const ServerSettings& settings)
+    : id(id),
+      socket(std::move(socket)),
+      settings(settings),
+      timer(this->socket.get_executor()),
+      first_request_due(BootClock::now() + settings.connect_delay) {
+  error_code ignored;
+  this->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  this->socket.non_blocking(true, ignored);
+}
+
+void HttpConnection::Start() {
+  this->settings.gate->Run([self = this->shared_from_this()] { self->ReadRequest(); });
+}
+
+void HttpConnection::Answer(unsigned status, std::string body) {
+  this->settings.gate->Run(
+      [self = this->shared_from_this(), status, body = std::move(body)] { self->Send(status, body); });
+}
+
+void HttpConnection::AnswerAndClose(unsigned status, std::string body) {
+  this->close_after_answer = true;
+  this->Answer(status, std::move(body));
+}
+
+void HttpConnection::HangUp() {
+  this->settings.gate->Run([self = this->shared_from_this()] { self->Close(); });
+}
+
+void HttpConnection::Guard(const std::function<void()>& work, const std::string& request_id) {
+  Problem problem;
+  try {
+    work();
+    return;
+  } catch (const ProblemError& error) {
+    problem = error.problem;
+  } catch (const Error& error) {
+    problem = BadRequestError(error.what()).problem;
+  }
+  if (!request_id.empty()) {
+    problem.members["request_id"] = nlohmann::json::parse(request_id);
+  }
+  this->Answer(problem.status, FormatProblem(problem));
+}
+
+void HttpConnection::ReadRequest() {
+  this->answering = false;
+  this->parser.emplace();
+  this->parser->eager(true);
+  this->parser->body_limit(kBodyLimitBytes);
+  this->ParseBuffer();
+}
+
+void HttpConnection::ReadMore() {
+  if (this->closed) {
+    return;
+  }
+  this->socket.async_read_some(this->buffer.prepare(kReadBytes),
+                               [self = this->shared_from_this()](error_code error, std::size_t count) {
+                                 if (error) {
+                                   self->HangUp();
+                                   return;
+                                 }
+                                 self->buffer.commit(count);
+                                 self->ParseBuffer();
+                               });
+}
+
+void HttpConnection::ParseBuffer() {
+  while (!this->parser->is_done()) {
+    if (this->buffer.size() == 0) {
+      this->ReadMore();
+      return;
+    }
+    error_code error;
+    const std::size_t used = this->parser->put(this->buffer.data(), error);
+    this->buffer.consume(used);
+    if (error == http::error::need_more) {
+      this->ReadMore();
+      return;
+    }
+    if (error) {
+      this->HangUp();
+      return;
+    }
+  }
+  if (BootClock::now() >= this->first_request_due) {
+    this->HandleRequest();
+    return;
+  }
+  this->timer.expires_after(this->first_request_due - BootClock::now());
+  this->timer.async_wait([self = this->shared_from_this()](error_code) { self->HandleRequest(); });
+}
+
+void HttpConnection::HandleRequest() {
+  this->settings.gate->Run([self = this->shared_from_this()] { self->CallHandler(self->parser->release()); });
+}
+
+void HttpConnection::CallHandler(const HttpRequest& request) {
+  this->answering = true;
+  this->close_after_answer = !request.keep_alive();
+  const HttpConnectionPtr self = this->shared_from_this();
+  this->Guard([&] { this->settings.handle_request(self, request); });
+  if (this->answering) {
+    this->WatchPeer();
+  }
+}
+
+// While an answer is outstanding nothing is read, so the end of the connection shows only as a readable socket with no
+// bytes to read.
+void HttpConnection::WatchPeer() {
+  if (this->watching_peer || this->closed) {
+    return;
+  }
+  this->watching_peer = true;
+  this->socket.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = this->shared_from_this()](error_code error) {
+    self->watching_peer = false;
+    error_code failure;
+    if (self->answering && (error || self->socket.available(failure) == 0)) {
+      self->HangUp();
+    }
+  });
+}
+
+void HttpConnection::Send(unsigned status, std::string_view body) {
+  if (this->closed || !this->answering) {
+    return;
+  }
+  this->output.clear();
+  AppendHead(this->output, status, body.size());
+  this->output += body;
+  error_code error;
+  const std::size_t sent = this->socket.write_some(boost::asio::buffer(this->output), error);
+  if (sent == this->output.size()) {
+    this->FinishAnswer();
+    return;
+  }
+  if (error && error != boost::asio::error::would_block) {
+    this->Close();
+    return;
+  }
+  boost::asio::async_write(this->socket, boost::asio::buffer(this->output) + sent,
+                           [self = this->shared_from_this()](error_code failure, std::size_t) {
+                             failure ? self->Close() : self->FinishAnswer();
+                           });
+}
+
+void HttpConnection::FinishAnswer() {
+  if (this->close_after_answer) {
+    this->Close();
+    return;
+  }
+  this->ReadRequest();
+}
+
+void HttpConnection::Close() {
+  if (this->closed) {
+    return;
+  }
+  this->closed = true;
+  this->answering = false;
+  this->timer.cancel();
+  error_code ignored;
+  this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+  this->socket.close(ignored);
+  this->settings.handle_close(this->id);
+}
+
+}  // namespace amaranthlane::stand_ins
--- /dev/null
+++ b/stand_ins/common/http_server.h
@@ -0,0 +1,32 @@
+#ifndef AMARANTHLANE_STAND_INS_COMMON_HTTP_SERVER_H_
+#define AMARANTHLANE_STAND_INS_COMMON_HTTP_SERVER_H_
+
+#include <cstdint>
+#include <string>
+
+#include "stand_ins/common/http_connection.h"
+
+namespace amaranthlane::stand_ins {
+
+// Accepts the HTTP connections of one listening port. Everything runs on the one thread of the io_context.
+class HttpServer {
+ public:
+  // Listens at once. Throws boost::system::system_error when the address can't be bound. `settings` without a gate get
+  // one that never freezes.
+  HttpServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, ServerSettings settings);
+
+ private:
+  void Accept();
+
+  FreezeGate open_gate;
+  ServerSettings settings;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::uint64_t next_id = 1;
+};
+
+// Reads `ip:port`. Throws AddressError.
+boost::asio::ip::tcp::endpoint ParseAddress(const std::string& text);
+
+}  // namespace amaranthlane::stand_ins
+
+#endif  // AMARANTHLANE_STAND_INS_COMMON_HTTP_SERVER_H_
--- /dev/null
+++ b/stand_ins/common/long_polls.cc
@@ -0,0 +1,73 @@
+#include "stand_ins/common/long_polls.h"
+
+#include <boost/asio/post.hpp>
+#include <vector>
+
+namespace amaranthlane::stand_ins {
+
+LongPolls::LongPolls(boost::asio::io_context& io) : io(io) {}
+
+void LongPolls::Add(const HttpConnectionPtr& connection, std::chrono::milliseconds wait, TryAnswer try_answer) {
+  if (try_answer(wait == std::chrono::milliseconds::zero())) {
+    return;
+  }
+  const std::uint64_t id = connection->id;
+  this->polls.erase(id);
+  boost::asio::steady_timer timer(this->io, wait);
+  timer.async_wait([this, id](boost::system::error_code error) {
+    if (!error) {
+      this->Expire(id);
+    }
+  });
+  this->polls.emplace(id, Poll{connection, std::move(try_answer), std::move(timer)});
+}
+
+void LongPolls::Notify() {
+  if (this->notified || this->polls.empty()) {
+    return;
+  }
+  this->notified = true;
+  boost::asio::post(this->io, [this] { this->AskAll(); });
+}
+
+void LongPolls::AskAll() {
+  this->notified = false;
+  std::vector<std::uint64_t> ids;
+  for (const auto& [id, poll] : this->polls) {
+    ids.push_back(id);
+  }
+  for (const std::uint64_t id : ids) {
+    // The poll is out of the table while it is asked, since an answer can close its connection and change the table.
+    auto poll = this->polls.extract(id);
+    if (!poll.empty() && !poll.mapped().try_answer(/*expired=*/false)) {
+      this->polls.insert(std::move(poll));
+    }
+  }
+}
+
+void LongPolls::Expire(std::uint64_t connection_id) {
+  const auto found = this->polls.find(connection_id);
+  if (found == this->polls.end()) {
+    return;
+  }
+  const TryAnswer try_answer = std::move(found->second.try_answer);
+  this->polls.erase(found);
+  try_answer(/*expired=*/true);
+}
+
+void LongPolls::Forget(std::uint64_t connection_id) { this->polls.erase(connection_id); }
+
+void LongPolls::HangUpAll() {
+  std::vector<HttpConnectionPtr> connections;
+  for (const auto& [id, poll] : this->polls) {
+    connections.push_back(poll.connection);
+  }
+  this->polls.clear();
+  for (const HttpConnectionPtr& connection : connections) {
+    connection->HangUp();
+  }
+}
+
+std::size_t LongPolls::Waiting() const { return this->polls.size(); }
+
+}  // namespace amaranthlane::stand_ins
--- /dev/null
+++ b/stand_ins/platform/object_store.cc
@@ -0,0 +1,86 @@
+#include "stand_ins/platform/object_store.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "stand_ins/platform/problems.h"
+
+namespace amaranthlane::stand_ins {
+
+namespace {
+
+constexpr std::size_t kMaximumValueBytes = 1'000'000;
+
+std::string Describe(const ObjectKey& key) { return key.kind + "/" + key.name; }
+
+}  // namespace
+
+nlohmann::json PlatformObject::ToJson() const {
+  nlohmann::json object = {
+      {"kind", this->key.kind}, {"name", this->key.name}, {"version", this->version}, {"deleted", this->deleted}};
+  if (!this->deleted) {
+    object["value"] = this->value;
+  }
+  return object;
+}
+
+const PlatformObject& ObjectStore::Get(const ObjectKey& key) const {
+  const auto found = this->objects.find(key);
+  if (found == this->objects.end()) {
+    throw NotFoundError(Describe(key), 0);
+  }
+  if (found->second.deleted) {
+    throw NotFoundError(Describe(key), found->second.version);
+  }
+  return found->second;
+}
+
+std::vector<const PlatformObject*> ObjectStore::ChangedAfter(std::uint64_t after,
+                                                             const std::vector<std::string>& kinds) const {
+  std::vector<const PlatformObject*> changed;
+  for (auto change = this->changes.upper_bound(after); change != this->changes.end(); ++change) {
+    const ObjectKey& key = change->second;
+    if (kinds.empty() || std::find(kinds.begin(), kinds.end(), key.kind) != kinds.end()) {
+      changed.push_back(&this->objects.at(key));
+    }
+  }
+  return changed;
+}
+
+std::uint64_t ObjectStore::Put(const ObjectKey& key, std::optional<std::uint64_t> expected_version,
+                               nlohmann::json value) {
+  if (value.dump().size() > kMaximumValueBytes) {
+    throw ValueTooLargeError(Describe(key));
+  }
+  const auto found = this->objects.find(key);
+  const bool exists = found != this->objects.end();
+  const std::uint64_t current = exists ? found->second.version : 0;
+  const bool absent = !exists || found->second.deleted;
+  if (expected_version && *expected_version != current && !(*expected_version == 0 && absent)) {
+    throw ConflictError(Describe(key), exists ? found->second.ToJson() : nlohmann::json());
+  }
+  return this->Change(key, /*deleted=*/false, std::move(value));
+}
+
+std::uint64_t ObjectStore::Delete(const ObjectKey& key, std::optional<std::uint64_t> expected_version) {
+  const PlatformObject& object = this->Get(key);
+  if (expected_version && *expected_version != object.version) {
+    throw ConflictError(Describe(key), object.ToJson());
+  }
+  return this->Change(key, /*deleted=*/true, nlohmann::json());
+}
+
+std::uint64_t ObjectStore::Version() const { return this->version; }
+
+std::uint64_t ObjectStore::Change(const ObjectKey& key, bool deleted, nlohmann::json value) {
+  // A copy, since `key` may stand in the object that is replaced.
+  const ObjectKey changed = key;
+  PlatformObject& object = this->objects[changed];
+  this->changes.erase(object.version);
+  ++this->version;
+  object = {changed, this->version, deleted, std::move(value)};
+  this->changes.emplace(this->version, changed);
+  return this->version;
+}
+
+}  // namespace amaranthlane::stand_ins
--- /dev/null
+++ b/stand_ins/platform/platform_server.cc
@@ -0,0 +1,218 @@
+#include "stand_ins/platform/platform_server.h"
+
+#include <algorithm>
+#include <memory>
+
+#include "common/json.h"
+#include "stand_ins/common/problem.h"
+
+namespace amaranthlane::stand_ins {
+
+namespace {
+
+using boost::beast::http::verb;
+
+constexpr unsigned kOk = 200;
+constexpr std::size_t kKindPart = 2;
+constexpr std::size_t kNamePart = 3;
+
+bool Matches(const std::vector<std::string>& pattern, const std::vector<std::string>& path) {
+  return std::equal(
+      pattern.begin(), pattern.end(), path.begin(), path.end(),
+      [](const std::string& expected, const std::string& part) { return expected == "*" || expected == part; });
+}
+
+nlohmann::json FormatObjects(std::uint64_t version, const std::vector<const PlatformObject*>& objects) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const PlatformObject* object : objects) {
+    list.push_back(object->ToJson());
+  }
+  return {{"version", version}, {"objects", std::move(list)}};
+}
+
+HttpTarget TargetOf(const HttpRequest& request) {
+  const auto target = request.target();
+  return HttpTarget(std::string_view(target.data(), target.size()));
+}
+
+}  // namespace
+
+PlatformServer::PlatformServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
+                               const Seed& seed)
+    : io(io),
+      watches(io),
+      server(io, address,
+             {.handle_request = [this](const HttpConnectionPtr& connection,
+                                       const HttpRequest& request) { this->Handle(connection, request); },
+              .handle_close = [this](std::uint64_t id) { this->watches.Forget(id); }}) {
+  for (const SeedObject& object : seed.objects) {
+    this->store.Put(object.key, std::nullopt, object.value);
+  }
+  for (const Vm& vm : seed.vms) {
+    this->vms.Change(vm, BootClock::now());
+  }
+}
+
+const std::vector<PlatformServer::Route>& PlatformServer::Routes() {
+  static const std::vector<Route> kRoutes = {
+      {verb::get, {"v1", "objects", "*", "*"}, &PlatformServer::GetObject},
+      {verb::get, {"v1", "objects", "*"}, &PlatformServer::ListObjects},
+      {verb::put, {"v1", "objects", "*", "*"}, &PlatformServer::PutObject},
+      {verb::delete_, {"v1", "objects", "*", "*"}, &PlatformServer::DeleteObject},
+      {verb::get, {"v1", "watch"}, &PlatformServer::Watch},
+      {verb::get, {"v1", "vms"}, &PlatformServer::ListVms},
+      {verb::post, {"control", "outage"}, &PlatformServer::ControlOutage},
+      {verb::post, {"control", "delay"}, &PlatformServer::ControlDelay},
+      {verb::post, {"control", "lose_answers"}, &PlatformServer::ControlLoseAnswers},
+      {verb::post, {"control", "vms"}, &PlatformServer::ControlVms},
+      {verb::post, {"control", "vm_lag"}, &PlatformServer::ControlVmLag},
+      {verb::get, {"control", "calls"}, &PlatformServer::ControlCalls},
+  };
+  return kRoutes;
+}
+
+void PlatformServer::Handle(const HttpConnectionPtr& connection, const HttpRequest& request) {
+  const Call call = {connection, request, TargetOf(request).PathParts()};
+  if (!call.path.empty() && call.path.front() == "control") {
+    this->Run(call);
+    return;
+  }
+  if (this->delay == std::chrono::milliseconds::zero()) {
+    this->HandleDelayed(call);
+    return;
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(this->io, this->delay);
+  timer->async_wait(
+      [this, timer, call](boost::system::error_code) { call.connection->Guard([&] { this->HandleDelayed(call); }); });
+}
+
+void PlatformServer::HandleDelayed(const Call& call) {
+  if (this->outage) {
+    call.connection->HangUp();
+    return;
+  }
+  this->Run(call);
+}
+
+void PlatformServer::Run(const Call& call) {
+  for (const Route& route : PlatformServer::Routes()) {
+    if (route.method == call.request.method() && Matches(route.path, call.path)) {
+      (this->*route.handler)(call);
+      return;
+    }
+  }
+  throw UnknownCallError(std::string(call.request.target()));
+}
+
+void PlatformServer::Answer(const Call& call, const nlohmann::json& body) {
+  if (this->LosesAnswer(call)) {
+    call.connection->HangUp();
+    return;
+  }
+  call.connection->Answer(kOk, body.dump());
+}
+
+bool PlatformServer::LosesAnswer(const Call& call) {
+  const bool loses = call.path.front() == "v1" && this->lost_answers.count > 0 &&
+                     call.request.method_string() == this->lost_answers.method;
+  if (loses) {
+    --this->lost_answers.count;
+  }
+  return loses;
+}
+
+void PlatformServer::GetObject(const Call& call) {
+  ++this->counts.reads;
+  this->Answer(call, this->store.Get({call.path[kKindPart], call.path[kNamePart]}).ToJson());
+}
+
+void PlatformServer::ListObjects(const Call& call) {
+  ++this->counts.reads;
+  const std::string& kind = call.path[kKindPart];
+  this->Answer(call, FormatObjects(this->store.Version(), this->store.ChangedAfter(0, {kind})));
+}
+
+void PlatformServer::PutObject(const Call& call) {
+  ++this->counts.writes;
+  const nlohmann::json body = json::Parse(call.request.body(), "put");
+  const json::ObjectReader reader(body, "put");
+  std::optional<std::uint64_t> expected_version;
+  if (reader.Has("expected_version")) {
+    expected_version = reader.Unsigned("expected_version");
+  }
+  const std::uint64_t version =
+      this->store.Put({call.path[kKindPart], call.path[kNamePart]}, expected_version, reader.Object("value"));
+  this->watches.Notify();
+  this->Answer(call, {{"version", version}});
+}
+
+void PlatformServer::DeleteObject(const Call& call) {
+  ++this->counts.writes;
+  const std::uint64_t version = this->store.Delete({call.path[kKindPart], call.path[kNamePart]},
+                                                   TargetOf(call.request).Number("expected_version"));
+  this->watches.Notify();
+  this->Answer(call, {{"version", version}});
+}
+
+void PlatformServer::Watch(const Call& call) {
+  ++this->counts.watches;
+  const HttpTarget target = TargetOf(call.request);
+  const std::vector<std::string> kinds = Split(target.Text("kinds").value_or(""), ',');
+  const std::uint64_t after = target.Number("after").value_or(0);
+  this->watches.Add(call.connection, target.Milliseconds("wait_ms"), [this, call, kinds, after](bool expired) {
+    const std::vector<const PlatformObject*> changed = this->store.ChangedAfter(after, kinds);
+    if (changed.empty() && !expired) {
+      return false;
+    }
+    this->Answer(call, FormatObjects(this->store.Version(), changed));
+    return true;
+  });
+}
+
+void PlatformServer::ListVms(const Call& call) {
+  ++this->counts.reads;
+  this->Answer(call, this->vms.Visible(BootClock::now()));
+}
+
+void PlatformServer::ControlOutage(const Call& call) {
+  const nlohmann::json body = json::Parse(call.request.body(), "outage");
+  this->outage = json::ObjectReader(body, "outage").Bool("on");
+  if (this->outage) {
+    this->watches.HangUpAll();
+  }
+  this->Answer(call, {{"on", this->outage}});
+}
+
+void PlatformServer::ControlDelay(const Call& call) {
+  const nlohmann::json body = json::Parse(call.request.body(), "delay");
+  this->delay = json::ObjectReader(body, "delay").Milliseconds("delay_ms");
+  this->Answer(call, {{"delay_ms", this->delay.count()}});
+}
+
+void PlatformServer::ControlLoseAnswers(const Call& call) {
+  const nlohmann::json body = json::Parse(call.request.body(), "lose_answers");
+  const json::ObjectReader reader(body, "lose_answers");
+  this->lost_answers = {reader.Unsigned("count"), reader.StringOr("method", "PUT")};
+  this->Answer(call, {{"count", this->lost_answers.count}, {"method", this->lost_answers.method}});
+}
+
+void PlatformServer::ControlVms(const Call& call) {
+  this->vms.Change(ParseVm(json::Parse(call.request.body(), "vm")), BootClock::now());
+  this->Answer(call, nlohmann::json::object());
+}
+
+void PlatformServer::ControlVmLag(const Call& call) {
+  const nlohmann::json body = json::Parse(call.request.body(), "vm_lag");
+  const std::chrono::milliseconds lag = json::ObjectReader(body, "vm_lag").Milliseconds("lag_ms");
+  this->vms.SetLag(lag);
+  this->Answer(call, {{"lag_ms", lag.count()}});
+}
+
+void PlatformServer::ControlCalls(const Call& call) {
+  this->Answer(call, {{"reads", this->counts.reads},
+                      {"writes", this->counts.writes},
+                      {"watches", this->counts.watches},
+                      {"waiting_watches", this->watches.Waiting()}});
+}
+
+}  // namespace amaranthlane::stand_ins
--- /dev/null
+++ b/stand_ins/platform/platform_server.h
@@ -0,0 +1,84 @@
+#ifndef AMARANTHLANE_STAND_INS_PLATFORM_PLATFORM_SERVER_H_
+#define AMARANTHLANE_STAND_INS_PLATFORM_PLATFORM_SERVER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "stand_ins/common/http_server.h"
+#include "stand_ins/common/http_target.h"
+#include "stand_ins/common/long_polls.h"
+#include "stand_ins/platform/object_store.h"
+#include "stand_ins/platform/seed.h"
+#include "stand_ins/platform/vm_list.h"
+
+namespace amaranthlane::stand_ins {
+
+// Serves the platform's object API and the control of its faults on one port.
+class PlatformServer {
+ public:
+  PlatformServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, const Seed& seed);
+
+ private:
+  // A request that is being handled.
+  struct Call {
+    HttpConnectionPtr connection;
+    HttpRequest request;
+    // The parts of the request's path.
+    std::vector<std::string> path;
+  };
+  using Handler = void (PlatformServer::*)(const Call&);
+  // The path part `*` stands for any part.
+  struct Route {
+    boost::beast::http::verb method;
+    std::vector<std::string> path;
+    Handler handler;
+  };
+  struct Counts {
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t watches = 0;
+  };
+  // Answers that are to be lost after their effect.
+  struct LostAnswers {
+    std::uint64_t count = 0;
+    std::string method = "PUT";
+  };
+
+  static const std::vector<Route>& Routes();
+
+  void Handle(const HttpConnectionPtr& connection, const HttpRequest& request);
+  void HandleDelayed(const Call& call);
+  void Run(const Call& call);
+  // Answers unless the answer is to be lost.
+  void Answer(const Call& call, const nlohmann::json& body);
+  bool LosesAnswer(const Call& call);
+
+  void GetObject(const Call& call);
+  void ListObjects(const Call& call);
+  void PutObject(const Call& call);
+  void DeleteObject(const Call& call);
+  void Watch(const Call& call);
+  void ListVms(const Call& call);
+  void ControlOutage(const Call& call);
+  void ControlDelay(const Call& call);
+  void ControlLoseAnswers(const Call& call);
+  void ControlVms(const Call& call);
+  void ControlVmLag(const Call& call);
+  void ControlCalls(const Call& call);
+
+  boost::asio::io_context& io;
+  ObjectStore store;
+  VmList vms;
+  LongPolls watches;
+  Counts counts;
+  LostAnswers lost_answers;
+  std::chrono::milliseconds delay{0};
+  bool outage = false;
+  HttpServer server;
+};
+
+}  // namespace amaranthlane::stand_ins
+
+#endif  // AMARANTHLANE_STAND_INS_PLATFORM_PLATFORM_SERVER_H_
--- /dev/null
+++ b/stand_ins/platform/vm_list.h
@@ -0,0 +1,48 @@
+#ifndef AMARANTHLANE_STAND_INS_PLATFORM_VM_LIST_H_
+#define AMARANTHLANE_STAND_INS_PLATFORM_VM_LIST_H_
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "common/boot_clock.h"
+
+namespace amaranthlane::stand_ins {
+
+// One VM as the platform lists it.
+struct Vm {
+  std::string vm;
+  std::string data_centre;
+  std::string region;
+  std::string address;
+  // `live` or `leaving`; `gone` takes the VM off the list.
+  std::string state;
+};
+
+// Throws ParseError.
+Vm ParseVm(const nlohmann::json& value);
+
+// The platform's list of VMs, in which each change shows only after the lag in force when it was made.
+class VmList {
+ public:
+  void SetLag(std::chrono::milliseconds lag);
+  void Change(Vm vm, TimePoint now);
+  // The list as a caller sees it at `now`.
+  nlohmann::json Visible(TimePoint now);
+
+ private:
+  struct PendingChange {
+    Vm vm;
+    TimePoint visible_at;
+  };
+
+  std::chrono::milliseconds lag{0};
+  std::deque<PendingChange> pending;
+  std::map<std::string, Vm> vms;
+};
+
+}  // namespace amaranthlane::stand_ins
+
+#endif  // AMARANTHLANE_STAND_INS_PLATFORM_VM_LIST_H_
