Add the endpoint stand-in

Cause: the daemon's tests need database instances that fail over, lag and freeze. Change: an in-memory database with transactions per connection, slots, a key table kept in the replicated log, pulled replication and the term rules.

--- /dev/null
+++ b/stand_ins/endpoint/main.cc
@@ -0,0 +1,47 @@
+// The endpoint stand-in: a database instance that holds rows in memory, with transactions, an idempotency key table and
+// asynchronous replication.
+
+#include <memory>
+
+#include "stand_ins/common/command_line.h"
+#include "stand_ins/common/program.h"
+#include "stand_ins/endpoint/endpoint_control.h"
+#include "stand_ins/endpoint/endpoint_server.h"
+
+namespace {
+
+using amaranthlane::stand_ins::EndpointControl;
+using amaranthlane::stand_ins::EndpointServer;
+using amaranthlane::stand_ins::EndpointSettings;
+
+EndpointSettings ParseSettings(int argc, const char** argv) {
+  EndpointSettings settings;
+  amaranthlane::stand_ins::CommandLine command_line;
+  command_line.Text("name", "name of the endpoint", &settings.name);
+  command_line.Text("address", "IP number to listen on", &settings.address);
+  command_line.Port("port", "main port", &settings.port);
+  command_line.Port("control-port", "port for the control of faults", &settings.control_port);
+  command_line.Number("slots", "statements that run at once", &settings.slots);
+  command_line.Number("connections", "connection limit", &settings.connections);
+  command_line.Microseconds("service-us", "time that a statement runs, in microseconds", &settings.service_time);
+  command_line.Milliseconds("connect-delay-ms", "delay of a connection's first answer", &settings.connect_delay);
+  command_line.Milliseconds("lag-ms", "replication lag of this instance as a replica", &settings.lag);
+  command_line.Parse(argc, argv);
+  return settings;
+}
+
+// Both ports of one endpoint.
+struct Endpoint {
+  Endpoint(boost::asio::io_context& io, const EndpointSettings& settings)
+      : server(io, settings), control(io, settings, this->server) {}
+
+  EndpointServer server;
+  EndpointControl control;
+};
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  return amaranthlane::stand_ins::RunProgram(
+      [&](boost::asio::io_context& io) { return std::make_shared<Endpoint>(io, ParseSettings(argc, argv)); });
+}
--- /dev/null
+++ b/stand_ins/endpoint/messages.h
@@ -0,0 +1,69 @@
+#ifndef AMARANTHLANE_STAND_INS_ENDPOINT_MESSAGES_H_
+#define AMARANTHLANE_STAND_INS_ENDPOINT_MESSAGES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace amaranthlane::stand_ins {
+
+enum class Operation : std::uint8_t { kPut, kGet, kAdd, kList };
+
+// One statement of the stand-in's database.
+struct Statement {
+  Operation operation = Operation::kGet;
+  // The key, or the prefix of a list.
+  std::string key;
+  // The JSON text that `put` stores.
+  std::string value;
+  std::int64_t amount = 0;
+  std::uint64_t limit = 0;
+  // The statement's canonical JSON text, by which a repeated idempotency key is compared.
+  std::string text;
+
+  bool IsWrite() const;
+};
+
+// The body of /v1/statement.
+struct StatementRequest {
+  // The JSON text of the request's number.
+  std::string request_id;
+  std::uint64_t term = 0;
+  bool write_mode = false;
+  bool autocommit = false;
+  Statement statement;
+  // Empty: none.
+  std::string idempotency_key;
+};
+
+// The body of /v1/commit and /v1/rollback.
+struct EndRequest {
+  std::string request_id;
+  std::uint64_t term = 0;
+  std::string idempotency_key;
+};
+
+struct InstanceAddress {
+  std::string endpoint;
+  std::string address;
+};
+
+// The body of /v1/configure.
+struct ConfigureRequest {
+  std::uint64_t term = 0;
+  std::string primary;
+  std::vector<InstanceAddress> instances;
+};
+
+// The parse functions throw ParseError.
+StatementRequest ParseStatementRequest(const std::string& body);
+EndRequest ParseEndRequest(const std::string& body);
+ConfigureRequest ParseConfigureRequest(const std::string& body);
+
+// Appends `text` as a JSON string.
+void AppendJsonString(std::string& output, const std::string& text);
+
+}  // namespace amaranthlane::stand_ins
+
+#endif  // AMARANTHLANE_STAND_INS_ENDPOINT_MESSAGES_H_
--- /dev/null
+++ b/stand_ins/endpoint/slots.h
@@ -0,0 +1,46 @@
+#ifndef AMARANTHLANE_STAND_INS_ENDPOINT_SLOTS_H_
+#define AMARANTHLANE_STAND_INS_ENDPOINT_SLOTS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <utility>
+
+// Boost.Asio 1.74 needs <utility> before it in C++20.
+#include <boost/asio/io_context.hpp>
+
+#include "stand_ins/common/freeze_gate.h"
+
+namespace amaranthlane::stand_ins {
+
+// Runs statements in a limited number of slots, each for the service time. A statement takes effect at the end of its
+// service time. Others wait in order of arrival.
+class Slots {
+ public:
+  using Job = std::function<void()>;
+
+  Slots(boost::asio::io_context& io, FreezeGate& gate, std::size_t count, std::chrono::microseconds service_time);
+
+  // Runs `job` once a slot is free and the service time has passed.
+  void Submit(Job job);
+  // Applies to statements that start from now on.
+  void SetServiceTime(std::chrono::microseconds service_time);
+  std::size_t Running() const;
+  std::size_t Waiting() const;
+
+ private:
+  void Start(Job job);
+  void Finish(const Job& job);
+
+  boost::asio::io_context& io;
+  FreezeGate& gate;
+  std::size_t count;
+  std::chrono::microseconds service_time;
+  std::size_t running = 0;
+  std::deque<Job> waiting;
+};
+
+}  // namespace amaranthlane::stand_ins
+
+#endif  // AMARANTHLANE_STAND_INS_ENDPOINT_SLOTS_H_
