Adapt the daemon to the systems' final interfaces

Cause: the systems' headers changed while they were implemented. Change: age checks take the read's answer, replication waits take the synced term, commits are settled by a timer.

--- a/source/daemon/beat.cc
+++ b/source/daemon/beat.cc
@@ -33,8 +33,8 @@
   beat.configuration = configuration::ParseConfigurationDigest(reader.Object("configuration"));
   for (const Json& element : reader.Array("leads")) {
     const json::ObjectReader led(element, kDocument);
-    beat.leads.push_back(LedGroup{
-        led.String("group"), {led.Unsigned("epoch"), static_cast<std::uint32_t>(led.Unsigned("rank"))}});
+    beat.leads.push_back(
+        LedGroup{led.String("group"), {led.Unsigned("epoch"), static_cast<std::uint32_t>(led.Unsigned("rank"))}});
   }
   return beat;
 }
--- a/source/daemon/caller_request.h
+++ b/source/daemon/caller_request.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "common/error.h"
 #include "daemon/work.h"
 #include "net/http_message.h"
 
--- a/source/daemon/control_plane.cc
+++ b/source/daemon/control_plane.cc
@@ -113,24 +113,24 @@
 }
 
 void ControlPlane::SendBeat(const std::string& address, const Beat& beat) {
-  this->peers.Control(address, "/v1/peer/beat", BeatText(beat), BootClock::now() + kBeatLimit,
-                      [this](const net::CallResult& result) {
-                        if (!Answered(result)) {
-                          return;
-                        }
-                        try {
-                          this->TakeBeat(ParseBeat(result.response.body));
-                        } catch (const ParseError& failure) {
-                          logging::Write(logging::Level::kWarning, "a peer's beat is malformed",
-                                         {{"error", failure.what()}});
-                        }
-                      });
+  this->peers.Control(
+      address, "/v1/peer/beat", BeatText(beat), BootClock::now() + kBeatLimit, [this](const net::CallResult& result) {
+        if (!Answered(result)) {
+          return;
+        }
+        try {
+          this->TakeBeat(ParseBeat(result.response.body));
+        } catch (const ParseError& failure) {
+          logging::Write(logging::Level::kWarning, "a peer's beat is malformed", {{"error", failure.what()}});
+        }
+      });
 }
 
 void ControlPlane::HandleBeat(const std::string& body, const net::HttpServer::Answer& answer) {
   try {
-    this->TakeBeat(ParseBeat(body));
-    answer(JsonResponse(BeatText(this->MakeBeat(this->membership_system.OwnHeartbeat()))));
+    const Beat beat = ParseBeat(body);
+    this->TakeBeat(beat);
+    answer(JsonResponse(BeatText(this->MakeBeat(this->membership_system.AnswerTo(beat.heartbeat)))));
   } catch (const ParseError& failure) {
     answer(MalformedResponse(failure));
   }
@@ -157,8 +157,7 @@
   members.members.push_back(configuration::Member{this->self.vm, this->settings.data_centre});
   for (const auto& [name, row] : this->membership_system.Vms()) {
     const bool live = row.liveness == membership::Liveness::kLive;
-    vms.vms.push_back(
-        leadership::VmView{name, row.incarnation, row.data_centre, row.region, live, row.Leaving()});
+    vms.vms.push_back(leadership::VmView{name, row.incarnation, row.data_centre, row.region, live, row.Leaving()});
     if (live && !row.Leaving()) {
       members.members.push_back(configuration::Member{name, row.data_centre});
     }
@@ -195,20 +194,20 @@
   if (address.empty()) {
     return;
   }
-  this->peers.Control(address, "/v1/peer/promise", leadership::ToJson(action.request).dump(), sent_at + kPromiseLimit,
-                      [this, sent_at](const net::CallResult& result) {
-                        if (!Answered(result)) {
-                          return;
-                        }
-                        try {
-                          const Json body = json::Parse(result.response.body, "promise answer");
-                          this->leadership_runner.Notify(
-                              leadership::PromiseAnswerReceived{sent_at, leadership::ParsePromiseAnswer(body)});
-                        } catch (const ParseError& failure) {
-                          logging::Write(logging::Level::kWarning, "a promise answer is malformed",
-                                         {{"error", failure.what()}});
-                        }
-                      });
+  this->peers.Control(
+      address, "/v1/peer/promise", leadership::ToJson(action.request).dump(), sent_at + kPromiseLimit,
+      [this, sent_at](const net::CallResult& result) {
+        if (!Answered(result)) {
+          return;
+        }
+        try {
+          const Json body = json::Parse(result.response.body, "promise answer");
+          this->leadership_runner.Notify(
+              leadership::PromiseAnswerReceived{sent_at, leadership::ParsePromiseAnswer(body)});
+        } catch (const ParseError& failure) {
+          logging::Write(logging::Level::kWarning, "a promise answer is malformed", {{"error", failure.what()}});
+        }
+      });
 }
 
 void ControlPlane::HandlePromise(const std::string& body, net::HttpServer::Answer answer) {
@@ -235,20 +234,19 @@
   if (address.empty()) {
     return;
   }
-  this->peers.Control(address, "/v1/peer/close", leadership::ToJson(action.request).dump(), sent_at + kPromiseLimit,
-                      [this, sent_at](const net::CallResult& result) {
-                        if (!Answered(result)) {
-                          return;
-                        }
-                        try {
-                          const Json body = json::Parse(result.response.body, "close answer");
-                          this->leadership_runner.Notify(
-                              leadership::CloseAnswerReceived{sent_at, leadership::ParseCloseAnswer(body)});
-                        } catch (const ParseError& failure) {
-                          logging::Write(logging::Level::kWarning, "a close answer is malformed",
-                                         {{"error", failure.what()}});
-                        }
-                      });
+  this->peers.Control(
+      address, "/v1/peer/close", leadership::ToJson(action.request).dump(), sent_at + kPromiseLimit,
+      [this, sent_at](const net::CallResult& result) {
+        if (!Answered(result)) {
+          return;
+        }
+        try {
+          const Json body = json::Parse(result.response.body, "close answer");
+          this->leadership_runner.Notify(leadership::CloseAnswerReceived{sent_at, leadership::ParseCloseAnswer(body)});
+        } catch (const ParseError& failure) {
+          logging::Write(logging::Level::kWarning, "a close answer is malformed", {{"error", failure.what()}});
+        }
+      });
 }
 
 void ControlPlane::HandleClose(const std::string& body, net::HttpServer::Answer answer) {
@@ -302,20 +300,20 @@
 }
 
 void ControlPlane::Carry(const leadership::ReadRecord& action) {
-  this->platform.Get(configuration::kLeadershipKind, action.group,
-                     [this, group = action.group](const PlatformReply& reply) {
-                       this->TakePlatformStatus(reply.status);
-                       if (reply.status == PlatformStatus::kDone) {
-                         this->ObjectLearned(reply.object);
-                         return;
-                       }
-                       if (reply.status == PlatformStatus::kNotFound) {
-                         this->leadership_runner.Notify(leadership::RecordSeen{
-                             group, reply.version, std::nullopt, leadership::RecordSource::kPlatform});
-                         return;
-                       }
-                       this->leadership_runner.Notify(leadership::ReadFailed{group});
-                     });
+  this->platform.Get(
+      configuration::kLeadershipKind, action.group, [this, group = action.group](const PlatformReply& reply) {
+        this->TakePlatformStatus(reply.status);
+        if (reply.status == PlatformStatus::kDone) {
+          this->ObjectLearned(reply.object);
+          return;
+        }
+        if (reply.status == PlatformStatus::kNotFound) {
+          this->leadership_runner.Notify(
+              leadership::RecordSeen{group, reply.version, std::nullopt, leadership::RecordSource::kPlatform});
+          return;
+        }
+        this->leadership_runner.Notify(leadership::ReadFailed{group});
+      });
 }
 
 void ControlPlane::Carry(const leadership::BecameLeader& action) {
@@ -389,12 +387,12 @@
     std::set<VmName> others(record->witnesses.begin(), record->witnesses.end());
     others.insert(record->successors.begin(), record->successors.end());
     if (record->leader.vm == this->self.vm) {
-      changed.vms.merge(others);
+      changed.send_to.merge(others);
     } else if (others.contains(this->self.vm)) {
-      changed.vms.insert(record->leader.vm);
+      changed.hear_from.insert(record->leader.vm);
     }
   });
-  changed.vms.erase(this->self.vm);
+  changed.send_to.erase(this->self.vm);
   this->membership_runner.Notify(std::move(changed));
 }
 
@@ -462,7 +460,7 @@
 }
 
 void ControlPlane::Carry(const configuration::SendDigest& action) {
-  const Beat beat = this->MakeBeat(this->membership_system.OwnHeartbeat());
+  const Beat beat = this->MakeBeat(this->membership_system.AnswerTo({}));
   for (const VmName& vm : action.to) {
     const std::string address = this->AddressOf(vm);
     if (!address.empty()) {
@@ -477,22 +475,22 @@
     this->NotifyDistribution(configuration::DifferencesFailed{action.id, action.peer});
     return;
   }
-  this->peers.Control(
-      address, "/v1/peer/objects", configuration::ToJson(action.request).dump(), BootClock::now() + kObjectsLimit,
-      [this, id = action.id, peer = action.peer](const net::CallResult& result) {
-        if (Answered(result)) {
-          try {
-            const Json body = json::Parse(result.response.body, "differences answer");
-            this->NotifyDistribution(
-                configuration::DifferencesReceived{id, peer, configuration::ParseDifferencesAnswer(body)});
-            return;
-          } catch (const ParseError& failure) {
-            logging::Write(logging::Level::kWarning, "a peer's differences are malformed",
-                           {{"peer", peer}, {"error", failure.what()}});
-          }
-        }
-        this->NotifyDistribution(configuration::DifferencesFailed{id, peer});
-      });
+  this->peers.Control(address, "/v1/peer/objects", configuration::ToJson(action.request).dump(),
+                      BootClock::now() + kObjectsLimit,
+                      [this, id = action.id, peer = action.peer](const net::CallResult& result) {
+                        if (Answered(result)) {
+                          try {
+                            const Json body = json::Parse(result.response.body, "differences answer");
+                            this->NotifyDistribution(configuration::DifferencesReceived{
+                                id, peer, configuration::ParseDifferencesAnswer(body)});
+                            return;
+                          } catch (const ParseError& failure) {
+                            logging::Write(logging::Level::kWarning, "a peer's differences are malformed",
+                                           {{"peer", peer}, {"error", failure.what()}});
+                          }
+                        }
+                        this->NotifyDistribution(configuration::DifferencesFailed{id, peer});
+                      });
 }
 
 void ControlPlane::HandleObjects(const std::string& body, const net::HttpServer::Answer& answer) {
--- a/source/daemon/control_plane.h
+++ b/source/daemon/control_plane.h
@@ -21,8 +21,8 @@
 
 namespace amaranthlane::daemon {
 
-// One VM's part in membership, leadership and the distribution of configuration: feeds those systems and carries out their
-// actions.
+// One VM's part in membership, leadership and the distribution of configuration: feeds those systems and carries out
+// their actions.
 class ControlPlane {
  public:
   struct Listener {
--- a/source/daemon/endpoint_link.cc
+++ b/source/daemon/endpoint_link.cc
@@ -45,15 +45,15 @@
     callback(connection, net::CallResult{net::CallStatus::kNotSent, {}});
     return;
   }
-  found->second.connection->Call(std::move(request), deadline,
-                                 [this, connection, callback = std::move(callback),
-                                  alive = std::weak_ptr<net::HttpConnection>(found->second.connection)](
-                                     net::CallResult result) {
-                                   // Close takes the entry out before the connection reports its end.
-                                   if (!alive.expired() && this->entries.contains(connection)) {
-                                     callback(connection, std::move(result));
-                                   }
-                                 });
+  found->second.connection->Call(
+      std::move(request), deadline,
+      [this, connection, callback = std::move(callback),
+       alive = std::weak_ptr<net::HttpConnection>(found->second.connection)](net::CallResult result) {
+        // Close takes the entry out before the connection reports its end.
+        if (!alive.expired() && this->entries.contains(connection)) {
+          callback(connection, std::move(result));
+        }
+      });
 }
 
 void EndpointLink::Release(outcomes::ConnectionId connection) {
--- a/source/daemon/endpoint_protocol.cc
+++ b/source/daemon/endpoint_protocol.cc
@@ -32,9 +32,7 @@
     {"invalid-statement", outcomes::EndpointRefusalReason::kInvalidStatement},
 }};
 
-std::string Quote(std::string_view text) {
-  return Json(text).dump(-1, ' ', false, Json::error_handler_t::replace);
-}
+std::string Quote(std::string_view text) { return Json(text).dump(-1, ' ', false, Json::error_handler_t::replace); }
 
 void AppendKey(std::string& body, std::string_view idempotency_key) {
   if (!idempotency_key.empty()) {
--- a/source/daemon/endpoint_table.cc
+++ b/source/daemon/endpoint_table.cc
@@ -39,8 +39,8 @@
     }
   }
   // An instance that moved to another address gets a row of its own; the old row takes no work.
-  this->rows.push_back(EndpointRow{
-      instance.endpoint, std::make_unique<EndpointLink>(this->loop, address, limit, this->numbers), false});
+  this->rows.push_back(
+      EndpointRow{instance.endpoint, std::make_unique<EndpointLink>(this->loop, address, limit, this->numbers), false});
   return this->rows.back();
 }
 
--- a/source/daemon/entry.cc
+++ b/source/daemon/entry.cc
@@ -8,7 +8,7 @@
 #include "common/error.h"
 #include "core/outcomes/outcome_errors.h"
 #include "core/outcomes/retry_rule.h"
-#include "core/sessions/token_errors.h"
+#include "core/sessions/session_errors.h"
 #include "daemon/problem.h"
 
 namespace amaranthlane::daemon {
@@ -64,7 +64,8 @@
   std::unique_ptr<opentracing::Span> span;
   std::string kind;
   TimePoint arrival;
-  // The VM that the present attempt was passed to, and the attempt's number. A late answer to an earlier one is dropped.
+  // The VM that the present attempt was passed to, and the attempt's number. A late answer to an earlier one is
+  // dropped.
   VmName leader;
   std::uint64_t attempt = 0;
 };
@@ -123,8 +124,8 @@
     call.answer(WorkProblemResponse(MakeRefusal(WorkProblem::kUnknownGroup), ""));
     return false;
   }
-  const auto mode = request.mode == outcomes::StatementMode::kRead ? configuration::WorkMode::kRead
-                                                                   : configuration::WorkMode::kWrite;
+  const auto mode =
+      request.mode == outcomes::StatementMode::kRead ? configuration::WorkMode::kRead : configuration::WorkMode::kWrite;
   WorkRequest& work = call.work;
   call.kind = request.kind;
   work.obligation = this->resolver.Resolve({work.caller, request.group, request.kind, mode});
@@ -200,8 +201,12 @@
     this->Decide(call, outcomes::ForwardEvent::kNotSent, MakeRefusal(WorkProblem::kNoLeader));
     return;
   }
-  const auto refusal = this->admission.Check(call->work.group, call->work.obligation.rank, call->work.deadline, now,
-                                             this->generator);
+  const bool may_use_replicas = call->work.kind == WorkKind::kStatement &&
+                                call->work.mode == outcomes::StatementMode::kRead &&
+                                call->work.obligation.freshness > Duration::zero();
+  const auto target = may_use_replicas ? scheduling::TargetKind::kReplicas : scheduling::TargetKind::kPrimary;
+  const auto refusal = this->admission.Check(call->work.group, call->work.obligation.rank, target, call->work.deadline,
+                                             now, this->generator);
   if (refusal) {
     WorkAnswer answer = MakeRefusal(WorkProblem::kOverload);
     answer.retry_after = std::chrono::duration_cast<std::chrono::milliseconds>(refusal->retry_at - now);
--- a/source/daemon/entry.h
+++ b/source/daemon/entry.h
@@ -32,8 +32,7 @@
   };
 
   Entry(boost::asio::io_context& loop, const Settings& settings, ControlPlane& control, PeerClient& peers,
-        metrics::Registry& metrics, std::shared_ptr<tracing::RingTracer> tracer, std::mt19937_64& generator,
-        Host host);
+        metrics::Registry& metrics, std::shared_ptr<tracing::RingTracer> tracer, std::mt19937_64& generator, Host host);
 
   // The handler of the callers' interface.
   void Handle(const net::HttpRequest& request, net::HttpServer::Answer answer);
--- a/source/daemon/entry_metrics.cc
+++ b/source/daemon/entry_metrics.cc
@@ -5,10 +5,10 @@
 namespace amaranthlane::daemon {
 
 EntryMetrics::EntryMetrics(metrics::Registry& registry)
-    : replica_reads(&registry.GetCounter("amaranthlane_reads_total", "Reads that were answered, by the endpoint's role.",
-                                         {{"role", "replica"}})),
-      primary_reads(&registry.GetCounter("amaranthlane_reads_total", "Reads that were answered, by the endpoint's role.",
-                                         {{"role", "primary"}})) {
+    : replica_reads(&registry.GetCounter("amaranthlane_reads_total",
+                                         "Reads that were answered, by the endpoint's role.", {{"role", "replica"}})),
+      primary_reads(&registry.GetCounter("amaranthlane_reads_total",
+                                         "Reads that were answered, by the endpoint's role.", {{"role", "primary"}})) {
   for (const Rank rank : kRanks) {
     const auto row = static_cast<std::size_t>(rank);
     const std::string rank_name(RankName(rank));
@@ -28,8 +28,6 @@
   this->latency[row]->Add(took);
 }
 
-void EntryMetrics::CountRead(bool from_replica) {
-  ++(from_replica ? this->replica_reads : this->primary_reads)->value;
-}
+void EntryMetrics::CountRead(bool from_replica) { ++(from_replica ? this->replica_reads : this->primary_reads)->value; }
 
 }  // namespace amaranthlane::daemon
--- a/source/daemon/group_supervisor.cc
+++ b/source/daemon/group_supervisor.cc
@@ -70,6 +70,10 @@
     this->listener.acknowledged(expired);
   }
   this->runner.RunIfDue(now);
+  const std::optional<TimePoint> stalled = this->replica_table.StalledSince();
+  if (stalled && now - *stalled > promotion::PromotionSettings{}.replication_stall_limit) {
+    this->Notify(promotion::ReplicationStalled{this->replica_table.CurrentTerm()});
+  }
 }
 
 bool GroupSupervisor::MayAcknowledge(AcknowledgementLevel level, const LogPosition& position) {
@@ -77,7 +81,7 @@
     return this->promotion_system.MayAcknowledge(position.term, position);
   }
   // Such a commit may be lost with the primary, so it must not hold up a promotion that can't cover it.
-  return this->promotion_system.MaySend() && position.term == this->promotion_system.CurrentTerm();
+  return this->promotion_system.MayPassOn(position.term);
 }
 
 replicas::ReplicaTable& GroupSupervisor::Replicas() { return this->replica_table; }
@@ -107,8 +111,7 @@
 }
 
 void GroupSupervisor::Carry(const promotion::ProbeInstance& action) {
-  const auto connection =
-      std::make_shared<net::HttpConnection>(this->context.loop, net::ParseAddress(action.address));
+  const auto connection = std::make_shared<net::HttpConnection>(this->context.loop, net::ParseAddress(action.address));
   const TimePoint sent_at = BootClock::now();
   connection->Call(PositionMessage(std::nullopt, std::chrono::milliseconds(0)), action.deadline,
                    [self = this->shared_from_this(), connection, request = action.request,
@@ -147,8 +150,8 @@
   }
   if (reply.status == PlatformStatus::kDone) {
     try {
-      this->Notify(promotion::GroupObjectRead{request, reply.object.version,
-                                              replicas::ParseGroupRecord(reply.object.value)});
+      this->Notify(
+          promotion::GroupObjectRead{request, reply.object.version, replicas::ParseGroupRecord(reply.object.value)});
       return;
     } catch (const ParseError& failure) {
       logging::Write(logging::Level::kError, "the group's object is malformed",
@@ -161,11 +164,11 @@
 void GroupSupervisor::Carry(const promotion::UpdateGroupObject& action) {
   logging::Write(logging::Level::kInfo, "raising the group's term",
                  {{"group", this->group}, {"term", action.record.term}, {"primary", action.record.primary}});
-  this->context.platform.Put(
-      configuration::kDatabaseGroupsKind, this->group, action.expected_version, replicas::ToJson(action.record),
-      [self = this->shared_from_this(), record = action.record](const PlatformReply& reply) {
-        self->FinishUpdate(record.update_id, record, reply);
-      });
+  this->context.platform.Put(configuration::kDatabaseGroupsKind, this->group, action.expected_version,
+                             replicas::ToJson(action.record),
+                             [self = this->shared_from_this(), record = action.record](const PlatformReply& reply) {
+                               self->FinishUpdate(record.update_id, record, reply);
+                             });
 }
 
 void GroupSupervisor::FinishUpdate(const std::string& update_id, const replicas::GroupRecord& record,
@@ -180,8 +183,8 @@
   }
   if (reply.status == PlatformStatus::kConflict && !reply.object.deleted) {
     try {
-      this->Notify(promotion::UpdateConflicted{update_id, reply.object.version,
-                                               replicas::ParseGroupRecord(reply.object.value)});
+      this->Notify(
+          promotion::UpdateConflicted{update_id, reply.object.version, replicas::ParseGroupRecord(reply.object.value)});
       return;
     } catch (const ParseError&) {
       // Treated as an answer that is missing: the system reads the object again.
@@ -191,8 +194,7 @@
 }
 
 void GroupSupervisor::Carry(const promotion::ConfigureInstance& action) {
-  const auto connection =
-      std::make_shared<net::HttpConnection>(this->context.loop, net::ParseAddress(action.address));
+  const auto connection = std::make_shared<net::HttpConnection>(this->context.loop, net::ParseAddress(action.address));
   connection->Call(ConfigureMessage(action.record), action.deadline,
                    [self = this->shared_from_this(), connection, request = action.request](
                        const net::CallResult& result) { self->FinishConfigure(request, result); });
--- a/source/daemon/group_supervisor.h
+++ b/source/daemon/group_supervisor.h
@@ -16,8 +16,8 @@
 
 namespace amaranthlane::daemon {
 
-// Watches the instances of a led group and changes its primary: carries out the actions of the promotion system and feeds the
-// replica table.
+// Watches the instances of a led group and changes its primary: carries out the actions of the promotion system and
+// feeds the replica table.
 class GroupSupervisor : public std::enable_shared_from_this<GroupSupervisor> {
  public:
   struct Listener {
--- a/source/daemon/group_work.cc
+++ b/source/daemon/group_work.cc
@@ -134,14 +134,13 @@
   }
   const auto connection =
       std::make_shared<net::HttpConnection>(this->context.loop, this->endpoints.LinkOf(*primary).Target());
-  connection->Call(OutcomeMessage(work.request.idempotency_key, this->supervisor.Promotion().CurrentTerm()),
-                   work.request.deadline,
-                   [this, alive = std::weak_ptr<bool>(this->alive), connection,
-                    id = work.id](const net::CallResult& result) {
-                     if (!alive.expired()) {
-                       this->OutcomeLearned(id, result);
-                     }
-                   });
+  connection->Call(
+      OutcomeMessage(work.request.idempotency_key, this->supervisor.Promotion().CurrentTerm()), work.request.deadline,
+      [this, alive = std::weak_ptr<bool>(this->alive), connection, id = work.id](const net::CallResult& result) {
+        if (!alive.expired()) {
+          this->OutcomeLearned(id, result);
+        }
+      });
 }
 
 void GroupWork::OutcomeLearned(outcomes::RequestId id, const net::CallResult& result) {
@@ -261,7 +260,7 @@
   outcomes::Actions actions;
   if (!connection) {
     this->FreeSlot(id, /*ran_to_end=*/false);
-    this->requests.Refused(id, outcomes::EndReason::kOverload, now, actions);
+    this->requests.NotSent(id, now, actions);
     this->CarryOutcomes(actions);
     return;
   }
@@ -283,6 +282,7 @@
   statement.statement = work.request.statement;
   statement.idempotency_key = work.request.idempotency_key;
   work.sent_at = now;
+  work.sent_term = statement.term;
   net::HttpRequest message = StatementMessage(statement);
   if (work.span != nullptr && tracing::ContextOf(*work.span).sampled) {
     message.headers.push_back({"traceparent", tracing::FormatTraceparent(tracing::ContextOf(*work.span))});
@@ -290,7 +290,7 @@
   this->endpoints.LinkOf(work.endpoint)
       .Call(connection, std::move(message), work.request.deadline + kAnswerMargin,
             [this, alive = std::weak_ptr<bool>(this->alive), id = work.id](outcomes::ConnectionId connection,
-                                                                         const net::CallResult& result) {
+                                                                           const net::CallResult& result) {
               if (!alive.expired()) {
                 this->Finish(id, connection, result);
               }
@@ -350,14 +350,15 @@
   }
   const EndpointName& endpoint = this->endpoints.NameOf(work.endpoint);
   if (IsRead(work)) {
+    const replicas::ReadAnswer read{endpoint, reply.term, reply.position, work.sent_at};
     this->supervisor.Replicas().ReadFinished(endpoint, now - work.sent_at);
-    if (reply.request == work.id && !this->ReadMayPass(work, reply, now)) {
+    if (reply.request == work.id && !this->supervisor.Replicas().MayPassOn(now, ReadRequestOf(work.request), read)) {
       work.answer_discarded = true;
       work.settling = true;
       this->TakeRefusal(work, connection, outcomes::EndpointRefusalReason::kBusy, now);
       return;
     }
-    const auto age = this->supervisor.Replicas().AgeBound(now, endpoint, reply.position, work.sent_at);
+    const auto age = this->supervisor.Replicas().AgeBound(now, read);
     work.answer.age_bound =
         std::chrono::ceil<std::chrono::milliseconds>(age.value_or(Duration(std::chrono::milliseconds(0))));
   }
@@ -375,20 +376,14 @@
   this->CarryOutcomes(actions);
 }
 
-bool GroupWork::ReadMayPass(const OpenWork& work, const EndpointReply& reply, TimePoint now) const {
-  return this->supervisor.Replicas().MayPassOn(now, ReadRequestOf(work.request),
-                                               this->endpoints.NameOf(work.endpoint), reply.position, work.sent_at);
-}
-
-void GroupWork::TakeRefusal(OpenWork& work, outcomes::ConnectionId connection,
-                            outcomes::EndpointRefusalReason reason, TimePoint now) {
+void GroupWork::TakeRefusal(OpenWork& work, outcomes::ConnectionId connection, outcomes::EndpointRefusalReason reason,
+                            TimePoint now) {
   const EndpointName endpoint = this->endpoints.NameOf(work.endpoint);
   outcomes::Actions actions;
   this->requests.RefusedByEndpoint(outcomes::EndpointRefusal{connection, work.id, reason}, now, actions);
   this->CarryOutcomes(actions);
   if (reason == outcomes::EndpointRefusalReason::kStaleTerm) {
-    this->supervisor.Notify(
-        promotion::HigherTermSeen{endpoint, this->supervisor.Promotion().CurrentTerm() + 1});
+    this->supervisor.Notify(promotion::HigherTermSeen{endpoint, this->supervisor.Promotion().CurrentTerm() + 1});
   }
 }
 
@@ -430,8 +425,8 @@
   if (found == this->open.end()) {
     return;
   }
-  const auto known = this->supervisor.Replicas().AwaitReplicated(action.request, action.position,
-                                                                 found->second.request.deadline);
+  const auto known = this->supervisor.Replicas().AwaitReplicated(action.request, found->second.sent_term,
+                                                                 action.position, found->second.request.deadline);
   if (known) {
     this->Acknowledged({*known});
   }
@@ -451,8 +446,7 @@
   answer.position = action.position;
   answer.replayed = action.replayed;
   const bool written = work.request.mode == outcomes::StatementMode::kWrite && action.outcome == Outcome::kDone;
-  if (written &&
-      !this->supervisor.MayAcknowledge(work.request.obligation.acknowledgement, action.position)) {
+  if (written && !this->supervisor.MayAcknowledge(work.request.obligation.acknowledgement, action.position)) {
     answer = MakeRefusal(WorkProblem::kTermMoved, Outcome::kUnknown);
   }
   if (work.answer_discarded && answer.outcome == Outcome::kNotRun) {
@@ -538,14 +532,15 @@
 
 void GroupWork::Acknowledged(const std::vector<replicas::AcknowledgementResult>& results) {
   const TimePoint now = BootClock::now();
+  const Term term = this->supervisor.Replicas().CurrentTerm();
   for (const replicas::AcknowledgementResult& result : results) {
     if (result.replication != replicas::Replication::kReplicated) {
       continue;
     }
     outcomes::Actions actions;
-    this->requests.ReplicationReached(result.position, now, actions);
+    this->requests.ReplicationReached(term, result.position.offset, now, actions);
     this->CarryOutcomes(actions);
-    this->transactions.ReplicationReached(result.position, now);
+    this->transactions.ReplicationReached(term, result.position.offset, now);
   }
 }
 
@@ -557,7 +552,7 @@
   this->transactions.LeadershipEnded(now);
 }
 
-void GroupWork::Drain(TimePoint until) { this->transactions.Drain(until); }
+void GroupWork::Drain(TimePoint until) { this->transactions.Drain(until, BootClock::now()); }
 
 void GroupWork::Tick(TimePoint now) {
   std::vector<DelayedWork> due;
--- a/source/daemon/group_work.h
+++ b/source/daemon/group_work.h
@@ -65,7 +65,6 @@
   bool TryTakeReply(OpenWork& work, outcomes::ConnectionId connection, const net::CallResult& result, TimePoint now);
   void LoseConnection(outcomes::ConnectionId connection, TimePoint now);
   void TakeReply(OpenWork& work, outcomes::ConnectionId connection, const EndpointReply& reply, TimePoint now);
-  bool ReadMayPass(const OpenWork& work, const EndpointReply& reply, TimePoint now) const;
   void TakeRefusal(OpenWork& work, outcomes::ConnectionId connection, outcomes::EndpointRefusalReason reason,
                    TimePoint now);
 
--- a/source/daemon/instance_prober.h
+++ b/source/daemon/instance_prober.h
@@ -16,7 +16,8 @@
 
 // How an instance is probed in its present role.
 struct ProbeMode {
-  // True: the instance holds each probe until its log grows. False: it answers at once and is asked again after `pause`.
+  // True: the instance holds each probe until its log grows. False: it answers at once and is asked again after
+  // `pause`.
   bool long_poll = false;
   std::chrono::milliseconds pause{0};
   // How long a held probe may be held.
--- a/source/daemon/node.cc
+++ b/source/daemon/node.cc
@@ -40,7 +40,9 @@
     : loop(loop),
       settings(settings),
       generator(seed),
-      incarnation(this->generator() >> 1U),
+      incarnation(static_cast<Incarnation>(
+          std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch())
+              .count())),
       tracer(std::make_shared<tracing::RingTracer>(settings.trace_ring_size, 0, this->generator())),
       platform(loop, net::ParseAddress(settings.platform_address), this->metrics),
       peers(loop),
@@ -90,21 +92,21 @@
 
 void Node::Start() {
   const net::HttpServerLimits limits = LimitsOf(this->settings);
-  this->callers_server = std::make_unique<net::HttpServer>(
-      this->loop, net::ParseAddress(this->settings.callers_address), limits,
-      [this](const net::HttpRequest& request, net::HttpServer::Answer answer) {
-        this->entry.Handle(request, std::move(answer));
-      });
-  this->peers_server = std::make_unique<net::HttpServer>(
-      this->loop, net::ParseAddress(this->settings.peers_address), limits,
-      [this](const net::HttpRequest& request, net::HttpServer::Answer answer) {
-        this->HandlePeer(request, std::move(answer));
-      });
-  this->operators_server = std::make_unique<net::HttpServer>(
-      this->loop, net::ParseAddress(this->settings.operators_address), limits,
-      [this](const net::HttpRequest& request, net::HttpServer::Answer answer) {
-        this->operators.Handle(request, std::move(answer));
-      });
+  this->callers_server =
+      std::make_unique<net::HttpServer>(this->loop, net::ParseAddress(this->settings.callers_address), limits,
+                                        [this](const net::HttpRequest& request, net::HttpServer::Answer answer) {
+                                          this->entry.Handle(request, std::move(answer));
+                                        });
+  this->peers_server =
+      std::make_unique<net::HttpServer>(this->loop, net::ParseAddress(this->settings.peers_address), limits,
+                                        [this](const net::HttpRequest& request, net::HttpServer::Answer answer) {
+                                          this->HandlePeer(request, std::move(answer));
+                                        });
+  this->operators_server =
+      std::make_unique<net::HttpServer>(this->loop, net::ParseAddress(this->settings.operators_address), limits,
+                                        [this](const net::HttpRequest& request, net::HttpServer::Answer answer) {
+                                          this->operators.Handle(request, std::move(answer));
+                                        });
   this->callers_server->Start();
   this->peers_server->Start();
   this->operators_server->Start();
--- a/source/daemon/open_work.h
+++ b/source/daemon/open_work.h
@@ -19,6 +19,7 @@
   // Where it was dispatched to, and when; meaningful while it holds a slot.
   scheduling::EndpointIndex endpoint = 0;
   TimePoint sent_at;
+  Term sent_term = 0;
   bool holds_slot = false;
   // An earlier attempt may have run: only the primary can tell.
   bool settling = false;
--- a/source/daemon/operators_api.cc
+++ b/source/daemon/operators_api.cc
@@ -96,11 +96,16 @@
 const std::vector<OperatorsApi::Route>& OperatorsApi::Routes() {
   // `name` is the last fixed part of the path: the first segment, or the one after "v1".
   static const std::vector<Route> routes = {
-      {"GET", "health", 1, &OperatorsApi::Health},         {"GET", "ready", 1, &OperatorsApi::Ready},
-      {"GET", "metrics", 1, &OperatorsApi::Metrics},       {"GET", "status", 2, &OperatorsApi::Status},
-      {"POST", "drain", 2, &OperatorsApi::Drain},          {"GET", "traces", 2, &OperatorsApi::Traces},
-      {"POST", "groups", 4, &OperatorsApi::Promote},       {"GET", "objects", 3, &OperatorsApi::ListObjects},
-      {"GET", "objects", 4, &OperatorsApi::GetObject},     {"PUT", "objects", 4, &OperatorsApi::PutObject},
+      {"GET", "health", 1, &OperatorsApi::Health},
+      {"GET", "ready", 1, &OperatorsApi::Ready},
+      {"GET", "metrics", 1, &OperatorsApi::Metrics},
+      {"GET", "status", 2, &OperatorsApi::Status},
+      {"POST", "drain", 2, &OperatorsApi::Drain},
+      {"GET", "traces", 2, &OperatorsApi::Traces},
+      {"POST", "groups", 4, &OperatorsApi::Promote},
+      {"GET", "objects", 3, &OperatorsApi::ListObjects},
+      {"GET", "objects", 4, &OperatorsApi::GetObject},
+      {"PUT", "objects", 4, &OperatorsApi::PutObject},
       {"DELETE", "objects", 4, &OperatorsApi::DeleteObject},
   };
   return routes;
@@ -168,11 +173,11 @@
                        {"leaving", row.Leaving()}});
   }
   Json leaders = Json::array();
-  this->control.Objects().ForEach(
-      configuration::kDatabaseGroupsKind, [this, &leaders](const configuration::PlatformObject& object) {
-        const auto leader = this->control.Leadership().CurrentLeader(object.name);
-        leaders.push_back(Json{{"group", object.name}, {"leader", leader ? *leader : ""}});
-      });
+  this->control.Objects().ForEach(configuration::kDatabaseGroupsKind,
+                                  [this, &leaders](const configuration::PlatformObject& object) {
+                                    const auto leader = this->control.Leadership().CurrentLeader(object.name);
+                                    leaders.push_back(Json{{"group", object.name}, {"leader", leader ? *leader : ""}});
+                                  });
   Json in_force = Json::array();
   for (const configuration::InForceEntry& entry : this->control.InForce()) {
     in_force.push_back(
@@ -199,8 +204,7 @@
 void OperatorsApi::Traces(const net::HttpRequest& request, const Segments& /*segments*/,
                           const net::HttpServer::Answer& answer) {
   Json spans = Json::array();
-  for (const tracing::SpanRecord& span :
-       this->tracer->Spans().Find(net::QueryParameter(request.target, "trace_id"))) {
+  for (const tracing::SpanRecord& span : this->tracer->Spans().Find(net::QueryParameter(request.target, "trace_id"))) {
     spans.push_back(ToJson(span));
   }
   answer(JsonResponse(Json{{"vm", this->settings.vm}, {"spans", std::move(spans)}}.dump()));
@@ -260,10 +264,9 @@
 }
 
 void OperatorsApi::Submit(configuration::Edit edit, const net::HttpServer::Answer& answer) {
-  this->control.SubmitEdit(std::move(edit), BootClock::now() + kEditLimit,
-                           [answer](const configuration::EditResult& result) {
-                             answer(std::visit(EditAnswer{}, result));
-                           });
+  this->control.SubmitEdit(
+      std::move(edit), BootClock::now() + kEditLimit,
+      [answer](const configuration::EditResult& result) { answer(std::visit(EditAnswer{}, result)); });
 }
 
 }  // namespace amaranthlane::daemon
--- a/source/daemon/peer_client.h
+++ b/source/daemon/peer_client.h
@@ -10,8 +10,8 @@
 
 namespace amaranthlane::daemon {
 
-// Calls other VMs on their peers' ports. Control messages and callers' work travel on connections of their own, so that a flood of
-// work never delays a promise.
+// Calls other VMs on their peers' ports. Control messages and callers' work travel on connections of their own, so that
+// a flood of work never delays a promise.
 class PeerClient {
  public:
   explicit PeerClient(boost::asio::io_context& loop);
--- a/source/daemon/platform_client.h
+++ b/source/daemon/platform_client.h
@@ -49,8 +49,8 @@
   void List(const std::string& kind, Callback callback);
   void ListVms(Callback callback);
   // Writes `value` if the object's version is still `expected_version`; 0: it doesn't exist.
-  void Put(const std::string& kind, const std::string& name, ObjectVersion expected_version, const nlohmann::json& value,
-           Callback callback);
+  void Put(const std::string& kind, const std::string& name, ObjectVersion expected_version,
+           const nlohmann::json& value, Callback callback);
   void Delete(const std::string& kind, const std::string& name, ObjectVersion expected_version, Callback callback);
 
   // Waits for changes after `after` on a connection of its own, of which there is one at a time.
--- a/source/daemon/system_runner.h
+++ b/source/daemon/system_runner.h
@@ -11,8 +11,8 @@
 
 namespace amaranthlane::daemon {
 
-// Feeds events to a system of the decision library and has its actions carried out, in order: an event that arises while actions
-// are carried out waits until they all are.
+// Feeds events to a system of the decision library and has its actions carried out, in order: an event that arises
+// while actions are carried out waits until they all are.
 template <typename System, typename Event, typename Action>
 class SystemRunner {
  public:
--- a/source/daemon/transaction_runner.cc
+++ b/source/daemon/transaction_runner.cc
@@ -4,6 +4,7 @@
 
 #include "common/error.h"
 #include "core/transactions/transaction_errors.h"
+#include "logging/log.h"
 
 namespace amaranthlane::daemon {
 
@@ -29,6 +30,8 @@
       return WorkProblem::kShutdown;
     case transactions::TransactionEndReason::kRefusedByEndpoint:
       return WorkProblem::kRefusedByEndpoint;
+    case transactions::TransactionEndReason::kOverload:
+      return WorkProblem::kOverload;
     case transactions::TransactionEndReason::kCallerGone:
     case transactions::TransactionEndReason::kIdleDeadline:
     case transactions::TransactionEndReason::kTotalDeadline:
@@ -146,9 +149,9 @@
   this->CarryAll(actions);
 }
 
-void TransactionRunner::ReplicationReached(const LogPosition& position, TimePoint now) {
+void TransactionRunner::ReplicationReached(Term synced_term, std::uint64_t offset, TimePoint now) {
   transactions::TransactionActions actions;
-  this->table.ReplicationReached(position, now, actions);
+  this->table.ReplicationReached(synced_term, offset, now, actions);
   this->CarryAll(actions);
 }
 
@@ -164,9 +167,14 @@
   this->CarryAll(actions);
 }
 
-void TransactionRunner::Drain(TimePoint until) { this->table.Drain(until); }
+void TransactionRunner::Drain(TimePoint until, TimePoint now) { this->table.Drain(until, now); }
 
 void TransactionRunner::Tick(TimePoint now) {
+  while (!this->settling.empty() && this->settling.begin()->first <= now) {
+    const transactions::SettleCommit due = this->settling.begin()->second;
+    this->settling.erase(this->settling.begin());
+    this->Settle(due);
+  }
   if (this->table.NextDeadline() > now) {
     return;
   }
@@ -230,22 +238,21 @@
                                   const EndpointReply& reply) {
   const TimePoint now = BootClock::now();
   transactions::TransactionActions actions;
-  bool matched = false;
+  outcomes::DeliveryVerdict verdict = outcomes::DeliveryVerdict::kAccepted;
   if (reply.refusal) {
-    matched = this->table.RefusedByEndpoint(connection, reply.request == 0 ? request : reply.request, now, actions);
+    verdict = this->table.RefusedByEndpoint({connection, request, *reply.refusal}, now, actions);
   } else {
     const auto found = this->open.find(request);
     if (found != this->open.end()) {
       found->second.answer.result = reply.result;
       found->second.answer.replayed = reply.replayed;
     }
-    matched = this->table.Answered(connection, reply.request, reply.term, reply.position, now, actions);
+    const outcomes::EndpointAnswer answer{connection, reply.request, reply.term, reply.position, reply.replayed};
+    verdict = this->table.Answered(answer, now, actions);
   }
   this->CarryAll(actions);
-  if (!matched) {
-    if (EndpointLink* link = this->endpoints.LinkOfConnection(connection)) {
-      link->Close(connection);
-    }
+  if (verdict == outcomes::DeliveryVerdict::kMismatched) {
+    logging::Write(logging::Level::kError, "an endpoint's answer belongs to no open call", {{"group", this->group}});
   }
 }
 
@@ -264,9 +271,11 @@
 }
 
 void TransactionRunner::Carry(const transactions::AwaitCommitReplication& action) {
-  const auto known = this->supervisor.Replicas().AwaitReplicated(0, action.position, BootClock::now() + kAnswerMargin);
+  const TimePoint now = BootClock::now();
+  const Term term = this->supervisor.Promotion().CurrentTerm();
+  const auto known = this->supervisor.Replicas().AwaitReplicated(0, term, action.position, now + kAnswerMargin);
   if (known && known->replication == replicas::Replication::kReplicated) {
-    this->ReplicationReached(action.position, BootClock::now());
+    this->ReplicationReached(term, action.position.offset, now);
   }
 }
 
@@ -292,36 +301,42 @@
 }
 
 void TransactionRunner::Carry(const transactions::SettleCommit& action) {
+  this->settling.emplace(action.not_before, action);
+}
+
+void TransactionRunner::Settle(const transactions::SettleCommit& action) {
   const auto primary = this->endpoints.IndexOf(this->supervisor.Promotion().Primary());
-  if (!primary) {
+  const auto commit = this->open.find(action.commit);
+  if (!primary || commit == this->open.end()) {
     return;
   }
   const auto connection =
       std::make_shared<net::HttpConnection>(this->context.loop, this->endpoints.LinkOf(*primary).Target());
-  connection->Call(OutcomeMessage(action.idempotency_key, this->supervisor.Promotion().CurrentTerm()),
-                   BootClock::now() + kSettleLimit,
-                   [this, alive = std::weak_ptr<bool>(this->alive), connection,
-                    transaction = action.transaction](const net::CallResult& result) {
+  connection->Call(OutcomeMessage(commit->second.request.idempotency_key, action.term), BootClock::now() + kSettleLimit,
+                   [this, alive = std::weak_ptr<bool>(this->alive), connection, action](const net::CallResult& result) {
                      if (!alive.expired()) {
-                       this->Settled(transaction, result);
+                       this->Settled(action, result);
                      }
                    });
 }
 
-void TransactionRunner::Settled(const transactions::TransactionId& transaction, const net::CallResult& result) {
+void TransactionRunner::Settled(const transactions::SettleCommit& action, const net::CallResult& result) {
   std::optional<LogPosition> position;
   if (result.status == net::CallStatus::kAnswered) {
     try {
       const KeyOutcome outcome = ParseKeyOutcome(result.response);
-      if (outcome.known) {
+      const auto commit = this->open.find(action.commit);
+      if (outcome.known && commit != this->open.end()) {
         position = outcome.position;
+        commit->second.answer.result = outcome.result;
+        commit->second.answer.replayed = true;
       }
     } catch (const ParseError&) {
       // Not readable: the commit's outcome stays unknown.
     }
   }
   transactions::TransactionActions actions;
-  this->table.CommitSettled(transaction, position, BootClock::now(), actions);
+  this->table.CommitSettled(action.transaction, action.term, position, BootClock::now(), actions);
   this->CarryAll(actions);
 }
 
--- a/source/daemon/transaction_runner.h
+++ b/source/daemon/transaction_runner.h
@@ -2,6 +2,7 @@
 #define AMARANTHLANE_DAEMON_TRANSACTION_RUNNER_H_
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <random>
 #include <unordered_map>
@@ -39,10 +40,10 @@
 
   void SetValidUntil(TimePoint until);
   void TermMoved(const replicas::GroupRecord& record, TimePoint now);
-  void ReplicationReached(const LogPosition& position, TimePoint now);
+  void ReplicationReached(Term synced_term, std::uint64_t offset, TimePoint now);
   void ConnectionLost(outcomes::ConnectionId connection, TimePoint now);
   void LeadershipEnded(TimePoint now);
-  void Drain(TimePoint until);
+  void Drain(TimePoint until, TimePoint now);
   void Tick(TimePoint now);
   std::size_t OpenTransactions() const;
 
@@ -57,7 +58,8 @@
 
   void Finish(outcomes::RequestId request, outcomes::ConnectionId connection, const net::CallResult& result);
   void TakeReply(outcomes::RequestId request, outcomes::ConnectionId connection, const EndpointReply& reply);
-  void Settled(const transactions::TransactionId& transaction, const net::CallResult& result);
+  void Settle(const transactions::SettleCommit& action);
+  void Settled(const transactions::SettleCommit& action, const net::CallResult& result);
   net::HttpRequest MessageFor(const transactions::SendCall& action, const OpenWork& work) const;
 
   GroupContext& context;
@@ -68,6 +70,8 @@
   Host host;
   transactions::TransactionTable table;
   scheduling::ConnectionQuota quota;
+  // Commits whose keys are to be asked for, by the time to ask.
+  std::multimap<TimePoint, transactions::SettleCommit> settling;
   // Ends callbacks that outlive this object.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/source/daemon/work.cc
+++ b/source/daemon/work.cc
@@ -99,25 +99,31 @@
 }
 
 Json ToJson(const scheduling::PressureReport& report) {
-  Json ranks = Json::array();
-  for (const scheduling::RankPressure& pressure : report.ranks) {
-    ranks.push_back(Json{{"wait_ms", ToMilliseconds(pressure.estimated_wait).count()},
-                         {"service_ms", ToMilliseconds(pressure.expected_service).count()},
-                         {"admission", pressure.admission_fraction}});
+  Json rows = Json::array();
+  for (const auto& targets : report.pressures) {
+    for (const scheduling::RankPressure& pressure : targets) {
+      rows.push_back(Json{{"wait_ms", ToMilliseconds(pressure.estimated_wait).count()},
+                          {"service_ms", ToMilliseconds(pressure.expected_service).count()},
+                          {"admission", pressure.admission_fraction}});
+    }
   }
-  return ranks;
+  return rows;
 }
 
-scheduling::PressureReport ParsePressure(const Json& ranks) {
+scheduling::PressureReport ParsePressure(const Json& rows) {
   scheduling::PressureReport report;
-  if (ranks.size() != report.ranks.size()) {
-    throw ParseError(kAnswerDocument, "pressure", "one element for each rank");
+  if (rows.size() != kRankCount * scheduling::kTargetKindCount) {
+    throw ParseError(kAnswerDocument, "pressure", "one element for each rank and target");
   }
-  for (std::size_t index = 0; index < ranks.size(); ++index) {
-    const json::ObjectReader reader(ranks[index], kAnswerDocument);
-    report.ranks[index].estimated_wait = reader.Milliseconds("wait_ms");
-    report.ranks[index].expected_service = reader.Milliseconds("service_ms");
-    report.ranks[index].admission_fraction = std::clamp(reader.Number("admission"), 0.0, 1.0);
+  std::size_t index = 0;
+  for (auto& targets : report.pressures) {
+    for (scheduling::RankPressure& pressure : targets) {
+      const json::ObjectReader reader(rows[index], kAnswerDocument);
+      pressure.estimated_wait = reader.Milliseconds("wait_ms");
+      pressure.expected_service = reader.Milliseconds("service_ms");
+      pressure.admission_fraction = std::clamp(reader.Number("admission"), 0.0, 1.0);
+      ++index;
+    }
   }
   return report;
 }
--- a/source/logging/log.cc
+++ b/source/logging/log.cc
@@ -41,8 +41,8 @@
   if (level < minimum_level) {
     return;
   }
-  std::string line = "\"level\":\"" + std::string(kLevelNames[static_cast<std::size_t>(level)]) + "\",\"vm\":" +
-                     Quote(vm_name) + ",\"event\":" + Quote(event);
+  std::string line = "\"level\":\"" + std::string(kLevelNames[static_cast<std::size_t>(level)]) +
+                     "\",\"vm\":" + Quote(vm_name) + ",\"event\":" + Quote(event);
   for (const Field& field : fields) {
     line += "," + Quote(field.name) + ":" + (field.quoted ? Quote(field.text) : field.text);
   }
--- a/source/logging/log.h
+++ b/source/logging/log.h
@@ -25,7 +25,8 @@
   bool quoted = true;
 };
 
-// Sets up the log of this process. `vm` stands in each line; lines below `level` (debug, info, warning or error) are dropped.
+// Sets up the log of this process. `vm` stands in each line; lines below `level` (debug, info, warning or error) are
+// dropped.
 void Start(std::string_view vm, std::string_view level);
 
 // Writes one line. `event` says in plain words what happened.
