Add the fault-injecting proxy and the tests of the stand-ins

Cause: tests with real processes need faults between them on command. Change: a TCP proxy with the documented modes, a fixture that starts processes and calls them over HTTP, and tests of the three stand-ins against it.

--- /dev/null
+++ b/stand_ins/fault_proxy/fault.h
@@ -0,0 +1,60 @@
+#ifndef AMARANTHLANE_STAND_INS_FAULT_PROXY_FAULT_H_
+#define AMARANTHLANE_STAND_INS_FAULT_PROXY_FAULT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+#include "stand_ins/common/problem.h"
+
+namespace amaranthlane::stand_ins {
+
+// What a route does to its connections.
+enum class Mode : std::uint8_t {
+  kPass,
+  // Closes the open connections and refuses new ones.
+  kCut,
+  // Holds all bytes and closes until another mode is set.
+  kFreeze,
+  // Discards the bytes of one direction. A direction that lost bytes stays silent for as long as its connection lives,
+  // since the rest of the stream would be garbage.
+  kDropToTarget,
+  kDropToClient,
+  // Silences for good the connections that are open when it is set.
+  kSilentOpen,
+  // Lets the first bytes of each answer through and closes the connection.
+  kTruncateAnswer,
+};
+
+// The fault in force on a route.
+struct Fault {
+  Mode mode = Mode::kPass;
+  // The delay of all bytes, each way.
+  std::chrono::milliseconds delay{0};
+  // For kTruncateAnswer: how much of each answer goes through.
+  std::uint64_t bytes = 0;
+};
+
+// Answers that are to be swallowed.
+struct LostAnswers {
+  std::uint64_t count = 0;
+  // Only requests that contain this text in the bytes that arrive first; empty: all.
+  std::string match;
+};
+
+// A route name that the proxy doesn't have.
+class UnknownRouteError : public ProblemError {
+ public:
+  explicit UnknownRouteError(const std::string& name);
+};
+
+std::string_view ModeName(Mode mode);
+// The parse functions throw ParseError.
+Fault ParseFault(const nlohmann::json& value);
+LostAnswers ParseLostAnswers(const nlohmann::json& value);
+
+}  // namespace amaranthlane::stand_ins
+
+#endif  // AMARANTHLANE_STAND_INS_FAULT_PROXY_FAULT_H_
--- /dev/null
+++ b/stand_ins/fault_proxy/route.cc
@@ -0,0 +1,103 @@
+#include "stand_ins/fault_proxy/route.h"
+
+#include <utility>
+#include <vector>
+
+#include "stand_ins/common/errors.h"
+#include "stand_ins/common/http_server.h"
+#include "stand_ins/common/http_target.h"
+
+namespace amaranthlane::stand_ins {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr std::size_t kRouteParts = 4;
+
+std::string FormatAddress(const tcp::endpoint& address) {
+  return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
+}  // namespace
+
+RouteSettings ParseRouteSettings(const std::string& text, const std::string& listen_ip) {
+  const std::vector<std::string> parts = Split(text, ':');
+  if (parts.size() != kRouteParts) {
+    throw CommandLineError("route", "expected NAME:LISTEN_PORT:TARGET_IP:PORT");
+  }
+  return {parts[0], ParseAddress(listen_ip + ":" + parts[1]), ParseAddress(parts[2] + ":" + parts[3])};
+}
+
+Route::Route(boost::asio::io_context& io, RouteSettings settings) : settings(std::move(settings)), acceptor(io) {
+  this->Listen();
+}
+
+void Route::Listen() {
+  this->acceptor.open(this->settings.listen.protocol());
+  this->acceptor.set_option(tcp::acceptor::reuse_address(true));
+  this->acceptor.bind(this->settings.listen);
+  this->acceptor.listen();
+  this->Accept();
+}
+
+void Route::Accept() {
+  this->acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+    // A connection can have been accepted just before the route was cut.
+    if (error == boost::asio::error::operation_aborted || !this->acceptor.is_open()) {
+      return;
+    }
+    if (!error) {
+      const std::uint64_t id = ++this->state.accepted;
+      const auto link = std::make_shared<Link>(std::move(socket), this->state, [this, id] { this->links.erase(id); });
+      this->links.emplace(id, link);
+      link->Start(this->settings.target);
+    }
+    this->Accept();
+  });
+}
+
+void Route::SetFault(const Fault& fault) {
+  this->state.fault = fault;
+  if (fault.mode == Mode::kCut) {
+    this->acceptor.close();
+    this->CloseAll();
+    return;
+  }
+  if (!this->acceptor.is_open()) {
+    this->Listen();
+  }
+  const std::map<std::uint64_t, std::shared_ptr<Link>> open = this->links;
+  for (const auto& [id, link] : open) {
+    if (fault.mode == Mode::kSilentOpen) {
+      link->Silence();
+    }
+    link->Resume();
+  }
+}
+
+void Route::CloseAll() {
+  const std::map<std::uint64_t, std::shared_ptr<Link>> open = std::move(this->links);
+  this->links.clear();
+  for (const auto& [id, link] : open) {
+    link->Close();
+  }
+}
+
+void Route::LoseAnswers(LostAnswers lost_answers) { this->state.lost_answers = std::move(lost_answers); }
+
+nlohmann::json Route::ToJson() const {
+  return {{"name", this->settings.name},
+          {"listen", FormatAddress(this->settings.listen)},
+          {"target", FormatAddress(this->settings.target)},
+          {"mode", ModeName(this->state.fault.mode)},
+          {"delay_ms", this->state.fault.delay.count()},
+          {"bytes", this->state.fault.bytes},
+          {"answers_to_lose", this->state.lost_answers.count},
+          {"open", this->links.size()},
+          {"accepted", this->state.accepted},
+          {"bytes_to_target", this->state.bytes_to_target},
+          {"bytes_to_client", this->state.bytes_to_client}};
+}
+
+}  // namespace amaranthlane::stand_ins
--- /dev/null
+++ b/stand_ins/fault_proxy/route.h
@@ -0,0 +1,49 @@
+#ifndef AMARANTHLANE_STAND_INS_FAULT_PROXY_ROUTE_H_
+#define AMARANTHLANE_STAND_INS_FAULT_PROXY_ROUTE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "stand_ins/fault_proxy/fault.h"
+#include "stand_ins/fault_proxy/link.h"
+
+namespace amaranthlane::stand_ins {
+
+// Where a route listens and whereto it forwards.
+struct RouteSettings {
+  std::string name;
+  boost::asio::ip::tcp::endpoint listen;
+  boost::asio::ip::tcp::endpoint target;
+};
+
+// Reads `NAME:LISTEN_PORT:TARGET_IP:PORT`; the route listens on the IP number `listen_ip`. Throws CommandLineError or
+// AddressError.
+RouteSettings ParseRouteSettings(const std::string& text, const std::string& listen_ip);
+
+// Forwards the connections of one listening port.
+class Route {
+ public:
+  // Listens at once.
+  Route(boost::asio::io_context& io, RouteSettings settings);
+
+  void SetFault(const Fault& fault);
+  void LoseAnswers(LostAnswers lost_answers);
+  nlohmann::json ToJson() const;
+
+ private:
+  void Listen();
+  void Accept();
+  void CloseAll();
+
+  RouteSettings settings;
+  RouteState state;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::map<std::uint64_t, std::shared_ptr<Link>> links;
+};
+
+}  // namespace amaranthlane::stand_ins
+
+#endif  // AMARANTHLANE_STAND_INS_FAULT_PROXY_ROUTE_H_
--- /dev/null
+++ b/tests/integration/process_fixture.cc
@@ -0,0 +1,132 @@
+#include "integration/process_fixture.h"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <fstream>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+// Boost.Asio 1.74 needs <utility> before it in C++20.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/process.hpp>
+
+#include "common/boot_clock.h"
+
+namespace amaranthlane::testing {
+
+namespace {
+
+constexpr std::uint16_t kFirstPort = 12000;
+constexpr std::uint16_t kPortCount = 20000;
+constexpr std::uint32_t kPortStride = 97;
+constexpr std::chrono::seconds kReadyLimit(10);
+constexpr std::chrono::milliseconds kPollInterval(5);
+
+bool IsFree(std::uint16_t port) {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor(io);
+  boost::system::error_code error;
+  const boost::asio::ip::tcp::endpoint address(boost::asio::ip::address_v4::loopback(), port);
+  acceptor.open(address.protocol());
+  acceptor.bind(address, error);
+  return !error;
+}
+
+std::filesystem::path NextOutputPath() {
+  static std::atomic<int> number = 0;
+  const std::string name = "amaranthlane_" + std::to_string(::getpid()) + "_" + std::to_string(++number) + ".log";
+  return std::filesystem::temp_directory_path() / name;
+}
+
+}  // namespace
+
+class Process::Child {
+ public:
+  Child(const std::string& program, const std::vector<std::string>& arguments, const std::string& output)
+      : child(program, boost::process::args(arguments), (boost::process::std_out & boost::process::std_err) > output,
+              boost::process::std_in < boost::process::null) {}
+
+  boost::process::child child;
+};
+
+ProcessError::ProcessError(const std::string& program, const std::string& reason) : Error(program + ": " + reason) {}
+
+std::uint16_t FreePort() {
+  // Test programs that run at the same time begin at different places.
+  static std::atomic<std::uint32_t> next = static_cast<std::uint32_t>(::getpid()) * kPortStride;
+  while (true) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next.fetch_add(1) % kPortCount);
+    if (IsFree(port)) {
+      return port;
+    }
+  }
+}
+
+std::string LoopbackAddress(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+Process::Process(const std::string& program, const std::vector<std::string>& arguments)
+    : program(program), output_path(NextOutputPath()) {
+  this->child = std::make_unique<Child>(program, arguments, this->output_path.string());
+  this->WaitUntilReady();
+}
+
+Process::~Process() {
+  this->Kill();
+  std::error_code ignored;
+  std::filesystem::remove(this->output_path, ignored);
+}
+
+void Process::WaitUntilReady() {
+  const TimePoint deadline = BootClock::now() + kReadyLimit;
+  while (("\n" + this->Output()).find("\nready\n") == std::string::npos) {
+    const bool running = this->Running();
+    if (!running || BootClock::now() > deadline) {
+      this->Kill();
+      throw ProcessError(this->program, (running ? "not ready in time: " : "ended early: ") + this->Output());
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+}
+
+void Process::Kill() {
+  if (this->Running()) {
+    this->Signal(SIGKILL);
+    this->child->child.wait();
+  }
+}
+
+void Process::Stop() { this->Signal(SIGSTOP); }
+
+void Process::Continue() { this->Signal(SIGCONT); }
+
+int Process::Terminate(std::chrono::milliseconds limit) {
+  this->Signal(SIGTERM);
+  const TimePoint deadline = BootClock::now() + limit;
+  while (this->Running()) {
+    if (BootClock::now() > deadline) {
+      throw ProcessError(this->program, "did not end in time after SIGTERM");
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return this->child->child.exit_code();
+}
+
+bool Process::Running() {
+  std::error_code ignored;
+  return this->child->child.running(ignored);
+}
+
+std::string Process::Output() const {
+  const std::ifstream file(this->output_path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+void Process::Signal(int signal) { ::kill(this->child->child.id(), signal); }
+
+}  // namespace amaranthlane::testing
