--- a/source/core/leadership/messages.cc
+++ b/source/core/leadership/messages.cc
@@ -130,7 +130,7 @@
           {"epoch", answer.ballot.epoch},    {"rank", answer.ballot.rank},
           {"accepted", answer.accepted},     {"holder_alive", answer.holder_alive},
           {"recovering", answer.recovering}, {"floor_epoch", answer.floor.epoch},
-          {"floor_rank", answer.floor.rank}, {"remaining_ms", answer.remaining.count()}};
+          {"floor_rank", answer.floor.rank}, {"remaining_ms", static_cast<std::uint64_t>(answer.remaining.count())}};
 }
 
 }  // namespace amaranthlane::leadership
--- /dev/null
+++ b/tests/core/leadership/fleet.cc
@@ -0,0 +1,322 @@
+#include "core/leadership/fleet.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace amaranthlane::leadership {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TrueTime kBeat = milliseconds(200);
+constexpr TrueTime kSilence = milliseconds(1000);
+constexpr TrueTime kLargestOffset = std::chrono::hours(10);
+constexpr double kLargestDrift = 0.01;
+constexpr std::array<const char*, 3> kDataCentres = {"dub-a", "dub-b", "dub-c"};
+
+}  // namespace
+
+Fleet::Fleet(std::size_t vms, std::vector<GroupName> groups, std::uint64_t seed)
+    : groups(std::move(groups)), random(seed) {
+  std::uniform_real_distribution<double> drift(-kLargestDrift, kLargestDrift);
+  std::uniform_int_distribution<TrueTime::rep> offset(TrueTime(milliseconds(1)).count(), kLargestOffset.count());
+  for (std::size_t index = 0; index < vms; ++index) {
+    Node node;
+    node.vm = "vm-" + std::to_string(index);
+    node.clock_offset = TrueTime(offset(this->random));
+    node.clock_rate = 1.0 + drift(this->random);
+    this->nodes.push_back(std::move(node));
+  }
+  for (std::size_t index = 0; index < vms; ++index) {
+    this->Start(index);
+  }
+  this->Beat();
+}
+
+void Fleet::At(TrueTime when, std::function<void()> action) { this->queue.emplace(when, std::move(action)); }
+
+void Fleet::RunUntil(TrueTime until) {
+  while (!this->queue.empty() && this->queue.begin()->first <= until) {
+    const auto next = this->queue.begin();
+    this->now = std::max(this->now, next->first);
+    const std::function<void()> action = std::move(next->second);
+    this->queue.erase(next);
+    action();
+    this->CheckSafety();
+  }
+  this->now = until;
+}
+
+void Fleet::Start(std::size_t index) {
+  Node& node = this->nodes[index];
+  if (node.up) {
+    return;
+  }
+  node.up = true;
+  node.leaving = false;
+  ++node.incarnation;
+  node.paused_until = TrueTime(0);
+  node.inbox.clear();
+  node.view.clear();
+  node.last_heard.clear();
+  node.system =
+      std::make_unique<LeadershipSystem>(Holder{node.vm, node.incarnation}, LeadershipSettings(), this->Clock(node));
+  GroupsChanged changed;
+  for (const GroupName& group : this->groups) {
+    changed.groups.push_back({.group = group, .region = "eu-west-dub"});
+  }
+  this->Deliver(node.vm, node.incarnation, changed);
+}
+
+void Fleet::Kill(std::size_t index) {
+  this->nodes[index].up = false;
+  this->nodes[index].system.reset();
+}
+
+void Fleet::Pause(std::size_t index, TrueTime length) {
+  Node& node = this->nodes[index];
+  node.paused_until = std::max(node.paused_until, this->now + length);
+  this->At(node.paused_until, [this, index] {
+    if (this->nodes[index].up) {
+      this->Tick(this->nodes[index]);
+    }
+  });
+}
+
+void Fleet::Isolate(std::size_t index, TrueTime length) { this->nodes[index].isolated_until = this->now + length; }
+
+void Fleet::Drain(std::size_t index) {
+  Node& node = this->nodes[index];
+  node.leaving = true;
+  this->Deliver(node.vm, node.incarnation, DrainStarted{});
+}
+
+std::vector<std::size_t> Fleet::ValidLeaders(const GroupName& group) const {
+  std::vector<std::size_t> valid;
+  for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+    const Node& node = this->nodes[index];
+    const std::optional<TimePoint> until = node.up ? node.system->ValidUntil(group) : std::nullopt;
+    if (until && this->Clock(node) < *until) {
+      valid.push_back(index);
+    }
+  }
+  return valid;
+}
+
+std::optional<std::size_t> Fleet::Leader(const GroupName& group) const {
+  const std::vector<std::size_t> valid = this->ValidLeaders(group);
+  return valid.size() == 1 ? std::optional(valid.front()) : std::nullopt;
+}
+
+TimePoint Fleet::Clock(const Node& node) const {
+  const double elapsed = static_cast<double>(this->now.count()) * node.clock_rate;
+  return TimePoint(node.clock_offset + TrueTime(static_cast<TrueTime::rep>(elapsed)));
+}
+
+bool Fleet::Connected(const Node& from, const Node& to) const {
+  const bool isolated = this->now < from.isolated_until || this->now < to.isolated_until;
+  return from.up && to.up && (!isolated || from.vm == to.vm);
+}
+
+bool Fleet::Chance(double probability) {
+  return std::uniform_real_distribution<double>(0.0, 1.0)(this->random) < probability;
+}
+
+TrueTime Fleet::Delay() {
+  const TrueTime longest = std::max(this->conditions.longest_delay, TrueTime(1));
+  return TrueTime(std::uniform_int_distribution<TrueTime::rep>(1, longest.count())(this->random));
+}
+
+void Fleet::Transmit(const VmName& from, const VmName& to, const std::function<void()>& arrive) {
+  if (this->Chance(this->conditions.loss) || !this->Connected(this->Find(from), this->Find(to))) {
+    return;
+  }
+  this->At(this->now + this->Delay(), arrive);
+  if (this->Chance(this->conditions.duplication)) {
+    this->At(this->now + this->Delay(), arrive);
+  }
+}
+
+// To one process: nothing reaches a later one on the same VM.
+void Fleet::Deliver(const VmName& vm, Incarnation incarnation, Event event) {
+  Node& node = this->Find(vm);
+  if (!node.up || node.incarnation != incarnation) {
+    return;
+  }
+  node.inbox.push_back(std::move(event));
+  this->Tick(node);
+}
+
+void Fleet::Tick(Node& node) {
+  if (this->now < node.paused_until) {
+    return;
+  }
+  const std::vector<Event> events = std::exchange(node.inbox, {});
+  const std::vector<Action> actions = node.system->Tick(this->Clock(node), events);
+  const std::uint64_t generation = ++node.wake_generation;
+  const TimePoint deadline = node.system->NextDeadline();
+  for (const Action& action : actions) {
+    this->Perform(node, action);
+  }
+  if (deadline == kNever) {
+    return;
+  }
+  const double wait = static_cast<double>((deadline - this->Clock(node)).count()) / node.clock_rate;
+  const TrueTime due = this->now + std::max(TrueTime(static_cast<TrueTime::rep>(wait)), TrueTime(1000));
+  this->At(due, [this, vm = node.vm, incarnation = node.incarnation, generation] {
+    Node& woken = this->Find(vm);
+    if (woken.up && woken.incarnation == incarnation && woken.wake_generation == generation) {
+      this->Tick(woken);
+    }
+  });
+}
+
+void Fleet::Perform(Node& node, const Action& action) {
+  if (const auto* promise = std::get_if<SendPromiseRequest>(&action)) {
+    this->SendPromise(node, *promise);
+  } else if (const auto* close = std::get_if<SendCloseRequest>(&action)) {
+    this->SendClose(node, *close);
+  } else if (const auto* update = std::get_if<UpdateRecord>(&action)) {
+    this->Update(node, *update);
+  } else if (const auto* read = std::get_if<ReadRecord>(&action)) {
+    this->Read(node, *read);
+  } else if (const auto* promised = std::get_if<AnswerPromise>(&action)) {
+    this->replies.at(promised->reply_id)(PromiseAnswerReceived{TimePoint(), promised->answer});
+  } else if (const auto* closed = std::get_if<AnswerClose>(&action)) {
+    this->replies.at(closed->reply_id)(CloseAnswerReceived{TimePoint(), closed->answer});
+  }
+}
+
+void Fleet::SendPromise(Node& node, const SendPromiseRequest& action) {
+  const TimePoint sent_at = this->Clock(node);
+  this->Transmit(node.vm, action.witness, [this, action, sent_at, from = node.vm, incarnation = node.incarnation] {
+    const std::uint64_t id = this->next_reply_id++;
+    this->replies[id] = [this, action, sent_at, from, incarnation](const Event& event) {
+      const PromiseAnswer answer = std::get<PromiseAnswerReceived>(event).answer;
+      this->Transmit(action.witness, from, [this, from, incarnation, sent_at, answer] {
+        this->Deliver(from, incarnation, PromiseAnswerReceived{sent_at, answer});
+      });
+    };
+    this->Deliver(action.witness, this->Find(action.witness).incarnation, PromiseRequestReceived{id, action.request});
+  });
+}
+
+void Fleet::SendClose(Node& node, const SendCloseRequest& action) {
+  const TimePoint sent_at = this->Clock(node);
+  this->Transmit(node.vm, action.witness, [this, action, sent_at, from = node.vm, incarnation = node.incarnation] {
+    const std::uint64_t id = this->next_reply_id++;
+    this->replies[id] = [this, action, sent_at, from, incarnation](const Event& event) {
+      const CloseAnswer answer = std::get<CloseAnswerReceived>(event).answer;
+      this->Transmit(action.witness, from, [this, from, incarnation, sent_at, answer] {
+        this->Deliver(from, incarnation, CloseAnswerReceived{sent_at, answer});
+      });
+    };
+    this->Deliver(action.witness, this->Find(action.witness).incarnation, CloseRequestReceived{id, action.request});
+  });
+}
+
+void Fleet::Update(Node& node, const UpdateRecord& action) {
+  const bool lost = this->Chance(this->conditions.lost_platform_answers);
+  this->At(this->now + this->Delay(), [this, action, lost, vm = node.vm, incarnation = node.incarnation] {
+    UpdateAnswered answer{.group = action.group,
+                          .update_id = action.record.update_id,
+                          .result = UpdateResult::kLost,
+                          .version = 0,
+                          .current = std::nullopt};
+    if (!this->conditions.platform_outage) {
+      PlatformObject& object = this->platform[action.group];
+      const bool applied = object.version == action.expected_version;
+      if (applied) {
+        object = {++this->platform_version, action.record};
+        ++this->platform_writes;
+        this->Publish(action.group);
+      }
+      if (!lost) {
+        answer.result = applied ? UpdateResult::kApplied : UpdateResult::kConflict;
+        answer.version = object.version;
+        answer.current = object.record;
+      }
+    }
+    this->At(this->now + this->Delay(), [this, vm, incarnation, answer] { this->Deliver(vm, incarnation, answer); });
+  });
+}
+
+void Fleet::Read(Node& node, const ReadRecord& action) {
+  this->At(this->now + this->Delay(), [this, action, vm = node.vm, incarnation = node.incarnation] {
+    Event event = ReadFailed{action.group};
+    if (!this->conditions.platform_outage) {
+      const PlatformObject& object = this->platform[action.group];
+      event = RecordSeen{.group = action.group, .version = object.version, .record = object.record};
+    }
+    this->At(this->now + this->Delay(), [this, vm, incarnation, event] { this->Deliver(vm, incarnation, event); });
+  });
+}
+
+// Watches: each process hears of a change unless its watch has gone silent.
+void Fleet::Publish(const GroupName& group) {
+  const PlatformObject object = this->platform[group];
+  for (const Node& node : this->nodes) {
+    if (!this->Chance(this->conditions.loss)) {
+      const RecordSeen event{.group = group, .version = object.version, .record = object.record};
+      this->At(this->now + this->Delay(),
+               [this, vm = node.vm, incarnation = node.incarnation, event] { this->Deliver(vm, incarnation, event); });
+    }
+  }
+}
+
+// Heartbeats between VMs, with one group's record for anti-entropy.
+void Fleet::Beat() {
+  for (Node& from : this->nodes) {
+    const bool speaks = from.up && this->now >= from.paused_until;
+    for (Node& to : this->nodes) {
+      if (!speaks || !this->Connected(from, to)) {
+        continue;
+      }
+      to.last_heard[from.vm] = this->now;
+      const GroupName& group = this->groups[this->random() % this->groups.size()];
+      const LeadershipRecord* record = from.system->Record(group);
+      const PlatformObject& object = this->platform[group];
+      // A record's version is known to the platform only; peers pass on what they have with it.
+      if (record != nullptr && object.record && record->update_id == object.record->update_id) {
+        to.inbox.emplace_back(RecordSeen{group, object.version, *record, RecordSource::kPeer});
+      }
+    }
+  }
+  for (Node& node : this->nodes) {
+    if (!node.up) {
+      continue;
+    }
+    std::vector<VmView> view;
+    VmsChanged changed;
+    for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+      const Node& other = this->nodes[index];
+      const auto heard = node.last_heard.find(other.vm);
+      const bool live = other.vm == node.vm || (heard != node.last_heard.end() && this->now - heard->second < kSilence);
+      changed.vms.push_back(
+          {other.vm, other.incarnation, kDataCentres[index % kDataCentres.size()], "eu-west-dub", live, other.leaving});
+    }
+    this->Deliver(node.vm, node.incarnation, std::move(changed));
+  }
+  this->At(this->now + kBeat, [this] { this->Beat(); });
+}
+
+void Fleet::CheckSafety() {
+  for (const GroupName& group : this->groups) {
+    const std::vector<std::size_t> valid = this->ValidLeaders(group);
+    if (!valid.empty()) {
+      this->last_led[group] = this->now;
+    }
+    if (valid.size() > 1 && !this->violation) {
+      this->violation = group + ": " + this->nodes[valid[0]].vm + " and " + this->nodes[valid[1]].vm + " at " +
+                        std::to_string(this->now.count()) + " ns";
+    }
+  }
+}
+
+Node& Fleet::Find(const VmName& vm) {
+  return *std::find_if(this->nodes.begin(), this->nodes.end(), [&vm](const Node& node) { return node.vm == vm; });
+}
+
+}  // namespace amaranthlane::leadership
--- /dev/null
+++ b/tests/core/leadership/fleet.h
@@ -0,0 +1,115 @@
+#ifndef AMARANTHLANE_CORE_LEADERSHIP_FLEET_H_
+#define AMARANTHLANE_CORE_LEADERSHIP_FLEET_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/leadership/leadership_system.h"
+
+// Several leadership systems under one true time, with a network and a platform that fail as told.
+namespace amaranthlane::leadership {
+
+// Moments and lengths of true time, from the start of the run.
+using TrueTime = std::chrono::nanoseconds;
+
+// How the network and the platform behave at the moment.
+struct Conditions {
+  double loss = 0.0;
+  double duplication = 0.0;
+  TrueTime longest_delay = std::chrono::milliseconds(5);
+  bool platform_outage = false;
+  double lost_platform_answers = 0.0;
+};
+
+// One VM with its clock and its process.
+struct Node {
+  VmName vm;
+  // The VM's clock shows offset + rate * true time.
+  TrueTime clock_offset{0};
+  double clock_rate = 1.0;
+  Incarnation incarnation = 0;
+  bool up = false;
+  bool leaving = false;
+  TrueTime paused_until{0};
+  // Cut off from all other VMs, though not from the platform.
+  TrueTime isolated_until{0};
+  std::unique_ptr<LeadershipSystem> system;
+  std::vector<Event> inbox;
+  std::uint64_t wake_generation = 0;
+  std::map<VmName, TrueTime> last_heard;
+  std::vector<VmView> view;
+};
+
+class Fleet {
+ public:
+  Fleet(std::size_t vms, std::vector<GroupName> groups, std::uint64_t seed);
+
+  // Goes on to `until`, doing everything that falls due.
+  void RunUntil(TrueTime until);
+  void RunFor(TrueTime length) { this->RunUntil(this->now + length); }
+  // Runs `action` at `when`.
+  void At(TrueTime when, std::function<void()> action);
+
+  void Start(std::size_t index);
+  void Kill(std::size_t index);
+  void Pause(std::size_t index, TrueTime length);
+  void Isolate(std::size_t index, TrueTime length);
+  void Drain(std::size_t index);
+
+  // The VMs that would act as leader of `group` at this true time, paused ones included.
+  std::vector<std::size_t> ValidLeaders(const GroupName& group) const;
+  // The only valid leader; empty when there is none.
+  std::optional<std::size_t> Leader(const GroupName& group) const;
+
+  Conditions conditions;
+  TrueTime now{0};
+  std::vector<Node> nodes;
+  std::vector<GroupName> groups;
+  // The longest time that some group was without a valid leader since it was reset.
+  std::map<GroupName, TrueTime> last_led;
+  std::uint64_t platform_writes = 0;
+  // The first moment at which two VMs were valid for one group; empty if never.
+  std::optional<std::string> violation;
+
+ private:
+  struct PlatformObject {
+    ObjectVersion version = 0;
+    std::optional<LeadershipRecord> record;
+  };
+  using Reply = std::function<void(const Event&)>;
+
+  TimePoint Clock(const Node& node) const;
+  bool Connected(const Node& from, const Node& to) const;
+  bool Chance(double probability);
+  TrueTime Delay();
+  void Transmit(const VmName& from, const VmName& to, const std::function<void()>& arrive);
+  void Deliver(const VmName& vm, Incarnation incarnation, Event event);
+  void Tick(Node& node);
+  void Perform(Node& node, const Action& action);
+  void SendPromise(Node& node, const SendPromiseRequest& action);
+  void SendClose(Node& node, const SendCloseRequest& action);
+  void Update(Node& node, const UpdateRecord& action);
+  void Read(Node& node, const ReadRecord& action);
+  void Publish(const GroupName& group);
+  void Beat();
+  void CheckSafety();
+  Node& Find(const VmName& vm);
+
+  std::mt19937_64 random;
+  std::multimap<TrueTime, std::function<void()>> queue;
+  std::map<GroupName, PlatformObject> platform;
+  ObjectVersion platform_version = 0;
+  std::uint64_t next_reply_id = 0;
+  std::map<std::uint64_t, Reply> replies;
+};
+
+}  // namespace amaranthlane::leadership
+
+#endif  // AMARANTHLANE_CORE_LEADERSHIP_FLEET_H_
--- /dev/null
+++ b/tests/core/leadership/fleet_property_test.cc
@@ -0,0 +1,109 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+#include "core/leadership/fleet.h"
+
+namespace amaranthlane::leadership {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TrueTime kFaultsFrom = seconds(5);
+constexpr TrueTime kFaultsUntil = seconds(30);
+constexpr TrueTime kRecovery = seconds(25);
+
+enum class FaultKind : std::uint8_t { kPause, kRestart, kIsolate, kDrain, kOutage, kLostAnswers, kLoss, kSlow };
+
+struct Fault {
+  FaultKind kind = FaultKind::kPause;
+  std::size_t node = 0;
+  milliseconds at{0};
+  milliseconds length{0};
+};
+
+void showValue(const Fault& fault, std::ostream& os) {  // NOLINT(readability-identifier-naming): RapidCheck's name
+  os << "{kind " << static_cast<int>(fault.kind) << ", node " << fault.node << ", at " << fault.at.count()
+     << " ms, for " << fault.length.count() << " ms}";
+}
+
+rc::Gen<Fault> ArbitraryFault() {
+  return rc::gen::build<Fault>(
+      rc::gen::set(&Fault::kind,
+                   rc::gen::element(FaultKind::kPause, FaultKind::kRestart, FaultKind::kIsolate, FaultKind::kDrain,
+                                    FaultKind::kOutage, FaultKind::kLostAnswers, FaultKind::kLoss, FaultKind::kSlow)),
+      rc::gen::set(&Fault::node, rc::gen::inRange<std::size_t>(0, 9)),
+      rc::gen::set(&Fault::at, rc::gen::map(rc::gen::inRange(0, 20000), [](int ms) { return milliseconds(ms); })),
+      rc::gen::set(&Fault::length, rc::gen::map(rc::gen::inRange(1, 5000), [](int ms) { return milliseconds(ms); })));
+}
+
+void Begin(Fleet& fleet, const Fault& fault, std::size_t node) {
+  switch (fault.kind) {
+    case FaultKind::kPause:
+      return fleet.Pause(node, fault.length);
+    case FaultKind::kRestart:
+      return fleet.Kill(node);
+    case FaultKind::kIsolate:
+      return fleet.Isolate(node, fault.length);
+    case FaultKind::kDrain:
+      return fleet.nodes[node].up ? fleet.Drain(node) : fleet.Start(node);
+    case FaultKind::kOutage:
+      fleet.conditions.platform_outage = true;
+      return;
+    case FaultKind::kLostAnswers:
+      fleet.conditions.lost_platform_answers = 0.7;
+      return;
+    case FaultKind::kLoss:
+      fleet.conditions.loss = 0.3;
+      fleet.conditions.duplication = 0.3;
+      return;
+    case FaultKind::kSlow:
+      fleet.conditions.longest_delay = milliseconds(2500);
+      return;
+  }
+}
+
+void End(Fleet& fleet, const Fault& fault, std::size_t node) {
+  switch (fault.kind) {
+    case FaultKind::kDrain:
+      fleet.Kill(node);
+      return fleet.Start(node);
+    case FaultKind::kRestart:
+      return fleet.Start(node);
+    case FaultKind::kPause:
+    case FaultKind::kIsolate:
+      return;
+    default:
+      fleet.conditions = Conditions();
+  }
+}
+
+RC_GTEST_PROP(FleetPropertyTest, OneLeaderAtMostAndOneAgainAfterFaults, ()) {
+  const auto vms = *rc::gen::inRange<std::size_t>(1, 6);
+  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+  const auto faults = *rc::gen::container<std::vector<Fault>>(ArbitraryFault());
+  Fleet fleet(vms, {"register-1", "register-2"}, seed);
+  for (const Fault& fault : faults) {
+    const std::size_t node = fault.node % vms;
+    fleet.At(kFaultsFrom + fault.at, [&fleet, fault, node] { Begin(fleet, fault, node); });
+    fleet.At(kFaultsFrom + fault.at + fault.length, [&fleet, fault, node] { End(fleet, fault, node); });
+  }
+  fleet.RunUntil(kFaultsUntil + kRecovery);
+  if (fleet.violation) {
+    RC_LOG() << *fleet.violation;
+  }
+  RC_ASSERT(!fleet.violation);
+  for (const GroupName& group : fleet.groups) {
+    RC_ASSERT(fleet.Leader(group).has_value());
+  }
+}
+
+}  // namespace
+
+}  // namespace amaranthlane::leadership
