Never write an epoch with no witnesses

Cause: a property run found that a VM cut off from all others wrote an epoch with an empty witness set; no leader after. Change: silent VMs fill a witness set that live ones can't; the parser refuses empty sets.

--- a/source/core/leadership/placement.cc
+++ b/source/core/leadership/placement.cc
@@ -25,10 +25,10 @@
   return data_centres.size();
 }
 
-std::vector<VmView> LiveOthers(const VmName& leader, const std::vector<VmView>& eligible) {
+std::vector<VmView> Others(const VmName& leader, const std::vector<VmView>& eligible, bool live) {
   std::vector<VmView> others;
   for (const VmView& vm : eligible) {
-    if (vm.live && vm.vm != leader) {
+    if (vm.live == live && vm.vm != leader) {
       others.push_back(vm);
     }
   }
@@ -87,7 +87,7 @@
   }
   std::map<GroupName, VmName> preferred;
   for (auto& [region, names] : by_region) {
-    const std::vector<VmView> live = LiveOthers("", EligibleVms(vms, region));
+    const std::vector<VmView> live = Others("", EligibleVms(vms, region), /*live=*/true);
     if (live.empty()) {
       continue;
     }
@@ -107,7 +107,7 @@
 
 std::vector<VmName> ChooseSuccessors(const GroupName& group, const VmName& leader, const std::vector<VmView>& eligible,
                                      const LeadershipSettings& settings) {
-  std::vector<VmView> order = RendezvousOrder(group, LiveOthers(leader, eligible));
+  std::vector<VmView> order = RendezvousOrder(group, Others(leader, eligible, /*live=*/true));
   std::string leader_data_centre;
   for (const VmView& vm : eligible) {
     if (vm.vm == leader) {
@@ -134,7 +134,12 @@
       }
     }
   } else {
-    const std::vector<VmView> order = RendezvousOrder(leader, LiveOthers(leader, eligible));
+    std::vector<VmView> order = RendezvousOrder(leader, Others(leader, eligible, /*live=*/true));
+    // A VM that is cut off sees too few others live, and must not write a set too small to survive.
+    const std::vector<VmView> silent = RendezvousOrder(leader, Others(leader, eligible, /*live=*/false));
+    if (order.size() < settings.witness_count) {
+      order.insert(order.end(), silent.begin(), silent.end());
+    }
     const std::size_t data_centres = std::max<std::size_t>(1, CountDataCentres(order));
     const std::size_t limit = (settings.witness_count + data_centres - 1) / data_centres;
     witnesses = TakeSpread(order, settings.witness_count, limit);
@@ -143,6 +148,9 @@
       witnesses = TakeSpread(order, settings.witness_count, settings.witness_count);
     }
   }
+  if (witnesses.empty()) {
+    witnesses.push_back(leader);
+  }
   std::sort(witnesses.begin(), witnesses.end());
   return witnesses;
 }
--- a/source/core/leadership/record.cc
+++ b/source/core/leadership/record.cc
@@ -1,5 +1,6 @@
 #include "core/leadership/record.h"
 
+#include "common/error.h"
 #include "common/json.h"
 
 namespace amaranthlane::leadership {
@@ -29,6 +30,9 @@
   record.leader = ParseHolder(reader.Object("leader"));
   record.successors = reader.Strings("successors");
   record.witnesses = reader.Strings("witnesses");
+  if (record.witnesses.empty()) {
+    throw ParseError(kDocument, "witnesses", "at least one witness");
+  }
   for (const nlohmann::json& unclosed : reader.Array("unclosed")) {
     record.unclosed.push_back(ParseUnclosedEpoch(unclosed));
   }
--- a/tests/core/leadership/fleet.cc
+++ b/tests/core/leadership/fleet.cc
@@ -18,8 +18,8 @@
 
 }  // namespace
 
-Fleet::Fleet(std::size_t vms, std::vector<GroupName> groups, std::uint64_t seed)
-    : groups(std::move(groups)), random(seed) {
+Fleet::Fleet(std::size_t vms, std::vector<GroupName> groups, std::uint64_t seed, LeadershipSettings settings)
+    : groups(std::move(groups)), settings(settings), random(seed) {
   std::uniform_real_distribution<double> drift(-kLargestDrift, kLargestDrift);
   std::uniform_int_distribution<TrueTime::rep> offset(TrueTime(milliseconds(1)).count(), kLargestOffset.count());
   for (std::size_t index = 0; index < vms; ++index) {
@@ -62,7 +62,7 @@
   node.view.clear();
   node.last_heard.clear();
   node.system =
-      std::make_unique<LeadershipSystem>(Holder{node.vm, node.incarnation}, LeadershipSettings(), this->Clock(node));
+      std::make_unique<LeadershipSystem>(Holder{node.vm, node.incarnation}, this->settings, this->Clock(node));
   GroupsChanged changed;
   for (const GroupName& group : this->groups) {
     changed.groups.push_back({.group = group, .region = "eu-west-dub"});
--- a/tests/core/leadership/fleet.h
+++ b/tests/core/leadership/fleet.h
@@ -49,7 +49,7 @@
 
 class Fleet {
  public:
-  Fleet(std::size_t vms, std::vector<GroupName> groups, std::uint64_t seed);
+  Fleet(std::size_t vms, std::vector<GroupName> groups, std::uint64_t seed, LeadershipSettings settings = {});
 
   // Goes on to `until`, doing everything that falls due.
   void RunUntil(TrueTime until);
@@ -102,6 +102,7 @@
   void CheckSafety();
   Node& Find(const VmName& vm);
 
+  LeadershipSettings settings;
   std::mt19937_64 random;
   std::multimap<TrueTime, std::function<void()>> queue;
   std::map<GroupName, PlatformObject> platform;
--- a/tests/core/leadership/fleet_property_test.cc
+++ b/tests/core/leadership/fleet_property_test.cc
@@ -85,10 +85,15 @@
 }
 
 RC_GTEST_PROP(FleetPropertyTest, OneLeaderAtMostAndOneAgainAfterFaults, ()) {
-  const auto vms = *rc::gen::inRange<std::size_t>(1, 6);
+  const auto vms = *rc::gen::inRange<std::size_t>(1, 8);
+  LeadershipSettings settings;
+  settings.refresh_delay = seconds(2);
+  // From here on the witnesses are few and differ from leader to leader, as in a large fleet.
+  settings.all_witness_limit = *rc::gen::element<std::size_t>(3, 9);
+  settings.witness_count = 3;
   const auto seed = *rc::gen::arbitrary<std::uint64_t>();
   const auto faults = *rc::gen::container<std::vector<Fault>>(ArbitraryFault());
-  Fleet fleet(vms, {"register-1", "register-2"}, seed);
+  Fleet fleet(vms, {"register-1", "register-2"}, seed, settings);
   for (const Fault& fault : faults) {
     const std::size_t node = fault.node % vms;
     fleet.At(kFaultsFrom + fault.at, [&fleet, fault, node] { Begin(fleet, fault, node); });
