Keep earlier epochs unclosed until their successor's promises carry the validity

Cause: a property run (slow network, restart, isolation) had two valid leaders: one had declared the old epoch closed while its validity still stood on that epoch's promises. Change: a leader's writes wait until a majority of its present ballot's witnesses carries the validity.

--- a/source/core/leadership/candidate.cc
+++ b/source/core/leadership/candidate.cc
@@ -299,8 +299,10 @@
 
 void RunLeaderUpdates(LeadershipTables& tables, TimePoint now, const GroupName& name, GroupRow& group) {
   const HolderRow& holder = group.holder;
-  const bool current =
-      holder.leading && holder.phase == Phase::kHolding && group.record && holder.ballot.epoch == group.record->epoch;
+  // Only once the validity stands on promises to this ballot are the earlier epochs out of the game: until then they
+  // may carry this VM's own validity, which others have to learn of when they close them.
+  const bool current = holder.leading && holder.valid_ballot == holder.ballot && group.record &&
+                       holder.ballot.epoch == group.record->epoch;
   if (!current || group.update || tables.draining) {
     return;
   }
--- a/source/core/leadership/holder.cc
+++ b/source/core/leadership/holder.cc
@@ -92,6 +92,7 @@
     return;
   }
   holder.valid_until = valid_until;
+  holder.valid_ballot = holder.ballot;
   if (holder.leading) {
     tables.actions.emplace_back(ValidityExtended{name, holder.ballot, valid_until});
     return;
--- a/source/core/leadership/tables.h
+++ b/source/core/leadership/tables.h
@@ -77,6 +77,8 @@
   std::map<VmName, TimePoint> silent_at;
   // The end of the validity, kept over a change of ballot: the promises of the earlier ballot stand until then.
   TimePoint valid_until = TimePoint::min();
+  // The ballot whose promises `valid_until` stands on.
+  Ballot valid_ballot;
   bool leading = false;
   TimePoint next_request = TimePoint::min();
   // So many witnesses refused that this ballot and those below it can't be held any more.
