Test the promotion system against a model of three instances

Cause: the safety of a change of primary rests on interleavings of faults and late messages. ConnectionSilent of a replica now replaces its connections: the property had found that a leader whose connections to both replicas went silent never heard of confirmations again.

--- a/source/core/promotion/messages.h
+++ b/source/core/promotion/messages.h
@@ -132,7 +132,8 @@
   Term term = 0;
 };
 
-// The instance answers on a new connection while open ones are silent: close those and open new ones.
+// Close the silent connections to the instance and open new ones: it is a replica, or a primary that answers on a new
+// connection.
 struct ReplaceConnections {
   EndpointName endpoint;
 };
--- a/source/core/promotion/promotion_phases.cc
+++ b/source/core/promotion/promotion_phases.cc
@@ -121,6 +121,8 @@
 
 void PromotionSystem::OpenTerm(const PositionAnswer& answer, TimePoint now) {
   if (this->opened) {
+    // The replicas didn't answer a primary that has lost touch with them; it may be tried again soon.
+    if (this->stall_deadline) this->stall_allowed_at = now + this->settings.replication_stall_limit;
     this->Resume();
     return;
   }
--- a/source/core/promotion/promotion_system.cc
+++ b/source/core/promotion/promotion_system.cc
@@ -99,8 +99,13 @@
 WaitReason PromotionSystem::CurrentReason() const { return this->reason; }
 
 void PromotionSystem::On(const ConnectionSilent& event, TimePoint now) {
+  if (event.endpoint != this->Primary()) {
+    // Nothing hangs on a replica's connections, so that new ones need no evidence.
+    this->actions.emplace_back(ReplaceConnections{event.endpoint});
+    return;
+  }
   const bool used = this->phase == Phase::kServing || this->phase == Phase::kDraining;
-  if (used && event.endpoint == this->Primary()) this->suspicion.Begin(now);
+  if (used) this->suspicion.Begin(now);
 }
 
 void PromotionSystem::On(const PositionHeard& event, TimePoint now) {
--- /dev/null
+++ b/tests/core/promotion/group_model.cc
@@ -0,0 +1,391 @@
+#include "core/promotion/group_model.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace amaranthlane::promotion {
+namespace {
+
+using std::chrono::milliseconds;
+constexpr Duration kStep = milliseconds(5);
+constexpr Duration kProbeInterval = milliseconds(50);
+constexpr Duration kProgressLimit = milliseconds(200);
+constexpr Duration kAcknowledgementLimit = milliseconds(1000);
+
+}  // namespace
+
+std::ostream& operator<<(std::ostream& out, const Fault& fault) {
+  const auto after = std::chrono::duration_cast<milliseconds>(fault.after).count();
+  return out << "{kind " << int{static_cast<std::uint8_t>(fault.kind)} << " target " << fault.target << " after "
+             << after << " ms}";
+}
+
+LogPosition ModelInstance::End() const {
+  return this->log.empty() ? LogPosition{} : LogPosition{this->log.back().term, this->log.size()};
+}
+
+replicas::PositionAnswer ModelInstance::Answer() const {
+  const bool primary = this->primary == this->name;
+  const replicas::Role role = this->term == 0 ? replicas::Role::kUnconfigured
+                              : primary       ? replicas::Role::kPrimary
+                                              : replicas::Role::kReplica;
+  return {this->name, role, this->term, this->End(), this->synced_term};
+}
+
+GroupModel::GroupModel(std::uint32_t seed) : random(seed) {
+  this->object.group = "orders";
+  this->object.term = 1;
+  this->object.primary = "a";
+  for (const char* name : {"a", "b", "c"}) {
+    this->object.instances.push_back({name, std::string("127.0.0.1:") + name, "dc", false});
+    this->instances.push_back(ModelInstance{.name = name, .primary = {}, .log = {}});
+  }
+  this->StartLeader();
+}
+
+void GroupModel::Run(Duration duration) {
+  const TimePoint end = this->now + duration;
+  while (this->now < end) this->Step();
+}
+
+void GroupModel::Heal() {
+  this->platform_up = true;
+  this->lose_answer = false;
+  for (ModelInstance& instance : this->instances) {
+    instance.up = instance.reaches_leader = instance.reaches_replicas = true;
+  }
+  for (auto& instance : this->object.instances) instance.leaving = false;
+  ++this->version;
+  this->events.emplace_back(GroupObjectRead{0, this->version, this->object});
+}
+
+ModelInstance& GroupModel::Primary() { return this->Find(this->object.primary); }
+
+void GroupModel::Apply(const Fault& fault) {
+  const std::size_t first = &this->Primary() - this->instances.data();
+  ModelInstance& target = this->instances[(first + fault.target) % this->instances.size()];
+  switch (fault.kind) {
+    case FaultKind::kKill:
+      target.up = false;
+      break;
+    case FaultKind::kRestart:
+      target.up = true;
+      break;
+    case FaultKind::kCutFromLeader:
+      target.reaches_leader = false;
+      break;
+    case FaultKind::kReachLeader:
+      target.reaches_leader = true;
+      break;
+    case FaultKind::kCutFromReplicas:
+      target.reaches_replicas = false;
+      break;
+    case FaultKind::kReachReplicas:
+      target.reaches_replicas = true;
+      break;
+    case FaultKind::kSilenceOpen:
+      target.open_silent = true;
+      break;
+    case FaultKind::kPlatformDown:
+      this->platform_up = false;
+      break;
+    case FaultKind::kPlatformUp:
+      this->platform_up = true;
+      break;
+    case FaultKind::kLosePlatformAnswer:
+      this->lose_answer = true;
+      break;
+    case FaultKind::kReplaceLeader:
+      this->StartLeader();
+      break;
+    case FaultKind::kPromote:
+      this->events.emplace_back(PromoteRequested{});
+      break;
+    case FaultKind::kToggleLeaving:
+      this->object.instances[&target - this->instances.data()].leaving ^= true;
+      ++this->version;
+      if (this->platform_up) this->events.emplace_back(GroupObjectRead{0, this->version, this->object});
+      break;
+  }
+}
+
+std::string GroupModel::Describe() const {
+  std::ostringstream out;
+  out << "phase " << static_cast<int>(this->system->CurrentPhase()) << " reason "
+      << static_cast<int>(this->system->CurrentReason()) << " leader's term " << this->system->CurrentTerm()
+      << " object's term " << this->object.term << " primary " << this->object.primary;
+  for (const ModelInstance& instance : this->instances) {
+    out << " | " << instance.name << " term " << instance.term << " of " << instance.primary << " synced "
+        << instance.synced_term << " end " << instance.End().term << "/" << instance.End().offset;
+  }
+  return out.str();
+}
+
+void GroupModel::StartLeader() {
+  ++this->leaders;
+  this->system = std::make_unique<PromotionSystem>(PromotionSettings{}, "orders", std::to_string(this->leaders));
+  this->table = std::make_unique<replicas::ReplicaTable>(replicas::ReplicaSettings{});
+  this->events.clear();
+  this->open_probes.clear();
+  this->running_writes = 0;
+  this->draining = false;
+  for (ModelInstance& instance : this->instances) instance.open_silent = false;
+}
+
+void GroupModel::Step() {
+  this->now += kStep;
+  while (!this->due.empty() && this->due.begin()->first <= this->now) {
+    const Effect effect = std::move(this->due.begin()->second);
+    this->due.erase(this->due.begin());
+    effect();
+  }
+  this->Replicate();
+  this->SendProbes();
+  if (this->system->MaySend()) this->SendWrite();
+  this->Settle(this->table->Tick(this->now));
+  this->TickLeader();
+  this->CheckAges();
+  if (this->last_acknowledged_at) {
+    this->greatest_gap = std::max(this->greatest_gap, this->now - *this->last_acknowledged_at);
+  }
+}
+
+void GroupModel::Replicate() {
+  for (ModelInstance& replica : this->instances) {
+    if (replica.term > 0 && replica.primary != replica.name && this->random() % 3 == 0) this->Follow(replica);
+  }
+}
+
+void GroupModel::Follow(ModelInstance& replica) {
+  const ModelInstance& primary = this->Find(replica.primary);
+  const bool linked = replica.up && primary.up && replica.reaches_replicas && primary.reaches_replicas;
+  if (!linked || primary.term != replica.term || primary.primary != primary.name) return;
+  const auto same = [](const Entry& left, const Entry& right) { return left.id == right.id; };
+  const auto [mine, theirs] = std::ranges::mismatch(replica.log, primary.log, same);
+  replica.log.erase(mine, replica.log.end());
+  replica.synced_term = replica.term;
+  const std::size_t room = primary.log.end() - theirs;
+  const std::size_t count = std::min<std::size_t>(room, this->random() % 40);
+  replica.log.insert(replica.log.end(), theirs, theirs + static_cast<std::ptrdiff_t>(count));
+}
+
+void GroupModel::SendProbes() {
+  for (const auto& [name, sent_at] : std::map(this->open_probes)) {
+    if (this->now - sent_at < kProgressLimit) continue;
+    this->open_probes.erase(name);
+    this->table->ProbeFailed(name, sent_at);
+    this->events.emplace_back(ConnectionSilent{name});
+  }
+  if (this->now < this->next_probes) return;
+  this->next_probes = this->now + kProbeInterval;
+  for (const ModelInstance& instance : this->instances) {
+    const EndpointName name = instance.name;
+    if (!this->open_probes.emplace(name, this->now).second) continue;
+    this->table->ProbeSent(name, this->now);
+    const auto answer = std::make_shared<replicas::PositionAnswer>();
+    const auto answered = [this, name, answer, sent_at = this->now] {
+      this->open_probes.erase(name);
+      this->events.emplace_back(PositionHeard{0, sent_at, *answer});
+      this->Settle(this->table->ProbeAnswered(this->now, sent_at, *answer));
+    };
+    const auto refused = [this, name] {
+      this->open_probes.erase(name);
+      this->events.emplace_back(ConnectionSilent{name});
+    };
+    this->Call(
+        name, true, [this, name, answer] { *answer = this->Find(name).Answer(); }, answered, refused);
+  }
+}
+
+void GroupModel::SendWrite() {
+  const Term term = this->system->CurrentTerm();
+  const EndpointName name = this->system->Primary();
+  const auto position = std::make_shared<std::optional<LogPosition>>();
+  const std::uint64_t id = ++this->last_id;
+  const auto run = [this, name, term, id, position] {
+    ModelInstance& instance = this->Find(name);
+    if (instance.term != term || instance.primary != name) return;
+    instance.log.push_back(Entry{term, id, this->now});
+    *position = instance.End();
+  };
+  const auto answered = [this, term, id, position] {
+    --this->running_writes;
+    if (!*position) return;
+    const auto result = this->table->AwaitReplicated(id, term, **position, this->now + kAcknowledgementLimit);
+    if (result) this->Settle({*result});
+  };
+  ++this->running_writes;
+  this->Call(name, true, run, answered, [this] { --this->running_writes; });
+}
+
+void GroupModel::TickLeader() {
+  if (this->draining) this->events.emplace_back(PrimaryIdle{this->system->CurrentTerm()});
+  const auto stalled = this->table->StalledSince();
+  if (stalled && this->now - *stalled >= PromotionSettings{}.replication_stall_limit) {
+    this->events.emplace_back(ReplicationStalled{this->table->CurrentTerm()});
+  }
+  const std::vector<Event> batch = std::exchange(this->events, {});
+  for (const Action& action : this->system->Tick(this->now, batch)) {
+    std::visit([this](const auto& typed) { this->Act(typed); }, action);
+  }
+}
+
+void GroupModel::Act(const SuspendPrimary& action) { this->draining = action.planned; }
+
+void GroupModel::Act(const ResumePrimary& /*action*/) { this->draining = false; }
+
+void GroupModel::Act(const FreezeAcknowledgements& /*action*/) { this->table->FreezeAcknowledgements(); }
+
+void GroupModel::Act(const ThawAcknowledgements& /*action*/) { this->Settle(this->table->ThawAcknowledgements()); }
+
+void GroupModel::Act(const ReplaceConnections& action) {
+  this->Find(action.endpoint).open_silent = false;
+  this->open_probes.erase(action.endpoint);
+}
+
+void GroupModel::Act(const ProbeInstance& action) {
+  const auto answer = std::make_shared<replicas::PositionAnswer>();
+  const auto answered = [this, action, answer, sent_at = this->now] {
+    this->events.emplace_back(PositionHeard{action.request, sent_at, *answer});
+  };
+  const auto refused = [this, action] { this->events.emplace_back(ProbeFailed{action.request}); };
+  const auto run = [this, action, answer] { *answer = this->Find(action.endpoint).Answer(); };
+  this->Call(action.endpoint, false, run, answered, refused);
+}
+
+void GroupModel::Act(const ReadGroupObject& action) {
+  this->Later(this->Delay(), [this, action] {
+    if (this->platform_up) {
+      this->events.emplace_back(GroupObjectRead{action.request, this->version, this->object});
+    } else {
+      this->events.emplace_back(GroupObjectReadFailed{action.request});
+    }
+  });
+}
+
+void GroupModel::Act(const UpdateGroupObject& action) {
+  ++this->updates_sent;
+  // The request of a leader that was replaced meanwhile may still arrive.
+  this->Later(this->Delay(), [this, action, leader = this->leaders] {
+    const std::string& id = action.record.update_id;
+    const bool applies = this->platform_up && this->version == action.expected_version;
+    if (applies) this->object = action.record;
+    if (applies) ++this->version;
+    if (leader != this->leaders) return;
+    if (!this->platform_up || std::exchange(this->lose_answer, false)) {
+      this->events.emplace_back(UpdateUnanswered{id});
+    } else if (applies) {
+      this->events.emplace_back(UpdateApplied{id, this->version});
+    } else {
+      this->events.emplace_back(UpdateConflicted{id, this->version, this->object});
+    }
+  });
+}
+
+void GroupModel::Act(const ConfigureInstance& action) {
+  const auto refused_for = std::make_shared<Term>(0);
+  const auto run = [this, action, refused_for] {
+    ModelInstance& instance = this->Find(action.endpoint);
+    if (instance.term > action.record.term) {
+      *refused_for = instance.term;
+      return;
+    }
+    instance.term = action.record.term;
+    instance.primary = action.record.primary;
+  };
+  const auto answered = [this, action, refused_for] {
+    if (*refused_for > 0) {
+      this->events.emplace_back(ConfigureRefused{action.request, *refused_for});
+    } else {
+      this->events.emplace_back(ConfigureAccepted{action.request});
+    }
+  };
+  const auto refused = [this, action] { this->events.emplace_back(ConfigureFailed{action.request}); };
+  this->Call(action.endpoint, false, run, answered, refused);
+}
+
+void GroupModel::Act(const RecordAdopted& action) { this->Settle(this->table->ApplyRecord(action.record)); }
+
+void GroupModel::Act(const PrimaryChanged& action) {
+  this->draining = false;
+  this->highest_opened = std::max(this->highest_opened, action.term);
+  for (ModelInstance& instance : this->instances) instance.open_silent = false;
+  if (action.base) this->table->SetTermBase(*action.base);
+  this->Settle(this->table->ThawAcknowledgements());
+  for (const auto& [id, term] : this->acknowledged) {
+    if (this->Holds(this->Find(action.primary), id)) continue;
+    this->violations.push_back("write " + std::to_string(id) + " of term " + std::to_string(term) + " lost in term " +
+                               std::to_string(action.term));
+  }
+}
+
+void GroupModel::Act(const StatusChanged& /*action*/) {}
+
+void GroupModel::Act(const PlannedChangeEnded& action) { this->planned_outcomes.push_back(action.outcome); }
+
+void GroupModel::Settle(const std::vector<replicas::AcknowledgementResult>& results) {
+  for (const auto& result : results) {
+    const Term term = result.position.term;
+    if (result.replication != replicas::Replication::kReplicated) continue;
+    if (!this->system->MayAcknowledge(term, result.position)) continue;
+    this->acknowledged.emplace(result.statement, term);
+    ++this->acknowledged_count;
+    this->last_acknowledged_at = this->now;
+    if (term < this->highest_opened) this->violations.emplace_back("acknowledged under a replaced term");
+  }
+}
+
+void GroupModel::CheckAges() {
+  const ModelInstance* primary = nullptr;
+  for (const ModelInstance& instance : this->instances) {
+    if (instance.name == this->table->Primary() && instance.term == this->table->CurrentTerm()) primary = &instance;
+  }
+  if (primary == nullptr) return;
+  for (const ModelInstance& replica : this->instances) {
+    const auto bound = this->table->AgeBound(this->now, replica.name);
+    const std::uint64_t held = this->table->Find(replica.name)->position.offset;
+    if (!bound || replica.name == primary->name || held >= primary->log.size()) continue;
+    const Duration age = this->now - primary->log[held].committed_at;
+    if (*bound < age) this->violations.emplace_back("age of " + replica.name + " guessed too low");
+  }
+}
+
+bool GroupModel::Holds(const ModelInstance& instance, std::uint64_t id) const {
+  return std::ranges::find(instance.log, id, &Entry::id) != instance.log.end();
+}
+
+ModelInstance& GroupModel::Find(const EndpointName& name) {
+  return *std::ranges::find(this->instances, name, &ModelInstance::name);
+}
+
+Duration GroupModel::Delay() {
+  // Few messages come very late.
+  return this->random() % 50 == 0 ? milliseconds(100 + this->random() % 400) : milliseconds(1 + this->random() % 40);
+}
+
+void GroupModel::Later(Duration delay, Effect effect) { this->due.emplace(this->now + delay, std::move(effect)); }
+
+void GroupModel::ToLeader(std::function<void()> effect) {
+  this->Later(this->Delay(), [this, leader = this->leaders, effect = std::move(effect)] {
+    if (leader == this->leaders) effect();
+  });
+}
+
+void GroupModel::Call(const EndpointName& name, bool open, Effect effect, Effect answered, Effect refused) {
+  const auto lost = [this, name, open] {
+    const ModelInstance& instance = this->Find(name);
+    return !instance.reaches_leader || (open && instance.open_silent);
+  };
+  const auto to_leader = [this, leader = this->leaders, lost](const Effect& last) {
+    if (leader == this->leaders && !lost()) last();
+  };
+  this->Later(this->Delay(), [=, this] {
+    if (lost()) return;
+    const bool up = this->Find(name).up;
+    if (up) effect();
+    this->Later(this->Delay(), [=] { to_leader(up ? answered : refused); });
+  });
+}
+
+}  // namespace amaranthlane::promotion
--- /dev/null
+++ b/tests/core/promotion/group_model.h
@@ -0,0 +1,146 @@
+#ifndef AMARANTHLANE_CORE_PROMOTION_GROUP_MODEL_H_
+#define AMARANTHLANE_CORE_PROMOTION_GROUP_MODEL_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <ostream>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/promotion/promotion_system.h"
+#include "core/replicas/replica_table.h"
+
+// Three instances with asynchronous replication, the platform's object, and one leader after the other.
+namespace amaranthlane::promotion {
+
+enum class FaultKind : std::uint8_t {
+  kKill,
+  kRestart,
+  kCutFromLeader,
+  kReachLeader,
+  kCutFromReplicas,
+  kReachReplicas,
+  kSilenceOpen,
+  kPlatformDown,
+  kPlatformUp,
+  kLosePlatformAnswer,
+  kReplaceLeader,
+  kPromote,
+  kToggleLeaving,
+};
+inline constexpr int kFaultKinds = 13;
+
+// `target` counts from the current primary.
+struct Fault {
+  FaultKind kind = FaultKind::kKill;
+  std::size_t target = 0;
+  Duration after = Duration::zero();
+};
+
+std::ostream& operator<<(std::ostream& out, const Fault& fault);
+
+struct Entry {
+  Term term = 0;
+  std::uint64_t id = 0;
+  TimePoint committed_at;
+};
+
+struct ModelInstance {
+  EndpointName name;
+  Term term = 0;
+  EndpointName primary;
+  std::vector<Entry> log;
+  Term synced_term = 0;
+  bool up = true;
+  bool reaches_leader = true;
+  bool reaches_replicas = true;
+  // Connections that were open are silent until the leader replaces them.
+  bool open_silent = false;
+
+  LogPosition End() const;
+  replicas::PositionAnswer Answer() const;
+};
+
+class GroupModel {
+ public:
+  explicit GroupModel(std::uint32_t seed);
+
+  void Run(Duration duration);
+  void Apply(const Fault& fault);
+  void Heal();
+  ModelInstance& Primary();
+  // The state of the group, for reports of failures.
+  std::string Describe() const;
+
+  TimePoint now{std::chrono::seconds(1)};
+  std::vector<ModelInstance> instances;
+  std::unique_ptr<PromotionSystem> system;
+  std::uint64_t acknowledged_count = 0;
+  std::optional<TimePoint> last_acknowledged_at;
+  // The longest time without an acknowledged write.
+  Duration greatest_gap = Duration::zero();
+  std::uint64_t updates_sent = 0;
+  // The newest term whose primary any leader has opened.
+  Term highest_opened = 0;
+  std::vector<PlannedOutcome> planned_outcomes;
+  // Broken promises; empty when all hold.
+  std::vector<std::string> violations;
+
+ private:
+  using Effect = std::function<void()>;
+
+  void StartLeader();
+  void Step();
+  void Replicate();
+  void Follow(ModelInstance& replica);
+  void SendProbes();
+  void SendWrite();
+  void TickLeader();
+  void Act(const SuspendPrimary& action);
+  void Act(const ResumePrimary& action);
+  void Act(const FreezeAcknowledgements& action);
+  void Act(const ThawAcknowledgements& action);
+  void Act(const ReplaceConnections& action);
+  void Act(const ProbeInstance& action);
+  void Act(const ReadGroupObject& action);
+  void Act(const UpdateGroupObject& action);
+  void Act(const ConfigureInstance& action);
+  void Act(const RecordAdopted& action);
+  void Act(const PrimaryChanged& action);
+  void Act(const StatusChanged& action);
+  void Act(const PlannedChangeEnded& action);
+  void Settle(const std::vector<replicas::AcknowledgementResult>& results);
+  void CheckAges();
+  bool Holds(const ModelInstance& instance, std::uint64_t id) const;
+  ModelInstance& Find(const EndpointName& name);
+  Duration Delay();
+  void Later(Duration delay, Effect effect);
+  void ToLeader(std::function<void()> effect);
+  // Runs `effect` at the instance and then `answered` at the leader, unless the way is cut at either time.
+  void Call(const EndpointName& name, bool open, Effect effect, Effect answered, Effect refused);
+
+  std::mt19937 random;
+  std::multimap<TimePoint, Effect> due;
+  std::uint64_t leaders = 0;
+  std::unique_ptr<replicas::ReplicaTable> table;
+  std::vector<Event> events;
+  std::map<EndpointName, TimePoint> open_probes;
+  TimePoint next_probes;
+  std::uint64_t last_id = 0;
+  std::uint64_t running_writes = 0;
+  bool draining = false;
+  std::map<std::uint64_t, Term> acknowledged;
+
+  replicas::GroupRecord object;
+  ObjectVersion version = 1;
+  bool platform_up = true;
+  bool lose_answer = false;
+};
+
+}  // namespace amaranthlane::promotion
+
+#endif  // AMARANTHLANE_CORE_PROMOTION_GROUP_MODEL_H_
