--- /dev/null
+++ b/tests/core/scheduling/entry_admission_test.cc
@@ -0,0 +1,81 @@
+#include "core/scheduling/entry_admission.h"
+
+#include <gtest/gtest.h>
+
+#include "core/scheduling/connection_quota.h"
+#include "core/scheduling/scheduling_errors.h"
+
+namespace amaranthlane::scheduling {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class EntryAdmissionTest : public testing::Test {
+ protected:
+  // How many of 1,000 requests with plenty of time are refused at that age of the report.
+  int RefusedAt(Duration age) {
+    int refused = 0;
+    for (int count = 0; count < 1000; ++count) {
+      refused += this->Check(age, seconds(60)) ? 1 : 0;
+    }
+    return refused;
+  }
+
+  std::optional<EntryRefusal> Check(Duration age, Duration time_limit) {
+    const TimePoint now = this->received + age;
+    return this->admission.Check("group-1", Rank::kBulk, TargetKind::kReplicas, now + time_limit, now, this->generator);
+  }
+
+  void Report(Duration wait, double fraction) {
+    PressureReport report;
+    report.Of(Rank::kBulk, TargetKind::kReplicas) = {
+        .estimated_wait = wait, .expected_service = milliseconds(2), .admission_fraction = fraction};
+    this->admission.Receive("group-1", report, this->received);
+  }
+
+  EntryAdmission admission;
+  std::mt19937_64 generator{5};
+  TimePoint received = TimePoint(std::chrono::hours(1));
+};
+
+TEST_F(EntryAdmissionTest, PassesEverythingOnWithoutAReport) { EXPECT_EQ(this->RefusedAt(seconds(0)), 0); }
+
+TEST_F(EntryAdmissionTest, RefusesWhatTheLeaderCouldNotServeInTime) {
+  this->Report(milliseconds(300), 1.0);
+  const std::optional<EntryRefusal> refusal = this->Check(seconds(0), milliseconds(200));
+  ASSERT_TRUE(refusal);
+  EXPECT_EQ(refusal->reason, RefusalReason::kWaitTooLong);
+  EXPECT_EQ(refusal->retry_at, this->received + milliseconds(300));
+  EXPECT_FALSE(this->Check(seconds(0), milliseconds(400)));
+  // Meanwhile the leader's queue has drained.
+  EXPECT_FALSE(this->Check(milliseconds(150), milliseconds(200)));
+}
+
+TEST_F(EntryAdmissionTest, PassesOnTheFractionAndForgetsItAsTheReportGrowsOld) {
+  this->Report(milliseconds(0), 0.3);
+  EXPECT_NEAR(this->RefusedAt(seconds(0)), 700, 50);
+  EXPECT_NEAR(this->RefusedAt(seconds(2)), 350, 50);
+  EXPECT_EQ(this->RefusedAt(seconds(3)), 0);
+}
+
+TEST(ConnectionQuotaTest, KeepsConnectionsForStatementsAndForUrgentTransactions) {
+  ConnectionQuota quota({.connections = 10, .kept_for_statements = 4, .kept_for_urgent = 2});
+  for (int count = 0; count < 4; ++count) {
+    EXPECT_TRUE(quota.TryTake(Rank::kBulk));
+  }
+  EXPECT_FALSE(quota.TryTake(Rank::kNormal));
+  EXPECT_TRUE(quota.TryTake(Rank::kUrgent));
+  EXPECT_TRUE(quota.TryTake(Rank::kUrgent));
+  EXPECT_FALSE(quota.TryTake(Rank::kUrgent));
+  quota.GiveBack();
+  EXPECT_TRUE(quota.TryTake(Rank::kUrgent));
+}
+
+TEST(ConnectionQuotaTest, RefusesToGiveBackWhatWasNotTaken) {
+  ConnectionQuota quota({});
+  EXPECT_THROW(quota.GiveBack(), QuotaUnderflowError);
+}
+
+}  // namespace
+}  // namespace amaranthlane::scheduling
--- /dev/null
+++ b/tests/core/scheduling/floods_test.cc
@@ -0,0 +1,102 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "core/scheduling/flood_simulation.h"
+
+namespace amaranthlane::scheduling {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+double ShareOf(const FloodSimulation& simulation, Rank rank) {
+  Duration total = Duration::zero();
+  for (const FlowResult& result : simulation.results) {
+    total += result.slot_time;
+  }
+  const Duration own = simulation.results[static_cast<std::size_t>(rank)].slot_time;
+  return static_cast<double>(own.count()) / static_cast<double>(total.count());
+}
+
+FlowResult& ResultOf(FloodSimulation& simulation, Rank rank) {
+  return simulation.results[static_cast<std::size_t>(rank)];
+}
+
+RC_GTEST_PROP(FloodsTest, EveryRankKeepsItsFloorWhileAllFlood, ()) {
+  const double normal_floor = *rc::gen::inRange(5, 35) / 100.0;
+  const double bulk_floor = *rc::gen::inRange(5, 35) / 100.0;
+  FloodSimulation simulation({}, *rc::gen::arbitrary<std::uint64_t>());
+  simulation.AddEndpoint(0, *rc::gen::inRange<std::uint32_t>(1, 6));
+  const auto flood = [&](Rank rank, double floor) {
+    simulation.AddFlow(
+        {.rank = rank, .floor = floor, .per_second = 6000, .service = milliseconds(*rc::gen::inRange(1, 9))});
+  };
+  flood(Rank::kUrgent, 0.0);
+  flood(Rank::kNormal, normal_floor);
+  flood(Rank::kBulk, bulk_floor);
+  simulation.Run(seconds(4));
+  constexpr double kTolerance = 0.03;
+  RC_ASSERT(ShareOf(simulation, Rank::kNormal) > normal_floor - kTolerance);
+  RC_ASSERT(ShareOf(simulation, Rank::kBulk) > bulk_floor - kTolerance);
+  RC_ASSERT(ShareOf(simulation, Rank::kUrgent) > 1.0 - normal_floor - bulk_floor - kTolerance);
+}
+
+RC_GTEST_PROP(FloodsTest, UrgentWorkIsServedInTimeWhateverFloodsBelowIt, ()) {
+  FloodSimulation simulation({}, *rc::gen::arbitrary<std::uint64_t>());
+  simulation.AddEndpoint(0, 2);
+  // Half of the slots' time; the floors leave seven tenths.
+  simulation.AddFlow({.rank = Rank::kUrgent, .per_second = 500});
+  simulation.AddFlow({.rank = Rank::kNormal, .floor = 0.2, .per_second = *rc::gen::inRange(10, 4000) * 1.0});
+  simulation.AddFlow({.rank = Rank::kBulk, .floor = 0.1, .per_second = *rc::gen::inRange(10, 8000) * 1.0});
+  simulation.Run(seconds(4));
+  const FlowResult& urgent = ResultOf(simulation, Rank::kUrgent);
+  RC_ASSERT(urgent.refused == 0U);
+  RC_ASSERT(urgent.late == 0U);
+  RC_ASSERT(ResultOf(simulation, Rank::kUrgent).Percentile(0.99) < milliseconds(60));
+}
+
+RC_GTEST_PROP(FloodsTest, NoWorkIsServedOnceItsDeadlineIsLost, ()) {
+  SchedulerSettings settings;
+  settings.order = *rc::gen::element(QueueOrder::kEarliestDeadline, QueueOrder::kArrival);
+  settings.policy = *rc::gen::element(PolicyKind::kFloors, PolicyKind::kStrictPriority, PolicyKind::kFirstCome);
+  FloodSimulation simulation(settings, *rc::gen::arbitrary<std::uint64_t>());
+  simulation.AddEndpoint(0, 2);
+  simulation.AddEndpoint(1, 2);
+  for (const Rank rank : kRanks) {
+    simulation.AddFlow({.rank = rank,
+                        .floor = 0.1,
+                        .per_second = *rc::gen::inRange(100, 4000) * 1.0,
+                        .time_limit = milliseconds(*rc::gen::inRange(20, 800)),
+                        .service = milliseconds(*rc::gen::inRange(1, 6)),
+                        .eligible = *rc::gen::element(kPrimaryBit, SetOf(1), kPrimaryBit | SetOf(1))});
+  }
+  simulation.Run(seconds(2));
+  RC_ASSERT(simulation.dead_dispatches == 0U);
+}
+
+TEST(FloodsTest, GoodWorkDoesNotCollapseUnderTenfoldOverload) {
+  FloodSimulation simulation({}, 7);
+  simulation.AddEndpoint(0, 2);
+  simulation.AddFlow({.rank = Rank::kBulk, .floor = 0.1, .per_second = 10000});
+  simulation.Run(seconds(4));
+  const FlowResult& bulk = ResultOf(simulation, Rank::kBulk);
+  // The endpoint can serve 1,000 a second.
+  EXPECT_GT(bulk.in_time, 3800U);
+  EXPECT_LT(bulk.late, bulk.in_time / 50);
+}
+
+TEST(FloodsTest, StrictPriorityStarvesLowerRanksWhereFloorsDoNot) {
+  for (const PolicyKind policy : {PolicyKind::kStrictPriority, PolicyKind::kFloors}) {
+    FloodSimulation simulation({.policy = policy}, 11);
+    simulation.AddEndpoint(0, 2);
+    simulation.AddFlow({.rank = Rank::kUrgent, .per_second = 4000});
+    simulation.AddFlow({.rank = Rank::kBulk, .floor = 0.1, .per_second = 400});
+    simulation.Run(seconds(4));
+    const bool starved = ShareOf(simulation, Rank::kBulk) < 0.01;
+    EXPECT_EQ(starved, policy == PolicyKind::kStrictPriority);
+  }
+}
+
+}  // namespace
+}  // namespace amaranthlane::scheduling
