Test the request table, forwarding and transactions

Cause: at most once, honest 'not run' and unmixed transactions need proof over any order of events. Change: unit tests, seeded interleavings against an endpoint that may run statements late, and a transaction property.

--- /dev/null
+++ b/tests/core/outcomes/endpoint_model.h
@@ -0,0 +1,64 @@
+#ifndef AMARANTHLANE_TESTS_CORE_OUTCOMES_ENDPOINT_MODEL_H_
+#define AMARANTHLANE_TESTS_CORE_OUTCOMES_ENDPOINT_MODEL_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/outcomes/request.h"
+
+namespace amaranthlane::outcomes {
+
+// A database that may run a statement long after its connection broke. Each message that was sent runs once, unless the
+// endpoint refuses it; a message with a key has an effect only the first time.
+class EndpointModel {
+ public:
+  struct Message {
+    RequestId request = 0;
+    ConnectionId connection = 0;
+    std::string key;
+    bool handled = false;
+  };
+
+  // A message is on its way. Returns its place in `messages`.
+  std::size_t Send(const Request& request, ConnectionId connection) {
+    this->messages.push_back({.request = request.id, .connection = connection, .key = request.idempotency_key});
+    return this->messages.size() - 1;
+  }
+
+  // Runs a message that wasn't handled yet and returns its place in the log.
+  std::uint64_t Run(std::size_t place) {
+    Message& message = this->messages[place];
+    message.handled = true;
+    if (!message.key.empty() && this->offsets_by_key.contains(message.key)) {
+      return this->offsets_by_key[message.key];
+    }
+    ++this->effects[message.request];
+    this->owners.push_back(message.request);
+    this->offsets_by_key.emplace(message.key, this->owners.size());
+    return this->owners.size();
+  }
+
+  // The late messages arrive at last.
+  void RunAllLate() {
+    for (std::size_t place = 0; place < this->messages.size(); ++place) {
+      if (!this->messages[place].handled) {
+        this->Run(place);
+      }
+    }
+  }
+
+  std::vector<Message> messages;
+  // How often each request had an effect.
+  std::map<RequestId, int> effects;
+  // The request whose effect stands at offset index + 1.
+  std::vector<RequestId> owners;
+
+ private:
+  std::map<std::string, std::uint64_t> offsets_by_key;
+};
+
+}  // namespace amaranthlane::outcomes
+
+#endif  // AMARANTHLANE_TESTS_CORE_OUTCOMES_ENDPOINT_MODEL_H_
--- /dev/null
+++ b/tests/core/transactions/transaction_table_test.cc
@@ -0,0 +1,273 @@
+#include "core/transactions/transaction_table.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+#include "common/error.h"
+#include "core/transactions/transaction_errors.h"
+
+namespace amaranthlane::transactions {
+namespace {
+
+using outcomes::DeliveryVerdict;
+using std::chrono::seconds;
+
+constexpr Term kTerm = 4;
+constexpr TransactionId kId{.high = 1, .low = 2};
+constexpr ConnectionId kConnection = 10;
+
+class TransactionTableTest : public testing::Test {
+ protected:
+  TransactionTableTest() {
+    this->table.SetLeadershipValidUntil(this->now + seconds(100));
+    this->table.TermMoved(kTerm, this->now, this->actions);
+    this->table.Open(this->New(kId, kConnection), this->now);
+  }
+
+  NewTransaction New(const TransactionId& id, ConnectionId connection) const {
+    return {.id = id, .owner = "maker", .group = "group-1", .connection = connection, .term = kTerm};
+  }
+
+  void Call(CallKind kind, const std::string& key = "", const std::string& caller = "maker") {
+    this->table.Call({.transaction = kId,
+                      .caller = caller,
+                      .request = ++this->request,
+                      .kind = kind,
+                      .deadline = this->now + seconds(2),
+                      .idempotency_key = key},
+                     this->now);
+  }
+
+  void Send(CallKind kind, const std::string& key = "") {
+    this->Call(kind, key);
+    ASSERT_TRUE(this->table.StartCall(kId, this->request, this->now, this->actions));
+  }
+
+  DeliveryVerdict Answer(RequestId request, Term term = kTerm) {
+    return this->table.Answered(
+        {.connection = kConnection, .request = request, .term = term, .position = {.term = term, .offset = 7}},
+        this->now, this->actions);
+  }
+
+  template <typename Wanted>
+  const Wanted* Last() const {
+    for (auto action = this->actions.rbegin(); action != this->actions.rend(); ++action) {
+      if (const auto* wanted = std::get_if<Wanted>(&*action)) {
+        return wanted;
+      }
+    }
+    return nullptr;
+  }
+
+  // The transaction has ended and its connection was closed and not returned.
+  void ExpectBroken(Outcome outcome, TransactionEndReason reason) {
+    EXPECT_EQ(this->table.OpenTransactions(), 0U);
+    EXPECT_EQ(this->Last<ReturnConnection>(), nullptr);
+    ASSERT_NE(this->Last<CloseTransactionConnection>(), nullptr);
+    EXPECT_EQ(this->Last<CloseTransactionConnection>()->connection, kConnection);
+    ASSERT_NE(this->Last<AnswerCall>(), nullptr);
+    EXPECT_EQ(OutcomeName(this->Last<AnswerCall>()->outcome), OutcomeName(outcome));
+    EXPECT_EQ(this->Last<AnswerCall>()->reason, reason);
+  }
+
+  TimePoint now = TimePoint(std::chrono::hours(1));
+  TransactionTable table{{}};
+  TransactionActions actions;
+  RequestId request = 0;
+};
+
+TEST_F(TransactionTableTest, ReturnsTheConnectionOnlyAfterAnAnsweredCommit) {
+  this->Send(CallKind::kStatement);
+  EXPECT_EQ(this->Answer(this->request), DeliveryVerdict::kAccepted);
+  EXPECT_EQ(this->Last<ReturnConnection>(), nullptr);
+  this->Send(CallKind::kCommit);
+  this->Answer(this->request);
+  EXPECT_EQ(this->Last<ReturnConnection>()->connection, kConnection);
+  EXPECT_EQ(this->Last<AnswerCall>()->kind, CallKind::kStatement);
+  this->table.ReplicationReached(kTerm, 7, this->now, this->actions);
+  EXPECT_EQ(this->Last<AnswerCall>()->kind, CallKind::kCommit);
+  EXPECT_EQ(this->Last<AnswerCall>()->outcome, Outcome::kDone);
+  EXPECT_EQ(this->table.OpenTransactions(), 0U);
+}
+
+TEST_F(TransactionTableTest, RefusesASecondCallAndOtherCallers) {
+  EXPECT_THROW(this->Call(CallKind::kStatement, "", "dealer"), TransactionNotFoundError);
+  this->Call(CallKind::kStatement);
+  EXPECT_THROW(this->Call(CallKind::kStatement), TransactionBusyError);
+}
+
+TEST_F(TransactionTableTest, AMismatchedAnswerEndsTheTransaction) {
+  this->Send(CallKind::kStatement);
+  EXPECT_EQ(this->Answer(this->request + 1), DeliveryVerdict::kMismatched);
+  this->ExpectBroken(Outcome::kNotRun, TransactionEndReason::kConnectionLost);
+}
+
+TEST_F(TransactionTableTest, ALostConnectionBeforeTheCommitLeavesNothing) {
+  this->Send(CallKind::kStatement);
+  this->table.ConnectionLost(kConnection, this->now, this->actions);
+  this->ExpectBroken(Outcome::kNotRun, TransactionEndReason::kConnectionLost);
+}
+
+TEST_F(TransactionTableTest, ALostCommitWithoutAKeyIsUnknown) {
+  this->Send(CallKind::kCommit);
+  this->table.ConnectionLost(kConnection, this->now, this->actions);
+  this->ExpectBroken(Outcome::kUnknown, TransactionEndReason::kConnectionLost);
+}
+
+TEST_F(TransactionTableTest, ALostCommitIsSettledByItsKey) {
+  this->Send(CallKind::kCommit, "k");
+  this->table.ConnectionLost(kConnection, this->now, this->actions);
+  ASSERT_NE(this->Last<SettleCommit>(), nullptr);
+  this->table.CommitSettled(kId, kTerm, std::nullopt, this->now, this->actions);
+  EXPECT_GT(this->Last<SettleCommit>()->not_before, this->now);
+  EXPECT_EQ(this->Last<AnswerCall>(), nullptr);
+  this->table.CommitSettled(kId, kTerm, LogPosition{.term = kTerm, .offset = 7}, this->now, this->actions);
+  this->table.ReplicationReached(kTerm, 8, this->now, this->actions);
+  EXPECT_EQ(this->Last<AnswerCall>()->outcome, Outcome::kDone);
+}
+
+TEST_F(TransactionTableTest, ADeposedPrimaryCannotSettleACommit) {
+  this->Send(CallKind::kCommit, "k");
+  this->table.TermMoved(kTerm + 1, this->now, this->actions);
+  EXPECT_EQ(this->Last<SettleCommit>()->term, kTerm + 1);
+  this->table.CommitSettled(kId, kTerm, LogPosition{.term = kTerm, .offset = 7}, this->now, this->actions);
+  EXPECT_EQ(this->Last<AwaitCommitReplication>(), nullptr);
+  this->now += seconds(2);
+  this->table.Tick(this->now, this->actions);
+  this->ExpectBroken(Outcome::kUnknown, TransactionEndReason::kCallDeadline);
+}
+
+TEST_F(TransactionTableTest, ACommitThatOutlivedTheLeadershipIsNotAcknowledged) {
+  this->Send(CallKind::kCommit, "k");
+  this->table.SetLeadershipValidUntil(this->now);
+  this->Answer(this->request);
+  EXPECT_EQ(this->Last<AnswerCall>()->outcome, Outcome::kUnknown);
+  EXPECT_EQ(this->Last<AnswerCall>()->reason, TransactionEndReason::kLeadershipLost);
+}
+
+TEST_F(TransactionTableTest, ACallThatWasNotSentLeavesTheTransactionOpen) {
+  this->Call(CallKind::kStatement);
+  this->table.RefuseCall(kId, this->request, this->now, this->actions);
+  EXPECT_EQ(this->Last<AnswerCall>()->outcome, Outcome::kNotRun);
+  this->Call(CallKind::kStatement);
+  this->now += seconds(2);
+  EXPECT_FALSE(this->table.StartCall(kId, this->request, this->now, this->actions));
+  EXPECT_EQ(this->Last<AnswerCall>()->reason, TransactionEndReason::kCallDeadline);
+  EXPECT_EQ(this->table.OpenTransactions(), 1U);
+}
+
+TEST_F(TransactionTableTest, AnIdleTransactionGivesItsConnectionUp) {
+  this->now = this->table.NextDeadline();
+  this->table.Tick(this->now, this->actions);
+  EXPECT_EQ(this->table.OpenTransactions(), 0U);
+  EXPECT_EQ(this->Last<CloseTransactionConnection>()->connection, kConnection);
+}
+
+TEST_F(TransactionTableTest, ADrainLetsRunningTransactionsGoOnToItsBound) {
+  this->table.Drain(this->now + seconds(1), this->now);
+  EXPECT_THROW(this->table.Open(this->New({.high = 3}, 11), this->now), TransactionsDrainingError);
+  this->Send(CallKind::kStatement);
+  this->now += seconds(1);
+  this->table.Tick(this->now, this->actions);
+  this->ExpectBroken(Outcome::kNotRun, TransactionEndReason::kDrained);
+}
+
+TEST_F(TransactionTableTest, AGoneCallersCommitStillEnds) {
+  this->Send(CallKind::kCommit);
+  this->table.CallerGone("maker", this->now, this->actions);
+  EXPECT_EQ(this->table.OpenTransactions(), 1U);
+  EXPECT_EQ(this->Answer(this->request), DeliveryVerdict::kAccepted);
+}
+
+TEST_F(TransactionTableTest, IdsSurviveTheirTextAndOtherTextsAreRejected) {
+  EXPECT_EQ(ParseTransactionId(TransactionIdText(kId)), kId);
+  EXPECT_THROW(ParseTransactionId("0000000000000001000000000000000G"), ParseError);
+  EXPECT_THROW(ParseTransactionId("1"), ParseError);
+}
+
+// A connection is never in the hands of two transactions, and never back in the pool without an answered end.
+RC_GTEST_PROP(TransactionTableProperty, ConnectionsNeverMixTransactions, ()) {
+  const auto script =
+      *rc::gen::scale(5.0, rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange(0U, 1U << 16)));
+  TransactionTable table({});
+  TransactionActions actions;
+  TimePoint now(std::chrono::hours(1));
+  table.SetLeadershipValidUntil(now + seconds(3600));
+  table.TermMoved(kTerm, now, actions);
+  std::set<ConnectionId> pool = {1, 2, 3, 4};
+  std::set<ConnectionId> owned;
+  std::uint64_t next = 1;
+  std::set<ConnectionId> ended_by_answer;
+  for (const std::uint32_t choice : script) {
+    const std::uint64_t pick = choice / 8;
+    const TransactionId id{.high = 0, .low = pick % next};
+    const ConnectionId connection = pick % 4 + 1;
+    const RequestId request = pick % 5;
+    ended_by_answer.clear();
+    switch (choice % 8) {
+      case 0:
+        if (!pool.empty()) {
+          table.Open({.id = {.high = 0, .low = next++},
+                      .owner = "maker",
+                      .group = "group-1",
+                      .connection = *pool.begin(),
+                      .term = kTerm},
+                     now);
+          RC_ASSERT(owned.insert(*pool.begin()).second);
+          pool.erase(pool.begin());
+        }
+        break;
+      case 1:
+      case 2:
+        try {
+          table.Call({.transaction = id,
+                      .caller = "maker",
+                      .request = request,
+                      .kind = static_cast<CallKind>(pick % 3),
+                      .deadline = now + seconds(1),
+                      .idempotency_key = ""},
+                     now);
+        } catch (const Error&) {
+          // Not open, or busy.
+        }
+        break;
+      case 3:
+      case 4:
+        table.StartCall(id, request, now, actions);
+        break;
+      case 5:
+        if (table.Answered({.connection = connection, .request = request, .term = kTerm, .position = {}}, now,
+                           actions) == DeliveryVerdict::kAccepted) {
+          ended_by_answer.insert(connection);
+        }
+        break;
+      case 6:
+        table.ConnectionLost(connection, now, actions);
+        break;
+      default:
+        now += std::chrono::milliseconds(pick % 3000);
+        table.Tick(now, actions);
+        break;
+    }
+    for (const TransactionAction& action : actions) {
+      if (const auto* sent = std::get_if<SendCall>(&action)) {
+        RC_ASSERT(owned.contains(sent->connection));
+      } else if (const auto* returned = std::get_if<ReturnConnection>(&action)) {
+        RC_ASSERT(ended_by_answer.contains(returned->connection));
+        RC_ASSERT(owned.erase(returned->connection) == 1U);
+        RC_ASSERT(pool.insert(returned->connection).second);
+      } else if (const auto* closed = std::get_if<CloseTransactionConnection>(&action)) {
+        // A new one takes its place.
+        owned.erase(closed->connection);
+        pool.insert(closed->connection);
+      }
+    }
+    actions.clear();
+  }
+}
+
+}  // namespace
+}  // namespace amaranthlane::transactions
