--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,157 @@
+"""Runs one deployment on this machine: the platform stand-in, the endpoint stand-ins and the VMs' daemons.
+
+All processes listen on loopback and end when this script ends.
+"""
+
+import argparse
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+START_LIMIT_S = 20
+# Added to an endpoint's port to get its control port.
+CONTROL_PORT_OFFSET = 10000
+
+
+class Fleet:
+    """The processes of one deployment."""
+
+    def __init__(self, deployment: str, vm_count: int, build: pathlib.Path, extra: list[str]):
+        self.folder = ROOT / "deploy" / deployment
+        self.build = build
+        self.extra = extra
+        self.logs = pathlib.Path(tempfile.mkdtemp(prefix="amaranthlane-"))
+        self.processes: list[subprocess.Popen] = []
+        self.objects = json.loads((self.folder / "objects.json").read_text())
+        self.vms = json.loads((self.folder / "vms.json").read_text())["vms"][:vm_count]
+
+    def start(self) -> None:
+        """Starts everything and returns once every VM is ready."""
+        self.start_platform()
+        for entry in self.objects["objects"]:
+            if entry["kind"] == "database_groups":
+                self.start_endpoints(entry["value"])
+        for vm in self.vms:
+            self.start_vm(vm)
+        for vm in self.vms:
+            self.await_ready(vm["operators"])
+
+    def run(self, name: str, *command: str) -> None:
+        """Starts one process with its output in a file of the logs folder."""
+        log = open(self.logs / f"{name}.log", "w", encoding="utf-8")
+        self.processes.append(subprocess.Popen(command, stdout=log, stderr=subprocess.STDOUT))
+
+    def start_platform(self) -> None:
+        """Starts the platform stand-in with the deployment's objects and VMs."""
+        listed = [
+            {"vm": vm["vm"], "data_centre": vm["data_centre"], "region": vm["region"], "address": vm["peers"],
+             "state": "live"}
+            for vm in self.vms
+        ]
+        seed = self.logs / "platform.json"
+        seed.write_text(json.dumps({"objects": self.objects["objects"], "vms": listed}))
+        port = self.objects["platform"].split(":")[1]
+        self.run("platform", str(self.build / "stand_ins/platform/platform_stand_in"), "--port", port, "--load",
+                 str(seed))
+
+    def start_endpoints(self, group: dict) -> None:
+        """Starts the endpoint stand-ins of one database group."""
+        for instance in group["instances"]:
+            port = int(instance["address"].split(":")[1])
+            self.run(instance["endpoint"], str(self.build / "stand_ins/endpoint/endpoint_stand_in"), "--name",
+                     instance["endpoint"], "--port", str(port), "--control-port", str(port + CONTROL_PORT_OFFSET),
+                     "--slots", str(group["slots"]), "--connections", str(group["connections"]), "--service-us", "1000")
+
+    def start_vm(self, vm: dict) -> None:
+        """Starts the daemon of one VM."""
+        command = [str(self.build / "source/daemon/amaranthlaned"), "--settings", str(self.folder / "vm.yaml")]
+        for key, name in (("vm", "vm"), ("data_centre", "data_centre"), ("addresses.callers", "callers"),
+                          ("addresses.peers", "peers"), ("addresses.operators", "operators")):
+            command += ["--set", f"{key}={vm[name]}"]
+        self.run(vm["vm"], *command, *self.extra)
+
+    def await_ready(self, address: str) -> None:
+        """Waits until the VM answers that it is ready."""
+        deadline = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < deadline:
+            try:
+                with urllib.request.urlopen(f"http://{address}/ready", timeout=1):
+                    return
+            except (urllib.error.URLError, OSError):
+                time.sleep(0.1)
+        raise TimeoutError(f"{address} is not ready; see {self.logs}")
+
+    def stop(self) -> None:
+        """Ends all processes."""
+        for process in self.processes:
+            process.send_signal(signal.SIGKILL)
+        for process in self.processes:
+            process.wait()
+
+
+def call(address: str, method: str, path: str, body: dict | None = None, headers: dict | None = None) -> tuple:
+    """Calls one interface; returns the status, the headers and the parsed body."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(f"http://{address}{path}", data=data, method=method, headers=headers or {})
+    try:
+        with urllib.request.urlopen(request, timeout=10) as answer:
+            return answer.status, answer.headers, json.loads(answer.read())
+    except urllib.error.HTTPError as answer:
+        return answer.code, answer.headers, json.loads(answer.read())
+
+
+def demonstrate(fleet: Fleet) -> None:
+    """Lodges a certificate through one VM, reads it through another one from a replica, and shows the trace."""
+    trace_id = "4bf92f3577b34da6a3ce929d0e0e4736"
+    first, second = fleet.vms[0]["callers"], fleet.vms[-1]["callers"]
+    headers = {"Authorization": "Bearer example-key-maker", "Idempotency-Key": "demonstration-1"}
+    _, answer_headers, written = call(
+        first, "POST", "/v1/groups/wrap-register-1/statements",
+        {"kind": "lodgement", "mode": "write", "statement": {"op": "put", "key": "batch-1", "value": "certified"}},
+        headers)
+    print(f"lodged through {fleet.vms[0]['vm']}: {json.dumps(written)}")
+    headers = {"Authorization": "Bearer example-key-maker", "Session-Token": answer_headers["Session-Token"],
+               "traceparent": f"00-{trace_id}-00f067aa0ba902b7-01"}
+    _, _, read = call(second, "POST", "/v1/groups/wrap-register-1/statements",
+                      {"kind": "lodgement-status", "mode": "read", "statement": {"op": "get", "key": "batch-1"}},
+                      headers)
+    print(f"read through {fleet.vms[-1]['vm']}: {json.dumps(read)}")
+    print("the read's trace:")
+    for vm in fleet.vms:
+        _, _, traces = call(vm["operators"], "GET", f"/v1/traces?trace_id={trace_id}")
+        for span in traces["spans"]:
+            print(f"  {span['operation']:8} at {vm['vm']:10} {span['elapsed_us']:6} us  {json.dumps(span['tags'])}")
+
+
+def main() -> int:
+    """Parses the command line and runs the fleet."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--deployment", default="register", choices=["register", "rack"])
+    parser.add_argument("--vms", type=int, default=6)
+    parser.add_argument("--build", type=pathlib.Path, default=ROOT / "build")
+    parser.add_argument("--demonstrate", action="store_true", help="run the register's demonstration, then stop")
+    parser.add_argument("--set", action="append", default=[], metavar="KEY=VALUE", help="a setting for every VM")
+    arguments = parser.parse_args()
+    extra = [part for override in arguments.set for part in ("--set", override)]
+    fleet = Fleet(arguments.deployment, arguments.vms, arguments.build, extra)
+    try:
+        fleet.start()
+        print(f"{len(fleet.vms)} VMs are ready; logs in {fleet.logs}", flush=True)
+        if arguments.demonstrate:
+            demonstrate(fleet)
+        else:
+            signal.sigwait({signal.SIGINT, signal.SIGTERM})
+    finally:
+        fleet.stop()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
