--- /dev/null
+++ b/source/core/scheduling/work_queues.h
@@ -0,0 +1,109 @@
+#ifndef AMARANTHLANE_CORE_SCHEDULING_WORK_QUEUES_H_
+#define AMARANTHLANE_CORE_SCHEDULING_WORK_QUEUES_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <memory_resource>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "core/scheduling/work_item.h"
+
+namespace amaranthlane::scheduling {
+
+// The order in which the statements of one rank are served.
+enum class QueueOrder : std::uint8_t { kEarliestDeadline, kArrival };
+
+// A statement in the queue with what was expected of it on admission.
+struct QueuedWork {
+  WorkItem item;
+  // The endpoints whose queue it stands in.
+  EndpointSet eligible = 0;
+  // The slot time that it is expected to take.
+  Duration expected_service = Duration::zero();
+  // The last moment at which it can start and still meet its deadline.
+  TimePoint latest_start = kNever;
+  // Rises with each statement.
+  std::uint64_t sequence = 0;
+};
+
+// The waiting statements of one group: one ordered queue for each rank and set of eligible endpoints. The sets in use
+// are few (the primary, the replicas, all of them), so the queues of a rank are walked one by one. Nodes come from a
+// pool.
+class WorkQueues {
+ public:
+  explicit WorkQueues(QueueOrder order);
+
+  // Adds a statement; `work.sequence` is set here.
+  void Add(QueuedWork work);
+  // Takes a statement out; nothing if it isn't queued.
+  std::optional<QueuedWork> Take(WorkId id);
+  // The next statement of `rank` in the queues that share an endpoint with `endpoints`; null if there is none.
+  const QueuedWork* First(Rank rank, EndpointSet endpoints) const;
+  // The last statement of `rank` in the order of service, over all queues; null if there is none.
+  const QueuedWork* Last(Rank rank) const;
+  // The statement with the earliest latest start; null if the queues are empty.
+  const QueuedWork* MostPressing() const;
+  // Calls visit(EndpointSet, Duration) with each set of endpoints that has statements of `rank` waiting, and the slot
+  // time that they are expected to take.
+  template <typename Visit>
+  void VisitBacklogs(Rank rank, Visit&& visit) const {
+    for (const Queue& queue : this->queues[static_cast<std::size_t>(rank)]) {
+      if (!queue.places.empty()) {
+        visit(queue.eligible, queue.backlog);
+      }
+    }
+  }
+
+  // Calls visit(const QueuedWork&) with the last statement in the order of service of each set of endpoints.
+  template <typename Visit>
+  void VisitLast(Rank rank, Visit&& visit) const {
+    for (const Queue& queue : this->queues[static_cast<std::size_t>(rank)]) {
+      if (!queue.places.empty()) {
+        visit(*queue.places.rbegin()->work);
+      }
+    }
+  }
+
+  bool Contains(WorkId id) const;
+  std::size_t Count(Rank rank) const;
+  std::size_t Bytes() const;
+
+ private:
+  // A place in an order; `sequence` makes it unique.
+  struct Place {
+    TimePoint time;
+    std::uint64_t sequence = 0;
+    const QueuedWork* work = nullptr;
+
+    bool operator<(const Place& other) const {
+      return this->time != other.time ? this->time < other.time : this->sequence < other.sequence;
+    }
+  };
+  using Places = std::pmr::set<Place>;
+  struct Queue {
+    EndpointSet eligible = 0;
+    Duration backlog = Duration::zero();
+    Places places;
+  };
+
+  Queue& QueueFor(Rank rank, EndpointSet eligible);
+  Place ServingPlace(const QueuedWork& work) const;
+
+  QueueOrder order;
+  std::unique_ptr<std::pmr::unsynchronized_pool_resource> memory;
+  std::array<std::vector<Queue>, kRankCount> queues;
+  std::array<std::size_t, kRankCount> counts{};
+  Places latest_starts;
+  std::pmr::unordered_map<WorkId, QueuedWork> works;
+  std::size_t bytes = 0;
+  std::uint64_t next_sequence = 0;
+};
+
+}  // namespace amaranthlane::scheduling
+
+#endif  // AMARANTHLANE_CORE_SCHEDULING_WORK_QUEUES_H_
