--- a/source/common/settings_table.cc
+++ b/source/common/settings_table.cc
@@ -12,11 +12,11 @@
 
 namespace {
 
-constexpr std::uint64_t kMaximumTimingMs = 60 * 1000;
-constexpr std::uint64_t kMaximumTimeLimitMs = 10 * 60 * 1000;
-constexpr std::uint64_t kMaximumConnections = 1000 * 1000;
+constexpr std::uint64_t kMaximumTimingMs = 60UL * 1000;
+constexpr std::uint64_t kMaximumTimeLimitMs = 10UL * 60 * 1000;
+constexpr std::uint64_t kMaximumConnections = 1000UL * 1000;
 constexpr std::uint64_t kMaximumBodyBytes = 64ULL * 1024 * 1024;
-constexpr std::uint64_t kMaximumTraceSpans = 1000 * 1000;
+constexpr std::uint64_t kMaximumTraceSpans = 1000UL * 1000;
 
 bool IsLogLevel(std::string_view text) {
   constexpr std::array<std::string_view, 5> kLevels = {"debug", "info", "warning", "error", "fatal"};
@@ -178,7 +178,9 @@
     } else {
       std::uint64_t number = 0;
       const bool fits = ParseInRange(declaration, text, number);
-      settings.*member = fits ? Value(number) : settings.*member;
+      if (fits) {
+        settings.*member = static_cast<Value>(number);
+      }
       return fits;
     }
   };
--- a/source/core/configuration/database_group.cc
+++ b/source/core/configuration/database_group.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr const char* kDocument = "database group";
-constexpr std::uint64_t kMaximumSlots = 10 * 1000;
+constexpr std::uint64_t kMaximumSlots = 10UL * 1000;
 
 InstanceState ParseState(const std::string& name) {
   if (name == "live") {
--- a/source/core/configuration/distribution_constants.h
+++ b/source/core/configuration/distribution_constants.h
@@ -40,7 +40,7 @@
   // One digest in this many goes to any member instead of a relay.
   std::size_t any_member_share = 4;
   // The bound on one answer with differences.
-  std::size_t differences_limit_bytes = 256 * 1024;
+  std::size_t differences_limit_bytes = 256UL * 1024;
   // Reads of single objects that may be out at once.
   std::size_t maximum_reads = 8;
 };
