Add the callers' library and the load tool

Cause: promises have to be checked from callers' answers, and service measured. Change: client library (sessions, retries under one key), amaranthload (open-loop profile, ledger of writes, report).

--- /dev/null
+++ b/source/load/report.cc
@@ -0,0 +1,98 @@
+#include "load/report.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace amaranthlane::load {
+
+namespace {
+
+using Json = nlohmann::json;
+
+double ToMs(std::chrono::nanoseconds duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
+
+double Share(std::uint64_t part, std::uint64_t whole) {
+  return whole == 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+Json ToJson(const Stream& stream, const StreamCounts& counts) {
+  Json row{{"kind", stream.kind},
+           {"rank", RankName(stream.rank)},
+           {"rate", stream.rate},
+           {"sent", counts.sent},
+           {"done", counts.done},
+           {"not_run", counts.not_run},
+           {"unknown", counts.unknown},
+           {"done_share", Share(counts.done, counts.sent)},
+           {"retried", counts.retried},
+           {"p50_ms", ToMs(counts.latency.Quantile(0.5))},
+           {"p99_ms", ToMs(counts.latency.Quantile(0.99))},
+           {"max_ms", ToMs(counts.latency.Maximum())},
+           {"problems", counts.problems}};
+  if (stream.mode != StreamMode::kWrite) {
+    row["replica_share"] = Share(counts.from_replica, counts.done);
+    row["greatest_age_ms"] = counts.greatest_age.count();
+  }
+  return row;
+}
+
+}  // namespace
+
+void WriteGap::Acknowledge(TimePoint now) {
+  this->longest = std::max(this->longest, std::chrono::nanoseconds(now - this->last));
+  this->last = now;
+}
+
+std::uint64_t Report::Violations() const {
+  return std::accumulate(this->violations.begin(), this->violations.end(), std::uint64_t{0});
+}
+
+Json ToJson(const Report& report) {
+  Json streams = Json::array();
+  for (std::size_t index = 0; index < report.streams.size(); ++index) {
+    streams.push_back(ToJson(report.profile.streams[index], report.streams[index]));
+  }
+  Json gaps = Json::object();
+  for (const auto& [group, gap] : report.gaps) {
+    gaps[group] = ToMs(gap.longest);
+  }
+  Json violations = Json::object();
+  for (std::size_t index = 0; index < kViolationCount; ++index) {
+    violations[std::string(ViolationName(static_cast<Violation>(index)))] = report.violations[index];
+  }
+  return Json{{"seed", report.profile.seed},         {"duration_ms", report.profile.duration.count()},
+              {"streams", std::move(streams)},       {"write_gap_ms", std::move(gaps)},
+              {"violations", std::move(violations)}, {"verified", report.verified},
+              {"unverified", report.unverified}};
+}
+
+std::string ToText(const Report& report) {
+  std::string text =
+      fmt::format("{:<20} {:<7} {:>8} {:>8} {:>8} {:>8} {:>9} {:>9} {:>9} {:>8} {:>8}\n", "kind", "rank", "sent",
+                  "done", "not_run", "unknown", "p50_ms", "p99_ms", "max_ms", "replica", "age_ms");
+  for (std::size_t index = 0; index < report.streams.size(); ++index) {
+    const Stream& stream = report.profile.streams[index];
+    const StreamCounts& counts = report.streams[index];
+    text += fmt::format("{:<20} {:<7} {:>8} {:>8} {:>8} {:>8} {:>9.2f} {:>9.2f} {:>9.2f} {:>8.3f} {:>8}\n", stream.kind,
+                        RankName(stream.rank), counts.sent, counts.done, counts.not_run, counts.unknown,
+                        ToMs(counts.latency.Quantile(0.5)), ToMs(counts.latency.Quantile(0.99)),
+                        ToMs(counts.latency.Maximum()), Share(counts.from_replica, counts.done),
+                        counts.greatest_age.count());
+  }
+  for (const auto& [group, gap] : report.gaps) {
+    text += fmt::format("longest write gap of {}: {:.0f} ms\n", group, ToMs(gap.longest));
+  }
+  for (std::size_t index = 0; index < kViolationCount; ++index) {
+    if (report.violations[index] != 0) {
+      text += fmt::format("VIOLATION {}: {}\n", ViolationName(static_cast<Violation>(index)), report.violations[index]);
+    }
+  }
+  text += fmt::format("seed {}: {} writes verified, {} not verifiable, {} violations\n", report.profile.seed,
+                      report.verified, report.unverified, report.Violations());
+  return text;
+}
+
+}  // namespace amaranthlane::load
