Add amaranthctl

Cause: operators need to apply, read and delete objects, see status, drain, promote and wait for an edit. Change: the command line over the operators' interface, tables or JSON, stated exit codes.

--- /dev/null
+++ b/source/ctl/commands.cc
@@ -0,0 +1,230 @@
+#include "ctl/commands.h"
+
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+#include "common/boot_clock.h"
+#include "common/json.h"
+#include "ctl/table.h"
+#include "net/http_message.h"
+
+namespace amaranthlane::ctl {
+
+namespace {
+
+using Json = nlohmann::json;
+using Words = std::vector<std::string>;
+using Handler = ExitCode (*)(const OperatorClient&, const CommandOptions&, const Words&);
+
+constexpr std::chrono::milliseconds kPollInterval{100};
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusConflict = 409;
+constexpr unsigned kStatusUnavailable = 503;
+
+std::string Text(const Json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+
+std::string ObjectTarget(const std::string& kind, const std::string& name) {
+  return "/v1/objects/" + net::EncodePathSegment(kind) + "/" + net::EncodePathSegment(name);
+}
+
+ExitCode Finish(const OperatorAnswer& answer) {
+  std::cout << answer.body.dump(2) << '\n';
+  if (answer.status == kStatusOk) {
+    return ExitCode::kDone;
+  }
+  if (answer.status == kStatusConflict) {
+    return ExitCode::kConflict;
+  }
+  const bool unknown = answer.status == kStatusUnavailable && answer.body.value("effect", "") == "unknown";
+  return unknown || answer.status > kStatusUnavailable ? ExitCode::kUnknown : ExitCode::kRefused;
+}
+
+Table RowsTable(const Json& rows, const std::vector<std::string>& columns) {
+  Table table;
+  table.columns = columns;
+  for (const Json& row : rows) {
+    std::vector<std::string> cells;
+    for (const std::string& column : columns) {
+      cells.push_back(row.contains(column) ? Text(row[column]) : "");
+    }
+    table.rows.push_back(std::move(cells));
+  }
+  return table;
+}
+
+// An edit file holds one object {kind, name, value, expected_version?}, or an array of them.
+Json ReadEdits(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    throw UsageError(path + ": can't be read");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  Json document = json::Parse(text.str(), path);
+  return document.is_array() ? document : Json::array({document});
+}
+
+ExitCode Apply(const OperatorClient& client, const CommandOptions& /*options*/, const Words& words) {
+  for (const Json& edit : ReadEdits(words[1])) {
+    const json::ObjectReader reader(edit, words[1]);
+    reader.RejectUnknown({"kind", "name", "value", "expected_version"});
+    Json body{{"value", reader.Object("value")}};
+    if (reader.Has("expected_version")) {
+      body["expected_version"] = reader.Unsigned("expected_version");
+    }
+    const ExitCode code = Finish(client.Call("PUT", ObjectTarget(reader.String("kind"), reader.String("name")), body));
+    if (code != ExitCode::kDone) {
+      return code;
+    }
+  }
+  return ExitCode::kDone;
+}
+
+ExitCode Get(const OperatorClient& client, const CommandOptions& options, const Words& words) {
+  if (words.size() == 3) {
+    return Finish(client.Call("GET", ObjectTarget(words[1], words[2]), nullptr));
+  }
+  const OperatorAnswer answer = client.Call("GET", "/v1/objects/" + net::EncodePathSegment(words[1]), nullptr);
+  if (options.json || answer.status != kStatusOk) {
+    return Finish(answer);
+  }
+  std::cout << FormatTable(RowsTable(answer.body.at("objects"), {"name", "version", "value"}));
+  return ExitCode::kDone;
+}
+
+ExitCode Delete(const OperatorClient& client, const CommandOptions& /*options*/, const Words& words) {
+  std::string target = ObjectTarget(words[1], words[2]);
+  if (words.size() == 4) {
+    target += "?expected_version=" + net::EncodePathSegment(words[3]);
+  }
+  return Finish(client.Call("DELETE", target, nullptr));
+}
+
+void PrintStatus(const Json& status) {
+  std::cout << "vm " << Text(status.at("vm")) << " in " << Text(status.at("data_centre"))
+            << (status.at("draining").get<bool>() ? ", draining" : "") << "; platform "
+            << (status.at("platform_reachable").get<bool>() ? "answers" : "does not answer") << "\n\n";
+  std::cout << FormatTable(RowsTable(status.at("leaders"), {"group", "leader"})) << '\n';
+  std::cout << FormatTable(RowsTable(status.at("vms"), {"vm", "data_centre", "address", "liveness", "leaving"}))
+            << '\n';
+  std::cout << FormatTable(RowsTable(status.at("in_force"), {"vm", "data_centre", "complete_through"})) << '\n';
+  for (const Json& group : status.at("led_groups")) {
+    std::cout << "group " << Text(group.at("group")) << ": term " << Text(group.at("term")) << ", primary "
+              << Text(group.at("primary")) << ", " << Text(group.at("phase")) << '\n';
+    std::cout << FormatTable(RowsTable(group.at("instances"),
+                                       {"endpoint", "role", "term", "offset", "age_bound_ms", "leaving"}))
+              << '\n';
+  }
+}
+
+ExitCode Status(const OperatorClient& client, const CommandOptions& options, const Words& /*words*/) {
+  const OperatorAnswer answer = client.Call("GET", "/v1/status", nullptr);
+  if (options.json || answer.status != kStatusOk) {
+    return Finish(answer);
+  }
+  PrintStatus(answer.body);
+  return ExitCode::kDone;
+}
+
+ExitCode Drain(const OperatorClient& client, const CommandOptions& /*options*/, const Words& /*words*/) {
+  return Finish(client.Call("POST", "/v1/drain", nullptr));
+}
+
+ExitCode Promote(const OperatorClient& client, const CommandOptions& /*options*/, const Words& words) {
+  Json body = Json::object();
+  if (words.size() == 3) {
+    body["target"] = words[2];
+  }
+  return Finish(client.Call("POST", "/v1/groups/" + net::EncodePathSegment(words[1]) + "/promote", body));
+}
+
+ExitCode WaitInForce(const OperatorClient& client, const CommandOptions& options, const Words& words) {
+  std::uint64_t version = 0;
+  const auto [end, error] = std::from_chars(words[1].data(), words[1].data() + words[1].size(), version);
+  if (error != std::errc() || end != words[1].data() + words[1].size()) {
+    throw UsageError("wait-in-force: expected a version");
+  }
+  const TimePoint deadline = BootClock::now() + options.limit;
+  Json behind;
+  while (BootClock::now() < deadline) {
+    behind = Json::array();
+    const OperatorAnswer answer = client.Call("GET", "/v1/status", nullptr);
+    for (const Json& entry : answer.body.at("in_force")) {
+      if (entry.at("complete_through").get<std::uint64_t>() < version) {
+        behind.push_back(entry);
+      }
+    }
+    if (behind.empty()) {
+      std::cout << Json{{"version", version}, {"in_force", "everywhere"}}.dump() << '\n';
+      return ExitCode::kDone;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  std::cout << Json{{"version", version}, {"behind", behind}}.dump(2) << '\n';
+  return ExitCode::kTimeout;
+}
+
+ExitCode Trace(const OperatorClient& client, const CommandOptions& options, const Words& words) {
+  const OperatorAnswer answer = client.Call("GET", "/v1/traces?trace_id=" + net::EncodePathSegment(words[1]), nullptr);
+  if (options.json || answer.status != kStatusOk) {
+    return Finish(answer);
+  }
+  std::cout << FormatTable(
+      RowsTable(answer.body.at("spans"), {"operation", "span_id", "parent_span_id", "start_us", "elapsed_us", "tags"}));
+  return ExitCode::kDone;
+}
+
+struct Command {
+  const char* name;
+  const char* arguments;
+  const char* help;
+  // Counting the command's own name.
+  std::size_t least_words;
+  std::size_t most_words;
+  Handler handler;
+};
+
+constexpr std::array<Command, 8> kCommands = {{
+    {"apply", "FILE", "writes the objects of a JSON file on condition of their versions", 2, 2, &Apply},
+    {"get", "KIND [NAME]", "shows an object, or all of a kind", 2, 3, &Get},
+    {"delete", "KIND NAME [VERSION]", "deletes an object, on condition of its version", 3, 4, &Delete},
+    {"status", "", "shows leaders, VMs, where edits are in force, and the groups that the VM leads", 1, 1, &Status},
+    {"drain", "", "shuts the VM down gracefully", 1, 1, &Drain},
+    {"promote", "GROUP [ENDPOINT]", "changes a group's primary", 2, 3, &Promote},
+    {"wait-in-force", "VERSION", "waits until every VM has the version in force", 2, 2, &WaitInForce},
+    {"trace", "TRACE_ID", "shows the spans that the VM keeps of a trace", 2, 2, &Trace},
+}};
+
+}  // namespace
+
+ExitCode RunCommand(const OperatorClient& client, const CommandOptions& options, const Words& words) {
+  if (words.empty()) {
+    throw UsageError("a command is missing; see --help");
+  }
+  for (const Command& command : kCommands) {
+    if (words[0] != command.name) {
+      continue;
+    }
+    if (words.size() < command.least_words || words.size() > command.most_words) {
+      throw UsageError(std::string("usage: ") + command.name + " " + command.arguments);
+    }
+    return command.handler(client, options, words);
+  }
+  throw UsageError("unknown command '" + words[0] + "'; see --help");
+}
+
+std::string CommandSummary() {
+  Table table;
+  table.columns = {"command", "does"};
+  for (const Command& command : kCommands) {
+    table.rows.push_back({std::string(command.name) + " " + command.arguments, command.help});
+  }
+  return FormatTable(table);
+}
+
+}  // namespace amaranthlane::ctl
--- /dev/null
+++ b/source/ctl/main.cc
@@ -0,0 +1,87 @@
+#include <popt.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "common/error.h"
+#include "ctl/commands.h"
+
+// `amaranthctl`: the operators' command line.
+namespace amaranthlane::ctl {
+namespace {
+
+constexpr char kDefaultVm[] = "127.0.0.1:7600";
+
+struct Arguments {
+  std::string vm = kDefaultVm;
+  CommandOptions options;
+  bool help = false;
+  std::vector<std::string> words;
+};
+
+Arguments ParseArguments(int argc, const char** argv) {
+  enum Option : int { kVm = 1, kOutput, kLimit, kHelp };
+  const poptOption options[] = {
+      {"vm", '\0', POPT_ARG_STRING, nullptr, kVm, "the operators' address of a VM", "IP:PORT"},
+      {"output", 'o', POPT_ARG_STRING, nullptr, kOutput, "table or json", "FORMAT"},
+      {"limit-ms", '\0', POPT_ARG_STRING, nullptr, kLimit, "how long to wait", "N"},
+      {"help", 'h', POPT_ARG_NONE, nullptr, kHelp, "shows this page", nullptr},
+      POPT_TABLEEND};
+  Arguments arguments;
+  poptContext context = poptGetContext("amaranthctl", argc, argv, options, 0);
+  int option = 0;
+  while ((option = poptGetNextOpt(context)) > 0) {
+    char* raw = poptGetOptArg(context);
+    const std::string value = raw == nullptr ? "" : raw;
+    std::free(raw);  // NOLINT: popt hands over memory from malloc
+    if (option == kVm) {
+      arguments.vm = value;
+    } else if (option == kOutput && (value == "table" || value == "json")) {
+      arguments.options.json = value == "json";
+    } else if (option == kLimit && !value.empty() && value.find_first_not_of("0123456789") == std::string::npos) {
+      arguments.options.limit = std::chrono::milliseconds(std::strtoull(value.c_str(), nullptr, 10));
+    } else if (option == kHelp) {
+      arguments.help = true;
+    } else {
+      poptFreeContext(context);
+      throw UsageError("bad value '" + value + "'; see --help");
+    }
+  }
+  const char* bad = poptBadOption(context, 0);
+  const std::string bad_text = bad == nullptr ? "" : bad;
+  while (const char* word = poptGetArg(context)) {
+    arguments.words.emplace_back(word);
+  }
+  poptFreeContext(context);
+  if (option < -1) {
+    throw UsageError(bad_text + ": " + poptStrerror(option));
+  }
+  return arguments;
+}
+
+int Main(int argc, const char** argv) {
+  try {
+    const Arguments arguments = ParseArguments(argc, argv);
+    if (arguments.help) {
+      std::cout << "Usage: amaranthctl [--vm IP:PORT] [--output table|json] [--limit-ms N] COMMAND\n\n"
+                << CommandSummary()
+                << "\nExit status: 0 done, 1 refused, 2 usage, 3 conflict, 4 outcome unknown, 5 timed out\n";
+      return EXIT_SUCCESS;
+    }
+    const OperatorClient client(net::ParseAddress(arguments.vm), arguments.options.limit);
+    return static_cast<int>(RunCommand(client, arguments.options, arguments.words));
+  } catch (const NoAnswerError& failure) {
+    std::cerr << "amaranthctl: " << failure.what() << '\n';
+    return static_cast<int>(ExitCode::kUnknown);
+  } catch (const Error& failure) {
+    std::cerr << "amaranthctl: " << failure.what() << '\n';
+    return static_cast<int>(ExitCode::kUsage);
+  }
+}
+
+}  // namespace
+}  // namespace amaranthlane::ctl
+
+int main(int argc, char** argv) { return amaranthlane::ctl::Main(argc, const_cast<const char**>(argv)); }
