--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -29,6 +29,9 @@
         self.extra = extra
         self.logs = pathlib.Path(tempfile.mkdtemp(prefix="amaranthlane-"))
         self.processes: list[subprocess.Popen] = []
+        self.pids: dict[str, int] = {}
+        # How long the endpoint stand-ins run a statement.
+        self.service_us = 1000
         self.objects = json.loads((self.folder / "objects.json").read_text())
         self.vms = json.loads((self.folder / "vms.json").read_text())["vms"][:vm_count]
 
@@ -46,7 +49,9 @@
     def run(self, name: str, *command: str) -> None:
         """Starts one process with its output in a file of the logs folder."""
         log = open(self.logs / f"{name}.log", "w", encoding="utf-8")
-        self.processes.append(subprocess.Popen(command, stdout=log, stderr=subprocess.STDOUT))
+        process = subprocess.Popen(command, stdout=log, stderr=subprocess.STDOUT)
+        self.processes.append(process)
+        self.pids[name] = process.pid
 
     def start_platform(self) -> None:
         """Starts the platform stand-in with the deployment's objects and VMs."""
@@ -67,7 +72,7 @@
             port = int(instance["address"].split(":")[1])
             self.run(instance["endpoint"], str(self.build / "stand_ins/endpoint/endpoint_stand_in"), "--name",
                      instance["endpoint"], "--port", str(port), "--control-port", str(port + CONTROL_PORT_OFFSET),
-                     "--slots", str(group["slots"]), "--connections", str(group["connections"]), "--service-us", "1000")
+                     "--slots", str(group["slots"]), "--connections", str(group["connections"]), "--service-us", str(self.service_us))
 
     def start_vm(self, vm: dict) -> None:
         """Starts the daemon of one VM."""
