Make the stand-ins clean under the linter

Change: one TargetOf for all servers, a plain comparison for object keys, and std::exchange where a transaction was used after its move.

--- a/stand_ins/common/http_connection.cc
+++ b/stand_ins/common/http_connection.cc
@@ -30,6 +30,11 @@
 
 }  // namespace
 
+HttpTarget TargetOf(const HttpRequest& request) {
+  const auto target = request.target();
+  return HttpTarget(std::string_view(target.data(), target.size()));
+}
+
 HttpConnection::HttpConnection(std::uint64_t id, boost::asio::ip::tcp::socket socket, const ServerSettings& settings)
     : id(id),
       socket(std::move(socket)),
--- a/stand_ins/common/http_connection.h
+++ b/stand_ins/common/http_connection.h
@@ -19,11 +19,15 @@
 
 #include "common/boot_clock.h"
 #include "stand_ins/common/freeze_gate.h"
+#include "stand_ins/common/http_target.h"
 
 namespace amaranthlane::stand_ins {
 
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 
+// The target of a request. It points into the request.
+HttpTarget TargetOf(const HttpRequest& request);
+
 class HttpConnection;
 using HttpConnectionPtr = std::shared_ptr<HttpConnection>;
 
--- a/stand_ins/endpoint/endpoint_control.cc
+++ b/stand_ins/endpoint/endpoint_control.cc
@@ -36,7 +36,8 @@
       return;
     }
   }
-  throw UnknownCallError(std::string(request.target()));
+  const std::string target(request.target());
+  throw UnknownCallError(target);
 }
 
 void EndpointControl::SetLag(const std::string& body) {
--- a/stand_ins/endpoint/endpoint_server.cc
+++ b/stand_ins/endpoint/endpoint_server.cc
@@ -15,11 +15,6 @@
 constexpr unsigned kOk = 200;
 constexpr std::size_t kLogBatch = 1000;
 
-HttpTarget TargetOf(const HttpRequest& request) {
-  const auto target = request.target();
-  return HttpTarget(std::string_view(target.data(), target.size()));
-}
-
 boost::asio::ip::tcp::endpoint ListenAddress(const EndpointSettings& settings) {
   return {boost::asio::ip::make_address(settings.address), settings.port};
 }
@@ -78,7 +73,8 @@
     return route.method == request.method() && route.path == target.path;
   });
   if (found == kRoutes.end()) {
-    throw UnknownCallError(std::string(request.target()));
+    const std::string path(target.path);
+    throw UnknownCallError(path);
   }
   return *found;
 }
--- a/stand_ins/endpoint/instance.cc
+++ b/stand_ins/endpoint/instance.cc
@@ -80,8 +80,7 @@
 
 Completion Instance::Commit(const EndRequest& request, std::optional<Transaction>& transaction) {
   this->CheckTerm(request.term);
-  const std::optional<Transaction> ended(std::move(transaction));
-  transaction.reset();
+  const std::optional<Transaction> ended = std::exchange(transaction, std::nullopt);
   if (!ended) {
     throw NoTransactionError();
   }
--- a/stand_ins/platform/object_store.cc
+++ b/stand_ins/platform/object_store.cc
@@ -1,6 +1,7 @@
 #include "stand_ins/platform/object_store.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "stand_ins/platform/problems.h"
@@ -15,6 +16,10 @@
 
 }  // namespace
 
+bool ObjectKey::operator<(const ObjectKey& other) const {
+  return std::tie(this->kind, this->name) < std::tie(other.kind, other.name);
+}
+
 nlohmann::json PlatformObject::ToJson() const {
   nlohmann::json object = {
       {"kind", this->key.kind}, {"name", this->key.name}, {"version", this->version}, {"deleted", this->deleted}};
@@ -73,13 +78,11 @@
 std::uint64_t ObjectStore::Version() const { return this->version; }
 
 std::uint64_t ObjectStore::Change(const ObjectKey& key, bool deleted, nlohmann::json value) {
-  // A copy, since `key` may stand in the object that is replaced.
-  const ObjectKey changed = key;
-  PlatformObject& object = this->objects[changed];
+  PlatformObject& object = this->objects[key];
   this->changes.erase(object.version);
   ++this->version;
-  object = {changed, this->version, deleted, std::move(value)};
-  this->changes.emplace(this->version, changed);
+  object = {key, this->version, deleted, std::move(value)};
+  this->changes.emplace(this->version, key);
   return this->version;
 }
 
--- a/stand_ins/platform/object_store.h
+++ b/stand_ins/platform/object_store.h
@@ -15,7 +15,8 @@
   std::string kind;
   std::string name;
 
-  auto operator<=>(const ObjectKey&) const = default;
+  bool operator==(const ObjectKey&) const = default;
+  bool operator<(const ObjectKey& other) const;
 };
 
 // One object of the platform, or its tombstone.
--- a/stand_ins/platform/platform_server.cc
+++ b/stand_ins/platform/platform_server.cc
@@ -30,11 +30,6 @@
   return {{"version", version}, {"objects", std::move(list)}};
 }
 
-HttpTarget TargetOf(const HttpRequest& request) {
-  const auto target = request.target();
-  return HttpTarget(std::string_view(target.data(), target.size()));
-}
-
 }  // namespace
 
 PlatformServer::PlatformServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
@@ -54,7 +49,7 @@
 }
 
 const std::vector<PlatformServer::Route>& PlatformServer::Routes() {
-  static const std::vector<Route> kRoutes = {
+  static const std::vector<Route> routes = {
       {verb::get, {"v1", "objects", "*", "*"}, &PlatformServer::GetObject},
       {verb::get, {"v1", "objects", "*"}, &PlatformServer::ListObjects},
       {verb::put, {"v1", "objects", "*", "*"}, &PlatformServer::PutObject},
@@ -68,7 +63,7 @@
       {verb::post, {"control", "vm_lag"}, &PlatformServer::ControlVmLag},
       {verb::get, {"control", "calls"}, &PlatformServer::ControlCalls},
   };
-  return kRoutes;
+  return routes;
 }
 
 void PlatformServer::Handle(const HttpConnectionPtr& connection, const HttpRequest& request) {
@@ -101,7 +96,8 @@
       return;
     }
   }
-  throw UnknownCallError(std::string(call.request.target()));
+  const std::string target(call.request.target());
+  throw UnknownCallError(target);
 }
 
 void PlatformServer::Answer(const Call& call, const nlohmann::json& body) {
