Test witnesses, holders and membership on their own

Change: unit tests for these rules; membership forgives its own pauses and passes urgent entries on in turn.

--- a/source/core/membership/liveness.cc
+++ b/source/core/membership/liveness.cc
@@ -1,11 +1,15 @@
 #include "core/membership/liveness.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace amaranthlane::membership {
 
 namespace {
 
+// A gap of so many beats between two ticks is a pause.
+constexpr int kPauseBeats = 2;
+
 // Whether `vm` sends to this VM, or answers it, every beat.
 bool IsHeardDirectly(const MembershipTables& tables, const VmName& vm) {
   return tables.IsFullMesh() || tables.send_to.contains(vm) || tables.hear_from.contains(vm);
@@ -174,6 +178,19 @@
   }
 }
 
+void ForgiveOwnPause(MembershipTables& tables, TimePoint now) {
+  const Duration gap = now - std::exchange(tables.last_tick, now);
+  if (gap < kPauseBeats * tables.settings.beat) {
+    return;
+  }
+  for (auto& [name, row] : tables.vms) {
+    if (row.liveness == Liveness::kLive || row.liveness == Liveness::kSuspected) {
+      row.suspect_at += gap;
+      row.dead_at += gap;
+    }
+  }
+}
+
 void RunLiveness(MembershipTables& tables, TimePoint now) {
   for (auto entry = tables.vms.begin(); entry != tables.vms.end();) {
     if (RunRow(tables, now, entry->second)) {
--- a/source/core/membership/liveness.h
+++ b/source/core/membership/liveness.h
@@ -10,6 +10,9 @@
 void TakeList(MembershipTables& tables, const PlatformListSeen& event);
 void TakeCloseVms(MembershipTables& tables, TimePoint now, const CloseVmsChanged& event);
 
+// Puts off the deadlines of all VMs by the time that this VM itself was paused: it couldn't have heard them.
+void ForgiveOwnPause(MembershipTables& tables, TimePoint now);
+
 // Moves silent VMs from live over suspected to dead, and removes those that are gone.
 void RunLiveness(MembershipTables& tables, TimePoint now);
 
--- a/source/core/membership/membership_system.cc
+++ b/source/core/membership/membership_system.cc
@@ -35,12 +35,14 @@
 MembershipSystem::MembershipSystem(Self self, MembershipSettings settings, TimePoint started_at) {
   this->tables.self = std::move(self);
   this->tables.settings = settings;
+  this->tables.last_tick = started_at;
   this->tables.next_beat = started_at;
   this->tables.next_gossip = started_at;
 }
 
 std::vector<Action> MembershipSystem::Tick(TimePoint now, std::span<const Event> events) {
   MembershipTables& tables = this->tables;
+  ForgiveOwnPause(tables, now);
   const Dispatcher dispatcher{tables, now};
   for (const Event& event : events) {
     std::visit(dispatcher, event);
--- a/source/core/membership/partners.cc
+++ b/source/core/membership/partners.cc
@@ -39,8 +39,13 @@
 
 // The entries that changed lately, with introductions.
 void AddUrgent(MembershipTables& tables, std::vector<DigestEntry>& digest) {
-  for (auto& [name, row] : tables.vms) {
-    if (digest.size() < tables.settings.digest_entries && row.urgent_sends > 0 && row.counter > 0) {
+  for (std::size_t step = 0; step < tables.vms.size(); ++step) {
+    if (digest.size() >= tables.settings.digest_entries) {
+      return;
+    }
+    VmRow& row = NextRow(tables, tables.urgent_cursor)->second;
+    tables.urgent_cursor = row.vm;
+    if (row.urgent_sends > 0 && row.counter > 0) {
       --row.urgent_sends;
       digest.push_back(EntryOf(row, /*introduce=*/true));
     }
--- a/source/core/membership/tables.h
+++ b/source/core/membership/tables.h
@@ -121,11 +121,14 @@
   std::set<VmName> hear_from;
   VmState state = VmState::kWorking;
   std::uint64_t counter = 0;
+  // The last tick. A tick comes every beat at least, so that a longer gap is this VM's own pause.
+  TimePoint last_tick;
   TimePoint next_beat;
   TimePoint next_gossip;
   // Where the rotations of partners and of digest entries go on: after this VM.
   VmName partner_cursor;
   VmName digest_cursor;
+  VmName urgent_cursor;
   bool changed = false;
   // The actions of the running tick.
   std::vector<Action> actions;
--- /dev/null
+++ b/tests/core/leadership/witness_test.cc
@@ -0,0 +1,183 @@
+#include <gtest/gtest.h>
+
+#include <span>
+#include <vector>
+
+#include "core/leadership/leadership_system.h"
+
+namespace amaranthlane::leadership {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart = TimePoint(std::chrono::hours(1));
+
+std::vector<Action> TickWith(LeadershipSystem& system, TimePoint now, const Event& event) {
+  return system.Tick(now, std::span(&event, 1));
+}
+
+template <typename Wanted>
+std::vector<Wanted> Only(const std::vector<Action>& actions) {
+  std::vector<Wanted> wanted;
+  for (const Action& action : actions) {
+    if (const auto* found = std::get_if<Wanted>(&action)) {
+      wanted.push_back(*found);
+    }
+  }
+  return wanted;
+}
+
+LeadershipRecord MakeRecord(Epoch epoch, const Holder& leader, std::vector<VmName> witnesses) {
+  LeadershipRecord record;
+  record.epoch = epoch;
+  record.leader = leader;
+  record.witnesses = std::move(witnesses);
+  return record;
+}
+
+// A witness that has heard nothing from the platform yet, with `b`, `c` and itself as the witnesses of epoch 1.
+class WitnessTest : public testing::Test {
+ protected:
+  WitnessTest() {
+    TickWith(this->witness, kStart, RecordSeen{"g", 1, MakeRecord(1, {"x", 1}, {"a", "b", "c"}), RecordSource::kPeer});
+  }
+
+  bool Grants(TimePoint now, const Holder& holder, Ballot ballot) {
+    const PromiseRequestReceived event{1, {holder, {{"g", ballot, false}}}};
+    const auto answers = Only<AnswerPromise>(TickWith(this->witness, now, event));
+    return !answers.empty() && answers.front().answer.replies.front().granted;
+  }
+
+  void Confirm() { TickWith(this->witness, this->awake, RecordSeen{"g", 1, MakeRecord(1, {"x", 1}, {"a", "b", "c"})}); }
+
+  void AnswerInquiry(const VmName& from, Ballot floor) {
+    CloseAnswer answer;
+    answer.witness = from;
+    answer.group = "g";
+    answer.ballot = {1, 0};
+    answer.floor = floor;
+    TickWith(this->witness, this->awake, CloseAnswerReceived{this->awake, answer});
+  }
+
+  LeadershipSystem witness{{"a", 2}, {}, kStart};
+  TimePoint awake = kStart + seconds(2);
+};
+
+TEST_F(WitnessTest, IsSilentForThePromiseLengthAfterItsStart) {
+  this->Confirm();
+  const PromiseRequestReceived event{7, {{"x", 1}, {{"g", {1, 0}, false}}}};
+  const auto dropped = Only<DropRequest>(TickWith(this->witness, this->awake - milliseconds(1), event));
+  ASSERT_EQ(dropped.size(), 1U);
+  EXPECT_EQ(dropped.front().reply_id, 7U);
+  EXPECT_TRUE(this->Grants(this->awake, {"x", 1}, {1, 0}));
+}
+
+TEST_F(WitnessTest, PromisesNothingBeforeItKnowsWhatItHadClosed) {
+  EXPECT_FALSE(this->Grants(this->awake, {"x", 1}, {1, 0}));
+  this->AnswerInquiry("b", {1, 0});
+  EXPECT_FALSE(this->Grants(this->awake, {"x", 1}, {1, 0}));
+  this->AnswerInquiry("c", {1, 0});
+  EXPECT_TRUE(this->Grants(this->awake, {"x", 1}, {1, 0}));
+}
+
+TEST_F(WitnessTest, LearnsFromTheOthersThatTheEpochWasClosed) {
+  EXPECT_FALSE(this->Grants(this->awake, {"x", 1}, {1, 0}));
+  this->AnswerInquiry("b", {2, 0});
+  this->AnswerInquiry("c", {1, 0});
+  EXPECT_FALSE(this->Grants(this->awake, {"x", 1}, {1, 0}));
+}
+
+TEST_F(WitnessTest, LearnsFromThePlatformThatTheEpochWasClosed) {
+  TickWith(this->witness, this->awake, RecordSeen{"g", 2, MakeRecord(2, {"y", 1}, {"d"})});
+  EXPECT_FALSE(this->Grants(this->awake, {"x", 1}, {1, 0}));
+}
+
+TEST_F(WitnessTest, HelpsOneHolderAtATimeWhateverTheBallots) {
+  this->Confirm();
+  ASSERT_TRUE(this->Grants(this->awake, {"x", 1}, {1, 0}));
+  EXPECT_FALSE(this->Grants(this->awake + seconds(2) - milliseconds(1), {"y", 1}, {1, 1}));
+  EXPECT_FALSE(this->Grants(this->awake + seconds(2) - milliseconds(1), {"x", 2}, {1, 0}));
+  EXPECT_TRUE(this->Grants(this->awake + seconds(2), {"y", 1}, {1, 1}));
+  EXPECT_FALSE(this->Grants(this->awake + seconds(9), {"x", 1}, {1, 0}));
+}
+
+// A VM that the record names as leader of epoch 2, with epoch 1 still to be closed by `b` and `c`.
+class HolderTest : public testing::Test {
+ protected:
+  std::vector<Action> SeeEpochs(std::vector<VmName> earlier) {
+    LeadershipRecord record = MakeRecord(2, {"a", 1}, {"d"});
+    record.unclosed = {{1, std::move(earlier)}};
+    return TickWith(this->holder, kStart, RecordSeen{"g", 2, record});
+  }
+
+  std::vector<Action> Accept(const VmName& from, TimePoint sent_at, TimePoint now, milliseconds remaining) {
+    CloseAnswer answer{.witness = from,
+                       .group = "g",
+                       .ballot = {2, 0},
+                       .accepted = true,
+                       .holder_alive = false,
+                       .recovering = false,
+                       .floor = {2, 0},
+                       .remaining = remaining};
+    return TickWith(this->holder, now, CloseAnswerReceived{sent_at, answer});
+  }
+
+  LeadershipSystem holder{{"a", 1}, {}, kStart};
+};
+
+TEST_F(HolderTest, WaitsForTheLongestRemainingPromise) {
+  EXPECT_EQ(Only<SendCloseRequest>(this->SeeEpochs({"b", "c"})).size(), 2U);
+  this->Accept("b", kStart, kStart, milliseconds(300));
+  this->Accept("c", kStart, kStart, milliseconds(900));
+  EXPECT_TRUE(Only<SendPromiseRequest>(this->holder.Tick(kStart + milliseconds(899), {})).empty());
+  EXPECT_EQ(Only<SendPromiseRequest>(this->holder.Tick(kStart + milliseconds(900), {})).size(), 1U);
+}
+
+TEST_F(HolderTest, ClosingsFurtherApartThanAPromiseDoNotCountTogether) {
+  this->SeeEpochs({"b", "c"});
+  this->Accept("b", kStart, kStart, milliseconds(0));
+  const TimePoint late = kStart + seconds(3);
+  EXPECT_TRUE(Only<SendPromiseRequest>(this->Accept("c", late, late, milliseconds(0))).empty());
+  EXPECT_EQ(Only<SendPromiseRequest>(this->Accept("b", late, late, milliseconds(0))).size(), 1U);
+}
+
+TEST_F(HolderTest, ValidityCountsFromTheSendingOfTheRequest) {
+  this->SeeEpochs({"b"});
+  this->Accept("b", kStart, kStart, milliseconds(0));
+  const PromiseAnswer answer{"d", {{"g", {2, 0}, true, {2, 0}}}};
+  TickWith(this->holder, kStart + milliseconds(700), PromiseAnswerReceived{kStart, answer});
+  EXPECT_EQ(this->holder.ValidUntil("g"), kStart + milliseconds(1900));
+  EXPECT_EQ(Only<LostLeadership>(this->holder.Tick(kStart + milliseconds(1900), {})).size(), 1U);
+}
+
+TEST_F(HolderTest, KeepsAnEpochUnclosedUntilItsOwnPromisesCarryTheValidity) {
+  TickWith(this->holder, kStart, RecordSeen{"g", 1, MakeRecord(1, {"a", 1}, {"b"})});
+  TickWith(this->holder, kStart, PromiseAnswerReceived{kStart, {"b", {{"g", {1, 0}, true, {1, 0}}}}});
+  ASSERT_TRUE(this->holder.ValidUntil("g").has_value());
+  this->SeeEpochs({"b"});
+  const TimePoint later = kStart + milliseconds(10);
+  EXPECT_TRUE(Only<UpdateRecord>(this->Accept("b", later, later, milliseconds(0))).empty());
+  const PromiseAnswer answer{"d", {{"g", {2, 0}, true, {2, 0}}}};
+  const auto updates = Only<UpdateRecord>(TickWith(this->holder, later, PromiseAnswerReceived{later, answer}));
+  ASSERT_EQ(updates.size(), 1U);
+  EXPECT_TRUE(updates.front().record.unclosed.empty());
+}
+
+TEST_F(HolderTest, ALostAnswerIsSettledByARead) {
+  this->SeeEpochs({"b"});
+  this->Accept("b", kStart, kStart, milliseconds(0));
+  const PromiseAnswerReceived granted{kStart, {"d", {{"g", {2, 0}, true, {2, 0}}}}};
+  const auto updates = Only<UpdateRecord>(TickWith(this->holder, kStart, granted));
+  ASSERT_EQ(updates.size(), 1U);
+  const UpdateAnswered lost{"g", updates.front().record.update_id, UpdateResult::kLost, 0, std::nullopt};
+  TickWith(this->holder, kStart + milliseconds(10), lost);
+  const auto actions = this->holder.Tick(kStart + milliseconds(600), {});
+  EXPECT_EQ(Only<ReadRecord>(actions).size(), 1U);
+  EXPECT_TRUE(Only<UpdateRecord>(actions).empty());
+  const RecordSeen applied{"g", 3, updates.front().record};
+  EXPECT_TRUE(Only<UpdateRecord>(TickWith(this->holder, kStart + milliseconds(620), applied)).empty());
+}
+
+}  // namespace
+}  // namespace amaranthlane::leadership
