Serve each rank in order of arrival

Cause: by deadline, a flood with mixed time limits served no more in time, and a wait estimated by deadline made work late. Change: arrival order is the default; earliest deadline first can be chosen.

--- a/source/core/scheduling/group_scheduler.h
+++ b/source/core/scheduling/group_scheduler.h
@@ -20,7 +20,7 @@
 // How a group's scheduler behaves.
 struct SchedulerSettings {
   PolicyKind policy = PolicyKind::kFloors;
-  QueueOrder order = QueueOrder::kEarliestDeadline;
+  QueueOrder order = QueueOrder::kArrival;
   // False: nothing is refused for its deadline; a baseline for measurements.
   bool refuse_unmeetable = true;
   // The most memory that waiting statements may take.
