--- a/source/common/ip_address.cc
+++ b/source/common/ip_address.cc
@@ -28,6 +28,8 @@
 
 }  // namespace
 
+bool IsIpNumber(std::string_view text) { return IsIp(text, AF_INET) || IsIp(text, AF_INET6); }
+
 bool IsIpAndPort(std::string_view text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos || !IsPort(text.substr(colon + 1))) {
--- a/source/common/settings.h
+++ b/source/common/settings.h
@@ -21,19 +21,23 @@
   std::string peers_address = "127.0.0.1:7500";
   std::string operators_address = "127.0.0.1:7600";
   std::string platform_address;
+  // Empty: `peers_address`.
+  std::string advertised_peers_address;
+  // Empty: the system chooses.
+  std::string source_ip;
   std::vector<std::string> seeds;
 
   std::uint64_t max_caller_connections = 8192;
   std::uint64_t max_body_bytes = 1024UL * 1024;
   std::chrono::milliseconds default_time_limit{5000};
 
-  std::chrono::milliseconds leadership_beat{500};
-  std::chrono::milliseconds leadership_promise{3000};
-  std::chrono::milliseconds leadership_margin{250};
-  std::chrono::milliseconds leadership_detection{1500};
+  std::chrono::milliseconds leadership_beat{400};
+  std::chrono::milliseconds leadership_promise{2000};
+  std::chrono::milliseconds leadership_margin{100};
+  std::chrono::milliseconds leadership_detection{1000};
 
-  std::chrono::milliseconds promotion_silence{1000};
-  std::chrono::milliseconds promotion_probe{500};
+  std::chrono::milliseconds promotion_silence{200};
+  std::chrono::milliseconds promotion_probe{100};
 
   std::string log_level = "info";
   std::uint64_t trace_ring_size = 4096;
--- a/source/common/settings_table.cc
+++ b/source/common/settings_table.cc
@@ -25,6 +25,7 @@
 
 constexpr TextRule kName = {IsName, kExpectedName};
 constexpr TextRule kAddress = {IsIpAndPort, "an address as ip:port"};
+constexpr TextRule kIp = {IsIpNumber, "an IP number"};
 constexpr TextRule kLogLevel = {IsLogLevel, "debug, info, warning, error or fatal"};
 
 const std::array kDeclarations = {
@@ -60,6 +61,14 @@
                        .rule = &kAddress,
                        .required = true,
                        .help = "The platform's object API."},
+    SettingDeclaration{.key = "addresses.advertised_peers",
+                       .member = &Settings::advertised_peers_address,
+                       .rule = &kAddress,
+                       .help = "Where other VMs reach addresses.peers, if that differs, as behind a translation."},
+    SettingDeclaration{.key = "addresses.source_ip",
+                       .member = &Settings::source_ip,
+                       .rule = &kIp,
+                       .help = "The IP number that this VM's own connections come from."},
     SettingDeclaration{.key = "seeds",
                        .member = &Settings::seeds,
                        .rule = &kAddress,
@@ -103,12 +112,12 @@
                        .member = &Settings::promotion_silence,
                        .minimum = 10,
                        .maximum = kMaximumTimingMs,
-                       .help = "The silence of a primary's connections after which a new connection is tried."},
+                       .help = "How long a primary may owe an answer until a new connection is tried."},
     SettingDeclaration{.key = "promotion.probe_ms",
                        .member = &Settings::promotion_probe,
                        .minimum = 10,
                        .maximum = kMaximumTimingMs,
-                       .help = "How long that new connection may take."},
+                       .help = "How often an idle primary is asked for its position."},
     SettingDeclaration{.key = "log.level",
                        .member = &Settings::log_level,
                        .rule = &kLogLevel,
--- a/source/daemon/control_plane.cc
+++ b/source/daemon/control_plane.cc
@@ -43,7 +43,9 @@
 }
 
 membership::Self MembershipSelf(const Settings& settings, Incarnation incarnation) {
-  return membership::Self{settings.vm, incarnation, settings.data_centre, settings.region, settings.peers_address};
+  return membership::Self{
+      settings.vm, incarnation, settings.data_centre, settings.region,
+      settings.advertised_peers_address.empty() ? settings.peers_address : settings.advertised_peers_address};
 }
 
 }  // namespace
--- a/source/daemon/main.cc
+++ b/source/daemon/main.cc
@@ -13,6 +13,7 @@
 #include "common/settings.h"
 #include "daemon/node.h"
 #include "logging/log.h"
+#include "net/source_address.h"
 
 // The daemon `amaranthlaned`: reads its settings and runs one node until it has drained.
 namespace amaranthlane::daemon {
@@ -78,6 +79,7 @@
 
 int RunNode(const Settings& settings) {
   logging::Start(settings.vm, settings.log_level);
+  net::SetSourceAddress(settings.source_ip);
   boost::asio::io_context loop(1);
   Node node(loop, settings, DrawSeed());
   boost::asio::signal_set signals(loop, SIGTERM, SIGINT);
--- a/source/net/http_connection.cc
+++ b/source/net/http_connection.cc
@@ -3,6 +3,8 @@
 #include <string>
 #include <utility>
 
+#include "net/source_address.h"
+
 namespace amaranthlane::net {
 
 namespace {
@@ -70,6 +72,12 @@
 bool HttpConnection::Usable() const { return !this->failed; }
 
 void HttpConnection::Connect() {
+  boost::system::error_code failure;
+  BindToSourceAddress(this->socket, this->target.protocol(), failure);
+  if (failure) {
+    this->Finish(CallStatus::kNotSent, {});
+    return;
+  }
   this->socket.async_connect(this->target, [self = this->shared_from_this()](boost::system::error_code error) {
     if (self->failed) {
       return;
--- /dev/null
+++ b/tests/integration/fleet_fixture.cc
@@ -0,0 +1,385 @@
+#include "integration/fleet_fixture.h"
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include "common/boot_clock.h"
+
+namespace amaranthlane::testing {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char kGroup[] = "group-1";
+constexpr char kRegion[] = "region-1";
+constexpr char kCallerKey[] = "fixture-key";
+// The SHA-256 of the key.
+constexpr char kCallerKeyHash[] = "66e7c82b49bb291dd09c8e020448311c4a7bb96aeb5c5db769f66812b13a50b5";
+constexpr std::chrono::milliseconds kPollInterval{20};
+constexpr std::chrono::milliseconds kControlLimit{5000};
+constexpr std::size_t kDataCentres = 3;
+constexpr unsigned kStatusOk = 200;
+constexpr char kUrnPrefix[] = "urn:amaranthlane:";
+
+std::string DataCentre(std::size_t index) { return "dc-" + std::to_string(index % kDataCentres + 1); }
+
+Json Object(const std::string& kind, const std::string& name, Json value) {
+  return Json{{"kind", kind}, {"name", name}, {"value", std::move(value)}};
+}
+
+Json Selector(const std::string& kind, Json owes) {
+  return Object("selectors", kind,
+                Json{{"priority", 10},
+                     {"match", Json::array({Json{{"key", "kind.work"}, {"equals", kind}}})},
+                     {"owes", std::move(owes)}});
+}
+
+Json KindLabel(const std::string& kind) {
+  return Object("labels", kind,
+                Json{{"groups", Json::array()},
+                     {"callers", Json::array()},
+                     {"kinds", Json::array({kind})},
+                     {"labels", Json{{"work", kind}}}});
+}
+
+std::string TypeOf(const Json& body) {
+  const std::string type = body.is_object() ? body.value("type", "") : "";
+  return type.starts_with(kUrnPrefix) ? type.substr(sizeof(kUrnPrefix) - 1) : type;
+}
+
+}  // namespace
+
+CallerStatement PutStatement(const std::string& key, const std::string& value, const std::string& idempotency_key) {
+  CallerStatement statement;
+  statement.statement = Json{{"op", "put"}, {"key", key}, {"value", value}};
+  statement.key = idempotency_key;
+  return statement;
+}
+
+CallerStatement GetStatement(const std::string& kind, const std::string& key, const std::string& token) {
+  CallerStatement statement;
+  statement.kind = kind;
+  statement.mode = "read";
+  statement.statement = Json{{"op", "get"}, {"key", key}};
+  statement.token = token;
+  return statement;
+}
+
+FleetFixture::FleetFixture(const FleetOptions& options) : options(options) {
+  this->platform_port = FreePort();
+  for (std::size_t index = 0; index < options.endpoints; ++index) {
+    EndpointRow row;
+    row.name = "endpoint-" + std::to_string(index + 1);
+    row.port = FreePort();
+    row.control_port = FreePort();
+    this->AddRoute(row.name, row.port);
+    this->endpoints.push_back(std::move(row));
+  }
+  for (std::size_t index = 0; index < options.vms; ++index) {
+    VmRow row;
+    row.name = "vm-" + std::to_string(index + 1);
+    row.data_centre = DataCentre(index);
+    row.callers_port = FreePort();
+    row.source_ip = "127.0.1." + std::to_string(index + 1);
+    row.peers_port = FreePort();
+    row.operators_port = FreePort();
+    this->AddRoute("platform-" + row.name, this->platform_port);
+    this->AddRoute("peers-" + row.name, row.peers_port);
+    this->AddRoute("callers-" + row.name, row.callers_port);
+    this->vms.push_back(std::move(row));
+  }
+  this->StartProxy();
+  this->StartPlatform();
+  this->StartEndpoints();
+  for (VmRow& vm : this->vms) {
+    vm.process = this->StartVm(vm);
+  }
+}
+
+std::uint16_t FleetFixture::AddRoute(const std::string& name, std::uint16_t target) {
+  const std::uint16_t port = FreePort();
+  this->route_ports[name] = port;
+  this->route_arguments.push_back("--route");
+  this->route_arguments.push_back(name + ":" + std::to_string(port) + ":127.0.0.1:" + std::to_string(target));
+  return port;
+}
+
+void FleetFixture::StartProxy() {
+  this->proxy_control_port = FreePort();
+  std::vector<std::string> arguments = {"--control-port", std::to_string(this->proxy_control_port)};
+  arguments.insert(arguments.end(), this->route_arguments.begin(), this->route_arguments.end());
+  this->proxy = std::make_unique<Process>(FAULT_PROXY, arguments);
+}
+
+Json FleetFixture::SeedObjects() const {
+  Json instances = Json::array();
+  for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
+    instances.push_back(Json{{"endpoint", this->endpoints[index].name},
+                             {"address", LoopbackAddress(this->route_ports.at(this->endpoints[index].name))},
+                             {"data_centre", DataCentre(index)},
+                             {"state", "live"}});
+  }
+  Json objects = Json::array();
+  objects.push_back(Object("database_groups", kGroup,
+                           Json{{"group", kGroup},
+                                {"region", kRegion},
+                                {"term", 1},
+                                {"primary", this->endpoints.front().name},
+                                {"instances", std::move(instances)},
+                                {"slots", this->options.slots},
+                                {"connections", this->options.connections}}));
+  objects.push_back(Object("callers", "caller-1", Json{{"key_sha256", Json::array({kCallerKeyHash})}}));
+  for (const char* kind : {"order", "note", "lookup", "exact"}) {
+    objects.push_back(KindLabel(kind));
+  }
+  objects.push_back(
+      Selector("order", Json{{"rank", "urgent"}, {"acknowledgement", "replicated"}, {"idempotent", false}}));
+  objects.push_back(Selector("note", Json{{"rank", "normal"}, {"idempotent", true}, {"floor", 0.2}}));
+  objects.push_back(Selector("lookup", Json{{"rank", "bulk"}, {"freshness_ms", 5000}, {"floor", 0.1}}));
+  objects.push_back(Selector("exact", Json{{"rank", "normal"}, {"freshness_ms", 0}, {"floor", 0.2}}));
+  return objects;
+}
+
+void FleetFixture::StartPlatform() {
+  Json listed = Json::array();
+  for (const VmRow& vm : this->vms) {
+    listed.push_back(Json{{"vm", vm.name},
+                          {"data_centre", vm.data_centre},
+                          {"region", kRegion},
+                          {"address", LoopbackAddress(this->route_ports.at("peers-" + vm.name))},
+                          {"state", "live"}});
+  }
+  const std::filesystem::path seed =
+      std::filesystem::temp_directory_path() / ("fleet-" + std::to_string(this->platform_port) + ".json");
+  std::ofstream(seed) << Json{{"objects", this->SeedObjects()}, {"vms", std::move(listed)}}.dump();
+  this->platform = std::make_unique<Process>(
+      PLATFORM_STAND_IN,
+      std::vector<std::string>{"--port", std::to_string(this->platform_port), "--load", seed.string()});
+  std::filesystem::remove(seed);
+}
+
+void FleetFixture::StartEndpoints() {
+  for (EndpointRow& row : this->endpoints) {
+    row.process = std::make_unique<Process>(
+        ENDPOINT_STAND_IN,
+        std::vector<std::string>{"--name", row.name, "--port", std::to_string(row.port), "--control-port",
+                                 std::to_string(row.control_port), "--slots", std::to_string(this->options.slots),
+                                 "--connections", std::to_string(this->options.connections), "--service-us",
+                                 std::to_string(this->options.service.count()), "--lag-ms",
+                                 std::to_string(this->options.lag.count())});
+  }
+}
+
+std::unique_ptr<Process> FleetFixture::StartVm(const VmRow& vm) const {
+  std::vector<std::string> arguments;
+  const auto set = [&arguments](const std::string& key, const std::string& value) {
+    arguments.push_back("--set");
+    arguments.push_back(key + "=" + value);
+  };
+  set("vm", vm.name);
+  set("data_centre", vm.data_centre);
+  set("region", kRegion);
+  set("addresses.callers", LoopbackAddress(vm.callers_port));
+  set("addresses.peers", LoopbackAddress(vm.peers_port));
+  set("addresses.advertised_peers", LoopbackAddress(this->route_ports.at("peers-" + vm.name)));
+  set("addresses.operators", LoopbackAddress(vm.operators_port));
+  // Pairs of processes are told apart by the address that connections come from.
+  set("addresses.source_ip", vm.source_ip);
+  set("addresses.platform", LoopbackAddress(this->route_ports.at("platform-" + vm.name)));
+  std::string seeds;
+  for (const VmRow& other : this->vms) {
+    seeds += (seeds.empty() ? "" : ",") + LoopbackAddress(this->route_ports.at("peers-" + other.name));
+  }
+  set("seeds", seeds);
+  for (const std::string& setting : this->options.settings) {
+    arguments.push_back("--set");
+    arguments.push_back(setting);
+  }
+  return std::make_unique<Process>(AMARANTHLANED, arguments);
+}
+
+bool FleetFixture::Await(const std::function<bool()>& condition, std::chrono::milliseconds limit) {
+  const TimePoint deadline = BootClock::now() + limit;
+  while (BootClock::now() < deadline) {
+    if (condition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return false;
+}
+
+void FleetFixture::AwaitReady() {
+  const bool ready = Await(
+      [this] {
+        for (std::size_t vm = 1; vm <= this->vms.size(); ++vm) {
+          try {
+            if (this->Operate(vm, "GET", "/ready").status != kStatusOk) {
+              return false;
+            }
+          } catch (const HttpCallError&) {
+            return false;
+          }
+        }
+        const CallerAnswer probe = this->Execute(1, GetStatement("exact", "ready", ""));
+        return probe.outcome == "done";
+      },
+      std::chrono::seconds(20));
+  if (!ready) {
+    throw ProcessError("fleet", "not ready in time");
+  }
+}
+
+CallerAnswer FleetFixture::Call(std::size_t vm, const std::string& method, const std::string& target, const Json& body,
+                                const std::vector<HttpHeader>& headers, std::chrono::milliseconds limit) {
+  std::vector<HttpHeader> all = {{"Authorization", std::string("Bearer ") + kCallerKey}};
+  all.insert(all.end(), headers.begin(), headers.end());
+  CallerAnswer answer;
+  try {
+    JsonClient client(this->CallersPort(vm), limit);
+    const HttpAnswer raw = client.Call(method, target, body, all);
+    answer.status = raw.status;
+    answer.body = raw.body;
+    answer.outcome = raw.body.is_object() ? raw.body.value("outcome", "unknown") : "unknown";
+    answer.problem = raw.status == kStatusOk ? "" : TypeOf(raw.body);
+    answer.session_token = raw.Header("Session-Token");
+  } catch (const HttpCallError& failure) {
+    answer.outcome = failure.refused ? "not_run" : "unknown";
+    answer.problem = failure.refused ? "not-sent" : "no-answer";
+  }
+  return answer;
+}
+
+CallerAnswer FleetFixture::Execute(std::size_t vm, const CallerStatement& statement) {
+  const Json body{{"kind", statement.kind},
+                  {"mode", statement.mode},
+                  {"statement", statement.statement},
+                  {"time_limit_ms", statement.limit.count()}};
+  std::vector<HttpHeader> headers;
+  if (!statement.key.empty()) {
+    headers.push_back({"Idempotency-Key", statement.key});
+  }
+  if (!statement.token.empty()) {
+    headers.push_back({"Session-Token", statement.token});
+  }
+  return this->Call(vm, "POST", std::string("/v1/groups/") + kGroup + "/statements", body, headers,
+                    statement.limit + std::chrono::seconds(2));
+}
+
+CallerAnswer FleetFixture::Add(std::size_t vm, const std::string& counter, const std::string& key,
+                               std::chrono::milliseconds limit) {
+  CallerStatement statement;
+  statement.statement = Json{{"op", "add"}, {"key", counter}, {"amount", 1}};
+  statement.key = key;
+  statement.limit = limit;
+  return this->Execute(vm, statement);
+}
+
+Json FleetFixture::ReadExact(const std::string& key) {
+  Json value;
+  Await([this, &key, &value] {
+    for (std::size_t vm = 1; vm <= this->vms.size(); ++vm) {
+      if (!this->Vm(vm).Running()) {
+        continue;
+      }
+      const CallerAnswer answer = this->Execute(vm, GetStatement("exact", key, ""));
+      if (answer.outcome == "done") {
+        value = answer.body.at("result").at("value");
+        return true;
+      }
+    }
+    return false;
+  });
+  return value;
+}
+
+HttpAnswer FleetFixture::Operate(std::size_t vm, const std::string& method, const std::string& target,
+                                 const Json& body) {
+  JsonClient client(this->vms.at(vm - 1).operators_port, kControlLimit);
+  return client.Call(method, target, body);
+}
+
+Json FleetFixture::Status(std::size_t vm) {
+  try {
+    return this->Operate(vm, "GET", "/v1/status").body;
+  } catch (const HttpCallError&) {
+    return Json();
+  }
+}
+
+std::size_t FleetFixture::Leader(std::size_t seen_by) {
+  const Json status = this->Status(seen_by);
+  if (!status.is_object()) {
+    return 0;
+  }
+  for (const Json& row : status.at("leaders")) {
+    for (std::size_t vm = 1; vm <= this->vms.size(); ++vm) {
+      if (row.at("leader") == this->vms[vm - 1].name) {
+        return vm;
+      }
+    }
+  }
+  return 0;
+}
+
+std::size_t FleetFixture::Primary() {
+  for (std::size_t vm = 1; vm <= this->vms.size(); ++vm) {
+    if (!this->Vm(vm).Running()) {
+      continue;
+    }
+    const Json status = this->Status(vm);
+    if (!status.is_object() || status.at("led_groups").empty()) {
+      continue;
+    }
+    for (std::size_t endpoint = 1; endpoint <= this->endpoints.size(); ++endpoint) {
+      if (status.at("led_groups").front().at("primary") == this->endpoints[endpoint - 1].name) {
+        return endpoint;
+      }
+    }
+  }
+  return 0;
+}
+
+void FleetFixture::SetRoute(const std::string& route, const Json& mode) {
+  JsonClient(this->proxy_control_port, kControlLimit).Post("/control/route/" + route, mode);
+}
+
+void FleetFixture::LoseAnswers(const std::string& route, std::size_t count) {
+  JsonClient(this->proxy_control_port, kControlLimit)
+      .Post("/control/route/" + route + "/lose_answer", Json{{"count", count}});
+}
+
+void FleetFixture::ControlPlatform(const std::string& call, const Json& body) {
+  JsonClient(this->platform_port, kControlLimit).Post("/control/" + call, body);
+}
+
+HttpAnswer FleetFixture::Platform(const std::string& method, const std::string& target, const Json& body) {
+  return JsonClient(this->platform_port, kControlLimit).Call(method, target, body);
+}
+
+HttpAnswer FleetFixture::ControlEndpoint(std::size_t endpoint, const std::string& method, const std::string& call,
+                                         const Json& body) {
+  return JsonClient(this->endpoints.at(endpoint - 1).control_port, kControlLimit)
+      .Call(method, "/control/" + call, body);
+}
+
+Process& FleetFixture::Vm(std::size_t vm) { return *this->vms.at(vm - 1).process; }
+
+Process& FleetFixture::Endpoint(std::size_t endpoint) { return *this->endpoints.at(endpoint - 1).process; }
+
+void FleetFixture::RestartVm(std::size_t vm) {
+  VmRow& row = this->vms.at(vm - 1);
+  row.process = nullptr;
+  row.process = this->StartVm(row);
+}
+
+std::size_t FleetFixture::VmCount() const { return this->vms.size(); }
+
+std::uint16_t FleetFixture::CallersPort(std::size_t vm) const {
+  return this->route_ports.at("callers-" + this->vms.at(vm - 1).name);
+}
+
+}  // namespace amaranthlane::testing
--- a/tests/integration/process_fixture.cc
+++ b/tests/integration/process_fixture.cc
@@ -24,6 +24,8 @@
 constexpr std::uint16_t kPortCount = 20000;
 constexpr std::uint32_t kPortStride = 97;
 constexpr std::chrono::seconds kReadyLimit(10);
+// The daemon says by an event of its log that its ports are open.
+constexpr char kDaemonReady[] = "\"event\":\"listening\"";
 constexpr std::chrono::milliseconds kPollInterval(5);
 
 bool IsFree(std::uint16_t port) {
@@ -82,7 +84,11 @@
 
 void Process::WaitUntilReady() {
   const TimePoint deadline = BootClock::now() + kReadyLimit;
-  while (("\n" + this->Output()).find("\nready\n") == std::string::npos) {
+  const auto ready = [this] {
+    const std::string output = "\n" + this->Output();
+    return output.find("\nready\n") != std::string::npos || output.find(kDaemonReady) != std::string::npos;
+  };
+  while (!ready()) {
     const bool running = this->Running();
     if (!running || BootClock::now() > deadline) {
       this->Kill();
--- a/tests/integration/process_fixture.h
+++ b/tests/integration/process_fixture.h
@@ -28,7 +28,8 @@
 // One program under test. The destructor kills it.
 class Process {
  public:
-  // Starts the program and waits until it has printed the line `ready`. Throws ProcessError.
+  // Starts the program and waits until it has printed the line `ready`, or the daemon's event that its
+  // ports are open. Throws ProcessError.
   Process(const std::string& program, const std::vector<std::string>& arguments);
   ~Process();
   Process(const Process&) = delete;
