Run leadership only over groups that an event or a deadline concerns

Cause: a tick over 950 groups and 550 VMs took 488 us, too much for a node's 1.2% of a core. Change: each group notes when it is next due and whether an event touched it; the others are passed over.

--- a/source/core/leadership/candidate.cc
+++ b/source/core/leadership/candidate.cc
@@ -278,6 +278,10 @@
   if (!IsCandidate(tables, group) || HasLeader(tables, now, group)) {
     group.vacant_since.reset();
     AbandonTakeover(group.holder);
+    if (now < group.witness.expires_at) {
+      // The promise may be all that shows a leader.
+      tables.Wake(group.witness.expires_at);
+    }
     return;
   }
   if (!group.vacant_since) {
--- a/source/core/leadership/holder.cc
+++ b/source/core/leadership/holder.cc
@@ -108,6 +108,7 @@
     return;
   }
   GroupRow& group = found->second;
+  group.touched = true;
   if (group.release) {
     group.release->pending.erase(witness);
     return;
@@ -310,6 +311,7 @@
   if (found == tables.groups.end()) {
     return;
   }
+  found->second.touched = true;
   TakeInquiryAnswer(tables, found->second, event);
   HolderRow& holder = found->second.holder;
   if (event.answer.ballot != holder.ballot) {
@@ -326,6 +328,7 @@
   for (auto& [name, group] : tables.groups) {
     if (group.holder.leading && now >= group.holder.valid_until) {
       group.holder.leading = false;
+      group.touched = true;
       tables.actions.emplace_back(LostLeadership{name});
     }
   }
@@ -377,6 +380,8 @@
       tables.actions.emplace_back(SendPromiseRequest{witness, request});
     } else if (now >= tables.silent_until) {
       TakePromiseAnswer(tables, now, {.sent_at = now, .answer = AnswerOwnRequest(tables, now, request)});
+      // What follows from the answer is for the next tick.
+      tables.Wake(now);
     }
   }
 }
--- a/source/core/leadership/leadership_system.cc
+++ b/source/core/leadership/leadership_system.cc
@@ -17,6 +17,7 @@
 }
 
 void TakeVms(LeadershipTables& tables, const VmsChanged& event) {
+  tables.all_touched = true;
   tables.vms.clear();
   tables.regions.clear();
   ++tables.vms_generation;
@@ -33,6 +34,7 @@
 }
 
 void TakeGroups(LeadershipTables& tables, const GroupsChanged& event) {
+  tables.all_touched = true;
   for (auto& [name, group] : tables.groups) {
     group.listed = false;
   }
@@ -46,6 +48,7 @@
 
 void TakeHolderHeard(LeadershipTables& tables, const HolderHeard& event) {
   GroupRow& group = tables.groups[event.group];
+  group.touched = true;
   if (event.ballot >= group.heard_ballot) {
     group.heard_ballot = event.ballot;
     group.heard_holder = event.holder;
@@ -57,11 +60,26 @@
     return;
   }
   tables.draining = true;
+  tables.all_touched = true;
   for (auto& [name, group] : tables.groups) {
     ReleaseGroup(tables, now, name, group);
   }
 }
 
+// Runs every system over one group and notes when that is next due.
+void RunSystems(LeadershipTables& tables, TimePoint now, const GroupName& name, GroupRow& group) {
+  const TimePoint due_for_others = std::exchange(tables.next_deadline, kNever);
+  group.touched = false;
+  RunRecord(tables, now, name, group);
+  RunCandidate(tables, now, name, group);
+  RunHolder(tables, now, name, group);
+  RunLeaderUpdates(tables, now, name, group);
+  RunInquiry(tables, now, name, group);
+  RunPlatform(tables, now, name, group);
+  group.next_due = tables.next_deadline;
+  tables.Wake(due_for_others);
+}
+
 // Hands each event to the system that takes it in.
 struct Dispatcher {
   LeadershipTables& tables;
@@ -78,6 +96,7 @@
   void operator()(const VmsChanged& event) const { TakeVms(this->tables, event); }
   void operator()(const VmsTerminated& event) const {
     this->tables.terminated.insert(event.vms.begin(), event.vms.end());
+    this->tables.all_touched = true;
   }
   void operator()(const GroupsChanged& event) const { TakeGroups(this->tables, event); }
   void operator()(const HolderHeard& event) const { TakeHolderHeard(this->tables, event); }
@@ -100,13 +119,13 @@
   for (const Event& event : events) {
     std::visit(dispatcher, event);
   }
+  const bool run_all = std::exchange(tables.all_touched, false);
   for (auto& [name, group] : tables.groups) {
-    RunRecord(tables, now, name, group);
-    RunCandidate(tables, now, name, group);
-    RunHolder(tables, now, name, group);
-    RunLeaderUpdates(tables, now, name, group);
-    RunInquiry(tables, now, name, group);
-    RunPlatform(tables, now, name, group);
+    if (run_all || group.touched || group.next_due <= now) {
+      RunSystems(tables, now, name, group);
+    } else {
+      tables.Wake(group.next_due);
+    }
   }
   if (tables.next_beat <= now) {
     tables.next_beat = now + tables.settings.beat;
--- a/source/core/leadership/platform_updates.cc
+++ b/source/core/leadership/platform_updates.cc
@@ -67,6 +67,7 @@
 
 void TakeRecord(LeadershipTables& tables, const RecordSeen& event) {
   GroupRow& group = tables.groups[event.group];
+  group.touched = true;
   if (event.source == RecordSource::kPlatform) {
     ConfirmByPlatform(group.witness, event.record ? event.record->epoch : 0);
     group.read_lost_at.reset();
@@ -83,6 +84,7 @@
 
 void TakeReadFailure(LeadershipTables& tables, TimePoint now, const ReadFailed& event) {
   GroupRow& group = tables.groups[event.group];
+  group.touched = true;
   group.read_lost_at.reset();
   group.next_platform_attempt = now + AttemptInterval(tables);
 }
@@ -92,6 +94,7 @@
   if (!group.update || group.update->record.update_id != event.update_id) {
     return;
   }
+  group.touched = true;
   if (event.result == UpdateResult::kLost) {
     group.update->reading = true;
     group.next_platform_attempt = std::max(group.next_platform_attempt, now);
@@ -110,6 +113,7 @@
   if (!returned) {
     return;
   }
+  tables.all_touched = true;
   for (auto& [name, group] : tables.groups) {
     group.next_platform_attempt = std::min(group.next_platform_attempt, now);
   }
--- a/source/core/leadership/record.h
+++ b/source/core/leadership/record.h
@@ -30,8 +30,8 @@
   Epoch epoch = 0;
   std::uint32_t rank = 0;
 
-  auto operator<=>(const Ballot&) const =
-      default;  // NOLINT(modernize-use-nullptr): the linter takes the zero inside for a pointer
+  // NOLINTNEXTLINE(modernize-use-nullptr): the linter takes a zero in the generated code for a pointer.
+  auto operator<=>(const Ballot&) const = default;
 };
 
 // An earlier epoch whose holders may still be valid; a majority of its witnesses has to close it first.
--- a/source/core/leadership/tables.h
+++ b/source/core/leadership/tables.h
@@ -133,6 +133,10 @@
   // The VMs and the record for which the witnesses and successors were found good.
   std::uint64_t good_generation = 0;
   ObjectVersion good_version = 0;
+  // An event has concerned this group since the systems last ran over it.
+  bool touched = true;
+  // When the systems have something to do for this group without an event.
+  TimePoint next_due = TimePoint::min();
 };
 
 struct LeadershipTables {
@@ -158,6 +162,8 @@
   std::map<VmName, PromiseRequest> requests;
   // The actions of the running tick.
   std::vector<Action> actions;
+  // An event has concerned all groups: the systems run over every row.
+  bool all_touched = true;
   // The earliest moment that the running tick found something to wait for.
   TimePoint next_deadline = kNever;
 
--- a/source/core/leadership/witness.cc
+++ b/source/core/leadership/witness.cc
@@ -17,10 +17,12 @@
   return std::chrono::ceil<std::chrono::milliseconds>(row.expires_at - now);
 }
 
-void StartInquiry(WitnessRow& row, Epoch epoch) {
+void StartInquiry(GroupRow& group, Epoch epoch) {
+  WitnessRow& row = group.witness;
   if (row.inquired == epoch) {
     return;
   }
+  group.touched = true;
   row.inquired = epoch;
   row.inquiry_answers.clear();
   row.next_inquiry = TimePoint::min();
@@ -37,17 +39,19 @@
 }  // namespace
 
 PromiseReply DecidePromise(LeadershipTables& tables, TimePoint now, const Holder& holder, const PromiseAsk& ask) {
-  WitnessRow& row = tables.groups[ask.group].witness;
+  GroupRow& group = tables.groups[ask.group];
+  WitnessRow& row = group.witness;
   PromiseReply reply{.group = ask.group, .ballot = ask.ballot, .granted = false, .floor = row.floor};
   if (ask.release) {
     if (row.holder == holder && row.promised <= ask.ballot) {
       row.expires_at = std::min(row.expires_at, now);
+      group.touched = true;
     }
     reply.granted = true;
     return reply;
   }
   if (!IsConfirmed(row, ask.ballot.epoch)) {
-    StartInquiry(row, ask.ballot.epoch);
+    StartInquiry(group, ask.ballot.epoch);
     return reply;
   }
   // One holder at a time, whatever the ballots: within one set of witnesses this alone keeps two holders apart.
