--- a/tests/core/leadership/fleet.cc
+++ b/tests/core/leadership/fleet.cc
@@ -117,7 +117,8 @@
 
 bool Fleet::Connected(const Node& from, const Node& to) const {
   const bool isolated = this->now < from.isolated_until || this->now < to.isolated_until;
-  return from.up && to.up && (!isolated || from.vm == to.vm);
+  const bool one_way = this->now < from.mute_until || this->now < to.deaf_until;
+  return from.up && to.up && (from.vm == to.vm || (!isolated && !one_way));
 }
 
 bool Fleet::Chance(double probability) {
--- a/tests/core/leadership/fleet.h
+++ b/tests/core/leadership/fleet.h
@@ -40,6 +40,9 @@
   TrueTime paused_until{0};
   // Cut off from all other VMs, though not from the platform.
   TrueTime isolated_until{0};
+  // Nothing that it sends arrives, or nothing reaches it.
+  TrueTime mute_until{0};
+  TrueTime deaf_until{0};
   std::unique_ptr<LeadershipSystem> system;
   std::vector<Event> inbox;
   std::uint64_t wake_generation = 0;
--- a/tests/core/leadership/fleet_property_test.cc
+++ b/tests/core/leadership/fleet_property_test.cc
@@ -19,7 +19,18 @@
 constexpr TrueTime kFaultsUntil = seconds(30);
 constexpr TrueTime kRecovery = seconds(25);
 
-enum class FaultKind : std::uint8_t { kPause, kRestart, kIsolate, kDrain, kOutage, kLostAnswers, kLoss, kSlow };
+enum class FaultKind : std::uint8_t {
+  kPause,
+  kRestart,
+  kIsolate,
+  kMute,
+  kDeaf,
+  kDrain,
+  kOutage,
+  kLostAnswers,
+  kLoss,
+  kSlow
+};
 
 struct Fault {
   FaultKind kind = FaultKind::kPause;
@@ -36,8 +47,9 @@
 rc::Gen<Fault> ArbitraryFault() {
   return rc::gen::build<Fault>(
       rc::gen::set(&Fault::kind,
-                   rc::gen::element(FaultKind::kPause, FaultKind::kRestart, FaultKind::kIsolate, FaultKind::kDrain,
-                                    FaultKind::kOutage, FaultKind::kLostAnswers, FaultKind::kLoss, FaultKind::kSlow)),
+                   rc::gen::element(FaultKind::kPause, FaultKind::kRestart, FaultKind::kIsolate, FaultKind::kMute,
+                                    FaultKind::kDeaf, FaultKind::kDrain, FaultKind::kOutage, FaultKind::kLostAnswers,
+                                    FaultKind::kLoss, FaultKind::kSlow)),
       rc::gen::set(&Fault::node, rc::gen::inRange<std::size_t>(0, 9)),
       rc::gen::set(&Fault::at, rc::gen::map(rc::gen::inRange(0, 20000), [](int ms) { return milliseconds(ms); })),
       rc::gen::set(&Fault::length, rc::gen::map(rc::gen::inRange(1, 5000), [](int ms) { return milliseconds(ms); })));
@@ -51,6 +63,12 @@
       return fleet.Kill(node);
     case FaultKind::kIsolate:
       return fleet.Isolate(node, fault.length);
+    case FaultKind::kMute:
+      fleet.nodes[node].mute_until = fleet.now + fault.length;
+      return;
+    case FaultKind::kDeaf:
+      fleet.nodes[node].deaf_until = fleet.now + fault.length;
+      return;
     case FaultKind::kDrain:
       return fleet.nodes[node].up ? fleet.Drain(node) : fleet.Start(node);
     case FaultKind::kOutage:
@@ -78,6 +96,8 @@
       return fleet.Start(node);
     case FaultKind::kPause:
     case FaultKind::kIsolate:
+    case FaultKind::kMute:
+    case FaultKind::kDeaf:
       return;
     default:
       fleet.conditions = Conditions();
