Test the replica table and the parts of the promotion system

Cause: ages, token coverage, waits, candidate choice and lost answers each need a focused failure. Change: unit tests in tests/core/replicas and tests/core/promotion; linter findings mended. The linter takes the rewritten comparison of LogPosition for a null pointer, so types.h has a NOLINT there.

--- a/source/core/promotion/group_object_access.cc
+++ b/source/core/promotion/group_object_access.cc
@@ -35,8 +35,8 @@
     this->update_due = now + this->settings.answer_limit;
     actions.emplace_back(this->update);
   }
-  if (this->read_wanted && this->read_request != 0 && this->read_due <= now)
-    this->OnReadFailed(this->read_request, now);
+  const bool read_overdue = this->read_request != 0 && this->read_due <= now;
+  if (read_overdue) this->OnReadFailed(this->read_request, now);
   if (this->read_wanted && this->read_request == 0 && this->read_due <= now) {
     this->read_request = ++last_request;
     this->read_due = now + this->settings.answer_limit;
--- a/source/core/promotion/promotion_system.cc
+++ b/source/core/promotion/promotion_system.cc
@@ -88,8 +88,8 @@
 Term PromotionSystem::CurrentTerm() const { return this->record ? this->record->term : 0; }
 
 const EndpointName& PromotionSystem::Primary() const {
-  static const EndpointName kNone;
-  return this->record ? this->record->primary : kNone;
+  static const EndpointName none;
+  return this->record ? this->record->primary : none;
 }
 
 Phase PromotionSystem::CurrentPhase() const {
--- a/source/core/replicas/group_record.h
+++ b/source/core/replicas/group_record.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTHLANE_CORE_REPLICAS_GROUP_RECORD_H_
 #define AMARANTHLANE_CORE_REPLICAS_GROUP_RECORD_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
--- a/source/core/types.h
+++ b/source/core/types.h
@@ -33,7 +33,8 @@
   Term term = 0;
   std::uint64_t offset = 0;
 
-  auto operator<=>(const LogPosition&) const = default;
+  // The linter takes the zero of a rewritten comparison for a null pointer.
+  auto operator<=>(const LogPosition&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 // The urgency of work. A lower number is served first.
--- /dev/null
+++ b/tests/core/promotion/candidate_choice_test.cc
@@ -0,0 +1,54 @@
+#include "core/promotion/candidate_choice.h"
+
+#include <gtest/gtest.h>
+
+namespace amaranthlane::promotion {
+namespace {
+
+using replicas::PositionAnswer;
+using replicas::Role;
+
+replicas::GroupRecord Record() {
+  replicas::GroupRecord record;
+  record.term = 2;
+  record.primary = "a";
+  for (const char* name : {"a", "b", "c"}) record.instances.push_back({name, "", "", false});
+  return record;
+}
+
+PositionAnswer Replica(const char* name, LogPosition position, Term term = 2) {
+  return {name, Role::kReplica, term, position, term};
+}
+
+TEST(CandidateChoiceTest, AFreshLeaderWaitsForAllOthers) {
+  const auto one = ChooseCandidate(Record(), {Replica("b", {2, 9})}, {}, "a");
+  EXPECT_FALSE(one.chosen);
+  EXPECT_EQ(one.reason, WaitReason::kTooFewInstancesHeard);
+  const auto both = ChooseCandidate(Record(), {Replica("b", {2, 9}), Replica("c", {2, 11})}, {}, "a");
+  EXPECT_EQ(both.chosen->endpoint, "c");
+  EXPECT_TRUE(both.all_heard);
+}
+
+TEST(CandidateChoiceTest, ALeaderThatKnowsTheBoundNeedsOneThatCoversIt) {
+  const AcknowledgedBounds bounds{.own = LogPosition{2, 9}, .inherited = LogPosition{1, 4}};
+  EXPECT_EQ(ChooseCandidate(Record(), {Replica("b", {2, 9})}, bounds, "a").chosen->endpoint, "b");
+  EXPECT_FALSE(ChooseCandidate(Record(), {Replica("b", {2, 8})}, bounds, "a").chosen);
+  const auto both = ChooseCandidate(Record(), {Replica("b", {2, 8}), Replica("c", {1, 99})}, bounds, "a");
+  EXPECT_EQ(both.reason, WaitReason::kNoInstanceCovers);
+}
+
+TEST(CandidateChoiceTest, AnInstanceThatLostItsDataIsNotHeard) {
+  const auto choice = ChooseCandidate(Record(), {Replica("b", {2, 9}), Replica("c", {}, 0)}, {}, "a");
+  EXPECT_EQ(choice.reason, WaitReason::kTooFewInstancesHeard);
+}
+
+TEST(CandidateChoiceTest, ALeavingInstanceIsTheLastResort) {
+  replicas::GroupRecord record = Record();
+  record.instances[1].leaving = true;
+  const std::vector<PositionAnswer> heard = {Replica("b", {2, 9}), Replica("c", {2, 8})};
+  EXPECT_EQ(ChooseCandidate(record, heard, {.own = {}, .inherited = LogPosition{2, 8}}, "a").chosen->endpoint, "c");
+  EXPECT_EQ(ChooseCandidate(record, heard, {.own = {}, .inherited = LogPosition{2, 9}}, "a").chosen->endpoint, "b");
+}
+
+}  // namespace
+}  // namespace amaranthlane::promotion
--- a/tests/core/promotion/group_model.cc
+++ b/tests/core/promotion/group_model.cc
@@ -233,12 +233,6 @@
 
 void GroupModel::Act(const SuspendPrimary& action) { this->draining = action.planned; }
 
-void GroupModel::Act(const ResumePrimary& /*action*/) { this->draining = false; }
-
-void GroupModel::Act(const FreezeAcknowledgements& /*action*/) { this->table->FreezeAcknowledgements(); }
-
-void GroupModel::Act(const ThawAcknowledgements& /*action*/) { this->Settle(this->table->ThawAcknowledgements()); }
-
 void GroupModel::Act(const ReplaceConnections& action) {
   this->Find(action.endpoint).open_silent = false;
   this->open_probes.erase(action.endpoint);
@@ -320,8 +314,6 @@
   }
 }
 
-void GroupModel::Act(const StatusChanged& /*action*/) {}
-
 void GroupModel::Act(const PlannedChangeEnded& action) { this->planned_outcomes.push_back(action.outcome); }
 
 void GroupModel::Settle(const std::vector<replicas::AcknowledgementResult>& results) {
@@ -366,12 +358,6 @@
 
 void GroupModel::Later(Duration delay, Effect effect) { this->due.emplace(this->now + delay, std::move(effect)); }
 
-void GroupModel::ToLeader(std::function<void()> effect) {
-  this->Later(this->Delay(), [this, leader = this->leaders, effect = std::move(effect)] {
-    if (leader == this->leaders) effect();
-  });
-}
-
 void GroupModel::Call(const EndpointName& name, bool open, Effect effect, Effect answered, Effect refused) {
   const auto lost = [this, name, open] {
     const ModelInstance& instance = this->Find(name);
--- a/tests/core/promotion/group_model.h
+++ b/tests/core/promotion/group_model.h
@@ -101,9 +101,9 @@
   void SendWrite();
   void TickLeader();
   void Act(const SuspendPrimary& action);
-  void Act(const ResumePrimary& action);
-  void Act(const FreezeAcknowledgements& action);
-  void Act(const ThawAcknowledgements& action);
+  void Act(const ResumePrimary& /*action*/) { this->draining = false; }
+  void Act(const FreezeAcknowledgements& /*action*/) { this->table->FreezeAcknowledgements(); }
+  void Act(const ThawAcknowledgements& /*action*/) { this->Settle(this->table->ThawAcknowledgements()); }
   void Act(const ReplaceConnections& action);
   void Act(const ProbeInstance& action);
   void Act(const ReadGroupObject& action);
@@ -111,7 +111,7 @@
   void Act(const ConfigureInstance& action);
   void Act(const RecordAdopted& action);
   void Act(const PrimaryChanged& action);
-  void Act(const StatusChanged& action);
+  void Act(const StatusChanged& /*action*/) {}
   void Act(const PlannedChangeEnded& action);
   void Settle(const std::vector<replicas::AcknowledgementResult>& results);
   void CheckAges();
@@ -119,7 +119,6 @@
   ModelInstance& Find(const EndpointName& name);
   Duration Delay();
   void Later(Duration delay, Effect effect);
-  void ToLeader(std::function<void()> effect);
   // Runs `effect` at the instance and then `answered` at the leader, unless the way is cut at either time.
   void Call(const EndpointName& name, bool open, Effect effect, Effect answered, Effect refused);
 
