--- /dev/null
+++ b/source/core/configuration/distribution_system.h
@@ -0,0 +1,88 @@
+#ifndef AMARANTHLANE_CORE_CONFIGURATION_DISTRIBUTION_SYSTEM_H_
+#define AMARANTHLANE_CORE_CONFIGURATION_DISTRIBUTION_SYSTEM_H_
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "core/configuration/anti_entropy.h"
+#include "core/configuration/distribution_constants.h"
+#include "core/configuration/distribution_messages.h"
+#include "core/configuration/jitter.h"
+#include "core/configuration/object_store.h"
+#include "core/configuration/platform_follower.h"
+#include "core/types.h"
+
+namespace amaranthlane::configuration {
+
+// Keeps the object store of one VM up to date. The relays of a data centre hold watches at the platform; other VMs
+// learn from peers whose digests show more than they hold.
+class DistributionSystem {
+ public:
+  // `store` must outlive the system. `self` is this VM. `seed` feeds the jitter only.
+  DistributionSystem(Member self, ObjectStore& store, std::uint64_t seed, DistributionConstants constants = {});
+  // The parts refer to each other.
+  DistributionSystem(const DistributionSystem&) = delete;
+  DistributionSystem& operator=(const DistributionSystem&) = delete;
+
+  std::vector<DistributionAction> Tick(TimePoint now, std::span<const DistributionEvent> events);
+
+  // The next moment at which Tick has something to do without an event, or kNever.
+  TimePoint NextDeadline() const;
+
+  // Answers a peer's `POST /v1/peer/objects`.
+  DifferencesAnswer Answer(const DifferencesRequest& request) const;
+
+  // True when this VM holds a watch for its data centre.
+  bool IsRelay() const;
+
+  // The relays of a data centre, as far as this VM knows its members. A relay hears the digests of its data centre.
+  std::vector<VmName> RelaysOf(const std::string& data_centre) const;
+
+  // What each live member is known to have in force, by their latest digests; 0 for one that was never heard.
+  std::vector<InForceEntry> InForce() const;
+
+ private:
+  // A read of one object that is out.
+  struct Read {
+    std::string kind;
+    std::string name;
+    TimePoint deadline = kNever;
+  };
+
+  // What one tick gathers.
+  struct Step {
+    TimePoint now;
+    std::vector<DistributionAction> actions;
+    // True: peers should hear of what was learned.
+    bool news = false;
+    // A version that a peer showed but couldn't deliver, or 0.
+    ObjectVersion unreachable = 0;
+  };
+
+  void On(Step& step, const MembersChanged& event);
+  void On(Step& step, const PeerDigestReceived& event);
+  void On(Step& step, const WatchAnswered& event);
+  void On(Step& step, const WatchFailed& event);
+  void On(Step& step, const ListAnswered& event);
+  void On(Step& step, const ListFailed& event);
+  void On(Step& step, const DifferencesReceived& event);
+  void On(Step& step, const DifferencesFailed& event);
+  void On(Step& step, const NewerVersionSeen& event);
+  void On(Step& step, const ObjectLearned& event);
+  void On(Step& step, const ReadFailed& event);
+  void EndRead(const std::string& kind, const std::string& name);
+
+  Member self;
+  ObjectStore& store;
+  DistributionConstants constants;
+  Jitter jitter;
+  PlatformFollower follower;
+  AntiEntropy anti_entropy;
+  std::vector<Read> reads;
+};
+
+}  // namespace amaranthlane::configuration
+
+#endif  // AMARANTHLANE_CORE_CONFIGURATION_DISTRIBUTION_SYSTEM_H_
--- a/source/core/transactions/transaction.h
+++ b/source/core/transactions/transaction.h
@@ -22,7 +22,10 @@
   std::uint64_t high = 0;
   std::uint64_t low = 0;
 
-  auto operator<=>(const TransactionId&) const = default;
+  bool operator==(const TransactionId&) const = default;
+  bool operator<(const TransactionId& other) const {
+    return this->high != other.high ? this->high < other.high : this->low < other.low;
+  }
 };
 
 // The id as 32 lower-case hexadecimal digits.
