--- a/tests/core/transactions/transaction_table_test.cc
+++ b/tests/core/transactions/transaction_table_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include <optional>
 #include <set>
 
 #include "common/error.h"
@@ -188,84 +189,113 @@
   EXPECT_THROW(ParseTransactionId("1"), ParseError);
 }
 
-// A connection is never in the hands of two transactions, and never back in the pool without an answered end.
-RC_GTEST_PROP(TransactionTableProperty, ConnectionsNeverMixTransactions, ()) {
-  const auto script =
-      *rc::gen::scale(5.0, rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange(0U, 1U << 16)));
-  TransactionTable table({});
-  TransactionActions actions;
-  TimePoint now(std::chrono::hours(1));
-  table.SetLeadershipValidUntil(now + seconds(3600));
-  table.TermMoved(kTerm, now, actions);
-  std::set<ConnectionId> pool = {1, 2, 3, 4};
-  std::set<ConnectionId> owned;
-  std::uint64_t next = 1;
-  std::set<ConnectionId> ended_by_answer;
-  for (const std::uint32_t choice : script) {
+// Drives a table over a pool of four connections by a script of numbers, and checks where each connection goes.
+class ConnectionScript {
+ public:
+  ConnectionScript() {
+    this->table.SetLeadershipValidUntil(this->now + seconds(3600));
+    this->table.TermMoved(kTerm, this->now, this->actions);
+  }
+
+  void Step(std::uint32_t choice) {
     const std::uint64_t pick = choice / 8;
-    const TransactionId id{.high = 0, .low = pick % next};
+    const TransactionId id{.high = 0, .low = pick % this->next};
     const ConnectionId connection = pick % 4 + 1;
     const RequestId request = pick % 5;
-    ended_by_answer.clear();
+    std::optional<ConnectionId> answered;
     switch (choice % 8) {
       case 0:
-        if (!pool.empty()) {
-          table.Open({.id = {.high = 0, .low = next++},
-                      .owner = "maker",
-                      .group = "group-1",
-                      .connection = *pool.begin(),
-                      .term = kTerm},
-                     now);
-          RC_ASSERT(owned.insert(*pool.begin()).second);
-          pool.erase(pool.begin());
-        }
+        this->Open();
         break;
       case 1:
       case 2:
-        try {
-          table.Call({.transaction = id,
-                      .caller = "maker",
-                      .request = request,
-                      .kind = static_cast<CallKind>(pick % 3),
-                      .deadline = now + seconds(1),
-                      .idempotency_key = ""},
-                     now);
-        } catch (const Error&) {
-          // Not open, or busy.
-        }
+        this->Call(id, request, static_cast<CallKind>(pick % 3));
         break;
       case 3:
       case 4:
-        table.StartCall(id, request, now, actions);
+        this->table.StartCall(id, request, this->now, this->actions);
         break;
       case 5:
-        if (table.Answered({.connection = connection, .request = request, .term = kTerm, .position = {}}, now,
-                           actions) == DeliveryVerdict::kAccepted) {
-          ended_by_answer.insert(connection);
+        if (this->Answer(connection, request) == DeliveryVerdict::kAccepted) {
+          answered = connection;
         }
         break;
       case 6:
-        table.ConnectionLost(connection, now, actions);
+        this->table.ConnectionLost(connection, this->now, this->actions);
         break;
       default:
-        now += std::chrono::milliseconds(pick % 3000);
-        table.Tick(now, actions);
+        this->now += std::chrono::milliseconds(pick % 3000);
+        this->table.Tick(this->now, this->actions);
         break;
     }
-    for (const TransactionAction& action : actions) {
+    this->Check(answered);
+  }
+
+ private:
+  void Open() {
+    if (this->pool.empty()) {
+      return;
+    }
+    const ConnectionId connection = *this->pool.begin();
+    this->pool.erase(connection);
+    RC_ASSERT(this->owned.insert(connection).second);
+    const TransactionId id{.high = 0, .low = this->next++};
+    this->table.Open({.id = id, .owner = "maker", .group = "group-1", .connection = connection, .term = kTerm},
+                     this->now);
+  }
+
+  void Call(const TransactionId& id, RequestId request, CallKind kind) {
+    try {
+      this->table.Call({.transaction = id,
+                        .caller = "maker",
+                        .request = request,
+                        .kind = kind,
+                        .deadline = this->now + seconds(1),
+                        .idempotency_key = ""},
+                       this->now);
+    } catch (const TransactionNotFoundError&) {
+      // It has ended.
+    } catch (const TransactionBusyError&) {
+      // A call runs.
+    }
+  }
+
+  DeliveryVerdict Answer(ConnectionId connection, RequestId request) {
+    return this->table.Answered({.connection = connection, .request = request, .term = kTerm, .position = {}},
+                                this->now, this->actions);
+  }
+
+  // `answered`: the connection that delivered an accepted answer in this step.
+  void Check(std::optional<ConnectionId> answered) {
+    for (const TransactionAction& action : this->actions) {
       if (const auto* sent = std::get_if<SendCall>(&action)) {
-        RC_ASSERT(owned.contains(sent->connection));
+        RC_ASSERT(this->owned.contains(sent->connection));
       } else if (const auto* returned = std::get_if<ReturnConnection>(&action)) {
-        RC_ASSERT(ended_by_answer.contains(returned->connection));
-        RC_ASSERT(owned.erase(returned->connection) == 1U);
-        RC_ASSERT(pool.insert(returned->connection).second);
+        RC_ASSERT(answered == returned->connection);
+        RC_ASSERT(this->owned.erase(returned->connection) == 1U);
+        RC_ASSERT(this->pool.insert(returned->connection).second);
       } else if (const auto* closed = std::get_if<CloseTransactionConnection>(&action)) {
         // A new one takes its place.
-        owned.erase(closed->connection);
-        pool.insert(closed->connection);
+        this->owned.erase(closed->connection);
+        this->pool.insert(closed->connection);
       }
     }
-    actions.clear();
+    this->actions.clear();
+  }
+
+  TransactionTable table{{}};
+  TransactionActions actions;
+  TimePoint now = TimePoint(std::chrono::hours(1));
+  std::set<ConnectionId> pool = {1, 2, 3, 4};
+  std::set<ConnectionId> owned;
+  std::uint64_t next = 1;
+};
+
+RC_GTEST_PROP(TransactionConnectionsTest, NeverMixTransactionsNorReturnWithoutAnAnsweredEnd, ()) {
+  const auto choices = rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange(0U, 1U << 16));
+  ConnectionScript script;
+  for (const std::uint32_t choice : *rc::gen::scale(5.0, choices)) {
+    script.Step(choice);
   }
 }
 
