--- a/benchmarks/scheduler_benchmark.cc
+++ b/benchmarks/scheduler_benchmark.cc
@@ -12,7 +12,7 @@
 using std::chrono::seconds;
 
 // One statement submitted, dispatched and released while `waiting` others of all ranks wait.
-void BM_SubmitDispatchRelease(benchmark::State& state) {
+void SubmitDispatchRelease(benchmark::State& state) {
   GroupScheduler scheduler({});
   scheduler.SetSlots(0, 5);
   scheduler.SetSlots(1, 5);
@@ -45,10 +45,10 @@
   }
   state.SetItemsProcessed(state.iterations());
 }
-BENCHMARK(BM_SubmitDispatchRelease)->Arg(0)->Arg(1000)->Arg(20000);
+BENCHMARK(SubmitDispatchRelease)->Arg(0)->Arg(1000)->Arg(20000);
 
 // One statement refused on admission because the queue is full.
-void BM_Refuse(benchmark::State& state) {
+void Refuse(benchmark::State& state) {
   GroupScheduler scheduler({});
   scheduler.SetSlots(0, 2);
   scheduler.SetPrimary(0);
@@ -66,13 +66,13 @@
   }
   state.SetItemsProcessed(state.iterations());
 }
-BENCHMARK(BM_Refuse);
+BENCHMARK(Refuse);
 
 enum class FloodKind : std::uint8_t { kBulk, kUrgent, kSlight };
 
 // Floods of five times, or slightly more than, what the endpoint can take, by strategy: what each rank gets, per
 // second.
-void BM_Flood(benchmark::State& state) {
+void Flood(benchmark::State& state) {
   SchedulerSettings settings;
   settings.policy = static_cast<PolicyKind>(state.range(0));
   settings.order = static_cast<QueueOrder>(state.range(1));
@@ -101,7 +101,7 @@
     }
   }
 }
-BENCHMARK(BM_Flood)
+BENCHMARK(Flood)
     ->ArgNames({"policy", "order", "refuse", "flood"})
     // The floors, by order of service.
     ->ArgsProduct({{static_cast<int>(PolicyKind::kFloors)}, {0, 1}, {1}, {0, 1, 2}})
@@ -113,7 +113,7 @@
     ->Unit(benchmark::kMillisecond);
 
 // A session token of three groups: read, raised and written again.
-void BM_SessionToken(benchmark::State& state) {
+void RaiseSessionToken(benchmark::State& state) {
   sessions::SessionToken token;
   for (const char* group : {"wrap-register-1", "wrap-register-2", "wrap-register-3"}) {
     token.Merge(group, {.term = 3, .offset = 123456});
@@ -128,7 +128,7 @@
   }
   state.SetItemsProcessed(state.iterations());
 }
-BENCHMARK(BM_SessionToken);
+BENCHMARK(RaiseSessionToken);
 
 }  // namespace
 }  // namespace amaranthlane::scheduling
--- a/source/core/transactions/transaction_table.h
+++ b/source/core/transactions/transaction_table.h
@@ -83,12 +83,18 @@
   struct DueTime {
     TimePoint time;
     TransactionId transaction;
-    auto operator<=>(const DueTime&) const = default;
+
+    bool operator<(const DueTime& other) const {
+      return this->time != other.time ? this->time < other.time : this->transaction < other.transaction;
+    }
   };
   struct AwaitedOffset {
     std::uint64_t offset = 0;
     TransactionId transaction;
-    auto operator<=>(const AwaitedOffset&) const = default;
+
+    bool operator<(const AwaitedOffset& other) const {
+      return this->offset != other.offset ? this->offset < other.offset : this->transaction < other.transaction;
+    }
   };
 
   Entry* Find(const TransactionId& transaction);
