--- a/source/core/outcomes/request_table.h
+++ b/source/core/outcomes/request_table.h
@@ -84,12 +84,18 @@
   struct DueTime {
     TimePoint time;
     RequestId request = 0;
-    auto operator<=>(const DueTime&) const = default;
+
+    bool operator<(const DueTime& other) const {
+      return this->time != other.time ? this->time < other.time : this->request < other.request;
+    }
   };
   struct AwaitedOffset {
     std::uint64_t offset = 0;
     RequestId request = 0;
-    auto operator<=>(const AwaitedOffset&) const = default;
+
+    bool operator<(const AwaitedOffset& other) const {
+      return this->offset != other.offset ? this->offset < other.offset : this->request < other.request;
+    }
   };
 
   Entry* Find(RequestId request);
