Fuzz all parse functions and take close VMs from the leadership system

Cause: the fuzzers covered configuration only; a half introduction in a heartbeat was accepted and lost.

--- /dev/null
+++ b/fuzz/core_parse_functions.cc
@@ -0,0 +1,72 @@
+#include "common/json.h"
+#include "core/leadership/messages.h"
+#include "core/leadership/record.h"
+#include "core/membership/heartbeat.h"
+#include "core/replicas/group_record.h"
+#include "core/replicas/position_answer.h"
+#include "core/sessions/session_token.h"
+#include "core/transactions/transaction.h"
+#include "parse_functions.h"
+#include "round_trip.h"
+
+namespace amaranthlane::fuzz {
+
+namespace {
+
+void ParseToken(std::string_view text) {
+  const sessions::SessionToken token = sessions::SessionToken::Parse(text);
+  RequireSame(sessions::SessionToken::Parse(token.Encode()) == token);
+}
+
+void ParseTransaction(std::string_view text) {
+  const transactions::TransactionId id = transactions::ParseTransactionId(text);
+  RequireSame(transactions::TransactionIdText(id) == text);
+}
+
+std::string TokenSample() {
+  sessions::SessionToken token;
+  token.Merge("group-1", {3, 41});
+  token.Merge("group-2", {1, 7});
+  return token.Encode();
+}
+
+}  // namespace
+
+std::vector<ParseFunction> CoreParseFunctions() {
+  return {
+      {"LeadershipRecord",
+       RoundTrip<leadership::ParseLeadershipRecord>,
+       {R"({"epoch":3,"leader":{"vm":"a","incarnation":5},"successors":["b"],"witnesses":["a","b","c"],
+          "unclosed":[{"epoch":2,"witnesses":["a","b"]}],"update_id":"u","released":false})"}},
+      {"PromiseRequest",
+       RoundTrip<leadership::ParsePromiseRequest>,
+       {leadership::ToJson(leadership::PromiseRequest{{"a", 5}, {{"g", {3, 1}, true}}}).dump()}},
+      {"PromiseAnswer",
+       RoundTrip<leadership::ParsePromiseAnswer>,
+       {leadership::ToJson(leadership::PromiseAnswer{"b", {{"g", {3, 0}, true, {3, 0}}}}).dump()}},
+      {"CloseRequest",
+       RoundTrip<leadership::ParseCloseRequest>,
+       {leadership::ToJson(leadership::CloseRequest{"g", {3, 1}, {"a", 5}, true}).dump()}},
+      {"CloseAnswer",
+       RoundTrip<leadership::ParseCloseAnswer>,
+       {leadership::ToJson(leadership::CloseAnswer{"b", "g", {3, 1}, true, false, false, {3, 1}, {}}).dump()}},
+      {"Heartbeat",
+       RoundTrip<membership::ParseHeartbeat>,
+       {membership::ToJson(membership::Heartbeat{{"a", 5, 9, membership::VmState::kWorking, "d", "r", "127.0.0.1:1"},
+                                                 {{"b", 6, 2, membership::VmState::kLeaving, "", "", ""}}})
+            .dump()}},
+      {"GroupRecord",
+       RoundTrip<replicas::ParseGroupRecord>,
+       {R"({"group":"g","region":"r","term":2,"primary":"e1","slots":5,"connections":35,"update_id":"u",
+          "history":[{"term":2,"base":{"term":1,"offset":8}}],"instances":[
+          {"endpoint":"e1","address":"127.0.0.1:1","data_centre":"d","state":"live"},
+          {"endpoint":"e2","address":"127.0.0.1:2","data_centre":"d","state":"leaving"}]})"}},
+      {"PositionAnswer",
+       ParseOnly<replicas::ParsePositionAnswer>,
+       {R"({"endpoint":"e","role":"replica","term":2,"position":{"term":2,"offset":8},"synced_term":2})"}},
+      {"SessionToken", ParseToken, {TokenSample()}},
+      {"TransactionId", ParseTransaction, {transactions::TransactionIdText({1, 0xFEDCBA9876543210})}},
+  };
+}
+
+}  // namespace amaranthlane::fuzz
--- a/fuzz/parse_functions.h
+++ b/fuzz/parse_functions.h
@@ -22,6 +22,9 @@
 
 std::vector<ParseFunction> CommonParseFunctions();
 std::vector<ParseFunction> ConfigurationParseFunctions();
+std::vector<ParseFunction> CoreParseFunctions();
+// Those of the processes, absent from a build of the core alone.
+std::vector<ParseFunction> ProcessParseFunctions();
 
 }  // namespace amaranthlane::fuzz
 
--- /dev/null
+++ b/fuzz/process_parse_functions.cc
@@ -0,0 +1,135 @@
+#include "client/call.h"
+#include "daemon/beat.h"
+#include "daemon/caller_request.h"
+#include "daemon/endpoint_protocol.h"
+#include "daemon/work.h"
+#include "load/profile.h"
+#include "net/address.h"
+#include "parse_functions.h"
+#include "round_trip.h"
+#include "tracing/trace_context.h"
+
+namespace amaranthlane::fuzz {
+
+namespace {
+
+void ParseWork(std::string_view text) {
+  const daemon::WorkRequest request = daemon::ParseWorkRequest(text, TimePoint());
+  const daemon::WorkRequest again =
+      daemon::ParseWorkRequest(daemon::WorkRequestText(request, TimePoint()), TimePoint());
+  RequireSame(again.statement == request.statement && again.obligation == request.obligation &&
+              again.deadline == request.deadline && again.transaction == request.transaction);
+}
+
+void ParseAnswer(std::string_view text) {
+  const daemon::WorkAnswer answer = daemon::ParseWorkAnswer(text);
+  const daemon::WorkAnswer again = daemon::ParseWorkAnswer(daemon::WorkAnswerText(answer));
+  RequireSame(again.outcome == answer.outcome && again.problem == answer.problem && again.position == answer.position);
+}
+
+void ParseBeatText(std::string_view text) { daemon::ParseBeat(daemon::BeatText(daemon::ParseBeat(text))); }
+
+net::HttpResponse ResponseWith(unsigned status, std::string_view body) {
+  net::HttpResponse response;
+  response.status = status;
+  response.body = std::string(body);
+  return response;
+}
+
+void ParseEndpointAnswer(std::string_view text) { daemon::ParseEndpointReply(ResponseWith(200, text)); }
+
+void ParseEndpointRefusal(std::string_view text) { daemon::ParseEndpointReply(ResponseWith(409, text)); }
+
+void ParseKey(std::string_view text) { daemon::ParseKeyOutcome(ResponseWith(200, text)); }
+
+void ParseCallersBody(std::string_view text) {
+  net::HttpRequest request{"POST", "/v1/groups/g/statements", {}, std::string(text)};
+  daemon::ParseCallerRequest(request);
+}
+
+void ParseCallersTarget(std::string_view text) {
+  net::HttpRequest request{"POST", std::string(text), {}, R"({"kind":"k","mode":"read","statement":{}})"};
+  daemon::ParseCallerRequest(request);
+}
+
+void ParseCallersAnswer(std::string_view text) {
+  client::ParseAttempt(ResponseWith(200, text));
+  client::ParseAttempt(ResponseWith(503, text));
+}
+
+void ParseLoadProfile(std::string_view text) { load::ParseProfile(text, "fuzz"); }
+
+void ParseIpAndPort(std::string_view text) {
+  const net::Address address = net::ParseAddress(text);
+  RequireSame(net::ParseAddress(net::ToString(address)) == address);
+}
+
+void ParseTrace(std::string_view text) {
+  const auto context = tracing::ParseTraceparent(text);
+  RequireSame(!context || tracing::ParseTraceparent(tracing::FormatTraceparent(*context)) == context);
+}
+
+std::string WorkSample() {
+  daemon::WorkRequest request;
+  request.caller = "maker";
+  request.group = "g";
+  request.statement = R"({"op":"get"})";
+  request.idempotency_key = "key";
+  request.token = LogPosition{1, 2};
+  request.deadline = TimePoint(std::chrono::seconds(3));
+  return daemon::WorkRequestText(request, TimePoint());
+}
+
+std::string DoneSample() {
+  daemon::WorkAnswer answer;
+  answer.outcome = Outcome::kDone;
+  answer.pressure.emplace();
+  return daemon::WorkAnswerText(answer);
+}
+
+std::string BeatSample() {
+  daemon::Beat beat;
+  beat.heartbeat.sender = {"a", 5, 9, membership::VmState::kWorking, "d", "r", "127.0.0.1:1"};
+  beat.configuration.kinds = {{"labels", 7, 3}};
+  beat.leads = {{"g", {3, 1}}};
+  return daemon::BeatText(beat);
+}
+
+}  // namespace
+
+std::vector<ParseFunction> ProcessParseFunctions() {
+  return {
+      {"WorkRequest", ParseWork, {WorkSample()}},
+      {"WorkAnswer",
+       ParseAnswer,
+       {DoneSample(), daemon::WorkAnswerText(daemon::MakeRefusal(daemon::WorkProblem::kOverload))}},
+      {"Beat", ParseBeatText, {BeatSample()}},
+      {"EndpointReply",
+       ParseEndpointAnswer,
+       {R"({"request_id":"7","outcome":"done","result":{"value":1},"term":1,"position":{"term":1,"offset":2},
+          "replayed":false})"}},
+      {"EndpointRefusal",
+       ParseEndpointRefusal,
+       {R"({"type":"urn:amaranthlane:stale-term","request_id":"7","outcome":"not_run"})"}},
+      {"KeyOutcome", ParseKey, {R"({"known":true,"result":{"value":1},"position":{"term":1,"offset":2}})"}},
+      {"CallerRequestBody",
+       ParseCallersBody,
+       {R"({"kind":"lodgement","mode":"write","statement":{"op":"put"},"time_limit_ms":100})"}},
+      {"CallerRequestTarget",
+       ParseCallersTarget,
+       {"/v1/groups/g/statements", "/v1/transactions/g~k~000000000000000100000000000000ff/commit",
+        "/v1/groups/g%20h/transactions"}},
+      {"CallersAnswer",
+       ParseCallersAnswer,
+       {R"({"type":"urn:amaranthlane:overload","outcome":"not_run","result":{},"replayed":false,"age_bound_ms":1,
+          "served_by":{"endpoint":"e","role":"replica"},"position":{"term":1,"offset":2}})"}},
+      {"LoadProfile",
+       ParseLoadProfile,
+       {"duration_ms: 100\nvms: [\"127.0.0.1:1\"]\nstreams:\n  - {kind: a, mode: write, rank: bulk, rate: 5,\n"
+        "     changes: [{from_ms: 1, until_ms: 2, factor: 3}]}\n"}},
+      {"Address", ParseIpAndPort, {"127.0.0.1:7000"}},
+      {"Traceparent", ParseTrace, {"00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"}},
+  };
+}
+
+}  // namespace amaranthlane::fuzz
--- /dev/null
+++ b/fuzz/round_trip.h
@@ -0,0 +1,31 @@
+#ifndef AMARANTHLANE_FUZZ_ROUND_TRIP_H_
+#define AMARANTHLANE_FUZZ_ROUND_TRIP_H_
+
+#include <stdexcept>
+#include <string_view>
+
+#include "common/json.h"
+
+namespace amaranthlane::fuzz {
+
+inline void RequireSame(bool same) {
+  if (!same) {
+    throw std::logic_error("the message changed when written and read again");
+  }
+}
+
+// Parses the text, writes the message and parses it again.
+template <auto parse>
+void RoundTrip(std::string_view text) {
+  const auto message = parse(json::Parse(text, "fuzz"));
+  RequireSame(parse(ToJson(message)) == message);
+}
+
+template <auto parse>
+void ParseOnly(std::string_view text) {
+  parse(json::Parse(text, "fuzz"));
+}
+
+}  // namespace amaranthlane::fuzz
+
+#endif  // AMARANTHLANE_FUZZ_ROUND_TRIP_H_
--- a/source/core/membership/heartbeat.cc
+++ b/source/core/membership/heartbeat.cc
@@ -27,13 +27,21 @@
 
 DigestEntry ParseEntry(const nlohmann::json& value) {
   const json::ObjectReader reader(value, kDocument);
-  return {.vm = reader.String("vm"),
-          .incarnation = reader.Unsigned("incarnation"),
-          .counter = reader.Unsigned("counter"),
-          .state = ParseState(reader.StringOr("state", kWorkingName)),
-          .data_centre = reader.StringOr("data_centre", ""),
-          .region = reader.StringOr("region", ""),
-          .address = reader.StringOr("address", "")};
+  DigestEntry entry;
+  entry.vm = reader.String("vm");
+  entry.incarnation = reader.Unsigned("incarnation");
+  entry.counter = reader.Unsigned("counter");
+  entry.state = ParseState(reader.StringOr("state", kWorkingName));
+  // An introduction is whole or absent.
+  if (reader.Has("data_centre") || reader.Has("region") || reader.Has("address")) {
+    entry.data_centre = reader.String("data_centre");
+    entry.region = reader.String("region");
+    entry.address = reader.String("address");
+    if (entry.address.empty()) {
+      throw ParseError(kDocument, "address", "an address as ip:port");
+    }
+  }
+  return entry;
 }
 
 nlohmann::json ToJson(const DigestEntry& entry) {
--- a/source/daemon/control_plane.cc
+++ b/source/daemon/control_plane.cc
@@ -1,7 +1,6 @@
 #include "daemon/control_plane.h"
 
 #include <array>
-#include <set>
 #include <utility>
 
 #include "common/error.h"
@@ -380,22 +379,8 @@
 }
 
 void ControlPlane::UpdateCloseVms() {
-  membership::CloseVmsChanged changed;
-  this->store.ForEach(configuration::kLeadershipKind, [this, &changed](const configuration::PlatformObject& object) {
-    const leadership::LeadershipRecord* record = this->leadership_system.Record(object.name);
-    if (record == nullptr) {
-      return;
-    }
-    std::set<VmName> others(record->witnesses.begin(), record->witnesses.end());
-    others.insert(record->successors.begin(), record->successors.end());
-    if (record->leader.vm == this->self.vm) {
-      changed.send_to.merge(others);
-    } else if (others.contains(this->self.vm)) {
-      changed.hear_from.insert(record->leader.vm);
-    }
-  });
-  changed.send_to.erase(this->self.vm);
-  this->membership_runner.Notify(std::move(changed));
+  const leadership::CloseVms close = this->leadership_system.ListCloseVms();
+  this->membership_runner.Notify(membership::CloseVmsChanged{close.send_to, close.hear_from});
 }
 
 void ControlPlane::SeeRecord(const configuration::PlatformObject& object, leadership::RecordSource source) {
