Test each of the two checks against dead work by itself

Cause: with either the drop in the queue or the check at dispatch taken out, no unit test named it. Change: one test keeps the slot taken while the deadline is lost, the other slows the endpoint after the admission.

--- a/tests/core/scheduling/group_scheduler_test.cc
+++ b/tests/core/scheduling/group_scheduler_test.cc
@@ -97,7 +97,19 @@
   this->Submit(this->Item(1, Rank::kUrgent));
   ASSERT_EQ(this->RunDue(), Ids{1});
   this->Submit(this->Item(2, Rank::kUrgent, milliseconds(10)));
-  // The endpoint takes far longer than expected; 2 could start, but not end in time.
+  EXPECT_EQ(this->scheduler->NextDue(), this->now + milliseconds(8));
+  // The slot is still taken; 2 could start, but not end in time.
+  this->now += milliseconds(9);
+  EXPECT_EQ(this->RunDue(), Ids{});
+  ASSERT_EQ(this->actions.refusals.size(), 1U);
+  EXPECT_EQ(this->actions.refusals[0].reason, RefusalReason::kDeadlineUnmeetable);
+}
+
+TEST_F(GroupSchedulerTest, SendsNothingThatASlowerEndpointCanNoLongerServeInTime) {
+  this->Submit(this->Item(1, Rank::kUrgent));
+  ASSERT_EQ(this->RunDue(), Ids{1});
+  this->Submit(this->Item(2, Rank::kUrgent, milliseconds(15)));
+  // By what was expected on admission there would be time left.
   this->Finish(1, milliseconds(9));
   EXPECT_EQ(this->RunDue(), Ids{});
   ASSERT_EQ(this->actions.refusals.size(), 1U);
