--- a/source/common/settings_table.cc
+++ b/source/common/settings_table.cc
@@ -12,11 +12,11 @@
 
 namespace {
 
-constexpr std::uint64_t kMaximumTimingMs = 60 * 1000;
-constexpr std::uint64_t kMaximumTimeLimitMs = 10 * 60 * 1000;
-constexpr std::uint64_t kMaximumConnections = 1000 * 1000;
+constexpr std::uint64_t kMaximumTimingMs = 60UL * 1000;
+constexpr std::uint64_t kMaximumTimeLimitMs = 10UL * 60 * 1000;
+constexpr std::uint64_t kMaximumConnections = 1000UL * 1000;
 constexpr std::uint64_t kMaximumBodyBytes = 64ULL * 1024 * 1024;
-constexpr std::uint64_t kMaximumTraceSpans = 1000 * 1000;
+constexpr std::uint64_t kMaximumTraceSpans = 1000UL * 1000;
 
 bool IsLogLevel(std::string_view text) {
   constexpr std::array<std::string_view, 5> kLevels = {"debug", "info", "warning", "error", "fatal"};
@@ -25,6 +25,7 @@
 
 constexpr TextRule kName = {IsName, kExpectedName};
 constexpr TextRule kAddress = {IsIpAndPort, "an address as ip:port"};
+constexpr TextRule kIp = {IsIpNumber, "an IP number"};
 constexpr TextRule kLogLevel = {IsLogLevel, "debug, info, warning, error or fatal"};
 
 const std::array kDeclarations = {
@@ -60,6 +61,14 @@
                        .rule = &kAddress,
                        .required = true,
                        .help = "The platform's object API."},
+    SettingDeclaration{.key = "addresses.advertised_peers",
+                       .member = &Settings::advertised_peers_address,
+                       .rule = &kAddress,
+                       .help = "Where other VMs reach addresses.peers, if that differs, as behind a translation."},
+    SettingDeclaration{.key = "addresses.source_ip",
+                       .member = &Settings::source_ip,
+                       .rule = &kIp,
+                       .help = "The IP number that this VM's own connections come from."},
     SettingDeclaration{.key = "seeds",
                        .member = &Settings::seeds,
                        .rule = &kAddress,
@@ -103,12 +112,12 @@
                        .member = &Settings::promotion_silence,
                        .minimum = 10,
                        .maximum = kMaximumTimingMs,
-                       .help = "The silence of a primary's connections after which a new connection is tried."},
+                       .help = "How long a primary may owe an answer until a new connection is tried."},
     SettingDeclaration{.key = "promotion.probe_ms",
                        .member = &Settings::promotion_probe,
                        .minimum = 10,
                        .maximum = kMaximumTimingMs,
-                       .help = "How long that new connection may take."},
+                       .help = "How often an idle primary is asked for its position."},
     SettingDeclaration{.key = "log.level",
                        .member = &Settings::log_level,
                        .rule = &kLogLevel,
@@ -178,7 +187,9 @@
     } else {
       std::uint64_t number = 0;
       const bool fits = ParseInRange(declaration, text, number);
-      settings.*member = fits ? Value(number) : settings.*member;
+      if (fits) {
+        settings.*member = static_cast<Value>(number);
+      }
       return fits;
     }
   };
--- a/source/core/leadership/record.h
+++ b/source/core/leadership/record.h
@@ -30,6 +30,7 @@
   Epoch epoch = 0;
   std::uint32_t rank = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the linter takes a zero in the generated code for a pointer.
   auto operator<=>(const Ballot&) const = default;
 };
 
