Make the limit of a replication stall a setting above the usual lag

Cause: replicas that lag over 600 ms after idle looked like a stall and could cost a change of primary.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -18,6 +18,8 @@
 START_LIMIT_S = 20
 # Added to an endpoint's port to get its control port.
 CONTROL_PORT_OFFSET = 10000
+# Added to an endpoint's port when the fault-injecting proxy listens there instead.
+PROXIED_PORT_OFFSET = 20000
 
 
 class Fleet:
@@ -32,11 +34,18 @@
         self.pids: dict[str, int] = {}
         # How long the endpoint stand-ins run a statement.
         self.service_us = 1000
+        # The replication lag of each group's instances, in their order; 0 for the rest.
+        self.lags_ms: list[int] = []
+        # True: connections to endpoints pass through the fault-injecting proxy, with a route named after each endpoint.
+        self.proxied = False
+        self.proxy_control = "127.0.0.1:6999"
         self.objects = json.loads((self.folder / "objects.json").read_text())
         self.vms = json.loads((self.folder / "vms.json").read_text())["vms"][:vm_count]
 
     def start(self) -> None:
         """Starts everything and returns once every VM is ready."""
+        if self.proxied:
+            self.start_proxy()
         self.start_platform()
         for entry in self.objects["objects"]:
             if entry["kind"] == "database_groups":
@@ -66,13 +75,26 @@
         self.run("platform", str(self.build / "stand_ins/platform/platform_stand_in"), "--port", port, "--load",
                  str(seed))
 
+    def start_proxy(self) -> None:
+        """Starts the fault-injecting proxy at the endpoints' addresses; the endpoints move to other ports."""
+        command = [str(self.build / "stand_ins/fault_proxy/fault_proxy"), "--control-port",
+                   self.proxy_control.split(":")[1]]
+        for entry in self.objects["objects"]:
+            for instance in entry["value"].get("instances", []):
+                port = int(instance["address"].split(":")[1])
+                command += ["--route", f"{instance['endpoint']}:{port}:127.0.0.1:{port + PROXIED_PORT_OFFSET}"]
+        self.run("proxy", *command)
+
     def start_endpoints(self, group: dict) -> None:
         """Starts the endpoint stand-ins of one database group."""
-        for instance in group["instances"]:
+        for index, instance in enumerate(group["instances"]):
             port = int(instance["address"].split(":")[1])
+            lag_ms = self.lags_ms[index] if index < len(self.lags_ms) else 0
+            listen_port = port + (PROXIED_PORT_OFFSET if self.proxied else 0)
             self.run(instance["endpoint"], str(self.build / "stand_ins/endpoint/endpoint_stand_in"), "--name",
-                     instance["endpoint"], "--port", str(port), "--control-port", str(port + CONTROL_PORT_OFFSET),
-                     "--slots", str(group["slots"]), "--connections", str(group["connections"]), "--service-us", str(self.service_us))
+                     instance["endpoint"], "--port", str(listen_port), "--control-port", str(port + CONTROL_PORT_OFFSET),
+                     "--slots", str(group["slots"]), "--connections", str(group["connections"]), "--service-us", str(self.service_us),
+                     "--lag-ms", str(lag_ms))
 
     def start_vm(self, vm: dict) -> None:
         """Starts the daemon of one VM."""
@@ -93,6 +115,15 @@
                 time.sleep(0.1)
         raise TimeoutError(f"{address} is not ready; see {self.logs}")
 
+    def statements_run(self) -> int:
+        """Returns the statements that all endpoints have run."""
+        total = 0
+        for entry in self.objects["objects"]:
+            for instance in entry["value"].get("instances", []):
+                host, port = instance["address"].split(":")
+                total += call(f"{host}:{int(port) + CONTROL_PORT_OFFSET}", "GET", "/control/state")[2]["statements_run"]
+        return total
+
     def stop(self) -> None:
         """Ends all processes."""
         for process in self.processes:
--- a/source/common/settings.h
+++ b/source/common/settings.h
@@ -38,6 +38,10 @@
 
   std::chrono::milliseconds promotion_silence{200};
   std::chrono::milliseconds promotion_probe{100};
+  std::chrono::milliseconds promotion_stall{5000};
+
+  // The name of a policy of scheduling/rank_policy.h.
+  std::string scheduling_policy = "floors";
 
   std::string log_level = "info";
   std::uint64_t trace_ring_size = 4096;
--- a/source/common/settings_table.cc
+++ b/source/common/settings_table.cc
@@ -18,6 +18,10 @@
 constexpr std::uint64_t kMaximumBodyBytes = 64ULL * 1024 * 1024;
 constexpr std::uint64_t kMaximumTraceSpans = 1000UL * 1000;
 
+bool IsSchedulingPolicy(std::string_view text) {
+  return text == "floors" || text == "strict_priority" || text == "first_come";
+}
+
 bool IsLogLevel(std::string_view text) {
   constexpr std::array<std::string_view, 5> kLevels = {"debug", "info", "warning", "error", "fatal"};
   return std::find(kLevels.begin(), kLevels.end(), text) != kLevels.end();
@@ -26,6 +30,7 @@
 constexpr TextRule kName = {IsName, kExpectedName};
 constexpr TextRule kAddress = {IsIpAndPort, "an address as ip:port"};
 constexpr TextRule kIp = {IsIpNumber, "an IP number"};
+constexpr TextRule kPolicy = {IsSchedulingPolicy, "floors, strict_priority or first_come"};
 constexpr TextRule kLogLevel = {IsLogLevel, "debug, info, warning, error or fatal"};
 
 const std::array kDeclarations = {
@@ -118,6 +123,16 @@
                        .minimum = 10,
                        .maximum = kMaximumTimingMs,
                        .help = "How often an idle primary is asked for its position."},
+    SettingDeclaration{
+        .key = "promotion.stall_ms",
+        .member = &Settings::promotion_stall,
+        .minimum = 100,
+        .maximum = kMaximumTimingMs,
+        .help = "How long no replica may confirm anything new; above the lag that replicas usually have."},
+    SettingDeclaration{.key = "scheduling.policy",
+                       .member = &Settings::scheduling_policy,
+                       .rule = &kPolicy,
+                       .help = "How ranks share a group's slots; all but floors are baselines for measurements."},
     SettingDeclaration{.key = "log.level",
                        .member = &Settings::log_level,
                        .rule = &kLogLevel,
--- a/source/daemon/caller_request.cc
+++ b/source/daemon/caller_request.cc
@@ -32,7 +32,7 @@
   }
   request.group = name.substr(0, group_end);
   request.kind = name.substr(group_end + 1, kind_end - group_end - 1);
-  request.transaction = transactions::ParseTransactionId(std::string_view(name).substr(kind_end + 1));
+  request.transaction = transactions::ParseTransactionId(name.substr(kind_end + 1));
 }
 
 CallerRequest ParseGroupCall(const std::vector<std::string>& segments, const net::HttpRequest& request) {
--- a/source/daemon/group_supervisor.cc
+++ b/source/daemon/group_supervisor.cc
@@ -21,6 +21,7 @@
   promotion::PromotionSettings promotion;
   promotion.primary_probe_interval = settings.promotion_probe;
   promotion.progress_limit = settings.promotion_silence;
+  promotion.replication_stall_limit = settings.promotion_stall;
   return promotion;
 }
 
@@ -71,7 +72,7 @@
   }
   this->runner.RunIfDue(now);
   const std::optional<TimePoint> stalled = this->replica_table.StalledSince();
-  if (stalled && now - *stalled > promotion::PromotionSettings{}.replication_stall_limit) {
+  if (stalled && now - *stalled > this->context.settings.promotion_stall) {
     this->Notify(promotion::ReplicationStalled{this->replica_table.CurrentTerm()});
   }
 }
--- a/source/daemon/group_work.cc
+++ b/source/daemon/group_work.cc
@@ -55,7 +55,13 @@
   return work.request.kind == WorkKind::kStatement && work.request.mode == outcomes::StatementMode::kRead;
 }
 
-outcomes::RequestTableSettings RequestSettings() { return outcomes::RequestTableSettings{}; }
+scheduling::SchedulerSettings SchedulerSettingsOf(const Settings& settings) {
+  scheduling::SchedulerSettings scheduler;
+  scheduler.policy = scheduling::ParsePolicyKind(settings.scheduling_policy);
+  // A queue in order of arrival that refuses nothing is the plain baseline.
+  scheduler.refuse_unmeetable = scheduler.policy != scheduling::PolicyKind::kFirstCome;
+  return scheduler;
+}
 
 }  // namespace
 
@@ -63,8 +69,8 @@
     : context(context),
       group(group),
       supervisor(supervisor),
-      scheduler(scheduling::SchedulerSettings{}),
-      requests(RequestSettings(), context.generator()),
+      scheduler(SchedulerSettingsOf(context.settings)),
+      requests(outcomes::RequestTableSettings{}, context.generator()),
       endpoints(context.loop, context.connection_numbers),
       transactions(context, group, supervisor, this->endpoints, this->open,
                    TransactionRunner::Host{
--- a/source/load/load_run.cc
+++ b/source/load/load_run.cc
@@ -166,6 +166,9 @@
 
 void LoadRun::Read(std::size_t stream, SessionRow& session, WriteIndex write, TimePoint now, Violation when_absent) {
   const Stream& row = this->profile.streams[stream];
+  if (!this->HasWritten(session, this->ledger.Row(write).group)) {
+    ++this->report.streams[stream].by_unwritten_sessions;
+  }
   client::Statement statement;
   statement.group = this->ledger.Row(write).group;
   statement.kind = row.kind;
@@ -190,6 +193,15 @@
                        });
 }
 
+bool LoadRun::HasWritten(const SessionRow& session, const GroupName& group) const {
+  for (std::size_t index = 0; index < this->profile.groups.size(); ++index) {
+    if (this->profile.groups[index] == group) {
+      return session.last_write[index] != static_cast<WriteIndex>(-1);
+    }
+  }
+  return false;
+}
+
 void LoadRun::Count(std::size_t stream, const client::StatementResult& result, TimePoint sent_at) {
   --this->in_flight;
   StreamCounts& counts = this->report.streams[stream];
--- a/source/load/load_run.h
+++ b/source/load/load_run.h
@@ -41,6 +41,7 @@
   void SendReadOwn(std::size_t stream, SessionRow& session, std::size_t group, TimePoint now);
   void SendRead(std::size_t stream, SessionRow& session, TimePoint now);
   void Read(std::size_t stream, SessionRow& session, WriteIndex write, TimePoint now, Violation when_absent);
+  bool HasWritten(const SessionRow& session, const GroupName& group) const;
   void Count(std::size_t stream, const client::StatementResult& result, TimePoint sent_at);
   void JudgeWrite(WriteIndex write, const client::StatementResult& result);
   void Violate(Violation violation);
--- a/source/load/report.cc
+++ b/source/load/report.cc
@@ -34,6 +34,7 @@
            {"problems", counts.problems}};
   if (stream.mode != StreamMode::kWrite) {
     row["replica_share"] = Share(counts.from_replica, counts.done);
+    row["unwritten_session_share"] = Share(counts.by_unwritten_sessions, counts.sent);
     row["greatest_age_ms"] = counts.greatest_age.count();
   }
   return row;
--- a/source/load/report.h
+++ b/source/load/report.h
@@ -24,6 +24,9 @@
   // Reads that a replica answered.
   std::uint64_t from_replica = 0;
   std::uint64_t retried = 0;
+  // Reads of sessions that had written nothing to the group: all that would go to replicas if every session that wrote
+  // read from the primary.
+  std::uint64_t by_unwritten_sessions = 0;
   std::map<std::string, std::uint64_t> problems;
   // Of requests that were done.
   metrics::LatencyHistogram latency;
