Refuse to start a fleet on ports in use

Cause: a flood measurement met another fleet on the same ports; keys repeated and were reported as doubled runs. Change: fleet.py checks the ports first. Ruled out: the product (the endpoints were those of the other fleet).

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -43,7 +44,12 @@
         self.vms = json.loads((self.folder / "vms.json").read_text())["vms"][:vm_count]
 
     def start(self) -> None:
-        """Starts everything and returns once every VM is ready."""
+        """Starts everything and returns once every VM is ready. Refuses ports that another fleet uses."""
+        for vm in self.vms:
+            host, port = vm["operators"].split(":")
+            with socket.socket() as probe:
+                if probe.connect_ex((host, int(port))) == 0:
+                    raise RuntimeError(f"{vm['operators']} is in use; another fleet runs")
         if self.proxied:
             self.start_proxy()
         self.start_platform()
