Count the bytes and messages of control, and run many endpoints in one process

Cause: the cost of control per VM could only be reckoned from the sizes of JSON bodies; headers and answers weren't seen, and a fleet before hundreds of groups needed a process an instance.

--- /dev/null
+++ b/scripts/capacity_fit.py
@@ -0,0 +1,47 @@
+"""Least-squares lines through measured points, and tables of them."""
+
+import dataclasses
+import math
+
+
+@dataclasses.dataclass
+class Line:
+    """value = intercept + slope * size, with the errors of a least-squares fit."""
+
+    slope: float
+    intercept: float
+    # Standard error of the slope; zero when only two points were fitted.
+    slope_error: float
+    # Root mean square of the residuals.
+    residual: float
+
+    def at(self, size: float) -> float:
+        """Returns the fitted value."""
+        return self.intercept + self.slope * size
+
+
+def fit_line(sizes: list[float], values: list[float]) -> Line:
+    """Fits a line through at least two points of different sizes."""
+    count = len(sizes)
+    mean_size = sum(sizes) / count
+    mean_value = sum(values) / count
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    slope = sum((size - mean_size) * (value - mean_value) for size, value in zip(sizes, values)) / spread
+    intercept = mean_value - slope * mean_size
+    squares = sum((value - intercept - slope * size) ** 2 for size, value in zip(sizes, values))
+    freedom = count - 2
+    slope_error = math.sqrt(squares / freedom / spread) if freedom > 0 else 0.0
+    return Line(slope, intercept, slope_error, math.sqrt(squares / count))
+
+
+def markdown_table(header: list[str], rows: list[list[object]]) -> str:
+    """Formats a table; numbers get three significant digits."""
+
+    def cell(value: object) -> str:
+        if isinstance(value, float):
+            return f"{value:.3g}" if abs(value) < 1000 else f"{value:,.0f}"
+        return str(value)
+
+    lines = ["| " + " | ".join(header) + " |", "|" + "---|" * len(header)]
+    lines += ["| " + " | ".join(cell(value) for value in row) + " |" for row in rows]
+    return "\n".join(lines)
--- /dev/null
+++ b/scripts/capacity_fleet.py
@@ -0,0 +1,241 @@
+"""Fleets of real daemons without callers' work, and what each daemon of them costs.
+
+Everything listens on loopback and ends with the fleet. One process answers for all endpoint instances.
+"""
+
+import dataclasses
+import json
+import pathlib
+import re
+import resource
+import subprocess
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PLATFORM_PORT = 24000
+CALLERS_PORT = 24100
+PEERS_PORT = 24200
+OPERATORS_PORT = 24300
+ENDPOINTS_PORT = 25000
+ENDPOINTS_CONTROL_PORT = 27000
+INSTANCES_PER_GROUP = 3
+SMALL_FLEET = 9
+SMALL_DATA_CENTRES = 3
+LARGE_DATA_CENTRES = 8
+CLOCK_TICKS_PER_S = 100
+PAGE_KB = resource.getpagesize() / 1024
+START_LIMIT_S = 45
+CALL_LIMIT_S = 5
+REGION = "region-1"
+OTHER_REGION = "region-2"
+METRIC_LINE = re.compile(r'^(amaranthlane_control_(?:bytes|messages)_total)\{direction="(\w+)",kind="(\w+)"\} (\S+)$')
+
+
+def call(port: int, method: str, path: str, body: dict | None = None) -> dict:
+    """Calls one interface and returns the parsed body."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(f"http://127.0.0.1:{port}{path}", data=data, method=method)
+    with urllib.request.urlopen(request, timeout=CALL_LIMIT_S) as answer:
+        return json.loads(answer.read())
+
+
+@dataclasses.dataclass
+class Vm:
+    """One VM's daemon."""
+
+    name: str
+    data_centre: str
+    region: str
+    index: int
+    process: subprocess.Popen | None = None
+
+    @property
+    def operators(self) -> int:
+        """Returns the operators' port."""
+        return OPERATORS_PORT + self.index
+
+    @property
+    def callers(self) -> int:
+        """Returns the callers' port."""
+        return CALLERS_PORT + self.index
+
+    @property
+    def peers_address(self) -> str:
+        """Returns the peers' address."""
+        return f"127.0.0.1:{PEERS_PORT + self.index}"
+
+
+@dataclasses.dataclass
+class Sample:
+    """What a daemon had used at one moment."""
+
+    taken_s: float
+    cpu_s: float
+    rss_kb: float
+    # Bytes and messages, sent and received, by kind.
+    bytes: dict[str, float]
+    messages: dict[str, float]
+
+
+@dataclasses.dataclass
+class Cost:
+    """What a daemon costs over an interval."""
+
+    vm: str
+    cpu_percent: float
+    rss_mb: float
+    bytes_s: dict[str, float]
+    messages_s: dict[str, float]
+
+    def values(self) -> dict[str, float]:
+        """Returns the figures that are fitted."""
+        figures = {"cpu_percent": self.cpu_percent, "rss_mb": self.rss_mb, "bytes_s": sum(self.bytes_s.values()),
+                   "messages_s": sum(self.messages_s.values())}
+        for kind in ("beat", "promise", "objects", "probe", "platform"):
+            figures[f"{kind}_bytes_s"] = self.bytes_s.get(kind, 0.0)
+        return figures
+
+
+def take_sample(vm: Vm) -> Sample:
+    """Reads a daemon's processor time, memory and counters of control messages."""
+    stat = pathlib.Path(f"/proc/{vm.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+    sample = Sample(time.monotonic(), (int(stat[11]) + int(stat[12])) / CLOCK_TICKS_PER_S, int(stat[21]) * PAGE_KB, {},
+                    {})
+    with urllib.request.urlopen(f"http://127.0.0.1:{vm.operators}/metrics", timeout=CALL_LIMIT_S) as answer:
+        text = answer.read().decode()
+    for line in text.splitlines():
+        found = METRIC_LINE.match(line)
+        if found:
+            name, _, kind, value = found.groups()
+            table = sample.bytes if "bytes" in name else sample.messages
+            table[kind] = table.get(kind, 0.0) + float(value)
+    return sample
+
+
+def cost_between(vm: Vm, first: Sample, last: Sample) -> Cost:
+    """Returns a daemon's cost between two samples."""
+    elapsed_s = last.taken_s - first.taken_s
+
+    def rates(before: dict[str, float], after: dict[str, float]) -> dict[str, float]:
+        return {kind: (after[kind] - before.get(kind, 0.0)) / elapsed_s for kind in after}
+
+    return Cost(vm.name, 100 * (last.cpu_s - first.cpu_s) / elapsed_s, last.rss_kb / 1024,
+                rates(first.bytes, last.bytes), rates(first.messages, last.messages))
+
+
+class Fleet:
+    """A fleet with `groups` database groups in the first region."""
+
+    def __init__(self, build: pathlib.Path, vm_count: int, groups: int, other_region_vms: int = 0):
+        self.build = build
+        self.groups = groups
+        self.logs = pathlib.Path(tempfile.mkdtemp(prefix="amaranthlane-capacity-"))
+        self.processes: list[subprocess.Popen] = []
+        centres = SMALL_DATA_CENTRES if vm_count <= SMALL_FLEET else LARGE_DATA_CENTRES
+        self.vms = [Vm(f"vm-{index:02}", f"dc-{index % centres + 1}", REGION, index) for index in range(vm_count)]
+        self.vms += [Vm(f"vm-{index:02}", "dc-other", OTHER_REGION, index)
+                     for index in range(vm_count, vm_count + other_region_vms)]
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in self.processes:
+            process.kill()
+        for process in self.processes:
+            process.wait()
+
+    def start(self) -> float:
+        """Starts everything; returns the seconds from the daemons' start until each VM is ready."""
+        self.start_stand_ins()
+        began = time.monotonic()
+        for vm in self.vms:
+            self.start_vm(vm)
+        for vm in self.vms:
+            self.await_ready(vm)
+        return time.monotonic() - began
+
+    def start_stand_ins(self) -> None:
+        """Starts the platform and the endpoint instances."""
+        listed = [{"vm": vm.name, "data_centre": vm.data_centre, "region": vm.region, "address": vm.peers_address,
+                   "state": "live"} for vm in self.vms]
+        seed = self.logs / "platform.json"
+        seed.write_text(json.dumps({"objects": [self.group_object(group) for group in range(self.groups)],
+                                    "vms": listed}))
+        self.run("endpoints", "stand_ins/endpoint/endpoint_stand_in", "--name", "endpoint", "--port",
+                 str(ENDPOINTS_PORT), "--control-port", str(ENDPOINTS_CONTROL_PORT), "--instances",
+                 str(self.groups * INSTANCES_PER_GROUP))
+        self.run("platform", "stand_ins/platform/platform_stand_in", "--port", str(PLATFORM_PORT), "--load", str(seed))
+        self.await_calls()
+
+    @staticmethod
+    def group_object(group: int) -> dict:
+        """Returns the object of one database group."""
+        numbers = [group * INSTANCES_PER_GROUP + place for place in range(INSTANCES_PER_GROUP)]
+        instances = [{"endpoint": f"endpoint-{number + 1}", "address": f"127.0.0.1:{ENDPOINTS_PORT + number}",
+                      "data_centre": f"dc-{place + 1}", "state": "live"} for place, number in enumerate(numbers)]
+        name = f"group-{group:04}"
+        return {"kind": "database_groups", "name": name,
+                "value": {"group": name, "region": REGION, "term": 1, "primary": instances[0]["endpoint"],
+                          "instances": instances, "slots": 5, "connections": 35}}
+
+    def run(self, name: str, program: str, *arguments: str) -> subprocess.Popen:
+        """Starts one process with its output in the logs folder."""
+        with open(self.logs / f"{name}.log", "w", encoding="utf-8") as log:
+            process = subprocess.Popen([str(self.build / program), *arguments], stdout=log, stderr=subprocess.STDOUT)
+        self.processes.append(process)
+        return process
+
+    def start_vm(self, vm: Vm) -> None:
+        """Starts the daemon of one VM."""
+        settings = {"vm": vm.name, "data_centre": vm.data_centre, "region": vm.region,
+                    "addresses.callers": f"127.0.0.1:{vm.callers}", "addresses.peers": vm.peers_address,
+                    "addresses.operators": f"127.0.0.1:{vm.operators}",
+                    "addresses.platform": f"127.0.0.1:{PLATFORM_PORT}",
+                    "seeds": f"{self.vms[0].peers_address},{self.vms[1].peers_address}",
+                    "limits.caller_connections": "20000"}
+        overrides = [part for key, value in settings.items() for part in ("--set", f"{key}={value}")]
+        vm.process = self.run(vm.name, "source/daemon/amaranthlaned", *overrides)
+
+    def await_ready(self, vm: Vm) -> None:
+        """Waits until every group has a leader in the view of a VM."""
+        deadline = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < deadline:
+            try:
+                call(vm.operators, "GET", "/ready")
+                return
+            except (urllib.error.URLError, OSError):
+                time.sleep(0.1)
+        raise TimeoutError(f"{vm.name} is not ready; see {self.logs}")
+
+    def await_calls(self) -> None:
+        """Waits until the platform answers."""
+        deadline = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < deadline:
+            try:
+                self.platform_calls()
+                return
+            except (urllib.error.URLError, OSError):
+                time.sleep(0.05)
+        raise TimeoutError(f"the platform does not answer; see {self.logs}")
+
+    @staticmethod
+    def platform_calls() -> dict[str, int]:
+        """Returns the platform's count of calls."""
+        return call(PLATFORM_PORT, "GET", "/control/calls")
+
+    @staticmethod
+    def set_outage(active: bool) -> None:
+        """Starts or ends an outage of the platform."""
+        call(PLATFORM_PORT, "POST", "/control/outage", {"on": active})
+
+    def samples(self) -> list[Sample]:
+        """Takes a sample of each daemon."""
+        return [take_sample(vm) for vm in self.vms]
+
+    def costs(self, before: list[Sample]) -> list[Cost]:
+        """Returns each daemon's cost since `before`."""
+        return [cost_between(vm, first, take_sample(vm)) for vm, first in zip(self.vms, before)]
--- /dev/null
+++ b/scripts/measure_capacity.py
@@ -0,0 +1,312 @@
+"""Measures what a daemon costs without callers' work as the fleet grows, and fits a line through each sweep.
+
+Prints the tables of docs/CAPACITY.md and writes all points and fits as JSON. All rows come from this machine; its
+processor time is meaningful beside other load, its latencies are upper bounds. The fleets are seeded by nothing but
+their sizes; each daemon's own random seed is in its log.
+"""
+
+import argparse
+import concurrent.futures
+import dataclasses
+import json
+import pathlib
+import resource
+import socket
+import sys
+import time
+from collections.abc import Callable
+
+import capacity_fit
+import capacity_fleet
+from capacity_fleet import Cost, Fleet, call
+
+SETTLE_S = 6
+INTERVAL_S = 10
+EDIT_POLL_S = 0.2
+HERD_POLL_S = 0.1
+GROUPS = 3
+VM_SWEEP = [3, 6, 9, 15, 30, 60]
+GROUP_SWEEP = [3, 30, 100, 300]
+GROUP_SWEEP_VMS = 6
+GROUP_SWEEP_OTHER_VMS = 3
+CONNECTION_SWEEP = [100, 1000, 5000, 20000]
+EDIT_SWEEP = [0, 60, 600]
+SPARE_FILES = 200
+HERD_VMS = 30
+FITTED = ["cpu_percent", "rss_mb", "bytes_s", "messages_s", "beat_bytes_s", "promise_bytes_s", "objects_bytes_s",
+          "probe_bytes_s", "platform_bytes_s"]
+Point = dict[str, object]
+
+
+def mean_and_most(costs: list[Cost]) -> Point:
+    """Returns the mean of each figure over daemons, and the highest of the bounded ones."""
+    rows = [cost.values() for cost in costs]
+    point: Point = {name: sum(row[name] for row in rows) / len(rows) for name in rows[0]}
+    for name in ("cpu_percent", "rss_mb", "bytes_s"):
+        point[f"most_{name}"] = max(row[name] for row in rows)
+    return point
+
+
+def calls_per_second(before: dict[str, int], after: dict[str, int], elapsed_s: float) -> Point:
+    """Returns the rates of the platform's counted calls."""
+    return {f"platform_{kind}_s": (after[kind] - before[kind]) / elapsed_s for kind in ("reads", "writes", "watches")}
+
+
+def measure_interval(fleet: Fleet, during: Callable[[float], None] = time.sleep) -> tuple[list[Cost], Point]:
+    """Measures the daemons and the platform's calls while `during` runs for the interval."""
+    calls, began = fleet.platform_calls(), time.monotonic()
+    before = fleet.samples()
+    during(INTERVAL_S)
+    costs = fleet.costs(before)
+    return costs, calls_per_second(calls, fleet.platform_calls(), time.monotonic() - began)
+
+
+def sweep_vms(build: pathlib.Path) -> list[Point]:
+    """Measures fleets of several sizes before the same groups."""
+    points = []
+    for size in VM_SWEEP:
+        with Fleet(build, size, GROUPS) as fleet:
+            ready_s = fleet.start()
+            time.sleep(SETTLE_S)
+            costs, calls = measure_interval(fleet)
+            points.append({"size": size, "ready_s": ready_s, **mean_and_most(costs), **calls})
+        report(points[-1])
+    return points
+
+
+def sweep_groups(build: pathlib.Path) -> list[Point]:
+    """Measures VMs that lead and witness more and more groups, and VMs of another region that only know of them."""
+    points = []
+    for size in GROUP_SWEEP:
+        with Fleet(build, GROUP_SWEEP_VMS, size, GROUP_SWEEP_OTHER_VMS) as fleet:
+            ready_s = fleet.start()
+            time.sleep(SETTLE_S)
+            costs, calls = measure_interval(fleet)
+            other = mean_and_most(costs[GROUP_SWEEP_VMS:])
+            points.append({"size": size, "ready_s": ready_s, **mean_and_most(costs[:GROUP_SWEEP_VMS]), **calls,
+                           **{f"knowing_{name}": value for name, value in other.items()}})
+        report(points[-1])
+    return points
+
+
+def open_idle(port: int, count: int, source: str) -> list[socket.socket]:
+    """Opens callers' connections, each idle after one answered request."""
+    connections = []
+    for _ in range(count):
+        connection = socket.create_connection(("127.0.0.1", port), 10, (source, 0))
+        connection.sendall(b"POST /v1/none HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+        connection.recv(1024)
+        connections.append(connection)
+    return connections
+
+
+def sweep_connections(build: pathlib.Path) -> list[Point]:
+    """Measures one VM of three that holds idle connections of callers."""
+    points = []
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1] - SPARE_FILES
+    for number, size in enumerate(min(wanted, limit) for wanted in CONNECTION_SWEEP):
+        with Fleet(build, 3, GROUPS) as fleet:
+            fleet.start()
+            connections = open_idle(fleet.vms[0].callers, size, f"127.0.1.{number + 1}")
+            time.sleep(SETTLE_S)
+            costs, _ = measure_interval(fleet)
+            points.append({"size": size, **mean_and_most(costs[:1])})
+            for connection in connections:
+                connection.close()
+        report(points[-1])
+    return points
+
+
+@dataclasses.dataclass
+class EditTimes:
+    """Edits that are on their way, and how long the others took to be in force at every VM."""
+
+    pending: dict[int, float] = dataclasses.field(default_factory=dict)
+    took_s: list[float] = dataclasses.field(default_factory=list)
+
+    def poll(self, fleet: Fleet) -> None:
+        """Settles the edits that every VM has."""
+        with concurrent.futures.ThreadPoolExecutor(len(fleet.vms)) as pool:
+            statuses = pool.map(lambda vm: call(vm.operators, "GET", "/v1/status"), fleet.vms)
+        reached = min(status["complete_through"] for status in statuses)
+        now = time.monotonic()
+        for version in [version for version in self.pending if version <= reached]:
+            self.took_s.append(now - self.pending.pop(version))
+
+
+def edit_for(fleet: Fleet, per_minute: int, times: EditTimes, seconds: float) -> None:
+    """Edits labels through the VMs in turn at a rate, and polls every VM for what is in force."""
+    began = time.monotonic()
+    next_poll, edits = began, 0
+    while time.monotonic() < began + seconds:
+        now = time.monotonic()
+        if per_minute and now >= began + edits * 60 / per_minute:
+            edits += 1
+            vm = fleet.vms[edits % len(fleet.vms)]
+            answer = call(vm.operators, "PUT", f"/v1/objects/labels/label-{edits % 20}",
+                          {"value": {"kinds": [f"kind-{edits}"], "labels": {"rank": "normal"}}})
+            times.pending[answer["version"]] = now
+        if now >= next_poll:
+            next_poll = now + EDIT_POLL_S
+            times.poll(fleet)
+        time.sleep(0.005)
+
+
+def sweep_edits(build: pathlib.Path) -> list[Point]:
+    """Measures nine VMs while labels are edited."""
+    points = []
+    with Fleet(build, 9, GROUPS) as fleet:
+        fleet.start()
+        time.sleep(SETTLE_S)
+        for size in EDIT_SWEEP:
+            times = EditTimes()
+            costs, calls = measure_interval(
+                fleet, lambda seconds, size=size, times=times: edit_for(fleet, size, times, seconds))
+            edit_for(fleet, 0, times, 2)
+            took = sorted(times.took_s)
+            points.append({"size": size, **mean_and_most(costs), **calls, "edits": len(took),
+                           "not_in_force": len(times.pending), "in_force_mean_s": sum(took) / max(1, len(took)),
+                           "in_force_most_s": took[-1] if took else 0.0})
+            report(points[-1])
+    return points
+
+
+def watch_calls(fleet: Fleet, seconds: float) -> Point:
+    """Follows the platform's calls; returns their sums and the most in any second."""
+    history = [(time.monotonic(), fleet.platform_calls())]
+    while history[-1][0] < history[0][0] + seconds:
+        time.sleep(HERD_POLL_S)
+        history.append((time.monotonic(), fleet.platform_calls()))
+    result: Point = {}
+    for kind in ("reads", "writes", "watches"):
+        counts = [(taken_s, calls[kind]) for taken_s, calls in history]
+        result[kind] = counts[-1][1] - counts[0][1]
+        result[f"{kind}_peak_s"] = max(last - next(count for taken_s, count in counts if taken_s >= end_s - 1.0)
+                                       for end_s, last in counts)
+    return result
+
+
+def leaders(fleet: Fleet) -> dict[str, str]:
+    """Returns the leader of each group in the view of the fleet's last VM."""
+    return {row["group"]: row["leader"] for row in call(fleet.vms[-1].operators, "GET", "/v1/status")["leaders"]}
+
+
+def lose_data_centre(fleet: Fleet) -> Point:
+    """Kills the VMs of the data centre that leads most; returns the time until others lead all groups."""
+    others = [vm for vm in fleet.vms if vm.data_centre != fleet.vms[-1].data_centre]
+    led = [vm.data_centre for name in leaders(fleet).values() for vm in others if vm.name == name]
+    centre = max(led, key=led.count)
+    lost = {vm.name for vm in others if vm.data_centre == centre}
+    groups = sum(name in lost for name in leaders(fleet).values())
+    calls, began = fleet.platform_calls(), time.monotonic()
+    for vm in fleet.vms:
+        if vm.name in lost:
+            vm.process.kill()
+    while lost & set(leaders(fleet).values()) and time.monotonic() < began + 20:
+        time.sleep(0.05)
+    took_s = time.monotonic() - began
+    time.sleep(15)
+    after = fleet.platform_calls()
+    return {"vms_lost": len(lost), "groups_led_by_them": groups, "led_again_s": took_s,
+            **{kind: after[kind] - calls[kind] for kind in ("reads", "writes", "watches")}}
+
+
+def bad_days(build: pathlib.Path) -> dict[str, Point]:
+    """Runs one fleet through a cold start, broken watches, an outage and the loss of a data centre."""
+    days: dict[str, Point] = {}
+    with Fleet(build, HERD_VMS, HERD_VMS * 2) as fleet, concurrent.futures.ThreadPoolExecutor(1) as pool:
+        fleet.start_stand_ins()
+        began = time.monotonic()
+        following = pool.submit(watch_calls, fleet, 12)
+        for vm in fleet.vms:
+            fleet.start_vm(vm)
+        for vm in fleet.vms:
+            fleet.await_ready(vm)
+        ready_s = time.monotonic() - began
+        days["cold_start"] = {"ready_s": ready_s, **following.result()}
+        time.sleep(SETTLE_S)
+        costs, calls = measure_interval(fleet)
+        days["steady"] = {**mean_and_most(costs), **calls}
+        days["watches_broken"] = after_outage(fleet, 0.3)
+        days["outage_20_s"] = after_outage(fleet, 20)
+        days["data_centre_lost"] = lose_data_centre(fleet)
+    return days
+
+
+def after_outage(fleet: Fleet, seconds: float) -> Point:
+    """Takes the platform down for a time; returns the calls after its return and what the outage cost."""
+    before = leaders(fleet)
+    fleet.set_outage(True)
+    time.sleep(seconds)
+    changed = sum(before[group] != leader for group, leader in leaders(fleet).items())
+    fleet.set_outage(False)
+    return {"leaders_changed": changed, **watch_calls(fleet, 8)}
+
+
+def report(point: Point) -> None:
+    """Shows one point on standard error as it comes."""
+    print(json.dumps({name: round(value, 3) if isinstance(value, float) else value for name, value in point.items()}),
+          file=sys.stderr, flush=True)
+
+
+def fits(points: list[Point], prefix: str = "") -> dict[str, capacity_fit.Line]:
+    """Fits each figure against the size."""
+    sizes = [float(point["size"]) for point in points]
+    return {name: capacity_fit.fit_line(sizes, [float(point[prefix + name]) for point in points]) for name in FITTED}
+
+
+def fit_all(points: dict[str, object]) -> dict[str, dict[str, capacity_fit.Line]]:
+    """Fits every sweep that was run; the full mesh and the fleets beyond it apart."""
+    found = {}
+    if "vms" in points:
+        found["vms, full mesh"] = fits([point for point in points["vms"] if point["size"] <= 9])
+        found["vms, beyond"] = fits([point for point in points["vms"] if point["size"] > 9])
+    if "groups" in points:
+        found["groups, leading VMs"] = fits(points["groups"])
+        found["groups, knowing VMs"] = fits(points["groups"], "knowing_")
+    for sweep in ("connections", "edits"):
+        if sweep in points:
+            found[sweep] = fits(points[sweep])
+    return found
+
+
+def print_tables(points: dict[str, object], found: dict[str, dict[str, capacity_fit.Line]]) -> None:
+    """Prints the points and fits as tables."""
+    for sweep, rows in points.items():
+        listed = [{"run": name, **row} for name, row in rows.items()] if isinstance(rows, dict) else rows
+        header = list(dict.fromkeys(name for row in listed for name in row))
+        print(f"\n{sweep}\n\n" + capacity_fit.markdown_table(
+            header, [[row.get(name, "") for name in header] for row in listed]))
+    rows = [[sweep, name, line.intercept, line.slope, line.slope_error, line.residual]
+            for sweep, lines in found.items() for name, line in lines.items()]
+    print("\nfits\n\n" + capacity_fit.markdown_table(
+        ["sweep", "figure", "intercept", "slope", "error of slope", "residual"], rows))
+
+
+SWEEPS: dict[str, Callable[[pathlib.Path], object]] = {
+    "vms": sweep_vms, "groups": sweep_groups, "connections": sweep_connections, "edits": sweep_edits,
+    "bad_days": bad_days}
+
+
+def main() -> int:
+    """Parses the command line, runs the sweeps and prints the report."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", type=pathlib.Path, default=capacity_fleet.ROOT / "build")
+    parser.add_argument("--sweep", action="append", choices=list(SWEEPS), help="run only these; all without it")
+    parser.add_argument("--json", type=pathlib.Path, help="file for the points and fits")
+    arguments = parser.parse_args()
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    print(f"interval {INTERVAL_S} s after {SETTLE_S} s; open files {soft}, at most {hard}", file=sys.stderr)
+    points = {name: SWEEPS[name](arguments.build) for name in arguments.sweep or SWEEPS}
+    found = fit_all(points)
+    print_tables(points, found)
+    if arguments.json:
+        lines = {sweep: {name: dataclasses.asdict(line) for name, line in rows.items()}
+                 for sweep, rows in found.items()}
+        arguments.json.write_text(json.dumps({"points": points, "fits": lines}, indent=1))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/source/daemon/control_traffic.cc
@@ -0,0 +1,48 @@
+#include "daemon/control_traffic.h"
+
+namespace amaranthlane::daemon {
+
+std::string_view PeerTrafficKind(std::string_view target) {
+  const std::string_view path = net::TargetPath(target);
+  return path.substr(path.rfind('/') + 1);
+}
+
+ControlTraffic::ControlTraffic(metrics::Registry& registry) : registry(registry) {}
+
+void ControlTraffic::CountCall(std::string_view kind, const net::CallResult& result) {
+  if (result.sent_bytes > 0) {
+    this->Count(Direction::kSent, kind, result.sent_bytes);
+  }
+  if (result.status == net::CallStatus::kAnswered) {
+    this->Count(Direction::kReceived, kind, result.received_bytes);
+  }
+}
+
+void ControlTraffic::CountRequest(std::string_view kind, const net::HttpRequest& request) {
+  this->Count(Direction::kReceived, kind, net::WireBytes(request));
+}
+
+void ControlTraffic::CountAnswer(std::string_view kind, const net::HttpResponse& answer) {
+  this->Count(Direction::kSent, kind, net::WireBytes(answer));
+}
+
+void ControlTraffic::Count(Direction direction, std::string_view kind, std::size_t bytes) {
+  const bool sent = direction == Direction::kSent;
+  CountersByKind& counters = sent ? this->sent : this->received;
+  auto found = counters.find(kind);
+  if (found == counters.end()) {
+    const metrics::Labels labels{{"direction", sent ? "sent" : "received"}, {"kind", std::string(kind)}};
+    found =
+        counters
+            .emplace(kind,
+                     Counters{this->registry.GetCounter("amaranthlane_control_bytes_total",
+                                                        "Bytes of control messages, with the headers of HTTP.", labels),
+                              this->registry.GetCounter("amaranthlane_control_messages_total",
+                                                        "Control messages: requests and answers.", labels)})
+            .first;
+  }
+  found->second.bytes.value += bytes;
+  ++found->second.messages.value;
+}
+
+}  // namespace amaranthlane::daemon
--- /dev/null
+++ b/source/daemon/control_traffic.h
@@ -0,0 +1,53 @@
+#ifndef AMARANTHLANE_DAEMON_CONTROL_TRAFFIC_H_
+#define AMARANTHLANE_DAEMON_CONTROL_TRAFFIC_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "metrics/registry.h"
+#include "net/http_connection.h"
+#include "net/http_message.h"
+
+namespace amaranthlane::daemon {
+
+// The kinds of control messages that are exchanged with others than the VMs.
+inline constexpr std::string_view kPlatformTraffic = "platform";
+inline constexpr std::string_view kProbeTraffic = "probe";
+
+// The kind of a peers' call: the last part of its path, such as `beat`.
+std::string_view PeerTrafficKind(std::string_view target);
+
+// Counts the control messages that a VM sends and receives, and their bytes with the headers of HTTP. Requests and
+// answers are messages of the same kind. What callers and their statements cause is not counted.
+class ControlTraffic {
+ public:
+  explicit ControlTraffic(metrics::Registry& registry);
+
+  // Counts a call that this VM made and that has ended, and its answer if one came.
+  void CountCall(std::string_view kind, const net::CallResult& result);
+  // Counts a request that this VM received.
+  void CountRequest(std::string_view kind, const net::HttpRequest& request);
+  // Counts the answer that this VM gives to a request.
+  void CountAnswer(std::string_view kind, const net::HttpResponse& answer);
+
+ private:
+  enum class Direction : std::uint8_t { kSent, kReceived };
+  struct Counters {
+    metrics::Counter& bytes;
+    metrics::Counter& messages;
+  };
+  using CountersByKind = std::map<std::string, Counters, std::less<>>;
+
+  void Count(Direction direction, std::string_view kind, std::size_t bytes);
+
+  metrics::Registry& registry;
+  CountersByKind sent;
+  CountersByKind received;
+};
+
+}  // namespace amaranthlane::daemon
+
+#endif  // AMARANTHLANE_DAEMON_CONTROL_TRAFFIC_H_
--- a/source/daemon/group_context.h
+++ b/source/daemon/group_context.h
@@ -9,6 +9,7 @@
 
 #include "common/settings.h"
 #include "core/configuration/platform_object.h"
+#include "daemon/control_traffic.h"
 #include "daemon/endpoint_link.h"
 #include "daemon/platform_client.h"
 #include "metrics/registry.h"
@@ -22,6 +23,7 @@
   const Settings& settings;
   PlatformClient& platform;
   metrics::Registry& metrics;
+  ControlTraffic& traffic;
   std::shared_ptr<tracing::RingTracer> tracer;
   std::mt19937_64& generator;
   ConnectionNumbers& connection_numbers;
--- a/source/daemon/group_supervisor.cc
+++ b/source/daemon/group_supervisor.cc
@@ -291,7 +291,7 @@
     }
   };
   return std::make_shared<InstanceProber>(this->context.loop, net::ParseAddress(instance.address),
-                                          std::move(prober_listener));
+                                          this->context.traffic, std::move(prober_listener));
 }
 
 }  // namespace amaranthlane::daemon
--- a/source/daemon/instance_prober.cc
+++ b/source/daemon/instance_prober.cc
@@ -14,8 +14,9 @@
 
 }  // namespace
 
-InstanceProber::InstanceProber(boost::asio::io_context& loop, const net::Address& address, Listener listener)
-    : loop(loop), address(address), listener(std::move(listener)), timer(loop) {}
+InstanceProber::InstanceProber(boost::asio::io_context& loop, const net::Address& address, ControlTraffic& traffic,
+                               Listener listener)
+    : loop(loop), address(address), traffic(traffic), listener(std::move(listener)), timer(loop) {}
 
 void InstanceProber::Run(const ProbeMode& mode) {
   this->mode = mode;
@@ -47,6 +48,7 @@
   this->connection->Call(PositionMessage(hold ? this->last_offset : std::nullopt, wait),
                          sent_at + wait + this->mode.limit,
                          [self = this->shared_from_this(), sent_at](const net::CallResult& result) {
+                           self->traffic.CountCall(kProbeTraffic, result);
                            if (!self->stopped) {
                              self->Finish(sent_at, result);
                            }
--- a/source/daemon/instance_prober.h
+++ b/source/daemon/instance_prober.h
@@ -10,6 +10,7 @@
 
 #include "core/replicas/position_answer.h"
 #include "core/types.h"
+#include "daemon/control_traffic.h"
 #include "net/http_connection.h"
 
 namespace amaranthlane::daemon {
@@ -36,7 +37,8 @@
     std::function<void(TimePoint sent_at)> failed;
   };
 
-  InstanceProber(boost::asio::io_context& loop, const net::Address& address, Listener listener);
+  InstanceProber(boost::asio::io_context& loop, const net::Address& address, ControlTraffic& traffic,
+                 Listener listener);
 
   // Starts to probe, or changes the mode from the next probe on.
   void Run(const ProbeMode& mode);
@@ -50,6 +52,7 @@
 
   boost::asio::io_context& loop;
   net::Address address;
+  ControlTraffic& traffic;
   Listener listener;
   boost::asio::steady_timer timer;
   std::shared_ptr<net::HttpConnection> connection;
--- a/source/daemon/node.cc
+++ b/source/daemon/node.cc
@@ -44,13 +44,15 @@
           std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch())
               .count())),
       tracer(std::make_shared<tracing::RingTracer>(settings.trace_ring_size, 0, this->generator())),
-      platform(loop, net::ParseAddress(settings.platform_address), this->metrics),
-      peers(loop),
+      traffic(this->metrics),
+      platform(loop, net::ParseAddress(settings.platform_address), this->metrics, this->traffic),
+      peers(loop, this->traffic),
       control(settings, this->incarnation, BootClock::now(), this->platform, this->peers, this->MakeListener()),
       group_context{loop,
                     settings,
                     this->platform,
                     this->metrics,
+                    this->traffic,
                     this->tracer,
                     this->generator,
                     this->connection_numbers,
@@ -123,7 +125,19 @@
   const std::string_view path = net::TargetPath(request.target);
   if (path == "/v1/peer/work") {
     this->HandleWork(request, answer);
-  } else if (path == "/v1/peer/beat") {
+    return;
+  }
+  const std::string kind(PeerTrafficKind(request.target));
+  const auto counted = [this, kind, answer = std::move(answer)](net::HttpResponse response) {
+    this->traffic.CountAnswer(kind, response);
+    answer(std::move(response));
+  };
+  this->traffic.CountRequest(kind, request);
+  this->HandleControl(path, request, counted);
+}
+
+void Node::HandleControl(std::string_view path, const net::HttpRequest& request, net::HttpServer::Answer answer) {
+  if (path == "/v1/peer/beat") {
     this->control.HandleBeat(request.body, answer);
   } else if (path == "/v1/peer/promise") {
     this->control.HandlePromise(request.body, std::move(answer));
--- a/source/daemon/node.h
+++ b/source/daemon/node.h
@@ -9,6 +9,7 @@
 
 #include "common/settings.h"
 #include "daemon/control_plane.h"
+#include "daemon/control_traffic.h"
 #include "daemon/entry.h"
 #include "daemon/group_context.h"
 #include "daemon/group_leader.h"
@@ -45,6 +46,7 @@
   };
 
   void HandlePeer(const net::HttpRequest& request, net::HttpServer::Answer answer);
+  void HandleControl(std::string_view path, const net::HttpRequest& request, net::HttpServer::Answer answer);
   void HandleWork(const net::HttpRequest& request, const net::HttpServer::Answer& answer);
   void Promote(const GroupName& group, const std::string& body, const net::HttpServer::Answer& answer);
   void PromoteHere(GroupLeader& leader, const std::string& body, const net::HttpServer::Answer& answer);
@@ -65,6 +67,7 @@
   Incarnation incarnation;
   metrics::Registry metrics;
   std::shared_ptr<tracing::RingTracer> tracer;
+  ControlTraffic traffic;
   PlatformClient platform;
   PeerClient peers;
   ConnectionNumbers connection_numbers;
--- a/source/daemon/peer_client.cc
+++ b/source/daemon/peer_client.cc
@@ -11,12 +11,17 @@
 
 }  // namespace
 
-PeerClient::PeerClient(boost::asio::io_context& loop) : loop(loop) {}
+PeerClient::PeerClient(boost::asio::io_context& loop, ControlTraffic& traffic) : loop(loop), traffic(traffic) {}
 
 void PeerClient::Control(const std::string& address, const std::string& target, std::string body, TimePoint deadline,
                          net::HttpConnection::Callback callback) {
   this->PoolFor(this->control_pools, address, kControlConnections)
-      .Call(net::HttpRequest{"POST", target, {}, std::move(body)}, deadline, std::move(callback));
+      .Call(
+          net::HttpRequest{"POST", target, {}, std::move(body)}, deadline,
+          [this, kind = std::string(PeerTrafficKind(target)), callback = std::move(callback)](net::CallResult result) {
+            this->traffic.CountCall(kind, result);
+            callback(std::move(result));
+          });
 }
 
 void PeerClient::Work(const std::string& address, std::string body, std::vector<net::HttpHeader> headers,
--- a/source/daemon/peer_client.h
+++ b/source/daemon/peer_client.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "daemon/control_traffic.h"
 #include "net/http_pool.h"
 
 namespace amaranthlane::daemon {
@@ -14,7 +15,7 @@
 // a flood of work never delays a promise.
 class PeerClient {
  public:
-  explicit PeerClient(boost::asio::io_context& loop);
+  PeerClient(boost::asio::io_context& loop, ControlTraffic& traffic);
 
   // Sends a control message.
   void Control(const std::string& address, const std::string& target, std::string body, TimePoint deadline,
@@ -29,6 +30,7 @@
   net::HttpPool& PoolFor(Pools& pools, const std::string& address, std::size_t limit);
 
   boost::asio::io_context& loop;
+  ControlTraffic& traffic;
   Pools control_pools;
   Pools work_pools;
 };
--- a/source/daemon/platform_client.cc
+++ b/source/daemon/platform_client.cc
@@ -92,9 +92,11 @@
 
 }  // namespace
 
-PlatformClient::PlatformClient(boost::asio::io_context& loop, const net::Address& address, metrics::Registry& metrics)
+PlatformClient::PlatformClient(boost::asio::io_context& loop, const net::Address& address, metrics::Registry& metrics,
+                               ControlTraffic& traffic)
     : loop(loop),
       pool(loop, address, kPoolConnections),
+      traffic(traffic),
       reads(metrics.GetCounter("amaranthlane_platform_calls_total", "Calls to the platform.", {{"kind", "read"}})),
       writes(metrics.GetCounter("amaranthlane_platform_calls_total", "Calls to the platform.", {{"kind", "write"}})),
       watches(metrics.GetCounter("amaranthlane_platform_calls_total", "Calls to the platform.", {{"kind", "watch"}})) {}
@@ -149,6 +151,7 @@
   const std::uint64_t number = ++this->watch_number;
   this->watch->Call(net::HttpRequest{"GET", target, {}, {}}, BootClock::now() + wait + kWatchMargin,
                     [this, number, callback = std::move(callback)](const net::CallResult& result) {
+                      this->traffic.CountCall(kPlatformTraffic, result);
                       if (number == this->watch_number) {
                         callback(ToReply(result));
                       }
@@ -165,7 +168,10 @@
 
 void PlatformClient::Call(net::HttpRequest request, Callback callback) {
   this->pool.Call(std::move(request), BootClock::now() + kCallLimit,
-                  [callback = std::move(callback)](const net::CallResult& result) { callback(ToReply(result)); });
+                  [this, callback = std::move(callback)](const net::CallResult& result) {
+                    this->traffic.CountCall(kPlatformTraffic, result);
+                    callback(ToReply(result));
+                  });
 }
 
 }  // namespace amaranthlane::daemon
--- a/source/daemon/platform_client.h
+++ b/source/daemon/platform_client.h
@@ -12,6 +12,7 @@
 #include "core/configuration/platform_object.h"
 #include "core/membership/membership_system.h"
 #include "core/types.h"
+#include "daemon/control_traffic.h"
 #include "metrics/registry.h"
 #include "net/http_connection.h"
 #include "net/http_pool.h"
@@ -43,7 +44,8 @@
  public:
   using Callback = std::function<void(PlatformReply)>;
 
-  PlatformClient(boost::asio::io_context& loop, const net::Address& address, metrics::Registry& metrics);
+  PlatformClient(boost::asio::io_context& loop, const net::Address& address, metrics::Registry& metrics,
+                 ControlTraffic& traffic);
 
   void Get(const std::string& kind, const std::string& name, Callback callback);
   void List(const std::string& kind, Callback callback);
@@ -67,6 +69,7 @@
   std::shared_ptr<net::HttpConnection> watch;
   // Rises with each watch, so that a closed one's end is told apart.
   std::uint64_t watch_number = 0;
+  ControlTraffic& traffic;
   metrics::Counter& reads;
   metrics::Counter& writes;
   metrics::Counter& watches;
--- a/source/net/http_connection.cc
+++ b/source/net/http_connection.cc
@@ -39,6 +39,8 @@
   }
   this->callback = std::move(callback);
   this->sent = false;
+  this->sent_bytes = 0;
+  this->received_bytes = 0;
   this->outgoing = {};
   this->outgoing.version(kHttpVersion);
   this->outgoing.method_string(request.method);
@@ -96,7 +98,7 @@
 void HttpConnection::Write() {
   this->sent = true;
   http::async_write(this->socket, this->outgoing,
-                    [self = this->shared_from_this()](boost::system::error_code error, std::size_t /*bytes*/) {
+                    [self = this->shared_from_this()](boost::system::error_code error, std::size_t bytes) {
                       if (self->failed) {
                         return;
                       }
@@ -104,6 +106,7 @@
                         self->Finish(CallStatus::kBroken, {});
                         return;
                       }
+                      self->sent_bytes = bytes;
                       self->Read();
                     });
 }
@@ -112,7 +115,7 @@
   this->incoming.emplace();
   this->incoming->body_limit(kMaximumBodyBytes);
   http::async_read(this->socket, this->buffer, *this->incoming,
-                   [self = this->shared_from_this()](boost::system::error_code error, std::size_t /*bytes*/) {
+                   [self = this->shared_from_this()](boost::system::error_code error, std::size_t bytes) {
                      if (self->failed) {
                        return;
                      }
@@ -120,6 +123,7 @@
                        self->Finish(CallStatus::kBroken, {});
                        return;
                      }
+                     self->received_bytes = bytes;
                      self->Finish(CallStatus::kAnswered, ToResponse(self->incoming->release()));
                    });
 }
@@ -165,7 +169,7 @@
     return;
   }
   const Callback finished = std::exchange(this->callback, nullptr);
-  finished(CallResult{status, std::move(response)});
+  finished(CallResult{status, std::move(response), this->sent_bytes, this->received_bytes});
 }
 
 }  // namespace amaranthlane::net
--- a/source/net/http_connection.h
+++ b/source/net/http_connection.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -32,6 +33,9 @@
   CallStatus status = CallStatus::kNotSent;
   // Set only when status is kAnswered.
   HttpResponse response;
+  // Bytes on the connection for this call, headers included; zero for a message that didn't go or come whole.
+  std::size_t sent_bytes = 0;
+  std::size_t received_bytes = 0;
 };
 
 // One client connection that carries one request at a time. It connects on first use and never reconnects: a connection
@@ -71,6 +75,8 @@
   std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> incoming;
   Callback callback;
   TimePoint deadline = kNever;
+  std::size_t sent_bytes = 0;
+  std::size_t received_bytes = 0;
   bool timer_armed = false;
   bool connected = false;
   bool sent = false;
--- a/source/net/http_message.cc
+++ b/source/net/http_message.cc
@@ -18,6 +18,16 @@
   return static_cast<unsigned>(value);
 }
 
+std::size_t WireBytes(const std::vector<HttpHeader>& headers) {
+  // A colon, a space and the end of the line.
+  constexpr std::size_t kSeparatorBytes = 4;
+  std::size_t bytes = 0;
+  for (const HttpHeader& header : headers) {
+    bytes += header.name.size() + header.value.size() + kSeparatorBytes;
+  }
+  return bytes;
+}
+
 std::string PercentDecode(std::string_view text) {
   std::string decoded;
   decoded.reserve(text.size());
@@ -48,6 +58,19 @@
   return {};
 }
 
+std::size_t WireBytes(const HttpRequest& request) {
+  constexpr std::string_view kFixed = "  HTTP/1.1\r\n\r\n";
+  return request.method.size() + request.target.size() + kFixed.size() + WireBytes(request.headers) +
+         request.body.size();
+}
+
+std::size_t WireBytes(const HttpResponse& response) {
+  constexpr std::string_view kFixed =
+      "HTTP/1.1 200 \r\nConnection: keep-alive\r\nContent-Length: \r\nContent-Type: \r\n\r\n";
+  return kFixed.size() + std::to_string(response.body.size()).size() + response.content_type.size() +
+         WireBytes(response.headers) + response.body.size();
+}
+
 std::string_view TargetPath(std::string_view target) { return target.substr(0, target.find('?')); }
 
 std::vector<std::string> PathSegments(std::string_view path) {
--- a/source/net/http_message.h
+++ b/source/net/http_message.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTHLANE_NET_HTTP_MESSAGE_H_
 #define AMARANTHLANE_NET_HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -32,6 +33,11 @@
   std::string body;
 };
 
+// The bytes of a message on an HTTP/1.1 connection, headers included. An answer is counted with the headers that
+// HttpServer adds on a connection that is kept open.
+std::size_t WireBytes(const HttpRequest& request);
+std::size_t WireBytes(const HttpResponse& response);
+
 // The path of a target, without its query.
 std::string_view TargetPath(std::string_view target);
 
--- a/stand_ins/endpoint/main.cc
+++ b/stand_ins/endpoint/main.cc
@@ -1,7 +1,10 @@
 // The endpoint stand-in: a database instance that holds rows in memory, with transactions, an idempotency key table and
 // asynchronous replication.
 
+#include <cstdint>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "stand_ins/common/command_line.h"
 #include "stand_ins/common/program.h"
@@ -14,8 +17,15 @@
 using amaranthlane::stand_ins::EndpointServer;
 using amaranthlane::stand_ins::EndpointSettings;
 
-EndpointSettings ParseSettings(int argc, const char** argv) {
+// One endpoint, or several on consecutive ports in one process.
+struct Options {
   EndpointSettings settings;
+  std::uint64_t instances = 1;
+};
+
+Options ParseOptions(int argc, const char** argv) {
+  Options options;
+  EndpointSettings& settings = options.settings;
   amaranthlane::stand_ins::CommandLine command_line;
   command_line.Text("name", "name of the endpoint", &settings.name);
   command_line.Text("address", "IP number to listen on", &settings.address);
@@ -26,8 +36,9 @@
   command_line.Microseconds("service-us", "time that a statement runs, in microseconds", &settings.service_time);
   command_line.Milliseconds("connect-delay-ms", "delay of a connection's first answer", &settings.connect_delay);
   command_line.Milliseconds("lag-ms", "replication lag of this instance as a replica", &settings.lag);
+  command_line.Number("instances", "endpoints to run: NAME-1 and so on, each on the next port", &options.instances);
   command_line.Parse(argc, argv);
-  return settings;
+  return options;
 }
 
 // Both ports of one endpoint.
@@ -39,9 +50,25 @@
   EndpointControl control;
 };
 
+// The settings of each endpoint that the process runs.
+std::vector<EndpointSettings> EachEndpoint(const Options& options) {
+  std::vector<EndpointSettings> each(options.instances, options.settings);
+  for (std::uint16_t index = 0; options.instances > 1 && index < options.instances; ++index) {
+    each[index].name += "-" + std::to_string(index + 1);
+    each[index].port = static_cast<std::uint16_t>(each[index].port + index);
+    each[index].control_port = static_cast<std::uint16_t>(each[index].control_port + index);
+  }
+  return each;
+}
+
 }  // namespace
 
 int main(int argc, const char** argv) {
-  return amaranthlane::stand_ins::RunProgram(
-      [&](boost::asio::io_context& io) { return std::make_shared<Endpoint>(io, ParseSettings(argc, argv)); });
+  return amaranthlane::stand_ins::RunProgram([&](boost::asio::io_context& io) {
+    auto endpoints = std::make_shared<std::vector<std::unique_ptr<Endpoint>>>();
+    for (const EndpointSettings& settings : EachEndpoint(ParseOptions(argc, argv))) {
+      endpoints->push_back(std::make_unique<Endpoint>(io, settings));
+    }
+    return endpoints;
+  });
 }
--- /dev/null
+++ b/tests/net/wire_bytes_test.cc
@@ -0,0 +1,67 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "net/http_connection.h"
+#include "net/http_message.h"
+#include "net/http_server.h"
+
+namespace amaranthlane::net {
+namespace {
+
+constexpr Address kAddress{"127.0.0.1", 24990};
+constexpr std::chrono::seconds kLimit{5};
+
+// What both ends say of one call.
+struct Exchange {
+  CallResult result;
+  std::size_t request_bytes = 0;
+  std::size_t answer_bytes = 0;
+};
+
+Exchange CallOnce(const HttpRequest& request, const HttpResponse& response) {
+  boost::asio::io_context loop;
+  Exchange exchange;
+  HttpServer server(loop, kAddress, HttpServerLimits{},
+                    [&](const HttpRequest& received, const HttpServer::Answer& answer) {
+                      exchange.request_bytes = WireBytes(received);
+                      exchange.answer_bytes = WireBytes(response);
+                      answer(response);
+                    });
+  server.Start();
+  const auto connection = std::make_shared<HttpConnection>(loop, kAddress);
+  connection->Call(request, BootClock::now() + kLimit, [&](CallResult result) {
+    exchange.result = std::move(result);
+    loop.stop();
+  });
+  loop.run();
+  return exchange;
+}
+
+// The server's reckoning has to match what the client saw on the connection.
+TEST(WireBytesTest, BothEndsCountTheSameBytes) {
+  const Exchange exchange =
+      CallOnce(HttpRequest{"POST", "/v1/peer/beat?a=b", {{"from-vm", "vm-1"}}, "{\"a\":1}"},
+               HttpResponse{200, {{"retry-after", "3"}}, "application/json", std::string(1234, 'x')});
+  ASSERT_EQ(exchange.result.status, CallStatus::kAnswered);
+  EXPECT_EQ(exchange.request_bytes, exchange.result.sent_bytes);
+  EXPECT_EQ(exchange.answer_bytes, exchange.result.received_bytes);
+}
+
+TEST(WireBytesTest, ACallThatFoundNoServerSentNothing) {
+  boost::asio::io_context loop;
+  CallResult result;
+  const auto connection = std::make_shared<HttpConnection>(loop, kAddress);
+  connection->Call(HttpRequest{"POST", "/", {}, "x"}, BootClock::now() + kLimit,
+                   [&](CallResult ended) { result = std::move(ended); });
+  loop.run();
+  EXPECT_EQ(result.status, CallStatus::kNotSent);
+  EXPECT_EQ(result.sent_bytes, 0U);
+}
+
+}  // namespace
+}  // namespace amaranthlane::net
