Let fleets of the capacity measurement run side by side

Change: each run takes a first port; a fleet waits until each of its stand-ins answers, holds an object of every kind and ends with its script.

--- a/scripts/capacity_fleet.py
+++ b/scripts/capacity_fleet.py
@@ -15,12 +15,13 @@
 import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-PLATFORM_PORT = 24000
-CALLERS_PORT = 24100
-PEERS_PORT = 24200
-OPERATORS_PORT = 24300
-ENDPOINTS_PORT = 25000
-ENDPOINTS_CONTROL_PORT = 27000
+FIRST_PORT = 23000
+# Added to the first port.
+CALLERS_OFFSET = 100
+PEERS_OFFSET = 200
+OPERATORS_OFFSET = 300
+ENDPOINTS_OFFSET = 1000
+ENDPOINTS_CONTROL_OFFSET = 2000
 INSTANCES_PER_GROUP = 3
 SMALL_FLEET = 9
 SMALL_DATA_CENTRES = 3
@@ -31,6 +32,13 @@
 CALL_LIMIT_S = 5
 REGION = "region-1"
 OTHER_REGION = "region-2"
+# One object of each other kind, so that digests have their full length.
+OTHER_OBJECTS = [
+    {"kind": "callers", "name": "maker", "value": {"key_sha256": ["0" * 64]}},
+    {"kind": "labels", "name": "urgent", "value": {"kinds": ["order"], "labels": {"rank": "urgent"}}},
+    {"kind": "selectors", "name": "urgent", "value": {"priority": 10, "match": [{"key": "kind.rank", "equals": "urgent"}],
+                                                      "owes": {"rank": "urgent", "time_limit_ms": 5000}}},
+]
 METRIC_LINE = re.compile(r'^(amaranthlane_control_(?:bytes|messages)_total)\{direction="(\w+)",kind="(\w+)"\} (\S+)$')
 
 
@@ -42,6 +50,14 @@
         return json.loads(answer.read())
 
 
+@dataclasses.dataclass
+class Host:
+    """Where the programs are, and the first of the 3000 ports that a fleet may use."""
+
+    build: pathlib.Path
+    first_port: int = FIRST_PORT
+
+
 @dataclasses.dataclass
 class Vm:
     """One VM's daemon."""
@@ -50,22 +66,23 @@
     data_centre: str
     region: str
     index: int
+    first_port: int
     process: subprocess.Popen | None = None
 
     @property
     def operators(self) -> int:
         """Returns the operators' port."""
-        return OPERATORS_PORT + self.index
+        return self.first_port + OPERATORS_OFFSET + self.index
 
     @property
     def callers(self) -> int:
         """Returns the callers' port."""
-        return CALLERS_PORT + self.index
+        return self.first_port + CALLERS_OFFSET + self.index
 
     @property
     def peers_address(self) -> str:
         """Returns the peers' address."""
-        return f"127.0.0.1:{PEERS_PORT + self.index}"
+        return f"127.0.0.1:{self.first_port + PEERS_OFFSET + self.index}"
 
 
 @dataclasses.dataclass
@@ -129,14 +146,15 @@
 class Fleet:
     """A fleet with `groups` database groups in the first region."""
 
-    def __init__(self, build: pathlib.Path, vm_count: int, groups: int, other_region_vms: int = 0):
-        self.build = build
+    def __init__(self, host: Host, vm_count: int, groups: int, other_region_vms: int = 0):
+        self.host = host
         self.groups = groups
         self.logs = pathlib.Path(tempfile.mkdtemp(prefix="amaranthlane-capacity-"))
         self.processes: list[subprocess.Popen] = []
         centres = SMALL_DATA_CENTRES if vm_count <= SMALL_FLEET else LARGE_DATA_CENTRES
-        self.vms = [Vm(f"vm-{index:02}", f"dc-{index % centres + 1}", REGION, index) for index in range(vm_count)]
-        self.vms += [Vm(f"vm-{index:02}", "dc-other", OTHER_REGION, index)
+        self.vms = [Vm(f"vm-{index:02}", f"dc-{index % centres + 1}", REGION, index, host.first_port)
+                    for index in range(vm_count)]
+        self.vms += [Vm(f"vm-{index:02}", "dc-other", OTHER_REGION, index, host.first_port)
                      for index in range(vm_count, vm_count + other_region_vms)]
 
     def __enter__(self) -> "Fleet":
@@ -163,19 +181,23 @@
         listed = [{"vm": vm.name, "data_centre": vm.data_centre, "region": vm.region, "address": vm.peers_address,
                    "state": "live"} for vm in self.vms]
         seed = self.logs / "platform.json"
-        seed.write_text(json.dumps({"objects": [self.group_object(group) for group in range(self.groups)],
+        seed.write_text(json.dumps({"objects": OTHER_OBJECTS + [self.group_object(group) for group in range(self.groups)],
                                     "vms": listed}))
         self.run("endpoints", "stand_ins/endpoint/endpoint_stand_in", "--name", "endpoint", "--port",
-                 str(ENDPOINTS_PORT), "--control-port", str(ENDPOINTS_CONTROL_PORT), "--instances",
+                 str(self.host.first_port + ENDPOINTS_OFFSET), "--control-port",
+                 str(self.host.first_port + ENDPOINTS_CONTROL_OFFSET), "--instances",
                  str(self.groups * INSTANCES_PER_GROUP))
-        self.run("platform", "stand_ins/platform/platform_stand_in", "--port", str(PLATFORM_PORT), "--load", str(seed))
-        self.await_calls()
+        self.run("platform", "stand_ins/platform/platform_stand_in", "--port", str(self.host.first_port),
+                 "--load", str(seed))
+        self.await_answer(self.host.first_port, "/control/calls")
+        for index in range(self.groups * INSTANCES_PER_GROUP):
+            self.await_answer(self.host.first_port + ENDPOINTS_OFFSET + index, "/v1/position")
 
-    @staticmethod
-    def group_object(group: int) -> dict:
+    def group_object(self, group: int) -> dict:
         """Returns the object of one database group."""
+        first = self.host.first_port + ENDPOINTS_OFFSET
         numbers = [group * INSTANCES_PER_GROUP + place for place in range(INSTANCES_PER_GROUP)]
-        instances = [{"endpoint": f"endpoint-{number + 1}", "address": f"127.0.0.1:{ENDPOINTS_PORT + number}",
+        instances = [{"endpoint": f"endpoint-{number + 1}", "address": f"127.0.0.1:{first + number}",
                       "data_centre": f"dc-{place + 1}", "state": "live"} for place, number in enumerate(numbers)]
         name = f"group-{group:04}"
         return {"kind": "database_groups", "name": name,
@@ -185,7 +207,7 @@
     def run(self, name: str, program: str, *arguments: str) -> subprocess.Popen:
         """Starts one process with its output in the logs folder."""
         with open(self.logs / f"{name}.log", "w", encoding="utf-8") as log:
-            process = subprocess.Popen([str(self.build / program), *arguments], stdout=log, stderr=subprocess.STDOUT)
+            process = subprocess.Popen([str(self.host.build / program), *arguments], stdout=log, stderr=subprocess.STDOUT)
         self.processes.append(process)
         return process
 
@@ -194,7 +216,7 @@
         settings = {"vm": vm.name, "data_centre": vm.data_centre, "region": vm.region,
                     "addresses.callers": f"127.0.0.1:{vm.callers}", "addresses.peers": vm.peers_address,
                     "addresses.operators": f"127.0.0.1:{vm.operators}",
-                    "addresses.platform": f"127.0.0.1:{PLATFORM_PORT}",
+                    "addresses.platform": f"127.0.0.1:{self.host.first_port}",
                     "seeds": f"{self.vms[0].peers_address},{self.vms[1].peers_address}",
                     "limits.caller_connections": "20000"}
         overrides = [part for key, value in settings.items() for part in ("--set", f"{key}={value}")]
@@ -211,26 +233,24 @@
                 time.sleep(0.1)
         raise TimeoutError(f"{vm.name} is not ready; see {self.logs}")
 
-    def await_calls(self) -> None:
-        """Waits until the platform answers."""
+    def await_answer(self, port: int, path: str) -> None:
+        """Waits until a stand-in answers; the fleet is of no use when another process has its port."""
         deadline = time.monotonic() + START_LIMIT_S
-        while time.monotonic() < deadline:
+        while time.monotonic() < deadline and all(process.poll() is None for process in self.processes):
             try:
-                self.platform_calls()
+                call(port, "GET", path)
                 return
             except (urllib.error.URLError, OSError):
                 time.sleep(0.05)
-        raise TimeoutError(f"the platform does not answer; see {self.logs}")
+        raise TimeoutError(f"nothing answers on port {port}; see {self.logs}")
 
-    @staticmethod
-    def platform_calls() -> dict[str, int]:
+    def platform_calls(self) -> dict[str, int]:
         """Returns the platform's count of calls."""
-        return call(PLATFORM_PORT, "GET", "/control/calls")
+        return call(self.host.first_port, "GET", "/control/calls")
 
-    @staticmethod
-    def set_outage(active: bool) -> None:
+    def set_outage(self, active: bool) -> None:
         """Starts or ends an outage of the platform."""
-        call(PLATFORM_PORT, "POST", "/control/outage", {"on": active})
+        call(self.host.first_port, "POST", "/control/outage", {"on": active})
 
     def samples(self) -> list[Sample]:
         """Takes a sample of each daemon."""
--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -11,6 +11,7 @@
 import json
 import pathlib
 import resource
+import signal
 import socket
 import sys
 import time
@@ -18,7 +19,7 @@
 
 import capacity_fit
 import capacity_fleet
-from capacity_fleet import Cost, Fleet, call
+from capacity_fleet import Cost, Fleet, Host, call
 
 SETTLE_S = 6
 INTERVAL_S = 10
@@ -61,11 +62,11 @@
     return costs, calls_per_second(calls, fleet.platform_calls(), time.monotonic() - began)
 
 
-def sweep_vms(build: pathlib.Path) -> list[Point]:
+def sweep_vms(host: Host) -> list[Point]:
     """Measures fleets of several sizes before the same groups."""
     points = []
     for size in VM_SWEEP:
-        with Fleet(build, size, GROUPS) as fleet:
+        with Fleet(host, size, GROUPS) as fleet:
             ready_s = fleet.start()
             time.sleep(SETTLE_S)
             costs, calls = measure_interval(fleet)
@@ -74,11 +75,11 @@
     return points
 
 
-def sweep_groups(build: pathlib.Path) -> list[Point]:
+def sweep_groups(host: Host) -> list[Point]:
     """Measures VMs that lead and witness more and more groups, and VMs of another region that only know of them."""
     points = []
     for size in GROUP_SWEEP:
-        with Fleet(build, GROUP_SWEEP_VMS, size, GROUP_SWEEP_OTHER_VMS) as fleet:
+        with Fleet(host, GROUP_SWEEP_VMS, size, GROUP_SWEEP_OTHER_VMS) as fleet:
             ready_s = fleet.start()
             time.sleep(SETTLE_S)
             costs, calls = measure_interval(fleet)
@@ -100,12 +101,12 @@
     return connections
 
 
-def sweep_connections(build: pathlib.Path) -> list[Point]:
+def sweep_connections(host: Host) -> list[Point]:
     """Measures one VM of three that holds idle connections of callers."""
     points = []
     limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1] - SPARE_FILES
     for number, size in enumerate(min(wanted, limit) for wanted in CONNECTION_SWEEP):
-        with Fleet(build, 3, GROUPS) as fleet:
+        with Fleet(host, 3, GROUPS) as fleet:
             fleet.start()
             connections = open_idle(fleet.vms[0].callers, size, f"127.0.1.{number + 1}")
             time.sleep(SETTLE_S)
@@ -152,10 +153,10 @@
         time.sleep(0.005)
 
 
-def sweep_edits(build: pathlib.Path) -> list[Point]:
+def sweep_edits(host: Host) -> list[Point]:
     """Measures nine VMs while labels are edited."""
     points = []
-    with Fleet(build, 9, GROUPS) as fleet:
+    with Fleet(host, 9, GROUPS) as fleet:
         fleet.start()
         time.sleep(SETTLE_S)
         for size in EDIT_SWEEP:
@@ -211,10 +212,10 @@
             **{kind: after[kind] - calls[kind] for kind in ("reads", "writes", "watches")}}
 
 
-def bad_days(build: pathlib.Path) -> dict[str, Point]:
+def bad_days(host: Host) -> dict[str, Point]:
     """Runs one fleet through a cold start, broken watches, an outage and the loss of a data centre."""
     days: dict[str, Point] = {}
-    with Fleet(build, HERD_VMS, HERD_VMS * 2) as fleet, concurrent.futures.ThreadPoolExecutor(1) as pool:
+    with Fleet(host, HERD_VMS, HERD_VMS * 2) as fleet, concurrent.futures.ThreadPoolExecutor(1) as pool:
         fleet.start_stand_ins()
         began = time.monotonic()
         following = pool.submit(watch_calls, fleet, 12)
@@ -283,7 +284,7 @@
         ["sweep", "figure", "intercept", "slope", "error of slope", "residual"], rows))
 
 
-SWEEPS: dict[str, Callable[[pathlib.Path], object]] = {
+SWEEPS: dict[str, Callable[[Host], object]] = {
     "vms": sweep_vms, "groups": sweep_groups, "connections": sweep_connections, "edits": sweep_edits,
     "bad_days": bad_days}
 
@@ -294,11 +295,15 @@
     parser.add_argument("--build", type=pathlib.Path, default=capacity_fleet.ROOT / "build")
     parser.add_argument("--sweep", action="append", choices=list(SWEEPS), help="run only these; all without it")
     parser.add_argument("--json", type=pathlib.Path, help="file for the points and fits")
+    parser.add_argument("--first-port", type=int, default=capacity_fleet.FIRST_PORT)
     arguments = parser.parse_args()
+    # So that the fleet ends with this process.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    host = Host(arguments.build, arguments.first_port)
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     print(f"interval {INTERVAL_S} s after {SETTLE_S} s; open files {soft}, at most {hard}", file=sys.stderr)
-    points = {name: SWEEPS[name](arguments.build) for name in arguments.sweep or SWEEPS}
+    points = {name: SWEEPS[name](host) for name in arguments.sweep or SWEEPS}
     found = fit_all(points)
     print_tables(points, found)
     if arguments.json:
