Cut the cost of beats' digests and of idle callers' connections

Cause: exchanges with relays carried the whole digest although the VMs mostly agree, and each idle connection had its time limits checked every second.

--- a/fuzz/process_parse_functions.cc
+++ b/fuzz/process_parse_functions.cc
@@ -90,7 +90,7 @@
 std::string BeatSample() {
   daemon::Beat beat;
   beat.heartbeat.sender = {"a", 5, 9, membership::VmState::kWorking, "d", "r", "127.0.0.1:1"};
-  beat.configuration.kinds = {{"labels", 7, 3}};
+  beat.configuration = {3, {{"labels", 7, 3}}};
   beat.leads = {{"g", {3, 1}}};
   return daemon::BeatText(beat);
 }
--- a/scripts/capacity_fit.py
+++ b/scripts/capacity_fit.py
@@ -14,11 +14,17 @@
     slope_error: float
     # Root mean square of the residuals.
     residual: float
+    mean_size: float
+    count: int
 
     def at(self, size: float) -> float:
         """Returns the fitted value."""
         return self.intercept + self.slope * size
 
+    def error_at(self, size: float) -> float:
+        """Returns the standard error of the line at a size."""
+        return math.hypot(self.residual / math.sqrt(self.count), self.slope_error * (size - self.mean_size))
+
 
 def fit_line(sizes: list[float], values: list[float]) -> Line:
     """Fits a line through at least two points of different sizes."""
@@ -31,7 +37,7 @@
     squares = sum((value - intercept - slope * size) ** 2 for size, value in zip(sizes, values))
     freedom = count - 2
     slope_error = math.sqrt(squares / freedom / spread) if freedom > 0 else 0.0
-    return Line(slope, intercept, slope_error, math.sqrt(squares / count))
+    return Line(slope, intercept, slope_error, math.sqrt(squares / count), mean_size, count)
 
 
 def markdown_table(header: list[str], rows: list[list[object]]) -> str:
--- a/scripts/capacity_fleet.py
+++ b/scripts/capacity_fleet.py
@@ -39,6 +39,7 @@
     {"kind": "selectors", "name": "urgent", "value": {"priority": 10, "match": [{"key": "kind.rank", "equals": "urgent"}],
                                                       "owes": {"rank": "urgent", "time_limit_ms": 5000}}},
 ]
+WATCHES_LINE = re.compile(r'^amaranthlane_platform_calls_total\{kind="watch"\} (\S+)$', re.MULTILINE)
 METRIC_LINE = re.compile(r'^(amaranthlane_control_(?:bytes|messages)_total)\{direction="(\w+)",kind="(\w+)"\} (\S+)$')
 
 
@@ -95,6 +96,8 @@
     # Bytes and messages, sent and received, by kind.
     bytes: dict[str, float]
     messages: dict[str, float]
+    # Watches opened at the platform.
+    watches: float = 0.0
 
 
 @dataclasses.dataclass
@@ -106,6 +109,8 @@
     rss_mb: float
     bytes_s: dict[str, float]
     messages_s: dict[str, float]
+    # Whether it opened a watch in the interval, which is as long as a watch without changes.
+    relay: bool
 
     def values(self) -> dict[str, float]:
         """Returns the figures that are fitted."""
@@ -123,6 +128,8 @@
                     {})
     with urllib.request.urlopen(f"http://127.0.0.1:{vm.operators}/metrics", timeout=CALL_LIMIT_S) as answer:
         text = answer.read().decode()
+    watches = WATCHES_LINE.search(text)
+    sample.watches = float(watches.group(1)) if watches else 0.0
     for line in text.splitlines():
         found = METRIC_LINE.match(line)
         if found:
@@ -140,7 +147,7 @@
         return {kind: (after[kind] - before.get(kind, 0.0)) / elapsed_s for kind in after}
 
     return Cost(vm.name, 100 * (last.cpu_s - first.cpu_s) / elapsed_s, last.rss_kb / 1024,
-                rates(first.bytes, last.bytes), rates(first.messages, last.messages))
+                rates(first.bytes, last.bytes), rates(first.messages, last.messages), last.watches > first.watches)
 
 
 class Fleet:
--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -27,6 +27,12 @@
 HERD_POLL_S = 0.1
 GROUPS = 3
 VM_SWEEP = [3, 6, 9, 15, 30, 60]
+# Fleets with as many groups to a VM as the size that the page works out: 950 before 550.
+RATIO_SWEEP = [15, 30, 60]
+TARGET_VMS = 550
+GROUPS_PER_VM = 950 / TARGET_VMS
+# Fits whose sizes are numbers of VMs beyond the full mesh.
+EXTRAPOLATED = ["vms, beyond", "ratio"]
 GROUP_SWEEP = [3, 30, 100, 300]
 GROUP_SWEEP_VMS = 6
 GROUP_SWEEP_OTHER_VMS = 3
@@ -45,6 +51,10 @@
     point: Point = {name: sum(row[name] for row in rows) / len(rows) for name in rows[0]}
     for name in ("cpu_percent", "rss_mb", "bytes_s"):
         point[f"most_{name}"] = max(row[name] for row in rows)
+    for role, wanted in (("relay", True), ("ordinary", False)):
+        of_role = [cost.values() for cost in costs if cost.relay == wanted]
+        for name in ("cpu_percent", "bytes_s", "messages_s") if of_role else ():
+            point[f"{role}_{name}"] = sum(row[name] for row in of_role) / len(of_role)
     return point
 
 
@@ -64,13 +74,23 @@
 
 def sweep_vms(host: Host) -> list[Point]:
     """Measures fleets of several sizes before the same groups."""
+    return measure_fleets(host, {size: GROUPS for size in VM_SWEEP})
+
+
+def sweep_ratio(host: Host) -> list[Point]:
+    """Measures fleets whose groups grow with their VMs."""
+    return measure_fleets(host, {size: round(size * GROUPS_PER_VM) for size in RATIO_SWEEP})
+
+
+def measure_fleets(host: Host, groups_by_size: dict[int, int]) -> list[Point]:
+    """Measures one fleet after the other."""
     points = []
-    for size in VM_SWEEP:
-        with Fleet(host, size, GROUPS) as fleet:
+    for size, groups in groups_by_size.items():
+        with Fleet(host, size, groups) as fleet:
             ready_s = fleet.start()
             time.sleep(SETTLE_S)
             costs, calls = measure_interval(fleet)
-            points.append({"size": size, "ready_s": ready_s, **mean_and_most(costs), **calls})
+            points.append({"size": size, "groups": groups, "ready_s": ready_s, **mean_and_most(costs), **calls})
         report(points[-1])
     return points
 
@@ -262,6 +282,8 @@
     if "vms" in points:
         found["vms, full mesh"] = fits([point for point in points["vms"] if point["size"] <= 9])
         found["vms, beyond"] = fits([point for point in points["vms"] if point["size"] > 9])
+    if "ratio" in points:
+        found["ratio"] = fits(points["ratio"])
     if "groups" in points:
         found["groups, leading VMs"] = fits(points["groups"])
         found["groups, knowing VMs"] = fits(points["groups"], "knowing_")
@@ -282,10 +304,13 @@
             for sweep, lines in found.items() for name, line in lines.items()]
     print("\nfits\n\n" + capacity_fit.markdown_table(
         ["sweep", "figure", "intercept", "slope", "error of slope", "residual"], rows))
+    rows = [[sweep, name, found[sweep][name].at(TARGET_VMS), found[sweep][name].error_at(TARGET_VMS)]
+            for sweep in EXTRAPOLATED if sweep in found for name in FITTED]
+    print(f"\nat {TARGET_VMS} VMs\n\n" + capacity_fit.markdown_table(["sweep", "figure", "value", "error"], rows))
 
 
 SWEEPS: dict[str, Callable[[Host], object]] = {
-    "vms": sweep_vms, "groups": sweep_groups, "connections": sweep_connections, "edits": sweep_edits,
+    "vms": sweep_vms, "ratio": sweep_ratio, "groups": sweep_groups, "connections": sweep_connections, "edits": sweep_edits,
     "bad_days": bad_days}
 
 
--- a/source/core/configuration/anti_entropy.cc
+++ b/source/core/configuration/anti_entropy.cc
@@ -185,7 +185,7 @@
     case DigestComparison::kPeerIsOlder:
       if (now >= peer.reply_not_before) {
         peer.reply_not_before = now + this->constants.exchange_interval;
-        actions.emplace_back(SendDigest{{vm}});
+        actions.emplace_back(SendDigest{{vm}, false});
       }
       break;
   }
@@ -222,7 +222,7 @@
   const Duration half = this->ExchangeInterval() / 2;
   this->exchange_at = now + half + this->jitter.UpTo(half);
   if (std::optional<VmName> target = this->ExchangeTarget()) {
-    actions.emplace_back(SendDigest{{*std::move(target)}});
+    actions.emplace_back(SendDigest{{*std::move(target)}, true});
   }
 }
 
--- a/source/core/configuration/distribution_messages.h
+++ b/source/core/configuration/distribution_messages.h
@@ -118,6 +118,8 @@
 // Sends this VM's digest at once, as an early heartbeat, to each of these VMs.
 struct SendDigest {
   std::vector<VmName> to;
+  // Nothing is known to differ: the digest's summary will do, if the receiver answers another one with its digest.
+  bool summary = false;
 };
 
 // Sends the request to the peer. Report DifferencesReceived or DifferencesFailed.
--- a/source/daemon/control_plane.cc
+++ b/source/daemon/control_plane.cc
@@ -469,7 +469,9 @@
 }
 
 void ControlPlane::Carry(const configuration::SendDigest& action) {
-  const Beat beat = this->MakeBeatWithDigest(this->membership_system.AnswerTo({}));
+  membership::Heartbeat heartbeat = this->membership_system.AnswerTo({});
+  const Beat beat =
+      action.summary ? this->MakeBeat(std::move(heartbeat)) : this->MakeBeatWithDigest(std::move(heartbeat));
   for (const VmName& vm : action.to) {
     const std::string address = this->AddressOf(vm);
     if (!address.empty()) {
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -34,6 +34,8 @@
 
 constexpr int kListenBacklog = 1024;
 constexpr std::size_t kReadBufferBytes = 2048;
+// How often each connection's time limits are checked. Every open connection pays for each check, idle or not.
+constexpr std::chrono::seconds kTimeLimitCheckInterval{10};
 
 HttpRequest ToRequest(const restinio::request_t& incoming) {
   HttpRequest request;
@@ -65,6 +67,7 @@
         .buffer_size(kReadBufferBytes)
         .read_next_http_message_timelimit(limits.idle)
         .handle_request_timeout(limits.answer)
+        .timer_manager(kTimeLimitCheckInterval)
         .max_parallel_connections(limits.connections)
         .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}.max_body_size(limits.body_bytes))
         .connection_state_listener(this->counter)
--- a/tests/net/wire_bytes_test.cc
+++ b/tests/net/wire_bytes_test.cc
@@ -13,7 +13,7 @@
 namespace amaranthlane::net {
 namespace {
 
-constexpr Address kAddress{"127.0.0.1", 24990};
+const Address kAddress{"127.0.0.1", 24990};
 constexpr std::chrono::seconds kLimit{5};
 
 // What both ends say of one call.
