--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -1,8 +1,8 @@
 """Measures what a daemon costs without callers' work as the fleet grows, and fits a line through each sweep.
 
-Prints the tables of docs/CAPACITY.md and writes all points and fits as JSON. All rows come from this machine; its
-processor time is meaningful beside other load, its latencies are upper bounds. The fleets are seeded by nothing but
-their sizes; each daemon's own random seed is in its log.
+Prints the tables of docs/CAPACITY.md and writes all points and fits as JSON. All rows come from one machine; its
+processor time is meaningful beside other load, its latencies are upper bounds. The command draws nothing at random;
+the daemons draw their jitter from the system's generator.
 """
 
 import argparse
@@ -31,8 +31,8 @@
 RATIO_SWEEP = [15, 30, 60]
 TARGET_VMS = 550
 GROUPS_PER_VM = 950 / TARGET_VMS
-# Fits whose sizes are numbers of VMs beyond the full mesh.
-EXTRAPOLATED = ["vms, beyond", "ratio"]
+# Fits that hold what else the size implies.
+EXTRAPOLATED = ["ratio"]
 GROUP_SWEEP = [3, 30, 100, 300]
 GROUP_SWEEP_VMS = 6
 GROUP_SWEEP_OTHER_VMS = 3
