Limit faults of the proxy to one source address

Cause: a partition cuts a primary, its leader and some callers off together, while the proxy could only treat all connections of a route alike.

--- a/stand_ins/common/http_client.cc
+++ b/stand_ins/common/http_client.cc
@@ -11,8 +11,9 @@
 
 }  // namespace
 
-HttpClient::HttpClient(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint server)
-    : stream(io), server(std::move(server)) {}
+HttpClient::HttpClient(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint server,
+                       boost::asio::ip::address source)
+    : stream(io), server(std::move(server)), source(std::move(source)) {}
 
 void HttpClient::Get(const std::string& target, std::chrono::milliseconds timeout, Handler handler) {
   this->handler = std::move(handler);
@@ -23,6 +24,7 @@
     this->Write();
     return;
   }
+  this->BindSource();
   this->stream.expires_after(timeout);
   this->stream.async_connect(this->server, [self = this->shared_from_this()](error_code error) {
     if (error) {
@@ -36,6 +38,15 @@
   });
 }
 
+void HttpClient::BindSource() {
+  if (this->source.is_unspecified()) {
+    return;
+  }
+  error_code ignored;
+  this->stream.socket().open(this->server.protocol(), ignored);
+  this->stream.socket().bind({this->source, 0}, ignored);
+}
+
 void HttpClient::Write() {
   this->stream.expires_after(this->timeout);
   http::async_write(this->stream, this->request, [self = this->shared_from_this()](error_code error, std::size_t) {
--- a/stand_ins/common/http_client.h
+++ b/stand_ins/common/http_client.h
@@ -28,7 +28,8 @@
   // Is called without an answer when the request failed or timed out.
   using Handler = std::function<void(const std::optional<ClientAnswer>&)>;
 
-  HttpClient(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint server);
+  // Connects from the IP number `source`; unspecified: from any.
+  HttpClient(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint server, boost::asio::ip::address source = {});
 
   // Sends a request and connects first where needed. `timeout` counts from now and for the connect anew.
   void Get(const std::string& target, std::chrono::milliseconds timeout, Handler handler);
@@ -36,11 +37,13 @@
   void Cancel();
 
  private:
+  void BindSource();
   void Write();
   void Finish(boost::system::error_code error);
 
   boost::beast::tcp_stream stream;
   boost::asio::ip::tcp::endpoint server;
+  boost::asio::ip::address source;
   boost::beast::flat_buffer buffer;
   boost::beast::http::request<boost::beast::http::empty_body> request;
   boost::beast::http::response<boost::beast::http::string_body> response;
--- a/stand_ins/endpoint/endpoint_server.h
+++ b/stand_ins/endpoint/endpoint_server.h
@@ -21,6 +21,8 @@
 struct EndpointSettings {
   std::string name = "endpoint";
   std::string address = "127.0.0.1";
+  // Where its own connections come from.
+  std::string source_ip = "0.0.0.0";
   std::uint16_t port = 0;
   std::uint16_t control_port = 0;
   std::uint64_t slots = 5;
--- a/stand_ins/endpoint/main.cc
+++ b/stand_ins/endpoint/main.cc
@@ -21,6 +21,7 @@
   command_line.Text("address", "IP number to listen on", &settings.address);
   command_line.Port("port", "main port", &settings.port);
   command_line.Port("control-port", "port for the control of faults", &settings.control_port);
+  command_line.Text("source-ip", "IP number that its own connections come from", &settings.source_ip);
   command_line.Number("slots", "statements that run at once", &settings.slots);
   command_line.Number("connections", "connection limit", &settings.connections);
   command_line.Microseconds("service-us", "time that a statement runs, in microseconds", &settings.service_time);
--- a/stand_ins/endpoint/replica_puller.cc
+++ b/stand_ins/endpoint/replica_puller.cc
@@ -21,8 +21,14 @@
 }  // namespace
 
 ReplicaPuller::ReplicaPuller(boost::asio::io_context& io, FreezeGate& gate, Instance& instance,
-                             std::function<void()> applied)
-    : io(io), gate(gate), instance(instance), applied(std::move(applied)), retry_timer(io), apply_timer(io) {}
+                             boost::asio::ip::address source, std::function<void()> applied)
+    : io(io),
+      gate(gate),
+      instance(instance),
+      source(std::move(source)),
+      applied(std::move(applied)),
+      retry_timer(io),
+      apply_timer(io) {}
 
 void ReplicaPuller::Restart() {
   ++this->generation;
@@ -49,7 +55,7 @@
 
 void ReplicaPuller::Pull() {
   if (!this->client) {
-    this->client = std::make_shared<HttpClient>(this->io, ParseAddress(this->instance.PrimaryAddress()));
+    this->client = std::make_shared<HttpClient>(this->io, ParseAddress(this->instance.PrimaryAddress()), this->source);
   }
   const Position received = this->Received();
   const std::string target =
--- a/stand_ins/endpoint/replica_puller.h
+++ b/stand_ins/endpoint/replica_puller.h
@@ -19,8 +19,10 @@
 // isn't applied yet counts as not received: it is forgotten when the instance is configured anew.
 class ReplicaPuller {
  public:
-  // `applied` is called after entries were applied or dropped.
-  ReplicaPuller(boost::asio::io_context& io, FreezeGate& gate, Instance& instance, std::function<void()> applied);
+  // Pulls from the IP number `source`; unspecified: from any. `applied` is called after entries were applied or
+  // dropped.
+  ReplicaPuller(boost::asio::io_context& io, FreezeGate& gate, Instance& instance, boost::asio::ip::address source,
+                std::function<void()> applied);
 
   // Starts over for the role that the instance now has.
   void Restart();
@@ -46,6 +48,7 @@
   boost::asio::io_context& io;
   FreezeGate& gate;
   Instance& instance;
+  boost::asio::ip::address source;
   std::function<void()> applied;
   std::shared_ptr<HttpClient> client;
   boost::asio::steady_timer retry_timer;
--- a/stand_ins/fault_proxy/fault.cc
+++ b/stand_ins/fault_proxy/fault.cc
@@ -43,10 +43,16 @@
   return found->name;
 }
 
-Fault ParseFault(const nlohmann::json& value) {
+const Fault& RouteFaults::For(const std::string& source) const {
+  const auto limited = this->by_source.find(source);
+  return limited == this->by_source.end() ? this->common : limited->second;
+}
+
+FaultRequest ParseFault(const nlohmann::json& value) {
   const json::ObjectReader reader(value, "fault");
-  return {ParseMode(reader.StringOr("mode", "pass")), reader.MillisecondsOr("delay_ms", std::chrono::milliseconds(0)),
-          reader.UnsignedOr("bytes", 0)};
+  const Fault fault{ParseMode(reader.StringOr("mode", "pass")),
+                    reader.MillisecondsOr("delay_ms", std::chrono::milliseconds(0)), reader.UnsignedOr("bytes", 0)};
+  return {fault, reader.StringOr("from", "")};
 }
 
 LostAnswers ParseLostAnswers(const nlohmann::json& value) {
--- a/stand_ins/fault_proxy/fault.h
+++ b/stand_ins/fault_proxy/fault.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
@@ -37,6 +38,22 @@
   std::uint64_t bytes = 0;
 };
 
+// A fault as the control call states it.
+struct FaultRequest {
+  Fault fault;
+  // Only for connections from this IP number; empty: for all, in place of every fault that was limited to one.
+  std::string from;
+};
+
+// The faults in force on a route.
+struct RouteFaults {
+  // The fault of a connection from the IP number.
+  const Fault& For(const std::string& source) const;
+
+  Fault common;
+  std::map<std::string, Fault> by_source;
+};
+
 // Answers that are to be swallowed.
 struct LostAnswers {
   std::uint64_t count = 0;
@@ -52,7 +69,7 @@
 
 std::string_view ModeName(Mode mode);
 // The parse functions throw ParseError.
-Fault ParseFault(const nlohmann::json& value);
+FaultRequest ParseFault(const nlohmann::json& value);
 LostAnswers ParseLostAnswers(const nlohmann::json& value);
 
 }  // namespace amaranthlane::stand_ins
--- a/stand_ins/fault_proxy/link.cc
+++ b/stand_ins/fault_proxy/link.cc
@@ -10,11 +10,18 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+std::string SourceOf(const tcp::socket& socket) {
+  error_code error;
+  const tcp::endpoint remote = socket.remote_endpoint(error);
+  return error ? std::string() : remote.address().to_string();
+}
+
 }  // namespace
 
 Link::Link(tcp::socket client, RouteState& state, std::function<void()> closed)
     : client(std::move(client)),
       target(this->client.get_executor()),
+      source(SourceOf(this->client)),
       state(state),
       closed_handler(std::move(closed)),
       to_target{Way::kToTarget, this->client, this->target, boost::asio::steady_timer(this->client.get_executor()), {}},
@@ -62,6 +69,10 @@
   this->closed_handler();
 }
 
+const std::string& Link::Source() const { return this->source; }
+
+const Fault& Link::CurrentFault() const { return this->state.faults.For(this->source); }
+
 void Link::Read(Direction& direction) {
   if (this->closed) {
     return;
@@ -78,7 +89,7 @@
   }
   direction.ended = static_cast<bool>(error);
   direction.size = count;
-  if (this->state.fault.delay > std::chrono::milliseconds::zero()) {
+  if (this->CurrentFault().delay > std::chrono::milliseconds::zero()) {
     this->Delay(direction);
     return;
   }
@@ -86,7 +97,7 @@
 }
 
 void Link::Delay(Direction& direction) {
-  direction.timer.expires_after(this->state.fault.delay);
+  direction.timer.expires_after(this->CurrentFault().delay);
   direction.timer.async_wait([self = this->shared_from_this(), &direction](error_code) { self->Forward(direction); });
 }
 
@@ -94,7 +105,7 @@
   if (this->closed) {
     return;
   }
-  if (this->state.fault.mode == Mode::kFreeze) {
+  if (this->CurrentFault().mode == Mode::kFreeze) {
     direction.held = true;
     return;
   }
@@ -118,9 +129,9 @@
   }
   this->answer_bytes += direction.size;
   const bool truncates =
-      this->state.fault.mode == Mode::kTruncateAnswer && this->answer_bytes > this->state.fault.bytes;
+      this->CurrentFault().mode == Mode::kTruncateAnswer && this->answer_bytes > this->CurrentFault().bytes;
   if (truncates) {
-    const std::uint64_t excess = this->answer_bytes - this->state.fault.bytes;
+    const std::uint64_t excess = this->answer_bytes - this->CurrentFault().bytes;
     direction.size -= std::min<std::uint64_t>(excess, direction.size);
   }
   this->Write(direction, truncates);
@@ -141,7 +152,7 @@
 
 bool Link::Discards(Direction& direction) const {
   const Mode dropped = direction.way == Way::kToTarget ? Mode::kDropToTarget : Mode::kDropToClient;
-  direction.silent = direction.silent || this->state.fault.mode == dropped;
+  direction.silent = direction.silent || this->CurrentFault().mode == dropped;
   return direction.silent;
 }
 
--- a/stand_ins/fault_proxy/link.h
+++ b/stand_ins/fault_proxy/link.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -22,7 +23,7 @@
 
 // What the links of one route share.
 struct RouteState {
-  Fault fault;
+  RouteFaults faults;
   LostAnswers lost_answers;
   std::uint64_t accepted = 0;
   std::uint64_t bytes_to_target = 0;
@@ -43,6 +44,8 @@
   void Resume();
   // Closes both sockets.
   void Close();
+  // The IP number that the client's connection came from.
+  const std::string& Source() const;
 
  private:
   static constexpr std::size_t kBufferBytes = 65536;
@@ -63,6 +66,7 @@
     bool silent = false;
   };
 
+  const Fault& CurrentFault() const;
   void Read(Direction& direction);
   void OnRead(Direction& direction, boost::system::error_code error, std::size_t count);
   void Delay(Direction& direction);
@@ -75,6 +79,7 @@
 
   boost::asio::ip::tcp::socket client;
   boost::asio::ip::tcp::socket target;
+  std::string source;
   RouteState& state;
   std::function<void()> closed_handler;
   Direction to_target;
--- a/stand_ins/fault_proxy/route.cc
+++ b/stand_ins/fault_proxy/route.cc
@@ -48,27 +48,47 @@
       return;
     }
     if (!error) {
-      const std::uint64_t id = ++this->state.accepted;
-      const auto link = std::make_shared<Link>(std::move(socket), this->state, [this, id] { this->links.erase(id); });
-      this->links.emplace(id, link);
-      link->Start(this->settings.target);
+      this->Start(std::move(socket));
     }
     this->Accept();
   });
 }
 
-void Route::SetFault(const Fault& fault) {
-  this->state.fault = fault;
-  if (fault.mode == Mode::kCut) {
-    this->acceptor.close();
-    this->CloseAll();
+void Route::Start(tcp::socket socket) {
+  const std::uint64_t id = ++this->state.accepted;
+  const auto link = std::make_shared<Link>(std::move(socket), this->state, [this, id] { this->links.erase(id); });
+  this->links.emplace(id, link);
+  if (this->state.faults.For(link->Source()).mode == Mode::kCut) {
+    link->Close();
     return;
   }
-  if (!this->acceptor.is_open()) {
+  link->Start(this->settings.target);
+}
+
+void Route::SetFault(const FaultRequest& request) {
+  if (request.from.empty()) {
+    this->state.faults = RouteFaults{request.fault, {}};
+  } else {
+    this->state.faults.by_source[request.from] = request.fault;
+  }
+  if (this->state.faults.common.mode == Mode::kCut) {
+    this->acceptor.close();
+  } else if (!this->acceptor.is_open()) {
     this->Listen();
   }
+  this->Apply(request.fault, request.from);
+}
+
+void Route::Apply(const Fault& fault, const std::string& from) {
   const std::map<std::uint64_t, std::shared_ptr<Link>> open = this->links;
   for (const auto& [id, link] : open) {
+    if (!from.empty() && link->Source() != from) {
+      continue;
+    }
+    if (fault.mode == Mode::kCut) {
+      link->Close();
+      continue;
+    }
     if (fault.mode == Mode::kSilentOpen) {
       link->Silence();
     }
@@ -76,23 +96,15 @@
   }
 }
 
-void Route::CloseAll() {
-  const std::map<std::uint64_t, std::shared_ptr<Link>> open = std::move(this->links);
-  this->links.clear();
-  for (const auto& [id, link] : open) {
-    link->Close();
-  }
-}
-
 void Route::LoseAnswers(LostAnswers lost_answers) { this->state.lost_answers = std::move(lost_answers); }
 
 nlohmann::json Route::ToJson() const {
   return {{"name", this->settings.name},
           {"listen", FormatAddress(this->settings.listen)},
           {"target", FormatAddress(this->settings.target)},
-          {"mode", ModeName(this->state.fault.mode)},
-          {"delay_ms", this->state.fault.delay.count()},
-          {"bytes", this->state.fault.bytes},
+          {"mode", ModeName(this->state.faults.common.mode)},
+          {"delay_ms", this->state.faults.common.delay.count()},
+          {"bytes", this->state.faults.common.bytes},
           {"answers_to_lose", this->state.lost_answers.count},
           {"open", this->links.size()},
           {"accepted", this->state.accepted},
--- a/stand_ins/fault_proxy/route.h
+++ b/stand_ins/fault_proxy/route.h
@@ -29,14 +29,18 @@
   // Listens at once.
   Route(boost::asio::io_context& io, RouteSettings settings);
 
-  void SetFault(const Fault& fault);
+  // Sets the fault of all connections, or of those from one IP number. A route that is cut for one IP number still
+  // accepts its connections, and closes them at once.
+  void SetFault(const FaultRequest& request);
   void LoseAnswers(LostAnswers lost_answers);
   nlohmann::json ToJson() const;
 
  private:
   void Listen();
   void Accept();
-  void CloseAll();
+  void Start(boost::asio::ip::tcp::socket socket);
+  // Applies the change of the fault to the open connections from the IP number; empty: to all.
+  void Apply(const Fault& fault, const std::string& from);
 
   RouteSettings settings;
   RouteState state;
--- a/tests/integration/fleet_fixture.cc
+++ b/tests/integration/fleet_fixture.cc
@@ -75,6 +75,7 @@
     row.name = "endpoint-" + std::to_string(index + 1);
     row.port = FreePort();
     row.control_port = FreePort();
+    row.source_ip = "127.0.2." + std::to_string(index + 1);
     this->AddRoute(row.name, row.port);
     this->endpoints.push_back(std::move(row));
   }
@@ -132,12 +133,14 @@
                                 {"slots", this->options.slots},
                                 {"connections", this->options.connections}}));
   objects.push_back(Object("callers", "caller-1", Json{{"key_sha256", Json::array({kCallerKeyHash})}}));
-  for (const char* kind : {"order", "note", "lookup", "exact"}) {
+  for (const char* kind : {"order", "note", "note-at-primary", "lookup", "exact"}) {
     objects.push_back(KindLabel(kind));
   }
   objects.push_back(
       Selector("order", Json{{"rank", "urgent"}, {"acknowledgement", "replicated"}, {"idempotent", false}}));
   objects.push_back(Selector("note", Json{{"rank", "normal"}, {"idempotent", true}, {"floor", 0.2}}));
+  objects.push_back(
+      Selector("note-at-primary", Json{{"rank", "normal"}, {"acknowledgement", "primary"}, {"idempotent", true}}));
   objects.push_back(Selector("lookup", Json{{"rank", "bulk"}, {"freshness_ms", 5000}, {"floor", 0.1}}));
   objects.push_back(Selector("exact", Json{{"rank", "normal"}, {"freshness_ms", 0}, {"floor", 0.2}}));
   return objects;
@@ -164,12 +167,12 @@
 void FleetFixture::StartEndpoints() {
   for (EndpointRow& row : this->endpoints) {
     row.process = std::make_unique<Process>(
-        ENDPOINT_STAND_IN,
-        std::vector<std::string>{"--name", row.name, "--port", std::to_string(row.port), "--control-port",
-                                 std::to_string(row.control_port), "--slots", std::to_string(this->options.slots),
-                                 "--connections", std::to_string(this->options.connections), "--service-us",
-                                 std::to_string(this->options.service.count()), "--lag-ms",
-                                 std::to_string(this->options.lag.count())});
+        ENDPOINT_STAND_IN, std::vector<std::string>{"--name", row.name, "--port", std::to_string(row.port),
+                                                    "--control-port", std::to_string(row.control_port), "--source-ip",
+                                                    row.source_ip, "--slots", std::to_string(this->options.slots),
+                                                    "--connections", std::to_string(this->options.connections),
+                                                    "--service-us", std::to_string(this->options.service.count()),
+                                                    "--lag-ms", std::to_string(this->options.lag.count())});
   }
 }
 
@@ -347,9 +350,9 @@
   JsonClient(this->proxy_control_port, kControlLimit).Post("/control/route/" + route, mode);
 }
 
-void FleetFixture::LoseAnswers(const std::string& route, std::size_t count) {
+void FleetFixture::LoseAnswers(const std::string& route, std::size_t count, const std::string& match) {
   JsonClient(this->proxy_control_port, kControlLimit)
-      .Post("/control/route/" + route + "/lose_answer", Json{{"count", count}});
+      .Post("/control/route/" + route + "/lose_answer", Json{{"count", count}, {"match", match}});
 }
 
 void FleetFixture::ControlPlatform(const std::string& call, const Json& body) {
@@ -378,6 +381,8 @@
 
 std::size_t FleetFixture::VmCount() const { return this->vms.size(); }
 
+std::size_t FleetFixture::EndpointCount() const { return this->endpoints.size(); }
+
 std::uint16_t FleetFixture::CallersPort(std::size_t vm) const {
   return this->route_ports.at("callers-" + this->vms.at(vm - 1).name);
 }
--- a/tests/integration/fleet_fixture.h
+++ b/tests/integration/fleet_fixture.h
@@ -24,7 +24,7 @@
   std::chrono::microseconds service{500};
   std::chrono::milliseconds lag{0};
   // Further `key=value` settings of every VM.
-  std::vector<std::string> settings;
+  std::vector<std::string> settings = {};
 };
 
 // What a caller was answered.
@@ -41,6 +41,7 @@
 // A caller's statement.
 struct CallerStatement {
   // Kinds in the fixture's configuration: `order` (urgent, replicated, never twice), `note` (normal, idempotent),
+  // `note-at-primary` (the same, acknowledged by the primary alone),
   // `lookup` (read, at most 5 s old), `exact` (read from the primary).
   std::string kind = "order";
   std::string mode = "write";
@@ -88,8 +89,8 @@
 
   // Sets a route's mode, such as `cut` or `freeze`; see docs/PROTOCOLS.md.
   void SetRoute(const std::string& route, const nlohmann::json& mode);
-  // The next `count` answers on the route are swallowed after their effect.
-  void LoseAnswers(const std::string& route, std::size_t count);
+  // The answers to the next `count` requests on the route that contain `match` are swallowed after their effect.
+  void LoseAnswers(const std::string& route, std::size_t count, const std::string& match = "");
   // A control call of the platform stand-in.
   void ControlPlatform(const std::string& call, const nlohmann::json& body);
   // Any call of the platform stand-in, past the proxy.
@@ -103,6 +104,7 @@
   // Starts the VM's daemon again after it ended.
   void RestartVm(std::size_t vm);
   std::size_t VmCount() const;
+  std::size_t EndpointCount() const;
   // The callers' port of the VM, through the proxy.
   std::uint16_t CallersPort(std::size_t vm) const;
 
@@ -121,6 +123,8 @@
     std::string name;
     std::uint16_t port = 0;
     std::uint16_t control_port = 0;
+    // Where its replication comes from: 127.0.2.N for endpoint N.
+    std::string source_ip;
     std::unique_ptr<Process> process;
   };
 
--- /dev/null
+++ b/tests/integration/transaction_client.h
@@ -0,0 +1,34 @@
+#ifndef AMARANTHLANE_TESTS_INTEGRATION_TRANSACTION_CLIENT_H_
+#define AMARANTHLANE_TESTS_INTEGRATION_TRANSACTION_CLIENT_H_
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+#include "integration/fleet_fixture.h"
+
+namespace amaranthlane::testing {
+
+// One transaction of a caller, of the kind `order`. Each call may go to another VM.
+class TransactionClient {
+ public:
+  // Opens a transaction by the VM, and tries again until one is open. Throws ProcessError when none is in time.
+  TransactionClient(FleetFixture& fleet, std::size_t vm);
+
+  // Adds 1 to a counter.
+  CallerAnswer Add(std::size_t vm, const std::string& counter,
+                   std::chrono::milliseconds limit = std::chrono::seconds(3));
+  // `key` is the commit's idempotency key and may be empty.
+  CallerAnswer Commit(std::size_t vm, const std::string& key = "");
+  CallerAnswer Rollback(std::size_t vm);
+
+ private:
+  CallerAnswer End(std::size_t vm, const std::string& call, const std::string& key);
+
+  FleetFixture& fleet;
+  std::string name;
+};
+
+}  // namespace amaranthlane::testing
+
+#endif  // AMARANTHLANE_TESTS_INTEGRATION_TRANSACTION_CLIENT_H_
--- a/tests/stand_ins/fault_proxy_test.cc
+++ b/tests/stand_ins/fault_proxy_test.cc
@@ -119,6 +119,19 @@
   EXPECT_EQ(this->Put(this->client, 3).status, kOk);
 }
 
+TEST_F(FaultProxyTest, AFaultLimitedToASourceLeavesOthersAlone) {
+  this->Put(this->client, 1);
+  this->SetFault({{"mode", "cut"}, {"from", "127.0.1.1"}});
+  EXPECT_EQ(this->Put(this->client, 2).status, kOk);
+  this->SetFault({{"mode", "freeze"}, {"from", "127.0.0.1"}});
+  EXPECT_THROW(this->Put(this->client, 3), HttpCallError);
+  this->SetFault({{"mode", "cut"}, {"from", "127.0.0.1"}});
+  EXPECT_THROW(this->Put(this->client, 4), HttpCallError);
+  EXPECT_EQ(this->ValueAtTarget(), 2);
+  this->SetFault({{"mode", "pass"}});
+  EXPECT_EQ(this->Put(this->client, 5).status, kOk);
+}
+
 TEST_F(FaultProxyTest, DelayHoldsEachWay) {
   this->Put(this->client, 1);
   this->SetFault({{"delay_ms", 60}});
