Acknowledge replayed commits after a failover, and only true outcomes

Cause, three faults that the integration tests found: 1. A keyed retry after a promotion replays a commit of the older term. The check before its acknowledgement compared the term of the commit's place with the current one, so the retry stayed unknown for good. Ruled out: the replay itself (the counter stood at 1) and replication (awaited under the sent term). Now the term that the endpoint answered under is compared. 2. The entry's admission refused a repeated attempt as not_run although an earlier attempt may have run. The refusal now goes through the forwarding policy, which keeps the mark of the earlier attempt. 3. GET outcomes told done for a commit that only the primary had. A replica must have it now, as for the commit's own acknowledgement.

--- a/source/core/replicas/replica_table.cc
+++ b/source/core/replicas/replica_table.cc
@@ -129,10 +129,14 @@
   return answer.endpoint == this->record.primary || *age <= request.freshness;
 }
 
+bool ReplicaTable::IsReplicated(Term term, const LogPosition& position) const {
+  return term == this->record.term && !this->frozen && this->ConfirmedOffset().value_or(0) >= position.offset;
+}
+
 std::optional<AcknowledgementResult> ReplicaTable::AwaitReplicated(StatementId statement, Term term,
                                                                    const LogPosition& position, TimePoint deadline) {
   if (term != this->record.term) return AcknowledgementResult{statement, position, Replication::kUnknown};
-  if (!this->frozen && this->ConfirmedOffset().value_or(0) >= position.offset) {
+  if (this->IsReplicated(term, position)) {
     return AcknowledgementResult{statement, position, Replication::kReplicated};
   }
   this->waits.Add(statement, position, deadline);
--- a/source/core/replicas/replica_table.h
+++ b/source/core/replicas/replica_table.h
@@ -116,6 +116,9 @@
   // what is owed.
   bool MayPassOn(TimePoint now, const ReadRequest& request, const ReadAnswer& answer) const;
 
+  // Whether a replica synced in the current term is known to hold `position`, and acknowledgements aren't frozen.
+  // `term` as below.
+  bool IsReplicated(Term term, const LogPosition& position) const;
   // Waits until a replica synced in the current term holds `position`. `term` is the one that the commit was sent
   // under; a replayed commit may stand at a position of an older one. Returns the result at once when it is known.
   std::optional<AcknowledgementResult> AwaitReplicated(StatementId statement, Term term, const LogPosition& position,
--- a/source/daemon/entry.cc
+++ b/source/daemon/entry.cc
@@ -210,7 +210,8 @@
   if (refusal) {
     WorkAnswer answer = MakeRefusal(WorkProblem::kOverload);
     answer.retry_after = std::chrono::duration_cast<std::chrono::milliseconds>(refusal->retry_at - now);
-    this->Finish(call, std::move(answer));
+    // Says nothing of an earlier attempt, which may have run.
+    this->Decide(call, outcomes::ForwardEvent::kAnsweredNotRun, std::move(answer));
     return;
   }
   std::vector<net::HttpHeader> headers = {{"traceparent", call->work.traceparent}, {"from-vm", this->settings.vm}};
--- a/source/daemon/group_supervisor.cc
+++ b/source/daemon/group_supervisor.cc
@@ -76,12 +76,12 @@
   }
 }
 
-bool GroupSupervisor::MayAcknowledge(AcknowledgementLevel level, const LogPosition& position) {
+bool GroupSupervisor::MayAcknowledge(AcknowledgementLevel level, Term term, const LogPosition& position) {
   if (level == AcknowledgementLevel::kReplicated) {
-    return this->promotion_system.MayAcknowledge(position.term, position);
+    return this->promotion_system.MayAcknowledge(term, position);
   }
   // Such a commit may be lost with the primary, so it must not hold up a promotion that can't cover it.
-  return this->promotion_system.MayPassOn(position.term);
+  return this->promotion_system.MayPassOn(term);
 }
 
 replicas::ReplicaTable& GroupSupervisor::Replicas() { return this->replica_table; }
--- a/source/daemon/group_supervisor.h
+++ b/source/daemon/group_supervisor.h
@@ -44,8 +44,9 @@
   // Runs what is due.
   void Tick(TimePoint now);
 
-  // Whether a commit at `position` may be passed on as acknowledged now. A true result binds later promotions.
-  bool MayAcknowledge(AcknowledgementLevel level, const LogPosition& position);
+  // Whether a commit at `position` may be passed on as acknowledged now. `term` is the one that its endpoint answered
+  // under; a replayed commit may stand at a position of an older one. A true result binds later promotions.
+  bool MayAcknowledge(AcknowledgementLevel level, Term term, const LogPosition& position);
 
   replicas::ReplicaTable& Replicas();
   promotion::PromotionSystem& Promotion();
--- a/source/daemon/group_work.cc
+++ b/source/daemon/group_work.cc
@@ -134,21 +134,22 @@
   }
   const auto connection =
       std::make_shared<net::HttpConnection>(this->context.loop, this->endpoints.LinkOf(*primary).Target());
+  const Term term = this->supervisor.Promotion().CurrentTerm();
   connection->Call(
-      OutcomeMessage(work.request.idempotency_key, this->supervisor.Promotion().CurrentTerm()), work.request.deadline,
-      [this, alive = std::weak_ptr<bool>(this->alive), connection, id = work.id](const net::CallResult& result) {
+      OutcomeMessage(work.request.idempotency_key, term), work.request.deadline,
+      [this, alive = std::weak_ptr<bool>(this->alive), connection, id = work.id, term](const net::CallResult& result) {
         if (!alive.expired()) {
-          this->OutcomeLearned(id, result);
+          this->OutcomeLearned(id, term, result);
         }
       });
 }
 
-void GroupWork::OutcomeLearned(outcomes::RequestId id, const net::CallResult& result) {
+void GroupWork::OutcomeLearned(outcomes::RequestId id, Term term, const net::CallResult& result) {
   WorkAnswer answer = MakeRefusal(WorkProblem::kConnectionLost, Outcome::kUnknown);
   try {
     if (result.status == net::CallStatus::kAnswered && BootClock::now() < this->valid_until) {
       const KeyOutcome outcome = ParseKeyOutcome(result.response);
-      if (outcome.known && this->supervisor.MayAcknowledge(AcknowledgementLevel::kPrimary, outcome.position)) {
+      if (outcome.known && this->MayTellOutcome(term, outcome.position)) {
         answer.outcome = Outcome::kDone;
         answer.problem = WorkProblem::kNone;
         answer.result = outcome.result;
@@ -162,6 +163,12 @@
   this->Answer(id, std::move(answer));
 }
 
+bool GroupWork::MayTellOutcome(Term term, const LogPosition& position) {
+  // The key's own obligation isn't known here, so that the stronger one holds: a replica must have the commit.
+  return this->supervisor.Replicas().IsReplicated(term, position) &&
+         this->supervisor.MayAcknowledge(AcknowledgementLevel::kReplicated, term, position);
+}
+
 std::optional<scheduling::EndpointSet> GroupWork::EligibleFor(OpenWork& work, TimePoint now) {
   if (!IsRead(work) || work.settling) {
     return scheduling::kPrimaryBit;
@@ -446,7 +453,8 @@
   answer.position = action.position;
   answer.replayed = action.replayed;
   const bool written = work.request.mode == outcomes::StatementMode::kWrite && action.outcome == Outcome::kDone;
-  if (written && !this->supervisor.MayAcknowledge(work.request.obligation.acknowledgement, action.position)) {
+  const AcknowledgementLevel level = work.request.obligation.acknowledgement;
+  if (written && !this->supervisor.MayAcknowledge(level, work.sent_term, action.position)) {
     answer = MakeRefusal(WorkProblem::kTermMoved, Outcome::kUnknown);
   }
   if (work.answer_discarded && answer.outcome == Outcome::kNotRun) {
--- a/source/daemon/group_work.h
+++ b/source/daemon/group_work.h
@@ -53,7 +53,8 @@
   void Open(OpenWork& work, TimePoint now);
   void OpenStatement(OpenWork& work, TimePoint now);
   void QueryOutcome(const OpenWork& work, TimePoint now);
-  void OutcomeLearned(outcomes::RequestId id, const net::CallResult& result);
+  void OutcomeLearned(outcomes::RequestId id, Term term, const net::CallResult& result);
+  bool MayTellOutcome(Term term, const LogPosition& position);
   void Queue(OpenWork& work, TimePoint now);
   std::optional<scheduling::EndpointSet> EligibleFor(OpenWork& work, TimePoint now);
   void RunDue(TimePoint now);
--- a/source/daemon/transaction_runner.cc
+++ b/source/daemon/transaction_runner.cc
@@ -293,8 +293,10 @@
   answer.transaction = action.transaction;
   answer.endpoint = this->supervisor.Promotion().Primary();
   const bool committed = action.kind == transactions::CallKind::kCommit && action.outcome == Outcome::kDone;
-  if (committed &&
-      !this->supervisor.MayAcknowledge(found->second.request.obligation.acknowledgement, action.position)) {
+  const AcknowledgementLevel level = found->second.request.obligation.acknowledgement;
+  // The table ends what was answered under an older term when the term moves.
+  const Term term = this->supervisor.Promotion().CurrentTerm();
+  if (committed && !this->supervisor.MayAcknowledge(level, term, action.position)) {
     answer = MakeRefusal(WorkProblem::kTermMoved, Outcome::kUnknown);
   }
   this->host.answer(action.request, std::move(answer));
