--- /dev/null
+++ b/tests/integration/transactions_test.cc
@@ -0,0 +1,187 @@
+#include <gtest/gtest.h>
+
+#include <thread>
+#include <vector>
+
+#include "integration/fleet_fixture.h"
+#include "integration/transaction_client.h"
+
+namespace amaranthlane::testing {
+namespace {
+
+using Json = nlohmann::json;
+
+// Longer than an idle transaction may stay open.
+constexpr std::chrono::seconds kIdleEnd(6);
+constexpr int kFollowers = 8;
+
+std::size_t OtherVm(std::size_t vm) { return vm == 1 ? 2 : 1; }
+
+// Runs one transaction after another, so that they take over any connection that was given back.
+void CommitFollowers(FleetFixture& fleet, std::size_t vm, const std::string& counter) {
+  for (int number = 0; number < kFollowers; ++number) {
+    TransactionClient follower(fleet, vm);
+    EXPECT_EQ(follower.Add(vm, counter).outcome, "done");
+    EXPECT_EQ(follower.Commit(vm).outcome, "done");
+  }
+  EXPECT_EQ(fleet.ReadExact(counter), kFollowers);
+}
+
+// What a pair of counters says of the transaction that was to add to both.
+void ExpectWhole(FleetFixture& fleet, const std::string& name, const std::string& outcome) {
+  const Json first = fleet.ReadExact(name + "-a");
+  const Json second = fleet.ReadExact(name + "-b");
+  EXPECT_EQ(first, second) << name << " is there in part, told " << outcome;
+  if (outcome == "done") {
+    EXPECT_EQ(first, 1) << name;
+  } else if (outcome == "not_run") {
+    EXPECT_EQ(first, Json()) << name;
+  }
+}
+
+TEST(TransactionsTest, TheCallerGoesSilent) {
+  FleetFixture fleet(FleetOptions{});
+  fleet.AwaitReady();
+  TransactionClient silent(fleet, 1);
+  ASSERT_EQ(silent.Add(1, "silent").outcome, "done");
+  CommitFollowers(fleet, 2, "while-open");
+  std::this_thread::sleep_for(kIdleEnd);
+  CommitFollowers(fleet, 3, "afterwards");
+  EXPECT_EQ(silent.Commit(1).outcome, "not_run");
+  EXPECT_EQ(fleet.ReadExact("silent"), Json());
+}
+
+TEST(TransactionsTest, TheEntryIsKilled) {
+  FleetFixture fleet(FleetOptions{});
+  fleet.AwaitReady();
+  const std::size_t leader = fleet.Leader();
+  const std::size_t entry = OtherVm(leader);
+  TransactionClient orphan(fleet, entry);
+  ASSERT_EQ(orphan.Add(entry, "orphan").outcome, "done");
+  fleet.Vm(entry).Kill();
+  CommitFollowers(fleet, leader, "while-open");
+  std::this_thread::sleep_for(kIdleEnd);
+  CommitFollowers(fleet, leader, "afterwards");
+  EXPECT_EQ(orphan.Commit(leader).outcome, "not_run");
+  EXPECT_EQ(fleet.ReadExact("orphan"), Json());
+}
+
+TEST(TransactionsTest, TheLeaderIsKilled) {
+  FleetFixture fleet(FleetOptions{});
+  fleet.AwaitReady();
+  const std::size_t leader = fleet.Leader();
+  const std::size_t entry = OtherVm(leader);
+  TransactionClient orphan(fleet, entry);
+  ASSERT_EQ(orphan.Add(entry, "orphan").outcome, "done");
+  fleet.Vm(leader).Kill();
+  CommitFollowers(fleet, entry, "afterwards");
+  EXPECT_EQ(orphan.Commit(entry).outcome, "not_run");
+  EXPECT_EQ(fleet.ReadExact("orphan"), Json());
+}
+
+// A statement outlives its time limit on its connection, and others come after it.
+TEST(TransactionsTest, AConnectionTimedOut) {
+  FleetFixture fleet(FleetOptions{});
+  fleet.AwaitReady();
+  TransactionClient slow(fleet, 1);
+  ASSERT_EQ(slow.Add(1, "slow").outcome, "done");
+  const std::size_t primary = fleet.Primary();
+  fleet.ControlEndpoint(primary, "POST", "service_time", Json{{"service_us", 700'000}});
+  EXPECT_NE(slow.Add(1, "slow", std::chrono::milliseconds(200)).outcome, "done");
+  fleet.ControlEndpoint(primary, "POST", "service_time", Json{{"service_us", 500}});
+  CommitFollowers(fleet, 2, "afterwards");
+  EXPECT_EQ(slow.Commit(1).outcome, "not_run");
+  EXPECT_EQ(fleet.ReadExact("slow"), Json());
+}
+
+TEST(TransactionsTest, TheLeaderIsHandedOver) {
+  FleetFixture fleet(FleetOptions{});
+  fleet.AwaitReady();
+  const std::size_t leader = fleet.Leader();
+  const std::size_t entry = OtherVm(leader);
+  TransactionClient finishing(fleet, entry);
+  TransactionClient abandoned(fleet, entry);
+  ASSERT_EQ(finishing.Add(entry, "finishing-a").outcome, "done");
+  ASSERT_EQ(abandoned.Add(entry, "abandoned").outcome, "done");
+  std::jthread ending([&] { EXPECT_EQ(fleet.Vm(leader).Terminate(std::chrono::seconds(20)), 0); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  const CallerAnswer second = finishing.Add(entry, "finishing-b");
+  const CallerAnswer committed = finishing.Commit(entry);
+  ending.join();
+  CommitFollowers(fleet, entry, "afterwards");
+  EXPECT_EQ(abandoned.Commit(entry).outcome, "not_run");
+  EXPECT_EQ(fleet.ReadExact("abandoned"), Json());
+  if (second.outcome == "done") {
+    ExpectWhole(fleet, "finishing", committed.outcome);
+  } else {
+    EXPECT_EQ(committed.outcome, "not_run");
+    EXPECT_EQ(fleet.ReadExact("finishing-a"), Json());
+  }
+}
+
+// Transactions of many callers at once, some of them rolled back or abandoned, while the primary is killed.
+TEST(TransactionsTest, ManyAtOnceStayWhole) {
+  FleetFixture fleet(FleetOptions{});
+  fleet.AwaitReady();
+  constexpr int kCallers = 6;
+  constexpr int kRounds = 8;
+  std::vector<std::vector<std::string>> told(kCallers);
+  std::vector<std::jthread> callers;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&fleet, &told, caller] {
+      const std::size_t vm = static_cast<std::size_t>(caller) % fleet.VmCount() + 1;
+      for (int round = 0; round < kRounds; ++round) {
+        const std::string name = "whole-" + std::to_string(caller) + "-" + std::to_string(round);
+        TransactionClient transaction(fleet, vm);
+        const bool first = transaction.Add(vm, name + "-a").outcome == "done";
+        const bool both = first && transaction.Add(vm, name + "-b").outcome == "done";
+        if (!both || round % 4 == 3) {
+          // Without a commit nothing of it may ever show, rolled back or not.
+          if (round != 3) {
+            transaction.Rollback(vm);
+          }
+          told[caller].emplace_back("not_run");
+        } else {
+          told[caller].push_back(transaction.Commit(vm, "key-" + name).outcome);
+        }
+      }
+    });
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  fleet.Endpoint(fleet.Primary()).Kill();
+  callers.clear();
+  for (int caller = 0; caller < kCallers; ++caller) {
+    for (int round = 0; round < kRounds; ++round) {
+      ExpectWhole(fleet, "whole-" + std::to_string(caller) + "-" + std::to_string(round), told[caller][round]);
+    }
+  }
+}
+
+// A commit whose answer was lost is done again as a whole, with its key.
+TEST(TransactionsTest, RedoneWithItsKeyAfterALostAnswer) {
+  FleetFixture fleet(FleetOptions{});
+  fleet.AwaitReady();
+  TransactionClient first(fleet, 1);
+  ASSERT_EQ(first.Add(1, "redone-a").outcome, "done");
+  ASSERT_EQ(first.Add(1, "redone-b").outcome, "done");
+  fleet.LoseAnswers("callers-vm-1", 1, "/commit");
+  EXPECT_EQ(first.Commit(1, "key-redone").outcome, "unknown");
+  TransactionClient second(fleet, 2);
+  ASSERT_EQ(second.Add(2, "redone-a").outcome, "done");
+  ASSERT_EQ(second.Add(2, "redone-b").outcome, "done");
+  EXPECT_EQ(second.Commit(2, "key-redone").outcome, "done");
+  ExpectWhole(fleet, "redone", "done");
+}
+
+// Lags stay below the time after which a primary that no replica follows is given up.
+TEST(TransactionsTest, ACommitIsAcknowledgedByLaggingReplicas) {
+  FleetFixture fleet(FleetOptions{.lag = std::chrono::milliseconds(300)});
+  fleet.AwaitReady();
+  TransactionClient transaction(fleet, 1);
+  ASSERT_EQ(transaction.Add(1, "lagging").outcome, "done");
+  EXPECT_EQ(transaction.Commit(1).outcome, "done");
+  EXPECT_EQ(fleet.ReadExact("lagging"), 1);
+}
+
+}  // namespace
+}  // namespace amaranthlane::testing
