Give up silent idle connections and retry a leaving primary's change sooner

Cause: when connections to the platform went silent for good, each pooled one cost a call its whole limit, and the change of a leaving primary gave up after 500 ms and paused 3 s, while its slots were already zero: writes were refused for > 3.5 s. Ruled out: late news (the change began 24 ms after the edit); a stuck drain (the stage given up was the platform's read). Change: a call that times out closes the pool's idle connections; the pause after a failed planned change is 500 ms. Before: LeavingEndpointTest.ALeaderWhoseWatchIsSilentLearnsOfIt: primary unchanged 3.5 s after the edit, 157 refusals.

--- a/source/core/promotion/promotion_system.h
+++ b/source/core/promotion/promotion_system.h
@@ -44,7 +44,7 @@
   // The pause between asking a target again for its position.
   Duration catch_up_interval = std::chrono::milliseconds(10);
   // The pause after a planned change that a leaving primary asked for, and that failed.
-  Duration planned_retry_pause = std::chrono::seconds(3);
+  Duration planned_retry_pause = std::chrono::milliseconds(500);
   // When a primary without confirmations is reported as ReplicationStalled, how long the replicas may take to answer
   // then, and the least time between two such changes of primary.
   Duration replication_stall_limit = std::chrono::milliseconds(600);
--- a/source/net/http_pool.cc
+++ b/source/net/http_pool.cc
@@ -47,12 +47,23 @@
   HttpConnection::Callback callback = std::move(call.callback);
   connection->Call(std::move(call.request), call.deadline,
                    [state, connection, callback = std::move(callback)](CallResult result) {
+                     if (result.status == CallStatus::kTimedOut) {
+                       CloseIdle(state);
+                     }
                      // The connection goes back first, so that the callback's own calls can use it.
                      boost::asio::post(state->loop, [state, connection] { Release(state, connection); });
                      callback(std::move(result));
                    });
 }
 
+void HttpPool::CloseIdle(const std::shared_ptr<State>& state) {
+  state->open -= state->idle.size();
+  for (const std::shared_ptr<HttpConnection>& connection : state->idle) {
+    connection->Close();
+  }
+  state->idle.clear();
+}
+
 void HttpPool::Release(const std::shared_ptr<State>& state, const std::shared_ptr<HttpConnection>& connection) {
   if (state->closed) {
     connection->Close();
--- a/source/net/http_pool.h
+++ b/source/net/http_pool.h
@@ -33,6 +33,8 @@
 
   static void Run(const std::shared_ptr<State>& state, const std::shared_ptr<HttpConnection>& connection,
                   WaitingCall call);
+  // What silenced one connection may have silenced those that were open beside it.
+  static void CloseIdle(const std::shared_ptr<State>& state);
   static void Release(const std::shared_ptr<State>& state, const std::shared_ptr<HttpConnection>& connection);
   static void Retry(const std::shared_ptr<State>& state, WaitingCall call);
 
