--- a/tests/integration/fleet_fixture.cc
+++ b/tests/integration/fleet_fixture.cc
@@ -20,11 +20,12 @@
 constexpr char kCallerKeyHash[] = "66e7c82b49bb291dd09c8e020448311c4a7bb96aeb5c5db769f66812b13a50b5";
 constexpr std::chrono::milliseconds kPollInterval{20};
 constexpr std::chrono::milliseconds kControlLimit{5000};
-constexpr std::size_t kDataCentres = 3;
 constexpr unsigned kStatusOk = 200;
 constexpr char kUrnPrefix[] = "urn:amaranthlane:";
 
-std::string DataCentre(std::size_t index) { return "dc-" + std::to_string(index % kDataCentres + 1); }
+std::string DataCentre(std::size_t index, std::size_t data_centres) {
+  return "dc-" + std::to_string(index % data_centres + 1);
+}
 
 Json Object(const std::string& kind, const std::string& name, Json value) {
   return Json{{"kind", kind}, {"name", name}, {"value", std::move(value)}};
@@ -81,7 +82,7 @@
   for (std::size_t index = 0; index < options.vms; ++index) {
     VmRow row;
     row.name = "vm-" + std::to_string(index + 1);
-    row.data_centre = DataCentre(index);
+    row.data_centre = DataCentre(index, options.data_centres);
     row.callers_port = FreePort();
     row.source_ip = "127.0.1." + std::to_string(index + 1);
     row.peers_port = FreePort();
@@ -119,7 +120,7 @@
   for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
     instances.push_back(Json{{"endpoint", this->endpoints[index].name},
                              {"address", LoopbackAddress(this->route_ports.at(this->endpoints[index].name))},
-                             {"data_centre", DataCentre(index)},
+                             {"data_centre", DataCentre(index, this->options.data_centres)},
                              {"state", "live"}});
   }
   Json objects = Json::array();
@@ -382,4 +383,10 @@
   return this->route_ports.at("callers-" + this->vms.at(vm - 1).name);
 }
 
+std::uint16_t FleetFixture::DirectCallersPort(std::size_t vm) const { return this->vms.at(vm - 1).callers_port; }
+
+std::string FleetFixture::OperatorsAddress(std::size_t vm) const {
+  return LoopbackAddress(this->vms.at(vm - 1).operators_port);
+}
+
 }  // namespace amaranthlane::testing
--- a/tests/integration/fleet_fixture.h
+++ b/tests/integration/fleet_fixture.h
@@ -18,6 +18,8 @@
 // The shape of a fleet under test: one database group `group-1` before a few VMs, all behind the fault-injecting proxy.
 struct FleetOptions {
   std::size_t vms = 3;
+  // VMs and endpoints are spread evenly.
+  std::size_t data_centres = 3;
   std::size_t endpoints = 3;
   std::size_t slots = 5;
   std::size_t connections = 35;
@@ -105,6 +107,10 @@
   std::size_t VmCount() const;
   // The callers' port of the VM, through the proxy.
   std::uint16_t CallersPort(std::size_t vm) const;
+  // The callers' port of the VM, past the proxy, so that a refused connection is seen as such.
+  std::uint16_t DirectCallersPort(std::size_t vm) const;
+  // The `ip:port` of the VM's operators' interface.
+  std::string OperatorsAddress(std::size_t vm) const;
 
  private:
   struct VmRow {
--- /dev/null
+++ b/tests/integration/leaving_endpoint_test.cc
@@ -0,0 +1,133 @@
+// An endpoint that is leaving gets no new work after its limit, and callers don't notice.
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "integration/object_edit.h"
+#include "integration/tagged_load.h"
+
+namespace amaranthlane::testing {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr unsigned kStatusOk = 200;
+constexpr std::chrono::milliseconds kObservation{1500};
+constexpr std::chrono::milliseconds kLoadLimit{4000};
+// How long the change of primary may wait for silent connections, beyond the limit itself.
+constexpr std::chrono::milliseconds kSilentPlatformLimit{1500};
+constexpr std::uint64_t kEnoughAnswers = 60;
+
+// Writes go to the primary and reads to replicas.
+LoadOptions WritesAndLookups(const FleetFixture& fleet) {
+  LoadOptions options;
+  options.vms = AllVms(fleet);
+  options.read_kind = "lookup";
+  return options;
+}
+
+std::size_t OtherVm(std::size_t vm) { return vm == 1 ? 2 : 1; }
+
+// A replica of the group.
+std::size_t Replica(FleetFixture& fleet) { return fleet.Primary() == 3 ? 2 : 3; }
+
+void ExpectWorkAt(FleetFixture& fleet, std::size_t endpoint, const TaggedLoad& load) {
+  const std::uint64_t before = StatementsRun(fleet, endpoint);
+  ASSERT_TRUE(load.AwaitDone(kEnoughAnswers, kLoadLimit));
+  ASSERT_GT(StatementsRun(fleet, endpoint), before) << "the endpoint has no work that could end";
+}
+
+// Checks that the endpoint runs nothing from the limit on, while callers are served by others.
+void ExpectNoWorkAt(FleetFixture& fleet, std::size_t endpoint, const TaggedLoad& load, TimePoint accepted_at) {
+  std::this_thread::sleep_for(accepted_at + kInForceLimit - BootClock::now());
+  const std::uint64_t before = StatementsRun(fleet, endpoint);
+  const std::uint64_t done = load.Done();
+  std::this_thread::sleep_for(kObservation);
+  EXPECT_EQ(StatementsRun(fleet, endpoint), before);
+  EXPECT_GT(load.Done(), done + kEnoughAnswers);
+}
+
+void ExpectAllDone(const LoadReport& report) {
+  EXPECT_TRUE(report.refusals.empty()) << report.refusals.size() << " refusals, such as " << report.refusals.front();
+  EXPECT_TRUE(report.unanswered.empty()) << report.unanswered.front();
+  EXPECT_TRUE(report.foreign.empty()) << report.foreign.front();
+}
+
+TEST(LeavingEndpointTest, ALeavingReplicaGetsNoNewWork) {
+  FleetFixture fleet(FleetOptions{});
+  fleet.AwaitReady();
+  const std::size_t replica = Replica(fleet);
+  TaggedLoad load(fleet, WritesAndLookups(fleet));
+  ExpectWorkAt(fleet, replica, load);
+  const EditAnswer edit = SetEndpointState(fleet, OtherVm(fleet.Leader()), replica, "leaving");
+  ASSERT_EQ(edit.status, kStatusOk) << edit.body;
+  ExpectNoWorkAt(fleet, replica, load, edit.answered_at);
+  ExpectAllDone(load.Stop());
+}
+
+TEST(LeavingEndpointTest, ALeavingPrimaryIsReplacedAndGetsNoNewWork) {
+  FleetFixture fleet(FleetOptions{});
+  fleet.AwaitReady();
+  const std::size_t primary = fleet.Primary();
+  TaggedLoad load(fleet, WritesAndLookups(fleet));
+  ExpectWorkAt(fleet, primary, load);
+  const EditAnswer edit = SetEndpointState(fleet, OtherVm(fleet.Leader()), primary, "leaving");
+  ASSERT_EQ(edit.status, kStatusOk) << edit.body;
+  ExpectNoWorkAt(fleet, primary, load, edit.answered_at);
+  EXPECT_NE(fleet.Primary(), primary);
+  ExpectAllDone(load.Stop());
+}
+
+TEST(LeavingEndpointTest, ALaggingPlatformDelaysNothing) {
+  FleetFixture fleet(FleetOptions{});
+  fleet.AwaitReady();
+  const std::size_t replica = Replica(fleet);
+  TaggedLoad load(fleet, WritesAndLookups(fleet));
+  ExpectWorkAt(fleet, replica, load);
+  fleet.ControlPlatform("vm_lag", Json{{"lag_ms", 60000}});
+  fleet.ControlPlatform("delay", Json{{"delay_ms", 300}});
+  const EditAnswer edit = SetEndpointState(fleet, OtherVm(fleet.Leader()), replica, "leaving");
+  ASSERT_EQ(edit.status, kStatusOk) << edit.body;
+  ExpectNoWorkAt(fleet, replica, load, edit.answered_at);
+  ExpectAllDone(load.Stop());
+}
+
+TEST(LeavingEndpointTest, APlatformThatFailsAfterTheEditDelaysNothing) {
+  FleetFixture fleet(FleetOptions{});
+  fleet.AwaitReady();
+  const std::size_t replica = Replica(fleet);
+  const std::size_t leader = fleet.Leader();
+  TaggedLoad load(fleet, WritesAndLookups(fleet));
+  ExpectWorkAt(fleet, replica, load);
+  fleet.SetRoute("platform-vm-" + std::to_string(leader), Json{{"mode", "cut"}});
+  const EditAnswer edit = SetEndpointState(fleet, OtherVm(leader), replica, "leaving");
+  fleet.ControlPlatform("outage", Json{{"on", true}});
+  ASSERT_EQ(edit.status, kStatusOk) << edit.body;
+  ExpectNoWorkAt(fleet, replica, load, edit.answered_at);
+  ExpectAllDone(load.Stop());
+}
+
+TEST(LeavingEndpointTest, ALeaderWhoseWatchIsSilentLearnsOfIt) {
+  FleetFixture fleet(FleetOptions{});
+  fleet.AwaitReady();
+  const std::size_t primary = fleet.Primary();
+  const std::size_t leader = fleet.Leader();
+  TaggedLoad load(fleet, WritesAndLookups(fleet));
+  ExpectWorkAt(fleet, primary, load);
+  fleet.SetRoute("platform-vm-" + std::to_string(leader), Json{{"mode", "silent_open"}});
+  const EditAnswer edit = SetEndpointState(fleet, OtherVm(leader), primary, "leaving");
+  ASSERT_EQ(edit.status, kStatusOk) << edit.body;
+  std::this_thread::sleep_for(edit.answered_at + kInForceLimit - BootClock::now());
+  const std::uint64_t before = StatementsRun(fleet, primary);
+  // The change of primary itself waits until the leader has given up its silent connections to the platform.
+  EXPECT_TRUE(FleetFixture::Await([&] { return fleet.Primary() != primary; }, kSilentPlatformLimit));
+  EXPECT_TRUE(load.AwaitDone(kEnoughAnswers, kLoadLimit));
+  EXPECT_EQ(StatementsRun(fleet, primary), before);
+  const LoadReport report = load.Stop();
+  EXPECT_EQ(report.unknown, 0U);
+  EXPECT_TRUE(report.unanswered.empty()) << report.unanswered.front();
+}
+
+}  // namespace
+}  // namespace amaranthlane::testing
