Refuse callers with 503 starting while a VM has no configuration

Cause: a VM that had just started answered 401 unknown-caller to valid keys until it had learned the callers, and a client takes that for final. Ruled out: a wrong key (the same connection's next request was served). Change: while the store is complete through nothing, callers get 503 starting, not_run, which they may retry elsewhere.

--- a/source/daemon/entry.cc
+++ b/source/daemon/entry.cc
@@ -96,6 +96,11 @@
 }
 
 Entry::CallPointer Entry::Parse(const net::HttpRequest& request, net::HttpServer::Answer& answer) {
+  // Without the configuration nothing can be said for certain about the caller, its group or what it is owed.
+  if (this->control.Objects().CompleteThrough() == 0) {
+    answer(WorkProblemResponse(MakeRefusal(WorkProblem::kStarting), ""));
+    return nullptr;
+  }
   const std::string* caller = this->callers.Authenticate(BearerKey(request));
   if (caller == nullptr) {
     answer(WorkProblemResponse(MakeRefusal(WorkProblem::kUnknownCaller), ""));
--- a/source/daemon/problem.cc
+++ b/source/daemon/problem.cc
@@ -22,7 +22,7 @@
   const char* detail;
 };
 
-constexpr std::array<ProblemRow, 22> kProblemRows = {{
+constexpr std::array<ProblemRow, 23> kProblemRows = {{
     {WorkProblem::kNone, 500, "the work ended without an answer"},
     {WorkProblem::kNotLeader, 503, "the group's leader is changing"},
     {WorkProblem::kOverload, 503, "the group can't serve this in time"},
@@ -45,6 +45,7 @@
     {WorkProblem::kUnknownCaller, 401, "the bearer key belongs to no caller"},
     {WorkProblem::kInvalidRequest, 400, "the request is malformed"},
     {WorkProblem::kInvalidToken, 400, "the session token is damaged"},
+    {WorkProblem::kStarting, 503, "this VM has just started and has no configuration yet"},
 }};
 
 const ProblemRow& RowOf(WorkProblem problem) {
--- a/source/daemon/work.cc
+++ b/source/daemon/work.cc
@@ -21,7 +21,7 @@
 };
 
 // In the order of WorkProblem.
-constexpr std::array<std::string_view, 22> kProblemNames = {
+constexpr std::array<std::string_view, 23> kProblemNames = {
     "none",
     "not-leader",
     "overload",
@@ -44,6 +44,7 @@
     "unknown-caller",
     "invalid-request",
     "invalid-session-token",
+    "starting",
 };
 
 std::chrono::milliseconds ToMilliseconds(Duration duration) {
--- a/source/daemon/work.h
+++ b/source/daemon/work.h
@@ -72,6 +72,8 @@
   kUnknownCaller,
   kInvalidRequest,
   kInvalidToken,
+  // The VM doesn't hold the configuration yet.
+  kStarting,
 };
 
 std::string_view WorkProblemName(WorkProblem problem);
