Scope idempotency keys to their callers and split the group's work

Cause: keys were passed to endpoints as they came, so that one caller could read the outcome of another's key, or be refused for it. Found while reading; ruled out that any interface checked the owner. Change: the endpoint's key is caller:key; reasons and read requests in files of their own; no tags on unsampled spans.

--- a/source/daemon/entry.cc
+++ b/source/daemon/entry.cc
@@ -301,9 +301,11 @@
 
 void Entry::Finish(const CallPointer& call, WorkAnswer answer) {
   this->metrics.CountEnd(call->work.obligation.rank, answer.outcome, BootClock::now() - call->arrival);
-  call->span->SetTag("group", call->work.group);
-  call->span->SetTag("leader", call->leader);
-  call->span->SetTag("outcome", std::string(OutcomeName(answer.outcome)));
+  if (tracing::ContextOf(*call->span).sampled) {
+    call->span->SetTag("group", call->work.group);
+    call->span->SetTag("leader", call->leader);
+    call->span->SetTag("outcome", std::string(OutcomeName(answer.outcome)));
+  }
   call->span->Finish();
   if (answer.outcome == Outcome::kDone) {
     call->answer(this->SuccessResponse(*call, answer));
--- a/source/daemon/group_work.cc
+++ b/source/daemon/group_work.cc
@@ -1,60 +1,22 @@
 #include "daemon/group_work.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "core/outcomes/outcome_errors.h"
 #include "core/scheduling/scheduling_errors.h"
+#include "daemon/end_reasons.h"
+#include "daemon/read_request.h"
 #include "logging/log.h"
 
 namespace amaranthlane::daemon {
 
 namespace {
 
+// Names of callers hold no such character, so that no two callers' keys meet.
+constexpr char kKeySeparator = ':';
 // Beyond the caller's deadline the table of requests has ended the request itself.
 constexpr std::chrono::seconds kAnswerMargin{5};
 
-WorkProblem ProblemOf(outcomes::EndReason reason) {
-  switch (reason) {
-    case outcomes::EndReason::kAnswered:
-      return WorkProblem::kNone;
-    case outcomes::EndReason::kDeadlinePassed:
-      return WorkProblem::kDeadlinePassed;
-    case outcomes::EndReason::kConnectionLost:
-      return WorkProblem::kConnectionLost;
-    case outcomes::EndReason::kTermMoved:
-      return WorkProblem::kTermMoved;
-    case outcomes::EndReason::kLeadershipLost:
-      return WorkProblem::kLeadershipLost;
-    case outcomes::EndReason::kCallerGone:
-    case outcomes::EndReason::kShutdown:
-      return WorkProblem::kShutdown;
-    case outcomes::EndReason::kOverload:
-      return WorkProblem::kOverload;
-    case outcomes::EndReason::kRefusedByEndpoint:
-      return WorkProblem::kRefusedByEndpoint;
-    case outcomes::EndReason::kKeyConflict:
-      return WorkProblem::kKeyConflict;
-    case outcomes::EndReason::kInvalidStatement:
-      return WorkProblem::kInvalidStatement;
-  }
-  return WorkProblem::kRefusedByEndpoint;
-}
-
-replicas::ReadRequest ReadRequestOf(const WorkRequest& request) {
-  replicas::ReadRequest read;
-  read.freshness = request.obligation.freshness;
-  read.data_centre = request.data_centre;
-  if (request.obligation.read_your_writes) {
-    read.token = request.token;
-  }
-  return read;
-}
-
-bool IsRead(const OpenWork& work) {
-  return work.request.kind == WorkKind::kStatement && work.request.mode == outcomes::StatementMode::kRead;
-}
-
 scheduling::SchedulerSettings SchedulerSettingsOf(const Settings& settings) {
   scheduling::SchedulerSettings scheduler;
   scheduler.policy = scheduling::ParsePolicyKind(settings.scheduling_policy);
@@ -89,6 +51,9 @@
   if (this->context.tracer != nullptr) {
     work.span = tracing::StartSpan(*this->context.tracer, "leader", request.traceparent);
   }
+  if (!request.idempotency_key.empty()) {
+    work.endpoint_key = request.caller + kKeySeparator + request.idempotency_key;
+  }
   work.request = std::move(request);
   this->Open(work, now);
   this->RunDue(now);
@@ -142,7 +107,7 @@
       std::make_shared<net::HttpConnection>(this->context.loop, this->endpoints.LinkOf(*primary).Target());
   const Term term = this->supervisor.Promotion().CurrentTerm();
   connection->Call(
-      OutcomeMessage(work.request.idempotency_key, term), work.request.deadline,
+      OutcomeMessage(work.endpoint_key, term), work.request.deadline,
       [this, alive = std::weak_ptr<bool>(this->alive), connection, id = work.id, term](const net::CallResult& result) {
         if (!alive.expired()) {
           this->OutcomeLearned(id, term, result);
@@ -175,15 +140,23 @@
          this->supervisor.MayAcknowledge(AcknowledgementLevel::kReplicated, term, position);
 }
 
-std::optional<scheduling::EndpointSet> GroupWork::EligibleFor(OpenWork& work, TimePoint now) {
-  if (!IsRead(work) || work.settling) {
-    return scheduling::kPrimaryBit;
-  }
-  std::vector<replicas::InstanceLoad> load;
+std::vector<replicas::InstanceLoad> GroupWork::EndpointLoads() const {
+  std::vector<replicas::InstanceLoad> loads;
   for (std::size_t index = 0; index < this->endpoints.Rows().size(); ++index) {
     const auto endpoint = static_cast<scheduling::EndpointIndex>(index);
-    load.push_back({this->endpoints.NameOf(endpoint), static_cast<std::uint32_t>(this->scheduler.Running(endpoint))});
+    loads.push_back({this->endpoints.NameOf(endpoint), static_cast<std::uint32_t>(this->scheduler.Running(endpoint))});
+  }
+  return loads;
+}
+
+std::optional<scheduling::EndpointSet> GroupWork::EligibleFor(OpenWork& work, TimePoint now) {
+  if (!IsRead(work.request) || work.settling) {
+    return scheduling::kPrimaryBit;
   }
+  // The load only matters where there is a choice.
+  const bool may_use_replicas = work.request.obligation.freshness > Duration::zero();
+  const std::vector<replicas::InstanceLoad> load =
+      may_use_replicas ? this->EndpointLoads() : std::vector<replicas::InstanceLoad>();
   const replicas::ReadChoice choice =
       this->supervisor.Replicas().ChooseReadEndpoint(now, ReadRequestOf(work.request), load);
   switch (choice.outcome) {
@@ -293,7 +266,7 @@
   statement.term = this->supervisor.Promotion().CurrentTerm();
   statement.mode = work.request.mode;
   statement.statement = work.request.statement;
-  statement.idempotency_key = work.request.idempotency_key;
+  statement.idempotency_key = work.endpoint_key;
   work.sent_at = now;
   work.sent_term = statement.term;
   net::HttpRequest message = StatementMessage(statement);
@@ -362,7 +335,7 @@
     return;
   }
   const EndpointName& endpoint = this->endpoints.NameOf(work.endpoint);
-  if (IsRead(work)) {
+  if (IsRead(work.request)) {
     const replicas::ReadAnswer read{endpoint, reply.term, reply.position, work.sent_at};
     this->supervisor.Replicas().ReadFinished(endpoint, now - work.sent_at);
     if (reply.request == work.id && !this->supervisor.Replicas().MayPassOn(now, ReadRequestOf(work.request), read)) {
@@ -486,7 +459,7 @@
   this->scheduler.Withdraw(id);
   const OpenWork ended = std::move(found->second);
   this->open.erase(found);
-  if (ended.span != nullptr) {
+  if (ended.span != nullptr && tracing::ContextOf(*ended.span).sampled) {
     ended.span->SetTag("group", this->group);
     ended.span->SetTag("endpoint", answer.endpoint);
     ended.span->SetTag("outcome", std::string(OutcomeName(answer.outcome)));
--- a/source/daemon/group_work.h
+++ b/source/daemon/group_work.h
@@ -56,6 +56,7 @@
   void OutcomeLearned(outcomes::RequestId id, Term term, const net::CallResult& result);
   bool MayTellOutcome(Term term, const LogPosition& position);
   void Queue(OpenWork& work, TimePoint now);
+  std::vector<replicas::InstanceLoad> EndpointLoads() const;
   std::optional<scheduling::EndpointSet> EligibleFor(OpenWork& work, TimePoint now);
   void RunDue(TimePoint now);
   void CarryScheduler(scheduling::SchedulerActions& actions, TimePoint now);
--- a/source/daemon/open_work.h
+++ b/source/daemon/open_work.h
@@ -15,6 +15,8 @@
   outcomes::RequestId id = 0;
   WorkRequest request;
   WorkCallback callback;
+  // The idempotency key as endpoints know it: keys belong to their callers. Empty: none.
+  std::string endpoint_key;
   TimePoint arrival;
   // Where it was dispatched to, and when; meaningful while it holds a slot.
   scheduling::EndpointIndex endpoint = 0;
--- /dev/null
+++ b/source/daemon/read_request.cc
@@ -0,0 +1,19 @@
+#include "daemon/read_request.h"
+
+namespace amaranthlane::daemon {
+
+replicas::ReadRequest ReadRequestOf(const WorkRequest& request) {
+  replicas::ReadRequest read;
+  read.freshness = request.obligation.freshness;
+  read.data_centre = request.data_centre;
+  if (request.obligation.read_your_writes) {
+    read.token = request.token;
+  }
+  return read;
+}
+
+bool IsRead(const WorkRequest& request) {
+  return request.kind == WorkKind::kStatement && request.mode == outcomes::StatementMode::kRead;
+}
+
+}  // namespace amaranthlane::daemon
--- a/source/daemon/transaction_runner.cc
+++ b/source/daemon/transaction_runner.cc
@@ -4,6 +4,7 @@
 
 #include "common/error.h"
 #include "core/transactions/transaction_errors.h"
+#include "daemon/end_reasons.h"
 #include "logging/log.h"
 
 namespace amaranthlane::daemon {
@@ -14,32 +15,6 @@
 constexpr std::chrono::seconds kAnswerMargin{5};
 constexpr std::chrono::milliseconds kSettleLimit{500};
 
-WorkProblem ProblemOf(transactions::TransactionEndReason reason) {
-  switch (reason) {
-    case transactions::TransactionEndReason::kAnswered:
-      return WorkProblem::kNone;
-    case transactions::TransactionEndReason::kConnectionLost:
-      return WorkProblem::kConnectionLost;
-    case transactions::TransactionEndReason::kCallDeadline:
-      return WorkProblem::kDeadlinePassed;
-    case transactions::TransactionEndReason::kLeadershipLost:
-      return WorkProblem::kLeadershipLost;
-    case transactions::TransactionEndReason::kTermMoved:
-      return WorkProblem::kTermMoved;
-    case transactions::TransactionEndReason::kDrained:
-      return WorkProblem::kShutdown;
-    case transactions::TransactionEndReason::kRefusedByEndpoint:
-      return WorkProblem::kRefusedByEndpoint;
-    case transactions::TransactionEndReason::kOverload:
-      return WorkProblem::kOverload;
-    case transactions::TransactionEndReason::kCallerGone:
-    case transactions::TransactionEndReason::kIdleDeadline:
-    case transactions::TransactionEndReason::kTotalDeadline:
-      return WorkProblem::kTransactionEnded;
-  }
-  return WorkProblem::kTransactionEnded;
-}
-
 transactions::CallKind CallKindOf(WorkKind kind) {
   switch (kind) {
     case WorkKind::kCommit:
@@ -194,7 +169,7 @@
 net::HttpRequest TransactionRunner::MessageFor(const transactions::SendCall& action, const OpenWork& work) const {
   switch (action.kind) {
     case transactions::CallKind::kCommit:
-      return CommitMessage(action.request, action.term, work.request.idempotency_key);
+      return CommitMessage(action.request, action.term, work.endpoint_key);
     case transactions::CallKind::kRollback:
       return RollbackMessage(action.request, action.term);
     case transactions::CallKind::kStatement:
@@ -314,7 +289,7 @@
   }
   const auto connection =
       std::make_shared<net::HttpConnection>(this->context.loop, this->endpoints.LinkOf(*primary).Target());
-  connection->Call(OutcomeMessage(commit->second.request.idempotency_key, action.term), BootClock::now() + kSettleLimit,
+  connection->Call(OutcomeMessage(commit->second.endpoint_key, action.term), BootClock::now() + kSettleLimit,
                    [this, alive = std::weak_ptr<bool>(this->alive), connection, action](const net::CallResult& result) {
                      if (!alive.expired()) {
                        this->Settled(action, result);
--- a/tests/integration/at_most_once_test.cc
+++ b/tests/integration/at_most_once_test.cc
@@ -152,5 +152,23 @@
   }
 }
 
+TEST(AtMostOnceTest, TheKeyOfOneCallerTellsAnotherNothing) {
+  FleetFixture fleet(FleetOptions{});
+  fleet.AwaitReady();
+  ASSERT_EQ(fleet.Execute(1, PutStatement("secret", "of caller-1", "shared-key")).outcome, "done");
+  const std::vector<HttpHeader> other = {{"Authorization", std::string("Bearer ") + kOtherCallerKey},
+                                         {"Idempotency-Key", "shared-key"}};
+  const CallerAnswer asked =
+      fleet.Call(2, "GET", "/v1/groups/group-1/outcomes/shared-key", nullptr, other, std::chrono::seconds(5));
+  EXPECT_EQ(asked.outcome, "unknown") << asked.body;
+  const nlohmann::json body{
+      {"kind", "order"}, {"mode", "write"}, {"statement", {{"op", "put"}, {"key", "own"}, {"value", "of caller-2"}}}};
+  const CallerAnswer written =
+      fleet.Call(2, "POST", "/v1/groups/group-1/statements", body, other, std::chrono::seconds(5));
+  ASSERT_EQ(written.outcome, "done") << written.body;
+  EXPECT_EQ(written.body.at("replayed"), false);
+  EXPECT_EQ(fleet.ReadExact("own"), "of caller-2");
+}
+
 }  // namespace
 }  // namespace amaranthlane::testing
--- a/tests/integration/fleet_fixture.cc
+++ b/tests/integration/fleet_fixture.cc
@@ -1,5 +1,6 @@
 #include "integration/fleet_fixture.h"
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <fstream>
@@ -17,6 +18,8 @@
 constexpr char kRegion[] = "region-1";
 constexpr char kCallerKey[] = "fixture-key";
 // The SHA-256 of the key.
+// The SHA-256 of kOtherCallerKey.
+constexpr char kOtherCallerKeyHash[] = "9a88bddc3086f55377d3eac77d1a8a2aeab59ec1426d064a013aca41a66ae057";
 constexpr char kCallerKeyHash[] = "66e7c82b49bb291dd09c8e020448311c4a7bb96aeb5c5db769f66812b13a50b5";
 constexpr std::chrono::milliseconds kPollInterval{20};
 constexpr std::chrono::milliseconds kControlLimit{5000};
@@ -134,6 +137,7 @@
                                 {"slots", this->options.slots},
                                 {"connections", this->options.connections}}));
   objects.push_back(Object("callers", "caller-1", Json{{"key_sha256", Json::array({kCallerKeyHash})}}));
+  objects.push_back(Object("callers", "caller-2", Json{{"key_sha256", Json::array({kOtherCallerKeyHash})}}));
   for (const char* kind : {"order", "note", "note-at-primary", "lookup", "exact"}) {
     objects.push_back(KindLabel(kind));
   }
@@ -239,7 +243,12 @@
 
 CallerAnswer FleetFixture::Call(std::size_t vm, const std::string& method, const std::string& target, const Json& body,
                                 const std::vector<HttpHeader>& headers, std::chrono::milliseconds limit) {
-  std::vector<HttpHeader> all = {{"Authorization", std::string("Bearer ") + kCallerKey}};
+  std::vector<HttpHeader> all;
+  const bool named = std::any_of(headers.begin(), headers.end(),
+                                 [](const HttpHeader& header) { return header.name == "Authorization"; });
+  if (!named) {
+    all.push_back({"Authorization", std::string("Bearer ") + kCallerKey});
+  }
   all.insert(all.end(), headers.begin(), headers.end());
   CallerAnswer answer;
   try {
--- a/tests/integration/fleet_fixture.h
+++ b/tests/integration/fleet_fixture.h
@@ -53,6 +53,9 @@
   std::chrono::milliseconds limit{3000};
 };
 
+// The bearer key of the fixture's `caller-2`.
+inline constexpr char kOtherCallerKey[] = "fixture-key-2";
+
 // A write of the kind `order` that puts a value.
 CallerStatement PutStatement(const std::string& key, const std::string& value, const std::string& idempotency_key);
 // A read of a key, such as by the kinds `lookup` and `exact`. `token` may be empty.
@@ -76,7 +79,7 @@
                    std::chrono::milliseconds limit = std::chrono::seconds(3));
   // Reads a key from the primary by any VM that answers. Null when it isn't there.
   nlohmann::json ReadExact(const std::string& key);
-  // Any call of the callers' interface, with the fixture's bearer key.
+  // Any call of the callers' interface; without an `Authorization` header, with the bearer key of `caller-1`.
   CallerAnswer Call(std::size_t vm, const std::string& method, const std::string& target, const nlohmann::json& body,
                     const std::vector<HttpHeader>& headers, std::chrono::milliseconds limit);
 
