--- a/source/daemon/group_supervisor.cc
+++ b/source/daemon/group_supervisor.cc
@@ -21,6 +21,7 @@
   promotion::PromotionSettings promotion;
   promotion.primary_probe_interval = settings.promotion_probe;
   promotion.progress_limit = settings.promotion_silence;
+  promotion.replication_stall_limit = settings.promotion_stall;
   return promotion;
 }
 
@@ -71,17 +72,17 @@
   }
   this->runner.RunIfDue(now);
   const std::optional<TimePoint> stalled = this->replica_table.StalledSince();
-  if (stalled && now - *stalled > promotion::PromotionSettings{}.replication_stall_limit) {
+  if (stalled && now - *stalled > this->context.settings.promotion_stall) {
     this->Notify(promotion::ReplicationStalled{this->replica_table.CurrentTerm()});
   }
 }
 
-bool GroupSupervisor::MayAcknowledge(AcknowledgementLevel level, const LogPosition& position) {
+bool GroupSupervisor::MayAcknowledge(AcknowledgementLevel level, Term term, const LogPosition& position) {
   if (level == AcknowledgementLevel::kReplicated) {
-    return this->promotion_system.MayAcknowledge(position.term, position);
+    return this->promotion_system.MayAcknowledge(term, position);
   }
   // Such a commit may be lost with the primary, so it must not hold up a promotion that can't cover it.
-  return this->promotion_system.MayPassOn(position.term);
+  return this->promotion_system.MayPassOn(term);
 }
 
 replicas::ReplicaTable& GroupSupervisor::Replicas() { return this->replica_table; }
@@ -291,7 +292,7 @@
     }
   };
   return std::make_shared<InstanceProber>(this->context.loop, net::ParseAddress(instance.address),
-                                          std::move(prober_listener));
+                                          this->context.traffic, std::move(prober_listener));
 }
 
 }  // namespace amaranthlane::daemon
