Report a VM as ready only once it is a witness again

Cause: rolling restarts that waited for readiness left no majority of witnesses for up to 4.9 s, because a restarted VM stays silent for one promise length; ruled out: the release itself, which the slower restarts show to work.

--- a/source/daemon/control_plane.cc
+++ b/source/daemon/control_plane.cc
@@ -53,6 +53,7 @@
                            PlatformClient& platform, PeerClient& peers, Listener listener)
     : settings(settings),
       self{settings.vm, incarnation},
+      witness_silent_until(started_at + settings.leadership_promise),
       platform(platform),
       peers(peers),
       listener(std::move(listener)),
@@ -578,4 +579,6 @@
 
 bool ControlPlane::PlatformReachable() const { return this->platform_reachable; }
 
+TimePoint ControlPlane::WitnessSilentUntil() const { return this->witness_silent_until; }
+
 }  // namespace amaranthlane::daemon
--- a/source/daemon/control_plane.h
+++ b/source/daemon/control_plane.h
@@ -62,6 +62,8 @@
   // The peers' address of a VM; empty when it isn't known.
   std::string AddressOf(const VmName& vm) const;
   bool PlatformReachable() const;
+  // Until then this VM promises nothing as a witness. Restarting another VM before would leave too few witnesses.
+  TimePoint WitnessSilentUntil() const;
 
  private:
   void Carry(const membership::SendHeartbeat& action);
@@ -103,6 +105,7 @@
 
   const Settings& settings;
   leadership::Holder self;
+  TimePoint witness_silent_until;
   PlatformClient& platform;
   PeerClient& peers;
   Listener listener;
--- a/source/daemon/operators_api.cc
+++ b/source/daemon/operators_api.cc
@@ -139,6 +139,10 @@
     answer(ProblemResponse(503, "draining", "this VM is shutting down"));
     return;
   }
+  if (BootClock::now() < this->control.WitnessSilentUntil()) {
+    answer(ProblemResponse(503, "starting", "this VM makes no promises as a witness yet"));
+    return;
+  }
   std::size_t groups = 0;
   std::string missing;
   this->control.Objects().ForEach(configuration::kDatabaseGroupsKind,
