--- /dev/null
+++ b/examples/embed_leadership.cc
@@ -0,0 +1,115 @@
+// Embeds one part of the library without the daemons: three VMs in one process agree on the leader of a database group.
+//
+// The program plays the daemon's part: it passes the systems' messages on, stands in for the platform's object, and
+// lets time pass. It ends with status 0 once one VM leads.
+
+#include <chrono>
+#include <cstdint>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/leadership/leadership_system.h"
+
+namespace {
+
+using amaranthlane::TimePoint;
+using amaranthlane::VmName;
+namespace leadership = amaranthlane::leadership;
+
+constexpr char kGroup[] = "orders";
+constexpr char kRegion[] = "region-1";
+constexpr std::chrono::milliseconds kStep{10};
+constexpr int kSteps = 1000;
+
+// The three VMs, the messages between them and the one platform object.
+class Cluster {
+ public:
+  Cluster() {
+    for (const char* name : {"vm-1", "vm-2", "vm-3"}) {
+      this->systems[name] = std::make_unique<leadership::LeadershipSystem>(leadership::Holder{name, 1},
+                                                                           leadership::LeadershipSettings{}, this->now);
+    }
+    leadership::VmsChanged vms;
+    for (const auto& [name, system] : this->systems) {
+      vms.vms.push_back(leadership::VmView{name, 1, "data-centre-" + name, kRegion, true, false});
+    }
+    for (const auto& [name, system] : this->systems) {
+      this->Deliver(name, vms);
+      this->Deliver(name, leadership::GroupsChanged{{{kGroup, kRegion}}});
+    }
+  }
+
+  // Lets time pass until a VM leads; empty when none does in time.
+  std::optional<VmName> AwaitLeader() {
+    for (int step = 0; step < kSteps; ++step) {
+      this->now += kStep;
+      for (const auto& [name, system] : this->systems) {
+        this->Run(name, {});
+        if (system->ValidUntil(kGroup).value_or(TimePoint::min()) > this->now) {
+          return name;
+        }
+      }
+    }
+    return std::nullopt;
+  }
+
+ private:
+  void Deliver(const VmName& vm, const leadership::Event& event) { this->Run(vm, {event}); }
+
+  void Run(const VmName& vm, const std::vector<leadership::Event>& events) {
+    for (const leadership::Action& action : this->systems.at(vm)->Tick(this->now, events)) {
+      std::visit([this, &vm](const auto& typed) { this->Carry(vm, typed); }, action);
+    }
+  }
+
+  void Carry(const VmName& vm, const leadership::SendPromiseRequest& action) {
+    this->reply_to = vm;
+    this->Deliver(action.witness, leadership::PromiseRequestReceived{1, action.request});
+  }
+  void Carry(const VmName& /*vm*/, const leadership::AnswerPromise& action) {
+    this->Deliver(this->reply_to, leadership::PromiseAnswerReceived{this->now, action.answer});
+  }
+  void Carry(const VmName& vm, const leadership::SendCloseRequest& action) {
+    this->reply_to = vm;
+    this->Deliver(action.witness, leadership::CloseRequestReceived{1, action.request});
+  }
+  void Carry(const VmName& /*vm*/, const leadership::AnswerClose& action) {
+    this->Deliver(this->reply_to, leadership::CloseAnswerReceived{this->now, action.answer});
+  }
+  void Carry(const VmName& vm, const leadership::UpdateRecord& action) {
+    leadership::UpdateAnswered answered{action.group, action.record.update_id, leadership::UpdateResult::kConflict,
+                                        this->version, this->record};
+    if (action.expected_version == this->version) {
+      this->record = action.record;
+      answered = {action.group, action.record.update_id, leadership::UpdateResult::kApplied, ++this->version, {}};
+    }
+    this->Deliver(vm, answered);
+  }
+  void Carry(const VmName& vm, const leadership::ReadRecord& action) {
+    this->Deliver(
+        vm, leadership::RecordSeen{action.group, this->version, this->record, leadership::RecordSource::kPlatform});
+  }
+  void Carry(const VmName& vm, const leadership::BecameLeader& action) {
+    std::cout << vm << " leads " << action.group << " in epoch " << action.ballot.epoch << '\n';
+  }
+  template <typename OtherAction>
+  void Carry(const VmName& /*vm*/, const OtherAction& /*action*/) {}
+
+  TimePoint now{std::chrono::hours(1)};
+  std::map<VmName, std::unique_ptr<leadership::LeadershipSystem>> systems;
+  VmName reply_to;
+  amaranthlane::ObjectVersion version = 0;
+  std::optional<leadership::LeadershipRecord> record;
+};
+
+}  // namespace
+
+int main() {
+  Cluster cluster;
+  return cluster.AwaitLeader() ? 0 : 1;
+}
--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -20,6 +20,8 @@
 }
 run_suite unit ./build/tests/unit_tests
 run_suite sanitized ./build-asan/tests/unit_tests
+echo "== example"
+./build/examples/embed_leadership || status=1
 echo "== settings reference"
 diff <(./build/source/daemon/amaranthlaned --settings-reference) docs/SETTINGS.md ||
   { echo "docs/SETTINGS.md is out of date: amaranthlaned --settings-reference > docs/SETTINGS.md"; status=1; }
