--- a/source/load/report.cc
+++ b/source/load/report.cc
@@ -43,7 +43,7 @@
 }  // namespace
 
 void WriteGap::Acknowledge(TimePoint now) {
-  this->longest = std::max(this->longest, std::chrono::nanoseconds(now - this->last));
+  this->longest = std::max<std::chrono::nanoseconds>(this->longest, now - this->last);
   this->last = now;
 }
 
--- a/source/metrics/registry.h
+++ b/source/metrics/registry.h
@@ -14,7 +14,8 @@
   std::string name;
   std::string value;
 
-  auto operator<=>(const Label&) const = default;
+  // The check takes the comparison's own zero for a null pointer.
+  auto operator<=>(const Label&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 using Labels = std::vector<Label>;
 
