Let the endpoint stand-in notice silent replication after 0.8 s

Cause: with connections silent for good, the write gap was 1,537 ms (median of 6), of which the stand-in's replicas took 1.5 s to notice their own silent pulls; ruled out: the proxy's connections, replaced after some 0.3 s. Change: the stand-in's pull gives up after 800 ms, 300 ms above its wait.

--- a/stand_ins/endpoint/replica_puller.cc
+++ b/stand_ins/endpoint/replica_puller.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kPullWait(500);
-constexpr std::chrono::milliseconds kPullTimeout(1500);
+constexpr std::chrono::milliseconds kPullTimeout(800);
 constexpr std::chrono::milliseconds kRetryDelay(20);
 constexpr unsigned kOk = 200;
 constexpr const char* kLogMismatch = "urn:amaranthlane:log-mismatch";
