Read a group's object by one strict parse function

Cause: the group's object had two parse functions. The operators' one refused the history that a promotion writes, so that after a failover no endpoint could be marked leaving; the leader's one took an address that no connection can be made to, which would have ended the process. Change: replicas::ParseGroupRecord checks names, addresses, counts and doubles; validation adds the unknown members; the fuzz entry of the removed function is covered by GroupRecord's.

--- a/fuzz/configuration_parse_functions.cc
+++ b/fuzz/configuration_parse_functions.cc
@@ -1,6 +1,5 @@
 #include "common/json.h"
 #include "core/configuration/caller.h"
-#include "core/configuration/database_group.h"
 #include "core/configuration/differences.h"
 #include "core/configuration/digest.h"
 #include "core/configuration/labels.h"
@@ -38,11 +37,6 @@
       {"DifferencesAnswer",
        RoundTrip<ParseDifferencesAnswer>,
        {R"({"complete_through":9,"more":true,"objects":[{"kind":"labels","name":"a","version":7,"value":{}}]})"}},
-      {"DatabaseGroup",
-       RoundTrip<ParseDatabaseGroup>,
-       {R"({"group":"g","region":"r","term":1,"primary":"e1","slots":5,"connections":35,"update_id":"u","instances":[
-          {"endpoint":"e1","address":"127.0.0.1:1","data_centre":"d","state":"live"},
-          {"endpoint":"e2","address":"127.0.0.1:2","data_centre":"d","state":"leaving"}]})"}},
       {"Labels",
        ParseOnly<ParseLabels>,
        {R"({"groups":["g"],"callers":["c"],"kinds":["k"],"labels":{"tier":"gold"},"update_id":"u"})"}},
--- a/source/core/configuration/object_validation.cc
+++ b/source/core/configuration/object_validation.cc
@@ -4,20 +4,30 @@
 #include <array>
 
 #include "common/error.h"
+#include "common/json.h"
 #include "common/names.h"
 #include "core/configuration/caller.h"
-#include "core/configuration/database_group.h"
 #include "core/configuration/labels.h"
 #include "core/configuration/platform_object.h"
 #include "core/configuration/selector.h"
+#include "core/replicas/group_record.h"
 
 namespace amaranthlane::configuration {
 
 namespace {
 
+constexpr char kGroupDocument[] = "database group";
+
 void CheckDatabaseGroup(std::string_view name, const nlohmann::json& value) {
-  if (ParseDatabaseGroup(value).group != name) {
-    throw ParseError("database group", "group", "the name of the object");
+  // The platform may add members of its own, an operator's misspelt one is refused.
+  const json::ObjectReader reader(value, kGroupDocument);
+  reader.RejectUnknown(
+      {"group", "region", "term", "primary", "instances", "slots", "connections", "update_id", "history"});
+  for (const nlohmann::json& instance : reader.Array("instances")) {
+    json::ObjectReader(instance, kGroupDocument).RejectUnknown({"endpoint", "address", "data_centre", "state"});
+  }
+  if (replicas::ParseGroupRecord(value).group != name) {
+    throw ParseError(kGroupDocument, "group", "the name of the object");
   }
 }
 
@@ -57,7 +67,7 @@
   }
   for (const char* key : {"term", "primary"}) {
     if (current.contains(key) && current.at(key) != value.at(key)) {
-      throw ParseError("database group", key, "the value that stands; only a promotion changes it");
+      throw ParseError(kGroupDocument, key, "the value that stands; only a promotion changes it");
     }
   }
 }
--- a/source/load/load_run.cc
+++ b/source/load/load_run.cc
@@ -23,8 +23,7 @@
 }  // namespace
 
 LoadRun::LoadRun(boost::asio::io_context& loop, const Profile& profile)
-    : loop(loop),
-      profile(profile),
+    : profile(profile),
       caller(loop, CallerSettingsOf(profile)),
       generator(profile.seed),
       timer(loop),
--- a/source/load/load_run.h
+++ b/source/load/load_run.h
@@ -50,7 +50,6 @@
   void VerifyNext();
   void TakeVerification(WriteIndex write, const client::StatementResult& result);
 
-  boost::asio::io_context& loop;
   const Profile& profile;
   client::Caller caller;
   std::mt19937_64 generator;
@@ -64,7 +63,6 @@
   TimePoint end;
   std::uint64_t in_flight = 0;
   WriteIndex next_verified = 0;
-  std::uint64_t verifying = 0;
 };
 
 }  // namespace amaranthlane::load
--- a/source/load/main.cc
+++ b/source/load/main.cc
@@ -90,7 +90,7 @@
     std::size_t start = 0;
     while (start <= arguments.vms.size()) {
       const std::size_t end = std::min(arguments.vms.find(',', start), arguments.vms.size());
-      profile.vms.push_back(net::ParseAddress(std::string_view(arguments.vms).substr(start, end - start)));
+      profile.vms.push_back(net::ParseAddress(arguments.vms.substr(start, end - start)));
       start = end + 1;
     }
   }
--- a/tests/core/replicas/replica_table_test.cc
+++ b/tests/core/replicas/replica_table_test.cc
@@ -16,8 +16,11 @@
 GroupRecord Record(Term term, const EndpointName& primary) {
   GroupRecord record;
   record.group = "orders";
+  record.region = "region-1";
   record.term = term;
   record.primary = primary;
+  record.slots = 5;
+  record.connections = 35;
   for (const char* name : {"a", "b", "c"}) record.instances.push_back({name, "127.0.0.1:1", name, false});
   return record;
 }
