Name the states of a promotion in one place

Cause: logs and the status page each had a table of phase names; two comments in node.h were wrong. Change: promotion_names.h; the comments say what the members hold.

--- a/source/daemon/group_leader.cc
+++ b/source/daemon/group_leader.cc
@@ -1,17 +1,15 @@
 #include "daemon/group_leader.h"
 
-#include <array>
 #include <utility>
 
+#include "daemon/promotion_names.h"
+
 namespace amaranthlane::daemon {
 
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr std::array<const char*, 7> kPhaseNames = {"starting",   "serving",  "suspecting", "draining",
-                                                    "collecting", "updating", "configuring"};
-
 const char* RoleName(replicas::Role role) {
   switch (role) {
     case replicas::Role::kPrimary:
@@ -127,7 +125,7 @@
   return Json{{"group", this->group},
               {"term", promotion.CurrentTerm()},
               {"primary", promotion.Primary()},
-              {"phase", kPhaseNames.at(static_cast<std::size_t>(promotion.CurrentPhase()))},
+              {"phase", PhaseName(promotion.CurrentPhase())},
               {"instances", std::move(instances)},
               {"waiting", std::move(waiting)}};
 }
--- a/source/daemon/group_supervisor.cc
+++ b/source/daemon/group_supervisor.cc
@@ -1,11 +1,11 @@
 #include "daemon/group_supervisor.h"
 
-#include <array>
 #include <utility>
 
 #include "common/error.h"
 #include "common/json.h"
 #include "daemon/endpoint_protocol.h"
+#include "daemon/promotion_names.h"
 #include "logging/log.h"
 
 namespace amaranthlane::daemon {
@@ -25,16 +25,6 @@
   return promotion;
 }
 
-constexpr std::array<const char*, 7> kPhaseNames = {"starting",   "serving",  "suspecting", "draining",
-                                                    "collecting", "updating", "configuring"};
-constexpr std::array<const char*, 7> kReasonNames = {"none",
-                                                     "group object unread",
-                                                     "too few instances heard",
-                                                     "no instance covers every acknowledged position",
-                                                     "platform unavailable",
-                                                     "primary unreachable",
-                                                     "target behind"};
-
 }  // namespace
 
 GroupSupervisor::GroupSupervisor(GroupContext& context, const GroupName& group, const std::string& update_id_prefix,
@@ -244,10 +234,9 @@
 }
 
 void GroupSupervisor::Carry(const promotion::StatusChanged& action) {
-  logging::Write(logging::Level::kInfo, "the promotion's phase changed",
-                 {{"group", this->group},
-                  {"phase", kPhaseNames.at(static_cast<std::size_t>(action.phase))},
-                  {"reason", kReasonNames.at(static_cast<std::size_t>(action.reason))}});
+  logging::Write(
+      logging::Level::kInfo, "the promotion's phase changed",
+      {{"group", this->group}, {"phase", PhaseName(action.phase)}, {"reason", WaitReasonName(action.reason)}});
 }
 
 void GroupSupervisor::Carry(const promotion::PlannedChangeEnded& action) {
--- a/source/daemon/node.cc
+++ b/source/daemon/node.cc
@@ -1,6 +1,5 @@
 #include "daemon/node.h"
 
-#include <array>
 #include <chrono>
 #include <utility>
 
@@ -8,6 +7,7 @@
 #include "common/json.h"
 #include "core/replicas/group_record.h"
 #include "daemon/problem.h"
+#include "daemon/promotion_names.h"
 #include "logging/log.h"
 
 namespace amaranthlane::daemon {
@@ -25,8 +25,6 @@
 // How often the load of a group is told to a peer that passes work on.
 constexpr std::chrono::milliseconds kPressureInterval{100};
 
-constexpr std::array<const char*, 5> kPlannedOutcomeNames = {"done", "target-unfit", "busy", "timed-out", "overtaken"};
-
 net::HttpServerLimits LimitsOf(const Settings& settings) {
   net::HttpServerLimits limits;
   limits.connections = settings.max_caller_connections;
@@ -221,7 +219,7 @@
     return;
   }
   leader.Promote(target, [answer](promotion::PlannedOutcome outcome) {
-    const char* name = kPlannedOutcomeNames.at(static_cast<std::size_t>(outcome));
+    const char* name = PlannedOutcomeName(outcome);
     if (outcome == promotion::PlannedOutcome::kDone) {
       answer(JsonResponse(R"({"outcome":"done"})"));
     } else {
--- a/source/daemon/node.h
+++ b/source/daemon/node.h
@@ -75,7 +75,7 @@
   GroupContext group_context;
   std::map<GroupName, std::unique_ptr<GroupLeader>> leaders;
   std::map<GroupName, ObjectVersion> group_versions;
-  // When each peer was last told the load of each group.
+  // When each group's load is to be told again to each VM that passes work on, by `group/vm`.
   std::map<std::string, TimePoint> pressure_due;
   Entry entry;
   OperatorsApi operators;
@@ -87,7 +87,7 @@
   metrics::Gauge& groups_led;
   Stage stage = Stage::kServing;
   TimePoint stage_deadline = kNever;
-  // Since when nothing was open, while closing.
+  // While closing: the end of the quiet time, moved on while anything is open.
   TimePoint quiet_until = kNever;
 };
 
