--- a/source/common/settings.h
+++ b/source/common/settings.h
@@ -21,6 +21,8 @@
   std::string peers_address = "127.0.0.1:7500";
   std::string operators_address = "127.0.0.1:7600";
   std::string platform_address;
+  // Empty: `platform_address`.
+  std::string promotion_address;
   // Empty: `peers_address`.
   std::string advertised_peers_address;
   // Empty: the system chooses.
@@ -43,6 +45,8 @@
   // The name of a policy of scheduling/rank_policy.h.
   std::string scheduling_policy = "floors";
 
+  std::chrono::milliseconds shutdown_grace{6000};
+
   std::string log_level = "info";
   std::uint64_t trace_ring_size = 4096;
 };
--- a/source/common/settings_table.cc
+++ b/source/common/settings_table.cc
@@ -66,6 +66,10 @@
                        .rule = &kAddress,
                        .required = true,
                        .help = "The platform's object API."},
+    SettingDeclaration{.key = "addresses.promotion",
+                       .member = &Settings::promotion_address,
+                       .rule = &kAddress,
+                       .help = "Where promotions are ordered, if that differs from addresses.platform."},
     SettingDeclaration{.key = "addresses.advertised_peers",
                        .member = &Settings::advertised_peers_address,
                        .rule = &kAddress,
@@ -133,6 +137,11 @@
                        .member = &Settings::scheduling_policy,
                        .rule = &kPolicy,
                        .help = "How ranks share a group's slots; all but floors are baselines for measurements."},
+    SettingDeclaration{.key = "shutdown.grace_ms",
+                       .member = &Settings::shutdown_grace,
+                       .minimum = 100,
+                       .maximum = kMaximumTimingMs,
+                       .help = "How long open work may go on after SIGTERM; just below what the supervisor allows."},
     SettingDeclaration{.key = "log.level",
                        .member = &Settings::log_level,
                        .rule = &kLogLevel,
@@ -149,8 +158,25 @@
   return error == std::errc() && end == text.data() + text.size();
 }
 
+// Reads a whole number of milliseconds, or seconds as "6s" or "1.5s".
+bool ParseTime(std::string_view text, std::uint64_t& milliseconds) {
+  if (!text.ends_with('s')) {
+    return ParseWhole(text, milliseconds);
+  }
+  double seconds = 0;
+  const std::string_view number = text.substr(0, text.size() - 1);
+  const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), seconds);
+  if (error != std::errc() || end != number.data() + number.size() || seconds < 0) {
+    return false;
+  }
+  constexpr double kMillisecondsPerSecond = 1000;
+  milliseconds = static_cast<std::uint64_t>(seconds * kMillisecondsPerSecond);
+  return true;
+}
+
 bool ParseInRange(const SettingDeclaration& declaration, std::string_view text, std::uint64_t& number) {
-  return ParseWhole(text, number) && number >= declaration.minimum && number <= declaration.maximum;
+  const bool is_time = std::holds_alternative<std::chrono::milliseconds Settings::*>(declaration.member);
+  return (is_time ? ParseTime(text, number) : ParseWhole(text, number)) && number >= declaration.minimum && number <= declaration.maximum;
 }
 
 }  // namespace
@@ -182,7 +208,7 @@
                                       : declaration.rule->expected;
   }
   const bool is_time = std::holds_alternative<std::chrono::milliseconds Settings::*>(declaration.member);
-  return "a whole number " + std::string(is_time ? "of milliseconds " : "") + "from " +
+  return "a whole number " + std::string(is_time ? "of milliseconds, or seconds as 1.5s, " : "") + "from " +
          std::to_string(declaration.minimum) + " to " + std::to_string(declaration.maximum);
 }
 
--- /dev/null
+++ b/source/core/coordination/coordination_system.cc
@@ -0,0 +1,418 @@
+#include "core/coordination/coordination_system.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace amaranthlane::coordination {
+
+namespace {
+
+// VMs count as part of the fleet when they were heard from within so many beats.
+constexpr int kFleetBeats = 4;
+
+}  // namespace
+
+CoordinationSystem::CoordinationSystem(Self self, const CoordinationSettings& settings)
+    : self(std::move(self)), settings(settings), rights(settings) {}
+
+void CoordinationSystem::Tick(TimePoint now, Actions& actions) {
+  this->PollStore(now, actions);
+  if (!this->record) {
+    return;
+  }
+  this->SendBeats(now, actions);
+  this->RepairMembers(now, actions);
+  this->ConsiderTakeover(now, actions);
+}
+
+void CoordinationSystem::PollStore(TimePoint now, Actions& actions) {
+  if (this->read_outstanding || now < this->next_read) {
+    return;
+  }
+  const bool unsettled = this->pending && !this->pending->answered;
+  const bool member = this->record && this->record->IsMember(this->self.vm);
+  bool members_silent = this->record.has_value();
+  if (this->record) {
+    members_silent = std::any_of(this->record->members.begin(), this->record->members.end(), [&](const Member& other) {
+      return other.vm != this->self.vm && this->Silent(other.vm, this->settings.detection, now);
+    });
+  }
+  if (!this->record || !this->confirmed || unsettled || member || members_silent) {
+    this->read_outstanding = true;
+    this->next_read = now + this->settings.store_poll;
+    actions.emplace_back(ReadRecord{});
+  }
+}
+
+void CoordinationSystem::SendBeats(TimePoint now, Actions& actions) {
+  for (const Member& member : this->record->members) {
+    if (member.vm == this->self.vm) {
+      const Duration silence = now - this->last_store_contact;
+      this->rights.Add(member.vm, this->record->epoch, now, silence);
+      continue;
+    }
+    const MemberContact& contact = this->contacts[member.vm];
+    if (!contact.outstanding && now >= contact.next_beat) {
+      this->BeatTo(member, now, actions);
+    }
+  }
+  this->rights.Extend(*this->record);
+}
+
+void CoordinationSystem::BeatTo(const Member& member, TimePoint now, Actions& actions) {
+  MemberContact& contact = this->contacts[member.vm];
+  if (contact.outstanding) {
+    contact.resend = true;
+    return;
+  }
+  contact.outstanding = true;
+  contact.resend = false;
+  contact.next_beat = now + this->settings.beat;
+  Beat beat;
+  beat.vm = this->self.vm;
+  beat.incarnation = this->self.incarnation;
+  beat.address = this->self.address;
+  beat.data_centre = this->self.data_centre;
+  beat.version = this->record->version;
+  if (contact.version < this->record->version) {
+    beat.record = this->record;
+  }
+  beat.busy = this->report.busy;
+  beat.suspects = this->report.suspects;
+  beat.leaving = this->report.leaving;
+  beat.configuration_version = this->report.configuration_version;
+  actions.emplace_back(SendBeat{member, std::move(beat)});
+}
+
+BeatReply CoordinationSystem::OnBeat(const Beat& beat, TimePoint now, Actions& actions) {
+  if (beat.record) {
+    this->Adopt(*beat.record, "beat of " + beat.vm, now, actions);
+  }
+  LedgerEntry& entry = this->ledger.Note(beat, now);
+  this->newest_configuration = std::max(this->newest_configuration, beat.configuration_version);
+  BeatReply reply;
+  reply.vm = this->self.vm;
+  reply.incarnation = this->self.incarnation;
+  reply.configuration_version = this->newest_configuration;
+  reply.fleet_size = this->FleetSize();
+  reply.wants_relief = this->relief_wanted;
+  reply.store_silence = now - this->last_store_contact;
+  if (!this->record) {
+    return reply;
+  }
+  reply.version = this->record->version;
+  if (beat.version < this->record->version) {
+    reply.record = this->record;
+  }
+  if (beat.version >= this->record->version) {
+    std::erase(this->unfollowed, beat.vm);
+  }
+  if (this->confirmed && this->record->IsMember(this->self.vm) && beat.version == this->record->version) {
+    reply.promised = true;
+    entry.promised_until = std::max(entry.promised_until, now + this->settings.promise);
+  }
+  return reply;
+}
+
+void CoordinationSystem::OnBeatReply(const VmName& member, const BeatReply& reply, TimePoint sent_at, TimePoint now,
+                                     Actions& actions) {
+  MemberContact& contact = this->contacts[member];
+  contact.outstanding = false;
+  contact.last_reply = now;
+  contact.version = reply.version;
+  contact.wants_relief = reply.wants_relief;
+  contact.fleet_size = reply.fleet_size;
+  this->newest_configuration = std::max(this->newest_configuration, reply.configuration_version);
+  const std::uint64_t asked_version = this->record ? this->record->version : 0;
+  if (reply.promised && this->record && reply.version == this->record->version) {
+    this->rights.Add(member, this->record->epoch, sent_at, reply.store_silence);
+    this->rights.Extend(*this->record);
+  }
+  if (reply.record) {
+    this->Adopt(*reply.record, "reply of " + member, now, actions);
+  }
+  const auto found = std::find_if(this->record->members.begin(), this->record->members.end(),
+                                  [&member](const Member& other) { return other.vm == member; });
+  const bool changed = this->record->version != asked_version || reply.version < this->record->version;
+  if (found != this->record->members.end() && (contact.resend || changed)) {
+    this->BeatTo(*found, now, actions);
+  }
+}
+
+void CoordinationSystem::OnNotice(const CoordinationRecord& told, TimePoint now, Actions& actions) {
+  this->Adopt(told, "notice of " + (told.members.empty() ? VmName() : told.members.front().vm), now, actions);
+}
+
+void CoordinationSystem::OnBeatFailed(const VmName& member, TimePoint now) {
+  MemberContact& contact = this->contacts[member];
+  contact.outstanding = false;
+  contact.next_beat = std::max(contact.next_beat, now + this->settings.beat / 4);
+}
+
+void CoordinationSystem::OnRecordRead(const std::optional<CoordinationRecord>& read, ObjectVersion read_revision,
+                                      TimePoint now, Actions& actions) {
+  this->read_outstanding = false;
+  this->last_store_contact = now;
+  if (!read) {
+    if (!this->record && !this->pending) {
+      CoordinationRecord first;
+      first.epoch = 1;
+      first.fencing_token = 1;
+      first.members = {{this->self.vm, this->self.address}};
+      this->Propose(first, now, actions);
+    } else if (this->pending && !this->pending->answered) {
+      this->pending->answered = true;
+      actions.emplace_back(WriteRecord{this->pending->record, 0});
+    }
+    return;
+  }
+  this->confirmed = true;
+  if (this->pending && read->update_id == this->pending->record.update_id) {
+    this->FinishWrite(read_revision, now, actions);
+    return;
+  }
+  if (!this->record || read->version >= this->record->version) {
+    this->revision = read_revision;
+  }
+  this->Adopt(*read, "store", now, actions);
+  if (!this->pending || this->pending->answered) {
+    return;
+  }
+  const bool takeover = this->pending->record.Holder()->vm == this->self.vm && !this->IsHolder();
+  if (this->pending->expected_revision == read_revision && (!takeover || !this->TakeoverReason(now).empty())) {
+    this->pending->answered = true;
+    actions.emplace_back(WriteRecord{this->pending->record, read_revision});
+  } else {
+    this->pending.reset();
+  }
+}
+
+void CoordinationSystem::OnReadFailed(TimePoint now) {
+  this->read_outstanding = false;
+  const Duration pause = this->pending || !this->record ? this->settings.beat / 3 : this->settings.store_poll;
+  this->next_read = now + pause;
+}
+
+void CoordinationSystem::OnRecordWritten(WriteResult result, ObjectVersion written_revision, TimePoint now,
+                                         Actions& actions) {
+  if (!this->pending) {
+    return;
+  }
+  if (result == WriteResult::kWritten) {
+    this->last_store_contact = now;
+    this->FinishWrite(written_revision, now, actions);
+    return;
+  }
+  // Whatever else happened, the store tells what stands there now.
+  this->pending->answered = false;
+  this->next_read = result == WriteResult::kConflict ? now : now + this->settings.beat / 6;
+}
+
+void CoordinationSystem::FinishWrite(ObjectVersion written_revision, TimePoint now, Actions& actions) {
+  const CoordinationRecord written = std::move(this->pending->record);
+  this->pending.reset();
+  this->confirmed = true;
+  this->revision = written_revision;
+  this->Adopt(written, "own update", now, actions);
+  for (const auto& [vm, entry] : this->ledger.Entries()) {
+    if (!written.IsMember(vm) && entry.last_beat + this->settings.promise > now) {
+      actions.emplace_back(SendNotice{vm, entry.address, written});
+    }
+  }
+}
+
+void CoordinationSystem::Adopt(const CoordinationRecord& newer, const std::string& source, TimePoint now,
+                               Actions& actions) {
+  if (this->record && newer.version <= this->record->version) {
+    return;
+  }
+  const bool was_member = this->record && this->record->IsMember(this->self.vm);
+  const bool was_holder = this->IsHolder();
+  const std::vector<Member> former = this->record ? this->record->members : std::vector<Member>{};
+  if (source != "store" && source != "own update") {
+    this->revision.reset();
+  }
+  this->NoteGroups(newer);
+  this->record = newer;
+  for (const Member& member : newer.members) {
+    const bool known = std::any_of(former.begin(), former.end(), [&](const Member& m) { return m.vm == member.vm; });
+    if (!known) {
+      this->contacts[member.vm].last_reply = now;
+    }
+  }
+  if (!newer.IsMember(this->self.vm)) {
+    this->joined_at = kNever;
+  } else if (!was_member) {
+    this->joined_at = now;
+  }
+  if (this->IsHolder() && !was_holder) {
+    this->unfollowed.clear();
+    this->unfollowed_limit = now;
+    if (!was_member && !former.empty()) {
+      for (const Member& member : former) {
+        this->unfollowed.push_back(member.vm);
+      }
+      this->unfollowed_limit = now + this->settings.store_silence_limit;
+    }
+    for (const auto& [name, group] : newer.groups) {
+      if (group.changing) {
+        this->changing_since[name] = newer.version;
+      }
+    }
+    this->next_repair = now + this->settings.gathering;
+  }
+  actions.emplace_back(RecordAdopted{source});
+  for (const Member& member : newer.members) {
+    if (member.vm != this->self.vm) {
+      this->BeatTo(member, now, actions);
+    }
+  }
+}
+
+// Notes what a newer record, not adopted yet, changes in the groups. A group counts as busy here until the next report.
+void CoordinationSystem::NoteGroups(const CoordinationRecord& newer) {
+  for (const auto& [name, group] : newer.groups) {
+    const GroupState* before = nullptr;
+    if (this->record && this->record->groups.count(name) > 0) {
+      before = &this->record->groups.at(name);
+    }
+    if (before != nullptr && *before == group) {
+      continue;
+    }
+    std::erase(this->report.suspects, name);
+    std::erase(this->report.busy, name);
+    if (group.changing) {
+      this->changing_since[name] = newer.version;
+      this->report.busy.push_back(name);
+    } else {
+      this->serving_since[name] = newer.version;
+    }
+  }
+}
+
+void CoordinationSystem::Report(const LocalReport& update, TimePoint now, Actions& actions) {
+  const bool changed = update.busy != this->report.busy || update.suspects != this->report.suspects ||
+                       update.leaving != this->report.leaving;
+  this->report = update;
+  this->newest_configuration = std::max(this->newest_configuration, update.configuration_version);
+  if (!changed || !this->record) {
+    return;
+  }
+  for (const Member& member : this->record->members) {
+    if (member.vm != this->self.vm) {
+      this->BeatTo(member, now, actions);
+    }
+  }
+}
+
+bool CoordinationSystem::ProposeGroups(const std::map<GroupName, GroupState>& groups, const std::string& why,
+                                       TimePoint now, Actions& actions) {
+  if (!this->IsHolder() || this->pending || !this->revision) {
+    return false;
+  }
+  CoordinationRecord next = *this->record;
+  for (const auto& [name, group] : groups) {
+    next.groups[name] = group;
+  }
+  actions.emplace_back(Decision{"propose groups", why});
+  this->Propose(std::move(next), now, actions);
+  return true;
+}
+
+void CoordinationSystem::Propose(CoordinationRecord next, TimePoint now, Actions& actions) {
+  next.version = (this->record ? this->record->version : 0) + 1;
+  next.update_id = this->self.vm + "/" + std::to_string(this->self.incarnation) + "/" + std::to_string(++this->updates);
+  const ObjectVersion expected = this->revision.value_or(0);
+  this->pending = PendingWrite{next, expected, now, true};
+  actions.emplace_back(WriteRecord{std::move(next), expected});
+}
+
+void CoordinationSystem::WantRelief(bool wanted) { this->relief_wanted = wanted; }
+
+const CoordinationRecord* CoordinationSystem::Record() const { return this->record ? &*this->record : nullptr; }
+
+bool CoordinationSystem::IsHolder() const {
+  return this->record && !this->record->members.empty() && this->record->members.front().vm == this->self.vm;
+}
+
+bool CoordinationSystem::MayUsePrimary(const GroupName& group, TimePoint now) const {
+  if (!this->record || now >= this->rights.Until()) {
+    return false;
+  }
+  const auto found = this->record->groups.find(group);
+  return found != this->record->groups.end() && !found->second.changing;
+}
+
+TimePoint CoordinationSystem::RightsUntil() const { return this->rights.Until(); }
+
+bool CoordinationSystem::MayPromote(TimePoint now) const {
+  if (!this->IsHolder() || now >= this->rights.Until() || this->joined_at == kNever ||
+      now < this->joined_at + this->settings.promise) {
+    return false;
+  }
+  return this->unfollowed.empty() || now >= this->unfollowed_limit;
+}
+
+bool CoordinationSystem::Released(const GroupName& group, TimePoint now) const {
+  return this->Holdouts(group, now).empty();
+}
+
+std::vector<VmName> CoordinationSystem::Holdouts(const GroupName& group, TimePoint now) const {
+  const auto found = this->changing_since.find(group);
+  const std::uint64_t version = found == this->changing_since.end() ? this->record->version : found->second;
+  std::vector<VmName> holdouts = this->ledger.Holdouts(group, version, this->self.vm, now);
+  const std::vector<GroupName>& own = this->report.busy;
+  if (std::find(own.begin(), own.end(), group) != own.end()) {
+    holdouts.push_back(this->self.vm);
+  }
+  return holdouts;
+}
+
+double CoordinationSystem::SuspectShare(const GroupName& group, TimePoint now) const {
+  const std::vector<GroupName>& own = this->report.suspects;
+  double suspects = std::find(own.begin(), own.end(), group) != own.end() ? 1 : 0;
+  double all = 1;
+  const auto serving = this->serving_since.find(group);
+  const std::uint64_t since = serving == this->serving_since.end() ? 0 : serving->second;
+  for (const auto& [vm, entry] : this->ledger.Entries()) {
+    if (vm != this->self.vm && entry.last_beat + this->settings.beat * kFleetBeats >= now) {
+      all += 1;
+      suspects += entry.version >= since && entry.suspects.count(group) > 0 ? 1 : 0;
+    }
+  }
+  return suspects / all;
+}
+
+bool CoordinationSystem::WritePending() const { return this->pending.has_value(); }
+
+bool CoordinationSystem::WriteStuck(TimePoint now) const {
+  return this->pending && now > this->pending->since + this->settings.answer_limit * 2;
+}
+
+std::size_t CoordinationSystem::FleetSize() const {
+  std::size_t size = 1;
+  if (this->record && this->record->IsMember(this->self.vm)) {
+    TimePoint newest;
+    for (const auto& [vm, entry] : this->ledger.Entries()) {
+      newest = std::max(newest, entry.last_beat);
+    }
+    for (const auto& [vm, entry] : this->ledger.Entries()) {
+      size += vm != this->self.vm && entry.last_beat + this->settings.beat * kFleetBeats >= newest ? 1 : 0;
+    }
+  }
+  for (const auto& [vm, contact] : this->contacts) {
+    size = std::max<std::size_t>(size, contact.fleet_size);
+  }
+  return size;
+}
+
+std::uint64_t CoordinationSystem::NewestConfiguration() const { return this->newest_configuration; }
+
+const PromiseLedger& CoordinationSystem::Ledger() const { return this->ledger; }
+
+bool CoordinationSystem::Silent(const VmName& member, Duration limit, TimePoint now) const {
+  const auto found = this->contacts.find(member);
+  return found == this->contacts.end() || now >= found->second.last_reply + limit;
+}
+
+}  // namespace amaranthlane::coordination
--- /dev/null
+++ b/source/core/coordination/messages.cc
@@ -0,0 +1,81 @@
+#include "core/coordination/messages.h"
+
+#include "common/json.h"
+
+namespace amaranthlane::coordination {
+
+namespace {
+
+std::optional<CoordinationRecord> ParseOptionalRecord(const json::ObjectReader& reader) {
+  if (!reader.Has("record")) {
+    return std::nullopt;
+  }
+  return ParseCoordinationRecord(reader.Object("record"));
+}
+
+}  // namespace
+
+nlohmann::json ToJson(const Beat& beat) {
+  nlohmann::json document = {{"vm", beat.vm},
+                             {"incarnation", beat.incarnation},
+                             {"address", beat.address},
+                             {"data_centre", beat.data_centre},
+                             {"version", beat.version},
+                             {"busy", beat.busy},
+                             {"suspects", beat.suspects},
+                             {"leaving", beat.leaving},
+                             {"configuration_version", beat.configuration_version}};
+  if (beat.record) {
+    document["record"] = ToJson(*beat.record);
+  }
+  return document;
+}
+
+Beat ParseBeat(const nlohmann::json& document) {
+  const json::ObjectReader reader(document, "beat");
+  Beat beat;
+  beat.vm = reader.String("vm");
+  beat.incarnation = reader.Unsigned("incarnation");
+  beat.address = reader.String("address");
+  beat.data_centre = reader.String("data_centre");
+  beat.version = reader.Unsigned("version");
+  beat.busy = reader.Strings("busy");
+  beat.suspects = reader.Strings("suspects");
+  beat.leaving = reader.Bool("leaving");
+  beat.configuration_version = reader.Unsigned("configuration_version");
+  beat.record = ParseOptionalRecord(reader);
+  return beat;
+}
+
+nlohmann::json ToJson(const BeatReply& reply) {
+  nlohmann::json document = {
+      {"vm", reply.vm},
+      {"incarnation", reply.incarnation},
+      {"promised", reply.promised},
+      {"version", reply.version},
+      {"store_silence_ms", std::chrono::duration_cast<std::chrono::milliseconds>(reply.store_silence).count()},
+      {"wants_relief", reply.wants_relief},
+      {"fleet_size", reply.fleet_size},
+      {"configuration_version", reply.configuration_version}};
+  if (reply.record) {
+    document["record"] = ToJson(*reply.record);
+  }
+  return document;
+}
+
+BeatReply ParseBeatReply(const nlohmann::json& document) {
+  const json::ObjectReader reader(document, "beat reply");
+  BeatReply reply;
+  reply.vm = reader.String("vm");
+  reply.incarnation = reader.Unsigned("incarnation");
+  reply.promised = reader.Bool("promised");
+  reply.version = reader.Unsigned("version");
+  reply.store_silence = reader.Milliseconds("store_silence_ms");
+  reply.wants_relief = reader.Bool("wants_relief");
+  reply.fleet_size = reader.Unsigned("fleet_size");
+  reply.configuration_version = reader.Unsigned("configuration_version");
+  reply.record = ParseOptionalRecord(reader);
+  return reply;
+}
+
+}  // namespace amaranthlane::coordination
--- /dev/null
+++ b/source/core/coordination/messages.h
@@ -0,0 +1,67 @@
+#ifndef AMARANTHLANE_CORE_COORDINATION_MESSAGES_H_
+#define AMARANTHLANE_CORE_COORDINATION_MESSAGES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/coordination/record.h"
+#include "core/types.h"
+
+// What VMs say to each other about promises.
+namespace amaranthlane::coordination {
+
+// A VM asks a member for a promise, and tells what it knows and does.
+struct Beat {
+  VmName vm;
+  Incarnation incarnation = 0;
+  std::string address;
+  std::string data_centre;
+  // The version of the record that the sender acts on. It uses no primary of a group that is changing in it.
+  std::uint64_t version = 0;
+  // The record itself, when the receiver is known to have an older one.
+  std::optional<CoordinationRecord> record;
+  // Groups whose former primary still owes this VM an answer.
+  std::vector<GroupName> busy;
+  // Groups whose primary doesn't answer this VM, while other endpoints of the group do.
+  std::vector<GroupName> suspects;
+  // The VM shuts down.
+  bool leaving = false;
+  // The version of the configuration that the sender acts on.
+  std::uint64_t configuration_version = 0;
+};
+
+struct BeatReply {
+  VmName vm;
+  Incarnation incarnation = 0;
+  // The member helps nobody change a primary or the holder's duty for the promised time, counted from the sending of the
+  // beat, unless the asker has released the group first.
+  bool promised = false;
+  std::uint64_t version = 0;
+  std::optional<CoordinationRecord> record;
+  // How long ago the member last heard from the store.
+  Duration store_silence{};
+  // The holder asks to be relieved: it can't reach what it needs.
+  bool wants_relief = false;
+  // VMs that beat to this member lately.
+  std::uint64_t fleet_size = 0;
+  std::uint64_t configuration_version = 0;
+};
+
+// The holder tells a VM of a newer record; the VM answers with its beat.
+struct Notice {
+  CoordinationRecord record;
+};
+
+nlohmann::json ToJson(const Beat& beat);
+nlohmann::json ToJson(const BeatReply& reply);
+// The parse functions throw ParseError.
+Beat ParseBeat(const nlohmann::json& document);
+BeatReply ParseBeatReply(const nlohmann::json& document);
+
+}  // namespace amaranthlane::coordination
+
+#endif  // AMARANTHLANE_CORE_COORDINATION_MESSAGES_H_
--- /dev/null
+++ b/source/core/coordination/record.cc
@@ -0,0 +1,61 @@
+#include "core/coordination/record.h"
+
+#include <algorithm>
+
+#include "common/json.h"
+
+namespace amaranthlane::coordination {
+
+namespace {
+
+constexpr char kDocument[] = "coordination record";
+
+Member ParseMember(const nlohmann::json& document) {
+  const json::ObjectReader reader(document, kDocument);
+  return {reader.String("vm"), reader.String("address")};
+}
+
+GroupState ParseGroupState(const nlohmann::json& document) {
+  const json::ObjectReader reader(document, kDocument);
+  return {reader.Unsigned("term"), reader.String("primary"), reader.Bool("changing")};
+}
+
+}  // namespace
+
+const Member* CoordinationRecord::Holder() const { return this->members.empty() ? nullptr : &this->members.front(); }
+
+bool CoordinationRecord::IsMember(const VmName& vm) const {
+  return std::any_of(this->members.begin(), this->members.end(),
+                     [&vm](const Member& member) { return member.vm == vm; });
+}
+
+nlohmann::json ToJson(const CoordinationRecord& record) {
+  nlohmann::json members = nlohmann::json::array();
+  for (const Member& member : record.members) {
+    members.push_back({{"vm", member.vm}, {"address", member.address}});
+  }
+  nlohmann::json groups = nlohmann::json::object();
+  for (const auto& [name, group] : record.groups) {
+    groups[name] = {{"term", group.term}, {"primary", group.primary}, {"changing", group.changing}};
+  }
+  return {{"version", record.version}, {"epoch", record.epoch},   {"fencing_token", record.fencing_token},
+          {"members", members},        {"groups", groups}, {"update_id", record.update_id}};
+}
+
+CoordinationRecord ParseCoordinationRecord(const nlohmann::json& document) {
+  const json::ObjectReader reader(document, kDocument);
+  CoordinationRecord record;
+  record.version = reader.Unsigned("version");
+  record.epoch = reader.Unsigned("epoch");
+  record.fencing_token = reader.Unsigned("fencing_token");
+  for (const nlohmann::json& member : reader.Array("members")) {
+    record.members.push_back(ParseMember(member));
+  }
+  for (const auto& [name, group] : reader.Object("groups").items()) {
+    record.groups.emplace(name, ParseGroupState(group));
+  }
+  record.update_id = reader.String("update_id");
+  return record;
+}
+
+}  // namespace amaranthlane::coordination
--- /dev/null
+++ b/source/core/coordination/rights.h
@@ -0,0 +1,40 @@
+#ifndef AMARANTHLANE_CORE_COORDINATION_RIGHTS_H_
+#define AMARANTHLANE_CORE_COORDINATION_RIGHTS_H_
+
+#include <map>
+
+#include "core/coordination/record.h"
+#include "core/coordination/settings.h"
+#include "core/types.h"
+
+namespace amaranthlane::coordination {
+
+// Until when this VM may use primaries: every member has promised not to change one before then without its consent.
+// The right counts from the sending of the request, on this VM's own clock, and only ever grows.
+class PrimaryRights {
+ public:
+  explicit PrimaryRights(const CoordinationSettings& settings);
+
+  // A member promised for `epoch`, asked at `sent_at`. `store_silence` is how long it hadn't heard from the store.
+  void Add(const VmName& member, std::uint64_t epoch, TimePoint sent_at, Duration store_silence);
+
+  // Derives the deadline anew from the promises of the record's members.
+  void Extend(const CoordinationRecord& record);
+
+  TimePoint Until() const;
+
+ private:
+  struct Promise {
+    std::uint64_t epoch = 0;
+    TimePoint sent_at;
+    Duration store_silence{};
+  };
+
+  CoordinationSettings settings;
+  std::map<VmName, Promise> promises;
+  TimePoint until;
+};
+
+}  // namespace amaranthlane::coordination
+
+#endif  // AMARANTHLANE_CORE_COORDINATION_RIGHTS_H_
--- /dev/null
+++ b/source/core/coordination/settings.h
@@ -0,0 +1,41 @@
+#ifndef AMARANTHLANE_CORE_COORDINATION_SETTINGS_H_
+#define AMARANTHLANE_CORE_COORDINATION_SETTINGS_H_
+
+#include <chrono>
+#include <cstddef>
+
+#include "core/types.h"
+
+namespace amaranthlane::coordination {
+
+// The intervals and limits of promises.
+struct CoordinationSettings {
+  // Between two beats to the same member.
+  Duration beat = std::chrono::milliseconds(300);
+  // How long a promise lasts. It bounds how long a change of primary waits for a VM that is cut off.
+  Duration promise = std::chrono::milliseconds(2000);
+  // How much earlier the asker stops, to cover clock drift.
+  Duration margin = std::chrono::milliseconds(100);
+  // A member that was silent for so long is replaced. Below half of `promise`, so that promises outlive the change.
+  Duration detection = std::chrono::milliseconds(800);
+  // How much longer each further successor waits, so that usually one of them tries.
+  Duration succession_step = std::chrono::milliseconds(300);
+  // The silence of all members after which any VM may take the duty over.
+  Duration orphaned = std::chrono::milliseconds(2500);
+  // Between two reads of the record by a member. Others read it only when a member is silent.
+  Duration store_poll = std::chrono::milliseconds(1000);
+  // Promises end when no member has heard from the store for so long, so that a VM that isn't a member can take over.
+  Duration store_silence_limit = std::chrono::seconds(20);
+  // Between two changes of the members by the holder.
+  Duration repair_interval = std::chrono::milliseconds(500);
+  // After the record is created, the holder waits so long for beats before it picks the other members.
+  Duration gathering = std::chrono::milliseconds(700);
+  // Members besides the holder.
+  std::size_t witnesses = 2;
+  // How long an answer from a peer or the store is awaited.
+  Duration answer_limit = std::chrono::milliseconds(600);
+};
+
+}  // namespace amaranthlane::coordination
+
+#endif  // AMARANTHLANE_CORE_COORDINATION_SETTINGS_H_
--- /dev/null
+++ b/source/core/failover/primary_change_system.cc
@@ -0,0 +1,332 @@
+#include "core/failover/primary_change_system.h"
+
+#include <algorithm>
+
+namespace amaranthlane::failover {
+
+using coordination::GroupState;
+
+namespace {
+
+std::string PositionText(const LogPosition& position) {
+  return std::to_string(position.term) + "." + std::to_string(position.offset);
+}
+
+// A candidate that the platform refused isn't tried again for so long.
+constexpr std::chrono::milliseconds kExclusion{1000};
+
+}  // namespace
+
+// What one run of the system works on.
+struct PrimaryChangeSystem::View {
+  const EndpointDirectory& directory;
+  const std::map<GroupName, std::uint64_t>& synchronous_replicas;
+  coordination::CoordinationSystem& coordination;
+  TimePoint now;
+  coordination::Actions& updates;
+  Actions& actions;
+
+  std::vector<const EndpointEntry*> Endpoints(const GroupName& group) const {
+    std::vector<const EndpointEntry*> found;
+    for (const auto& [name, entry] : this->directory) {
+      if (entry.group == group) {
+        found.push_back(&entry);
+      }
+    }
+    return found;
+  }
+  void Log(const GroupName& group, const std::string& step, const std::string& why) const {
+    this->actions.emplace_back(ChangeStep{group, step, why});
+  }
+};
+
+PrimaryChangeSystem::PrimaryChangeSystem(const FailoverSettings& settings) : settings(settings) {}
+
+void PrimaryChangeSystem::Tick(const EndpointDirectory& directory,
+                               const std::map<GroupName, std::uint64_t>& synchronous_replicas,
+                               coordination::CoordinationSystem& coordination, TimePoint now,
+                               coordination::Actions& updates, Actions& actions) {
+  const View view{directory, synchronous_replicas, coordination, now, updates, actions};
+  this->SendStepDowns(view);
+  if (!coordination.IsHolder()) {
+    this->changes.clear();
+    coordination.WantRelief(false);
+    return;
+  }
+  std::set<GroupName> groups;
+  for (const auto& [name, entry] : directory) {
+    groups.insert(entry.group);
+  }
+  for (const auto& [name, state] : coordination.Record()->groups) {
+    groups.insert(name);
+  }
+  bool stuck = false;
+  for (const GroupName& group : groups) {
+    GroupChange& change = this->changes[group];
+    const auto found = coordination.Record()->groups.find(group);
+    if (found == coordination.Record()->groups.end()) {
+      this->Discover(view, group, change);
+      continue;
+    }
+    const GroupState state = found->second;
+    if (state.changing && change.phase == Phase::kSteady) {
+      change.phase = Phase::kReleasing;
+      change.started = now;
+    }
+    if (!state.changing && change.phase != Phase::kSteady) {
+      change = {};
+    }
+    if (change.phase == Phase::kSteady) {
+      this->Steady(view, group, state, change);
+    }
+    if (change.phase == Phase::kReleasing) {
+      this->Release(view, group, change);
+    }
+    if (change.phase == Phase::kChoosing) {
+      this->Choose(view, group, state, change);
+    }
+    if (change.phase == Phase::kPromoting) {
+      this->Promote(view, group, state, change);
+    }
+    if (change.phase == Phase::kRecording) {
+      this->Record(view, group, state, change);
+    }
+    const bool choosing = change.phase == Phase::kChoosing && now > change.released_at + this->settings.stuck_limit;
+    const bool ordering = change.phase == Phase::kPromoting && !change.order_accepted &&
+                          now > change.ordered_at + this->settings.stuck_limit;
+    stuck = stuck || choosing || ordering;
+  }
+  coordination.WantRelief(stuck || coordination.WriteStuck(now));
+}
+
+void PrimaryChangeSystem::Discover(const View& view, const GroupName& group, GroupChange& change) {
+  const EndpointName* primary = nullptr;
+  Term term = 0;
+  for (const auto& [name, known] : change.statuses) {
+    if (known.status.is_primary && known.status.term > term) {
+      primary = &name;
+      term = known.status.term;
+    }
+  }
+  if (primary == nullptr) {
+    this->Query(view, group, change, this->settings.query_interval * 2);
+    return;
+  }
+  // All groups found so far go into one update.
+  std::map<GroupName, GroupState> found = {{group, {term, *primary, false}}};
+  view.coordination.ProposeGroups(found, group + " is led by " + *primary, view.now, view.updates);
+}
+
+void PrimaryChangeSystem::Steady(const View& view, const GroupName& group, const GroupState& state,
+                                 GroupChange& change) {
+  const std::string reason = this->ReasonToChange(view, group, state, change);
+  if (reason.empty() || !view.coordination.MayPromote(view.now)) {
+    return;
+  }
+  const GroupState next = {state.term, state.primary, true};
+  if (view.coordination.ProposeGroups({{group, next}}, reason, view.now, view.updates)) {
+    change.reason = reason;
+    change.may_abort = true;
+    view.Log(group, "change of primary begins", reason);
+  }
+}
+
+std::string PrimaryChangeSystem::ReasonToChange(const View& view, const GroupName& group, const GroupState& state,
+                                                GroupChange& change) const {
+  const std::vector<const EndpointEntry*> endpoints = view.Endpoints(group);
+  const bool successor = std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointEntry* entry) {
+    return entry->name != state.primary && !entry->draining;
+  });
+  if (!successor) {
+    return {};
+  }
+  const auto entry = view.directory.find(state.primary);
+  if (entry != view.directory.end()) {
+    change.missing_since.reset();
+    if (entry->second.draining) {
+      return state.primary + " is draining";
+    }
+  } else if (!change.missing_since) {
+    change.missing_since = view.now;
+  } else if (view.now > *change.missing_since + this->settings.missing_limit) {
+    return state.primary + " has no entry";
+  }
+  const double share = view.coordination.SuspectShare(group, view.now);
+  if (share >= this->settings.suspect_share) {
+    return state.primary + " is out of reach for a share of " + std::to_string(share) + " of the VMs";
+  }
+  return {};
+}
+
+void PrimaryChangeSystem::Release(const View& view, const GroupName& group, GroupChange& change) {
+  this->Query(view, group, change, this->settings.query_interval);
+  const std::vector<VmName> holdouts = view.coordination.Holdouts(group, view.now);
+  if (holdouts.empty()) {
+    change.phase = Phase::kChoosing;
+    change.released_at = view.now;
+    change.next_query = view.now;
+    view.Log(group, "all VMs released the primary", change.reason);
+    this->Query(view, group, change, this->settings.query_interval);
+  } else if (!change.waiting_logged) {
+    change.waiting_logged = true;
+    view.Log(group, "waiting for VMs to release the primary", holdouts.front());
+  }
+}
+
+// Ends the change when an endpoint leads already, or when the old primary is back. Returns true when it ended.
+bool PrimaryChangeSystem::Settled(const View& view, const GroupName& group, const GroupState& state,
+                                  GroupChange& change) {
+  for (const auto& [name, known] : change.statuses) {
+    if (known.sent_at >= change.released_at && known.status.is_primary && known.status.term > state.term) {
+      this->Finish(view, group, {known.status.term, name, false}, name + " leads a newer term", change);
+      return true;
+    }
+  }
+  const auto former = change.statuses.find(state.primary);
+  const auto entry = view.directory.find(state.primary);
+  const bool leads = former != change.statuses.end() && former->second.sent_at >= change.released_at &&
+                     former->second.status.is_primary && former->second.status.term == state.term;
+  if (leads && change.may_abort && entry != view.directory.end() && !entry->second.draining &&
+      view.coordination.SuspectShare(group, view.now) < this->settings.suspect_share) {
+    this->Finish(view, group, {state.term, state.primary, false}, "the primary answers again", change);
+    return true;
+  }
+  return false;
+}
+
+void PrimaryChangeSystem::Choose(const View& view, const GroupName& group, const GroupState& state,
+                                 GroupChange& change) {
+  this->Query(view, group, change, this->settings.query_interval);
+  if (this->Settled(view, group, state, change)) {
+    return;
+  }
+  std::size_t replicas = 0;
+  std::size_t answered = 0;
+  const EndpointName* best = nullptr;
+  LogPosition best_position;
+  for (const EndpointEntry* entry : view.Endpoints(group)) {
+    if (entry->name == state.primary) {
+      continue;
+    }
+    ++replicas;
+    const auto known = change.statuses.find(entry->name);
+    if (known == change.statuses.end() || known->second.sent_at < change.released_at) {
+      continue;
+    }
+    ++answered;
+    const auto excluded = change.excluded.find(entry->name);
+    const bool usable = !entry->draining && (excluded == change.excluded.end() || excluded->second < view.now);
+    if (usable && (best == nullptr || known->second.status.position > best_position)) {
+      best = &entry->name;
+      best_position = known->second.status.position;
+    }
+  }
+  const auto former = change.statuses.find(state.primary);
+  const bool former_answers = former != change.statuses.end() && former->second.sent_at >= change.released_at &&
+                              former->second.status.is_primary;
+  const bool complete = best != nullptr && former_answers && best_position >= former->second.status.position;
+  const auto synchronous = view.synchronous_replicas.find(group);
+  const bool must_cover = synchronous != view.synchronous_replicas.end() && synchronous->second > 0;
+  const Duration waited = view.now - change.released_at;
+  const bool enough = must_cover ? answered == replicas : answered == replicas || waited > this->settings.choice_limit;
+  const bool caught_up = !former_answers || waited > this->settings.catch_up_limit;
+  if (best == nullptr || (!complete && (!enough || !caught_up))) {
+    return;
+  }
+  change.candidate = *best;
+  change.phase = Phase::kPromoting;
+  change.next_order = view.now;
+  change.ordered_at = view.now;
+  change.order_accepted = false;
+  view.Log(group, "candidate chosen", *best + " at " + PositionText(best_position) + ", " + std::to_string(answered) +
+                                          " of " + std::to_string(replicas) + " replicas answered");
+}
+
+void PrimaryChangeSystem::Promote(const View& view, const GroupName& group, const GroupState& state,
+                                  GroupChange& change) {
+  if (this->Settled(view, group, state, change)) {
+    return;
+  }
+  this->Query(view, group, change, this->settings.query_interval);
+  if (change.candidate.empty() || (change.order_accepted && view.now > change.ordered_at + this->settings.promotion_limit)) {
+    change.candidate.clear();
+    change.phase = Phase::kChoosing;
+    change.released_at = view.now;
+    return;
+  }
+  if (change.order_accepted || view.now < change.next_order || !view.coordination.MayPromote(view.now)) {
+    return;
+  }
+  change.next_order = view.now + this->settings.order_interval;
+  change.may_abort = false;
+  view.actions.emplace_back(OrderPromotion{group, change.candidate, view.coordination.Record()->fencing_token});
+}
+
+void PrimaryChangeSystem::OnPromotionResult(const GroupName& group, const EndpointName& endpoint,
+                                            PromotionResult result, TimePoint now) {
+  const auto found = this->changes.find(group);
+  if (found == this->changes.end() || found->second.candidate != endpoint) {
+    return;
+  }
+  if (result == PromotionResult::kAccepted) {
+    found->second.order_accepted = true;
+    found->second.ordered_at = now;
+  } else if (result == PromotionResult::kRefused) {
+    found->second.excluded[endpoint] = now + kExclusion;
+    found->second.candidate.clear();
+  }
+}
+
+void PrimaryChangeSystem::Finish(const View& view, const GroupName& group, const GroupState& next,
+                                 const std::string& why, GroupChange& change) {
+  change.phase = Phase::kRecording;
+  change.next = next;
+  const auto& state = view.coordination.Record()->groups.at(group);
+  if (next.primary != state.primary) {
+    this->step_downs.push_back({state.primary, next.term, this->settings.step_downs, view.now});
+  }
+  view.Log(group, "change of primary decided", next.primary + " in term " + std::to_string(next.term) + ": " + why);
+}
+
+void PrimaryChangeSystem::Record(const View& view, const GroupName& group, const GroupState& /*state*/,
+                                 GroupChange& change) {
+  view.coordination.ProposeGroups({{group, change.next}}, "change of primary ends", view.now, view.updates);
+}
+
+void PrimaryChangeSystem::Query(const View& view, const GroupName& group, GroupChange& change,
+                                Duration interval) const {
+  if (view.now < change.next_query) {
+    return;
+  }
+  change.next_query = view.now + interval;
+  for (const EndpointEntry* entry : view.Endpoints(group)) {
+    view.actions.emplace_back(QueryStatus{entry->name});
+  }
+}
+
+void PrimaryChangeSystem::SendStepDowns(const View& view) {
+  for (PendingStepDown& pending : this->step_downs) {
+    if (view.now >= pending.next && view.directory.count(pending.endpoint) > 0) {
+      view.actions.emplace_back(StepDown{pending.endpoint, pending.term});
+    }
+    if (view.now >= pending.next) {
+      pending.next = view.now + this->settings.step_down_interval;
+      --pending.left;
+    }
+  }
+  std::erase_if(this->step_downs, [](const PendingStepDown& pending) { return pending.left <= 0; });
+}
+
+void PrimaryChangeSystem::OnStatus(const GroupName& group, const EndpointName& endpoint, const EndpointStatus& status,
+                                   TimePoint sent_at) {
+  const auto found = this->changes.find(group);
+  if (found == this->changes.end()) {
+    return;
+  }
+  KnownStatus& known = found->second.statuses[endpoint];
+  if (sent_at >= known.sent_at) {
+    known = {status, sent_at};
+  }
+}
+
+}  // namespace amaranthlane::failover
--- /dev/null
+++ b/source/core/failover/primary_change_system.h
@@ -0,0 +1,144 @@
+#ifndef AMARANTHLANE_CORE_FAILOVER_PRIMARY_CHANGE_SYSTEM_H_
+#define AMARANTHLANE_CORE_FAILOVER_PRIMARY_CHANGE_SYSTEM_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/coordination/coordination_system.h"
+#include "core/failover/endpoint_status.h"
+#include "core/types.h"
+
+// Replaces primaries that are gone, unreachable or leaving. Runs on the VM that holds the duty.
+namespace amaranthlane::failover {
+
+// Ask an endpoint for its status.
+struct QueryStatus {
+  EndpointName endpoint;
+};
+// Order the platform to make the endpoint the group's primary.
+struct OrderPromotion {
+  GroupName group;
+  EndpointName endpoint;
+  std::uint64_t fencing_token = 0;
+};
+// Tell a former primary of the term that replaced its own.
+struct StepDown {
+  EndpointName endpoint;
+  Term term = 0;
+};
+// A step of a change, for the log.
+struct ChangeStep {
+  GroupName group;
+  std::string step;
+  std::string why;
+};
+using Action = std::variant<QueryStatus, OrderPromotion, StepDown, ChangeStep>;
+using Actions = std::vector<Action>;
+
+struct FailoverSettings {
+  // The share of VMs that can't reach a primary from which it is replaced: a change stops the group's writes for all.
+  double suspect_share = 0.3;
+  // How often endpoints are asked during a change.
+  Duration query_interval = std::chrono::milliseconds(40);
+  // How long all replicas may take to answer before the choice is made among those that did.
+  Duration choice_limit = std::chrono::milliseconds(250);
+  // How long a planned change waits for a replica to have all that the old primary has.
+  Duration catch_up_limit = std::chrono::milliseconds(1500);
+  // How long an ordered promotion may take until it is ordered again.
+  Duration promotion_limit = std::chrono::milliseconds(1500);
+  // Between two orders that the platform didn't accept.
+  Duration order_interval = std::chrono::milliseconds(200);
+  // An entry that is missing for so long means that the endpoint is gone; above the two seconds that entries may take to
+  // return after an outage of the store.
+  Duration missing_limit = std::chrono::milliseconds(2600);
+  // Without any replica in reach for so long, the holder asks another VM to take the duty over.
+  Duration stuck_limit = std::chrono::milliseconds(1200);
+  // The former primary is told to step down so often, at `step_down_interval`.
+  int step_downs = 8;
+  Duration step_down_interval = std::chrono::milliseconds(400);
+};
+
+// How an order to promote ended.
+enum class PromotionResult : std::uint8_t {
+  kAccepted,
+  // The endpoint isn't running.
+  kRefused,
+  // No answer, or the platform is busy: to be ordered again.
+  kFailed,
+};
+
+class PrimaryChangeSystem {
+ public:
+  explicit PrimaryChangeSystem(const FailoverSettings& settings);
+
+  // Decides for each group. Updates of the record go through `coordination`.
+  void Tick(const EndpointDirectory& directory, const std::map<GroupName, std::uint64_t>& synchronous_replicas,
+            coordination::CoordinationSystem& coordination, TimePoint now, coordination::Actions& updates,
+            Actions& actions);
+
+  // The endpoint answered a query sent at `sent_at`.
+  void OnStatus(const GroupName& group, const EndpointName& endpoint, const EndpointStatus& status, TimePoint sent_at);
+  void OnPromotionResult(const GroupName& group, const EndpointName& endpoint, PromotionResult result, TimePoint now);
+
+ private:
+  enum class Phase : std::uint8_t { kSteady, kReleasing, kChoosing, kPromoting, kRecording };
+  struct KnownStatus {
+    EndpointStatus status;
+    TimePoint sent_at;
+  };
+  struct GroupChange {
+    Phase phase = Phase::kSteady;
+    std::string reason;
+    TimePoint started;
+    TimePoint released_at;
+    TimePoint next_query;
+    TimePoint next_order;
+    TimePoint ordered_at;
+    bool order_accepted = false;
+    // This VM began the change and has ordered nothing yet, so the old primary may stay.
+    bool may_abort = false;
+    EndpointName candidate;
+    // Candidates that the platform refused, with the end of their exclusion.
+    std::map<EndpointName, TimePoint> excluded;
+    std::map<EndpointName, KnownStatus> statuses;
+    // When the primary's entry was first missed.
+    std::optional<TimePoint> missing_since;
+    // What the record is to say at the end.
+    coordination::GroupState next;
+    bool waiting_logged = false;
+  };
+  struct PendingStepDown {
+    EndpointName endpoint;
+    Term term = 0;
+    int left = 0;
+    TimePoint next;
+  };
+  struct View;
+
+  void Discover(const View& view, const GroupName& group, GroupChange& change);
+  void Steady(const View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
+  std::string ReasonToChange(const View& view, const GroupName& group, const coordination::GroupState& state,
+                             GroupChange& change) const;
+  void Release(const View& view, const GroupName& group, GroupChange& change);
+  void Choose(const View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
+  bool Settled(const View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
+  void Promote(const View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
+  void Finish(const View& view, const GroupName& group, const coordination::GroupState& next, const std::string& why,
+              GroupChange& change);
+  void Record(const View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
+  void Query(const View& view, const GroupName& group, GroupChange& change, Duration interval) const;
+  void SendStepDowns(const View& view);
+
+  FailoverSettings settings;
+  std::map<GroupName, GroupChange> changes;
+  std::vector<PendingStepDown> step_downs;
+};
+
+}  // namespace amaranthlane::failover
+
+#endif  // AMARANTHLANE_CORE_FAILOVER_PRIMARY_CHANGE_SYSTEM_H_
--- /dev/null
+++ b/source/core/statements/position_history.h
@@ -0,0 +1,37 @@
+#ifndef AMARANTHLANE_CORE_STATEMENTS_POSITION_HISTORY_H_
+#define AMARANTHLANE_CORE_STATEMENTS_POSITION_HISTORY_H_
+
+#include <deque>
+#include <optional>
+
+#include "core/types.h"
+
+namespace amaranthlane::statements {
+
+// Where a group's primary stood, and when it was asked. A position that the primary told covers every commit that was
+// acknowledged before the question was sent, so a read that may be B old needs any position asked for within the last B.
+class PositionHistory {
+ public:
+  // The primary of `position.term` told `position` to a question sent at `asked_at`.
+  void Add(TimePoint asked_at, const LogPosition& position);
+
+  // The lowest known position that covers every commit acknowledged before `moment`, or none.
+  std::optional<LogPosition> Covering(TimePoint moment) const;
+
+  // When the primary was asked last; the epoch of the clock if never.
+  TimePoint LastAsked() const;
+
+  // The newest position.
+  std::optional<LogPosition> Newest() const;
+
+ private:
+  struct Sample {
+    TimePoint asked_at;
+    LogPosition position;
+  };
+  std::deque<Sample> samples;
+};
+
+}  // namespace amaranthlane::statements
+
+#endif  // AMARANTHLANE_CORE_STATEMENTS_POSITION_HISTORY_H_
--- a/source/logging/log.cc
+++ b/source/logging/log.cc
@@ -1,9 +1,15 @@
 #include "logging/log.h"
 
 #include <easylogging++.h>
+#include <fcntl.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
+#include <iostream>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -15,6 +21,7 @@
 
 Level minimum_level = Level::kInfo;
 std::string vm_name;
+std::uint64_t dropped_lines = 0;
 
 std::string Quote(std::string_view text) {
   return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -29,6 +36,10 @@
       minimum_level = static_cast<Level>(index);
     }
   }
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) {
+    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
   el::Configurations configuration;
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
@@ -46,6 +57,14 @@
   for (const Field& field : fields) {
     line += "," + Quote(field.name) + ":" + (field.quoted ? Quote(field.text) : field.text);
   }
+  if (!std::cout) {
+    // The reader fell behind, and the output refused a line.
+    ++dropped_lines;
+    std::cout.clear();
+  }
+  if (dropped_lines > 0) {
+    line += ",\"lines_dropped\":" + std::to_string(dropped_lines);
+  }
   switch (level) {
     case Level::kDebug:
     case Level::kInfo:
@@ -60,4 +79,21 @@
   }
 }
 
+Budget::Budget(double lines_per_second, double burst)
+    : lines_per_second(lines_per_second), burst(burst), available(burst) {}
+
+bool Budget::Admit(TimePoint now) {
+  const double passed = std::chrono::duration<double>(now - this->updated).count();
+  this->available = std::min(this->burst, this->available + std::max(0.0, passed) * this->lines_per_second);
+  this->updated = now;
+  if (this->available < 1) {
+    ++this->suppressed;
+    return false;
+  }
+  this->available -= 1;
+  return true;
+}
+
+std::uint64_t Budget::TakeSuppressed() { return std::exchange(this->suppressed, 0); }
+
 }  // namespace amaranthlane::logging
--- a/source/logging/log.h
+++ b/source/logging/log.h
@@ -7,7 +7,10 @@
 #include <string_view>
 #include <type_traits>
 
-// Structured logs: one event a line, as a JSON object on standard output. Secrets are never passed in.
+#include "common/boot_clock.h"
+
+// Structured logs: one event a line, as a JSON object on standard output. Secrets are never passed in. Where the reader of
+// the output falls behind, lines are dropped and counted; the process never waits for it.
 namespace amaranthlane::logging {
 
 enum class Level : std::uint8_t { kDebug, kInfo, kWarning, kError };
@@ -32,6 +35,24 @@
 // Writes one line. `event` says in plain words what happened.
 void Write(Level level, std::string_view event, std::initializer_list<Field> fields = {});
 
+// Bounds the lines of one kind: a burst, then a steady rate. What is left out is counted.
+class Budget {
+ public:
+  Budget(double lines_per_second, double burst);
+
+  // True when one more line may be written at `now`.
+  bool Admit(TimePoint now);
+  // The lines left out since the last call.
+  std::uint64_t TakeSuppressed();
+
+ private:
+  double lines_per_second;
+  double burst;
+  double available;
+  TimePoint updated;
+  std::uint64_t suppressed = 0;
+};
+
 }  // namespace amaranthlane::logging
 
 #endif  // AMARANTHLANE_LOGGING_LOG_H_
--- /dev/null
+++ b/source/proxy/caller_session.h
@@ -0,0 +1,138 @@
+#ifndef AMARANTHLANE_PROXY_CALLER_SESSION_H_
+#define AMARANTHLANE_PROXY_CALLER_SESSION_H_
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/boot_clock.h"
+#include "core/statements/session_replay.h"
+#include "core/statements/statement.h"
+#include "proxy/session_context.h"
+
+namespace amaranthlane::proxy {
+
+// One caller's connection: its values, prepared statements and transaction, and the statement that is under way. Used on
+// one thread.
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+ public:
+  CallerSession(boost::asio::ip::tcp::socket socket, SessionContext& context);
+
+  void Start();
+
+  // Ends what has taken too long: the opening while no configuration is known, and a transaction that rests.
+  void Tick(TimePoint now);
+
+  // Closes the session if nothing is under way in it. Returns true when it is closed.
+  bool CloseIfIdle();
+
+  // Rolls an open transaction back as soon as no statement is under way; its caller is told at its next statement.
+  void AbortTransaction(const std::string& why);
+
+  // Closes at once and drops what is under way.
+  void Close();
+
+  bool Closed() const;
+
+ private:
+  // The statement under way.
+  struct Operation {
+    statements::Statement statement;
+    Route route;
+    TimePoint received_at;
+    TimePoint limit;
+    int attempts = 0;
+    // True once the statement itself was sent to an endpoint in the present attempt.
+    bool sent = false;
+    // It may have run at some endpoint.
+    bool may_have_run = false;
+    std::uint64_t work = 0;
+    EndpointName endpoint;
+    EndpointName avoid;
+    std::optional<LogPosition> at_least;
+    std::shared_ptr<EndpointConnection> connection;
+    TimePoint granted_at;
+  };
+  // A transaction that the caller has begun. `connection` is null until its first statement goes to an endpoint.
+  struct Transaction {
+    statements::Statement begin;
+    std::shared_ptr<EndpointConnection> connection;
+    TimePoint resting_since;
+    // A statement other than reads was passed on.
+    bool wrote = false;
+    bool failed = false;
+    std::string why_failed;
+  };
+
+  void Read();
+  void OnBytes();
+  // Handles one frame; false ends the session.
+  bool Handle(const std::string& frame);
+  void OnOpenSession(const OpenSession& message);
+  void TryOpen();
+  void OnStatement(const statements::Statement& statement);
+  void OnBegin(const statements::Statement& statement);
+  void OnSessionChange(const statements::Statement& statement);
+  void EndWithoutEndpoint(const statements::Statement& statement);
+  void StartOperation(const statements::Statement& statement);
+
+  void Acquire(TimePoint not_before);
+  void OnGrant(const Grant& grant);
+  void OnRefusal(const Refusal& refusal);
+  void BringUp();
+  void SendBegin();
+  void SendStatement();
+  void SendStatementLater(Duration pause);
+  void OnAnswer(ExchangeStatus status, const std::vector<EndpointAnswer>& answers);
+  void OnSuccess(const EndpointAnswer& answer);
+  void OnEndpointFailure(const EndpointAnswer& answer);
+  void OnLostAnswer(ExchangeStatus status);
+  // Gives the connection back, or closes it, and tries again where that is safe. Returns false when the limit is reached.
+  bool TryAgain(TimePoint not_before);
+  void DropConnection();
+  bool Writes(const statements::Statement& statement) const;
+  const statements::PreparedStatement* Prepared(const statements::Statement& statement) const;
+  bool SingleStatement() const;
+  TimePoint AnswerDeadline() const;
+
+  void FailStatement(statements::FailureCode code, const std::string& why);
+  void FailTransaction(const std::string& why);
+  void Complete(const std::string& frames, statements::SessionState state);
+  void ReportEnd(const std::string& outcome, const std::string& why, bool failed);
+  void Send(std::string bytes);
+  void Write();
+  void ReleaseTransaction(bool rolled_back);
+  void RollBack(const std::shared_ptr<EndpointConnection>& connection, const GroupName& group);
+  statements::SessionState State() const;
+
+  boost::asio::ip::tcp::socket socket;
+  SessionContext& context;
+  std::array<char, 4096> chunk{};
+  std::string received;
+  std::string outgoing;
+  std::string writing;
+  bool write_under_way = false;
+  bool close_after_write = false;
+  bool reading = false;
+  bool closed = false;
+
+  std::optional<OpenSession> opening;
+  TimePoint opening_limit;
+  std::string database;
+  GroupName group;
+  statements::SessionValues values;
+  std::map<std::string, statements::PreparedStatement> prepared;
+  std::optional<LogPosition> last_commit;
+  std::optional<Transaction> transaction;
+  std::optional<Operation> operation;
+  // Distinguishes the present operation's callbacks from those of earlier ones.
+  std::uint64_t serial = 0;
+};
+
+}  // namespace amaranthlane::proxy
+
+#endif  // AMARANTHLANE_PROXY_CALLER_SESSION_H_
--- /dev/null
+++ b/source/proxy/endpoint_pool.cc
@@ -0,0 +1,298 @@
+#include "proxy/endpoint_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "common/error.h"
+
+namespace amaranthlane::proxy {
+
+namespace {
+
+// A connection kept for urgent work: others can't take the last one.
+constexpr std::size_t kReservedForUrgent = 1;
+// The weight of the newest latency in the running mean.
+constexpr double kLatencyWeight = 0.2;
+// An old latency counts half after so long, so that an endpoint that was slow is tried again.
+constexpr double kLatencyHalfLifeMs = 1500;
+constexpr double kLeastLatencyMs = 3;
+
+double Milliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
+
+}  // namespace
+
+EndpointPool::EndpointPool(boost::asio::io_context& loop, const StatementCodec& codec, VmName who,
+                           failover::EndpointEntry endpoint, const PoolSettings& settings, PoolEvents events)
+    : loop(loop),
+      codec(codec),
+      who(std::move(who)),
+      endpoint(std::move(endpoint)),
+      settings(settings),
+      events(std::move(events)) {}
+
+EndpointPool::~EndpointPool() {
+  *this->alive = false;
+  this->CloseAll();
+}
+
+std::shared_ptr<EndpointConnection> EndpointPool::Take(const statements::SessionValues& values) {
+  std::erase_if(this->idle, [](const auto& connection) { return connection->Closed(); });
+  if (this->idle.empty()) {
+    return nullptr;
+  }
+  auto best = std::find_if(this->idle.rbegin(), this->idle.rend(),
+                           [&values](const auto& connection) { return connection->contents.values == values; });
+  if (best == this->idle.rend()) {
+    best = std::find_if(this->idle.rbegin(), this->idle.rend(),
+                        [](const auto& connection) { return connection->contents.values.empty(); });
+  }
+  if (best == this->idle.rend()) {
+    best = this->idle.rbegin();
+  }
+  std::shared_ptr<EndpointConnection> taken = *best;
+  this->idle.erase(std::next(best).base());
+  return taken;
+}
+
+void EndpointPool::OpenFor(Rank rank, TimePoint now) {
+  const std::size_t limit = now < this->refused_until ? this->share : this->most;
+  const std::size_t reserved = rank == Rank::kUrgent ? 0 : kReservedForUrgent;
+  const std::size_t held = this->connections.size() + this->opening;
+  if (this->reachable && this->opening < 2 && held + reserved < std::max<std::size_t>(limit, 1 + reserved)) {
+    this->Open(now, false);
+  }
+}
+
+void EndpointPool::Open(TimePoint now, bool verification) {
+  auto connection = std::make_shared<EndpointConnection>(this->loop, this->codec, this->endpoint);
+  if (verification) {
+    this->verifying = true;
+  } else {
+    ++this->opening;
+  }
+  ++this->opened_total;
+  this->last_sent = now;
+  this->connections.push_back(connection);
+  connection->Open(this->who, now + this->settings.connect_limit,
+                   [this, alive = this->alive, connection, verification](bool opened, const EndpointAnswer& refusal) {
+                     if (*alive) {
+                       this->OnOpened(connection, opened, refusal, verification);
+                     }
+                   });
+}
+
+void EndpointPool::OnOpened(const std::shared_ptr<EndpointConnection>& connection, bool opened,
+                            const EndpointAnswer& refusal, bool verification) {
+  const TimePoint now = BootClock::now();
+  if (verification) {
+    this->verifying = false;
+  } else {
+    --this->opening;
+  }
+  if (opened) {
+    this->last_heard = now;
+    this->SetReachable(true, "a new connection was accepted");
+    if (refusal.position && this->events.position) {
+      this->events.position(this->endpoint, connection->SentAt(), *refusal.position);
+    }
+    this->Release(connection, now);
+    return;
+  }
+  std::erase(this->connections, connection);
+  if (refusal.failed && refusal.code == statements::FailureCode::kConnectionLimit) {
+    this->last_heard = now;
+    this->refused_until = now + this->settings.refusal_pause;
+    this->SetReachable(true, "it answers that it has too many connections");
+    return;
+  }
+  this->next_try = now + this->settings.retry_interval;
+  // One connection that fails while others answer says little.
+  if (now - this->last_heard > this->settings.silence / 2 || this->connections.empty()) {
+    this->SetReachable(false, refusal.failed ? std::string(statements::FailureCodeName(refusal.code))
+                                             : "a new connection fails");
+  }
+}
+
+void EndpointPool::Release(const std::shared_ptr<EndpointConnection>& connection, TimePoint now) {
+  if (connection->Closed() || connection->Busy() || connection->in_transaction) {
+    connection->Close();
+    std::erase(this->connections, connection);
+  } else {
+    connection->idle_since = now;
+    this->idle.push_back(connection);
+  }
+  if (this->events.changed) {
+    this->events.changed();
+  }
+}
+
+void EndpointPool::Command(std::string message, TimePoint now,
+                           std::function<void(const EndpointAnswer&, TimePoint)> done) {
+  const std::shared_ptr<EndpointConnection> connection = this->Take({});
+  if (connection == nullptr) {
+    if (this->opening == 0 && now >= this->next_try) {
+      this->next_try = now + this->settings.retry_interval / 2;
+      this->Open(now, false);
+    }
+    return;
+  }
+  this->last_sent = now;
+  connection->Exchange(std::move(message), 1, now + this->settings.status_limit,
+                       [this, alive = this->alive, connection, done = std::move(done)](
+                           ExchangeStatus status, const std::vector<EndpointAnswer>& answers) {
+                         if (!*alive) {
+                           return;
+                         }
+                         const TimePoint answered_at = BootClock::now();
+                         if (status == ExchangeStatus::kAnswered) {
+                           this->last_heard = answered_at;
+                           if (answers.front().position && this->events.position) {
+                             this->events.position(this->endpoint, connection->SentAt(), *answers.front().position);
+                           }
+                           if (!answers.front().failed) {
+                             done(answers.front(), connection->SentAt());
+                           }
+                         }
+                         this->Release(connection, answered_at);
+                       });
+}
+
+void EndpointPool::QueryStatus(TimePoint now) {
+  this->Command(this->codec.Status(), now, [this](const EndpointAnswer& answer, TimePoint sent_at) {
+    if (answer.rows.empty() || !this->events.status) {
+      return;
+    }
+    try {
+      this->events.status(this->endpoint, this->codec.ParseStatus(answer.rows.front()), sent_at);
+    } catch (const ParseError& failure) {
+      this->SetReachable(this->reachable, failure.what());
+    }
+  });
+}
+
+void EndpointPool::TellStepDown(Term term, TimePoint now) {
+  this->Command(this->codec.StepDown(term), now, [](const EndpointAnswer&, TimePoint) {});
+}
+
+void EndpointPool::Tick(TimePoint now, Duration probe_interval) {
+  const std::vector<std::shared_ptr<EndpointConnection>> all = this->connections;
+  for (const auto& connection : all) {
+    connection->CheckDeadline(now);
+    this->last_heard = std::max(this->last_heard, connection->LastHeard());
+    if (connection->Busy()) {
+      this->last_sent = std::max(this->last_sent, connection->SentAt());
+    }
+  }
+  std::erase_if(this->idle, [](const auto& connection) { return connection->Closed(); });
+  const std::size_t before = this->connections.size();
+  std::erase_if(this->connections, [](const auto& connection) { return connection->Closed(); });
+  if (before > 0 && this->connections.empty() && this->opening == 0) {
+    // All at once: the endpoint may be gone.
+    this->last_sent = TimePoint();
+  }
+  this->CheckReachability(now);
+  if (!this->reachable) {
+    if (now >= this->next_try && this->opening == 0 && !this->verifying) {
+      this->next_try = now + this->settings.retry_interval;
+      this->Open(now, true);
+    }
+    return;
+  }
+  if (now >= this->last_sent + probe_interval) {
+    this->QueryStatus(now);
+  }
+  this->CloseSurplus(now);
+}
+
+void EndpointPool::CheckReachability(TimePoint now) {
+  TimePoint oldest = kNever;
+  for (const auto& connection : this->connections) {
+    if (connection->Busy()) {
+      oldest = std::min(oldest, connection->SentAt());
+    }
+  }
+  if (oldest == kNever || !this->reachable || this->verifying) {
+    return;
+  }
+  if (now > std::max(oldest, this->last_heard) + this->settings.silence) {
+    this->Open(now, true);
+  }
+}
+
+void EndpointPool::SetReachable(bool now_reachable, const std::string& why) {
+  if (this->reachable == now_reachable) {
+    return;
+  }
+  this->reachable = now_reachable;
+  if (this->events.reachability) {
+    this->events.reachability(this->endpoint, now_reachable, why);
+  }
+  if (!now_reachable) {
+    this->CloseAll();
+  }
+  if (this->events.changed) {
+    this->events.changed();
+  }
+}
+
+void EndpointPool::CloseSurplus(TimePoint now) {
+  while (this->connections.size() > this->share && !this->idle.empty() &&
+         now > this->idle.front()->idle_since + this->settings.surplus_idle) {
+    const std::shared_ptr<EndpointConnection> surplus = this->idle.front();
+    this->idle.erase(this->idle.begin());
+    surplus->Close();
+    std::erase(this->connections, surplus);
+  }
+}
+
+void EndpointPool::SetLimits(std::size_t new_share, std::size_t new_most) {
+  this->share = new_share;
+  this->most = std::max(new_share, new_most);
+}
+
+void EndpointPool::SetEndpoint(const failover::EndpointEntry& update, TimePoint now) {
+  if (!update.draining) {
+    this->draining_since = kNever;
+  } else if (this->draining_since == kNever) {
+    this->draining_since = now;
+  }
+  this->endpoint = update;
+}
+
+bool EndpointPool::DrainingFor(Duration limit, TimePoint now) const {
+  return this->draining_since != kNever && now > this->draining_since + limit;
+}
+
+void EndpointPool::CloseAll() {
+  const std::vector<std::shared_ptr<EndpointConnection>> all = std::exchange(this->connections, {});
+  this->idle.clear();
+  for (const auto& connection : all) {
+    connection->Close();
+  }
+}
+
+const failover::EndpointEntry& EndpointPool::Endpoint() const { return this->endpoint; }
+
+bool EndpointPool::Reachable() const { return this->reachable; }
+
+std::size_t EndpointPool::InUse() const { return this->connections.size() - this->idle.size() - this->opening; }
+
+std::size_t EndpointPool::Idle() const { return this->idle.size(); }
+
+std::uint64_t EndpointPool::Opened() const { return this->opened_total; }
+
+Duration EndpointPool::TypicalLatency(TimePoint now) const {
+  const double age = Milliseconds(now - this->latency_at);
+  const double faded = this->latency_ms * std::exp2(-age / kLatencyHalfLifeMs);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(std::max(faded, kLeastLatencyMs)));
+}
+
+void EndpointPool::NoteLatency(Duration latency, TimePoint now) {
+  const double known = Milliseconds(this->TypicalLatency(now));
+  this->latency_ms = known + kLatencyWeight * (Milliseconds(latency) - known);
+  this->latency_at = now;
+}
+
+}  // namespace amaranthlane::proxy
--- /dev/null
+++ b/source/proxy/endpoint_pool.h
@@ -0,0 +1,129 @@
+#ifndef AMARANTHLANE_PROXY_ENDPOINT_POOL_H_
+#define AMARANTHLANE_PROXY_ENDPOINT_POOL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/boot_clock.h"
+#include "core/failover/endpoint_status.h"
+#include "core/types.h"
+#include "proxy/endpoint_connection.h"
+
+namespace amaranthlane::proxy {
+
+struct PoolSettings {
+  // Bytes that are owed for so long raise the suspicion that the endpoint is out of reach; well above the longest usual
+  // work.
+  Duration silence = std::chrono::milliseconds(400);
+  // How long a new connection may take before the endpoint counts as out of reach.
+  Duration connect_limit = std::chrono::milliseconds(300);
+  // How often an endpoint that is out of reach is tried again.
+  Duration retry_interval = std::chrono::milliseconds(200);
+  // Connections beyond this VM's share are closed after so long without use, so that other VMs can have them.
+  Duration surplus_idle = std::chrono::milliseconds(400);
+  // How long the endpoint's refusal of connections keeps this VM from opening more than its share.
+  Duration refusal_pause = std::chrono::milliseconds(300);
+  // A read that has to be exact within this time is answered by `silence`; the status of an endpoint is awaited as long.
+  Duration status_limit = std::chrono::milliseconds(300);
+};
+
+// What a pool tells its owner.
+struct PoolEvents {
+  // A connection is free, or the endpoint went out of reach or came back.
+  std::function<void()> changed;
+  // The endpoint told its position in answer to something sent at `sent_at`.
+  std::function<void(const failover::EndpointEntry& endpoint, TimePoint sent_at, const LogPosition& position)> position;
+  std::function<void(const failover::EndpointEntry& endpoint, const failover::EndpointStatus& status,
+                     TimePoint sent_at)>
+      status;
+  // Reachability changed, for the log.
+  std::function<void(const failover::EndpointEntry& endpoint, bool reachable, const std::string& why)> reachability;
+};
+
+// This VM's connections to one endpoint, and whether the endpoint answers. Used on one thread.
+class EndpointPool {
+ public:
+  EndpointPool(boost::asio::io_context& loop, const StatementCodec& codec, VmName who, failover::EndpointEntry endpoint,
+               const PoolSettings& settings, PoolEvents events);
+  ~EndpointPool();
+  EndpointPool(const EndpointPool&) = delete;
+  EndpointPool& operator=(const EndpointPool&) = delete;
+
+  // An idle connection, best one that holds these values already; null when there is none.
+  std::shared_ptr<EndpointConnection> Take(const statements::SessionValues& values);
+  // Opens one more connection for work of this rank if the limits allow it.
+  void OpenFor(Rank rank, TimePoint now);
+  // Gives a connection back. It is kept if it is open, idle and outside any transaction.
+  void Release(const std::shared_ptr<EndpointConnection>& connection, TimePoint now);
+
+  // Asks the endpoint for its status over an idle or new connection.
+  void QueryStatus(TimePoint now);
+  void TellStepDown(Term term, TimePoint now);
+
+  // Checks deadlines, reachability, and connections that are idle too long. `probe_interval` is the longest time without
+  // an exchange.
+  void Tick(TimePoint now, Duration probe_interval);
+
+  // Connections that this VM may always hold, and may hold while the endpoint accepts them.
+  void SetLimits(std::size_t share, std::size_t most);
+  void SetEndpoint(const failover::EndpointEntry& update, TimePoint now);
+  // True when the endpoint has been draining for longer than `limit`.
+  bool DrainingFor(Duration limit, TimePoint now) const;
+  // Closes all connections; exchanges under way end as broken.
+  void CloseAll();
+
+  const failover::EndpointEntry& Endpoint() const;
+  bool Reachable() const;
+  std::size_t InUse() const;
+  std::size_t Idle() const;
+  std::uint64_t Opened() const;
+  // The time that statements took lately; older figures count less.
+  Duration TypicalLatency(TimePoint now) const;
+  void NoteLatency(Duration latency, TimePoint now);
+
+  // Set when a replica refused a read for lack of a position.
+  TimePoint lagging_until;
+  // The newest position that it told.
+  LogPosition known_position;
+
+ private:
+  void Open(TimePoint now, bool verification);
+  void OnOpened(const std::shared_ptr<EndpointConnection>& connection, bool opened, const EndpointAnswer& refusal,
+                bool verification);
+  void Command(std::string message, TimePoint now, std::function<void(const EndpointAnswer&, TimePoint)> done);
+  void SetReachable(bool reachable, const std::string& why);
+  void CheckReachability(TimePoint now);
+  void CloseSurplus(TimePoint now);
+
+  boost::asio::io_context& loop;
+  const StatementCodec& codec;
+  VmName who;
+  failover::EndpointEntry endpoint;
+  PoolSettings settings;
+  PoolEvents events;
+  std::vector<std::shared_ptr<EndpointConnection>> connections;
+  std::vector<std::shared_ptr<EndpointConnection>> idle;
+  std::vector<std::string> waiting_commands;
+  std::size_t opening = 0;
+  std::size_t share = 2;
+  std::size_t most = 4;
+  std::uint64_t opened_total = 0;
+  bool reachable = true;
+  bool verifying = false;
+  TimePoint next_try;
+  TimePoint last_heard;
+  TimePoint last_sent;
+  TimePoint refused_until;
+  TimePoint draining_since = kNever;
+  double latency_ms = 10;
+  TimePoint latency_at;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace amaranthlane::proxy
+
+#endif  // AMARANTHLANE_PROXY_ENDPOINT_POOL_H_
--- /dev/null
+++ b/source/proxy/node.cc
@@ -0,0 +1,274 @@
+#include "proxy/node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "net/address.h"
+
+namespace amaranthlane::proxy {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick{10};
+constexpr std::chrono::milliseconds kSessionTick{100};
+// The balancer asks each second and forgets a VM after two refusals.
+constexpr std::chrono::milliseconds kBalancerNotices{2300};
+// The share of the grace period in which open transactions may end by themselves.
+constexpr double kTransactionShare = 0.5;
+// What is left of the grace period when the process ends whatever is still open.
+constexpr std::chrono::milliseconds kReserve{400};
+constexpr std::chrono::milliseconds kRefreshInterval{500};
+constexpr int kListenBacklog = 512;
+constexpr double kStatementLinesPerSecond = 40;
+constexpr double kStatementLinesBurst = 200;
+constexpr double kBeliefLinesPerSecond = 20;
+constexpr double kBeliefLinesBurst = 200;
+constexpr unsigned kServiceUnavailable = 503;
+constexpr char kStatements[] = "amaranthlane_statements_total";
+
+coordination::Self MakeSelf(const Settings& settings, Incarnation incarnation) {
+  return {settings.vm, incarnation, settings.peers_address, settings.data_centre};
+}
+
+boost::asio::ip::tcp::endpoint ListenEndpoint(const std::string& text) {
+  const net::Address address = net::ParseAddress(text);
+  return {boost::asio::ip::make_address(address.ip), address.port};
+}
+
+}  // namespace
+
+Node::Node(boost::asio::io_context& loop, const Settings& settings, Incarnation incarnation,
+           const StatementCodec& codec, PlatformServices& platform)
+    : loop(loop),
+      settings(settings),
+      codec(codec),
+      platform(platform),
+      acceptor(loop),
+      readiness_server(loop, net::ParseAddress(settings.operators_address), {},
+                       [this](const net::HttpRequest& request, const net::HttpServer::Answer& answer) {
+                         this->AnswerReadiness(request, answer);
+                       }),
+      peers_server(loop, net::ParseAddress(settings.peers_address), {},
+                   [this](const net::HttpRequest& request, const net::HttpServer::Answer& answer) {
+                     this->AnswerPeer(request, answer);
+                   }),
+      timer(loop),
+      coordination(MakeSelf(settings, incarnation), {}),
+      failover({}),
+      statement_lines(kStatementLinesPerSecond, kStatementLinesBurst),
+      belief_lines(kBeliefLinesPerSecond, kBeliefLinesBurst) {}
+
+Node::~Node() {
+  for (const auto& session : this->sessions) {
+    session->Close();
+  }
+}
+
+void Node::Start() {
+  const boost::asio::ip::tcp::endpoint endpoint = ListenEndpoint(this->settings.callers_address);
+  this->acceptor.open(endpoint.protocol());
+  this->acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
+  this->acceptor.bind(endpoint);
+  this->acceptor.listen(kListenBacklog);
+  this->readiness_server.Start();
+  this->peers_server.Start();
+  this->platform.FollowConfiguration([this](Configuration update) { this->OnConfiguration(std::move(update)); });
+  this->platform.FollowDirectory([this](failover::EndpointDirectory update) { this->OnDirectory(std::move(update)); });
+  logging::Write(logging::Level::kInfo, "started",
+                 {{"callers", this->settings.callers_address}, {"peers", this->settings.peers_address}});
+  this->Accept();
+  this->Tick();
+}
+
+void Node::Accept() {
+  this->acceptor.async_accept([this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) {
+      return;
+    }
+    if (!error) {
+      const auto session = std::make_shared<CallerSession>(std::move(socket), *this);
+      this->sessions.insert(session);
+      session->Start();
+    } else {
+      logging::Write(logging::Level::kWarning, "accepting a caller failed", {{"why", error.message()}});
+    }
+    this->Accept();
+  });
+}
+
+void Node::Tick() {
+  const TimePoint now = BootClock::now();
+  this->TickCoordination(now);
+  this->TickEndpoints(now);
+  for (const auto& [group, dispatcher] : this->dispatchers) {
+    dispatcher->Pump(now);
+  }
+  if (now >= this->next_session_tick) {
+    this->next_session_tick = now + kSessionTick;
+    this->TickSessions(now);
+  }
+  this->TickShutdown(now);
+  this->timer.expires_after(kTick);
+  this->timer.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      this->Tick();
+    }
+  });
+}
+
+void Node::TickSessions(TimePoint now) {
+  std::erase_if(this->sessions, [](const auto& session) { return session->Closed(); });
+  const std::set<std::shared_ptr<CallerSession>> all = this->sessions;
+  for (const auto& session : all) {
+    session->Tick(now);
+  }
+  const std::uint64_t own = this->configuration ? this->configuration->version : 0;
+  if (this->coordination.NewestConfiguration() > own && now >= this->next_refresh) {
+    this->next_refresh = now + kRefreshInterval;
+    logging::Write(logging::Level::kInfo, "a peer acts on a newer configuration",
+                   {{"own_version", own}, {"newest_version", this->coordination.NewestConfiguration()}});
+    this->platform.RefreshConfiguration();
+  }
+}
+
+void Node::Shutdown() {
+  if (this->shutdown_at) {
+    return;
+  }
+  this->shutdown_at = BootClock::now();
+  logging::Write(logging::Level::kInfo, "shutting down", {{"sessions", this->sessions.size()}});
+}
+
+void Node::TickShutdown(TimePoint now) {
+  if (!this->shutdown_at) {
+    return;
+  }
+  const Duration grace = this->settings.shutdown_grace;
+  const Duration passed = now - *this->shutdown_at;
+  if (passed < kBalancerNotices) {
+    return;
+  }
+  if (this->acceptor.is_open()) {
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+  }
+  const bool end_transactions = passed > Duration(static_cast<Duration::rep>(
+                                             static_cast<double>(grace.count()) * kTransactionShare));
+  const std::set<std::shared_ptr<CallerSession>> all = this->sessions;
+  for (const auto& session : all) {
+    if (end_transactions) {
+      session->AbortTransaction("the VM shuts down");
+    }
+    if (session->CloseIfIdle() || passed > grace - kReserve) {
+      session->Close();
+      this->sessions.erase(session);
+    }
+  }
+  if (this->sessions.empty()) {
+    logging::Write(logging::Level::kInfo, "stopped");
+    this->loop.stop();
+  }
+}
+
+void Node::Reload(const Settings& update) {
+  logging::Write(logging::Level::kInfo, "settings reloaded",
+                 {{"shutdown_grace_ms", update.shutdown_grace.count()}, {"log_level", update.log_level}});
+  this->settings.shutdown_grace = update.shutdown_grace;
+  this->settings.log_level = update.log_level;
+  logging::Start(this->settings.vm, this->settings.log_level);
+}
+
+bool Node::Ready() const {
+  return !this->shutdown_at && this->configuration && this->directory_known &&
+         this->coordination.Record() != nullptr;
+}
+
+void Node::AnswerReadiness(const net::HttpRequest& request, const net::HttpServer::Answer& answer) {
+  net::HttpResponse response;
+  if (net::TargetPath(request.target) == "/metrics") {
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = this->registry.Expose();
+  } else {
+    response.status = this->Ready() ? response.status : kServiceUnavailable;
+    response.body = "{}";
+  }
+  answer(std::move(response));
+}
+
+void Node::OnConfiguration(Configuration update) {
+  if (this->configuration && update.version <= this->configuration->version) {
+    return;
+  }
+  logging::Write(logging::Level::kInfo, "configuration in force",
+                 {{"version", update.version},
+                  {"former_version", this->configuration ? this->configuration->version : 0},
+                  {"routes", update.routes.size()},
+                  {"groups", update.groups.size()}});
+  this->configuration = std::move(update);
+}
+
+const StatementCodec& Node::Codec() const { return this->codec; }
+
+const Configuration* Node::CurrentConfiguration() const {
+  return this->configuration ? &*this->configuration : nullptr;
+}
+
+Dispatcher* Node::FindDispatcher(const GroupName& group) {
+  const auto found = this->dispatchers.find(group);
+  return found == this->dispatchers.end() ? nullptr : found->second.get();
+}
+
+bool Node::MayAcknowledge(const GroupName& group, const EndpointName& endpoint, TimePoint now) const {
+  const coordination::CoordinationRecord* record = this->coordination.Record();
+  if (record == nullptr || now >= this->coordination.RightsUntil()) {
+    return false;
+  }
+  const auto found = record->groups.find(group);
+  return found != record->groups.end() && found->second.primary == endpoint;
+}
+
+std::uint64_t Node::RecordVersion() const {
+  return this->coordination.Record() == nullptr ? 0 : this->coordination.Record()->version;
+}
+
+bool Node::ShuttingDown() const { return this->shutdown_at.has_value(); }
+
+void Node::PumpSoon() {
+  if (this->pump_posted) {
+    return;
+  }
+  this->pump_posted = true;
+  boost::asio::post(this->loop, [this] {
+    this->pump_posted = false;
+    const TimePoint now = BootClock::now();
+    for (const auto& [group, dispatcher] : this->dispatchers) {
+      dispatcher->Pump(now);
+    }
+  });
+}
+
+void Node::OnStatementEnd(const StatementEnd& end) {
+  this->registry.GetCounter(kStatements, "Statements by outcome.", {{"kind", end.kind}, {"outcome", end.outcome}}).value++;
+  this->registry
+      .GetHistogram("amaranthlane_statement_seconds", "Time from a statement's arrival to its answer.",
+                    {{"rank", std::string(RankName(end.rank))}})
+      .Add(end.took);
+  const TimePoint now = BootClock::now();
+  if (!end.failed || !this->statement_lines.Admit(now)) {
+    return;
+  }
+  logging::Write(logging::Level::kInfo, "statement failed",
+                 {{"id", end.id},
+                  {"database", end.database},
+                  {"kind", end.kind},
+                  {"outcome", end.outcome},
+                  {"why", end.why},
+                  {"endpoint", end.endpoint},
+                  {"attempts", end.attempts},
+                  {"took_us", end.took.count()},
+                  {"configuration_version", end.configuration_version},
+                  {"record_version", end.record_version},
+                  {"lines_suppressed", this->statement_lines.TakeSuppressed()}});
+}
+
+}  // namespace amaranthlane::proxy
--- /dev/null
+++ b/source/proxy/node.h
@@ -0,0 +1,121 @@
+#ifndef AMARANTHLANE_PROXY_NODE_H_
+#define AMARANTHLANE_PROXY_NODE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "common/settings.h"
+#include "core/coordination/coordination_system.h"
+#include "core/failover/primary_change_system.h"
+#include "logging/log.h"
+#include "metrics/registry.h"
+#include "net/http_pool.h"
+#include "net/http_server.h"
+#include "proxy/caller_session.h"
+#include "proxy/dispatcher.h"
+#include "proxy/endpoint_pool.h"
+#include "proxy/services.h"
+#include "proxy/session_context.h"
+
+namespace amaranthlane::proxy {
+
+// One VM of the fleet that speaks statements: callers' sessions, connections to endpoints, and its part in coordination.
+// Used on one thread.
+class Node : public SessionContext {
+ public:
+  Node(boost::asio::io_context& loop, const Settings& settings, Incarnation incarnation, const StatementCodec& codec,
+       PlatformServices& platform);
+  ~Node() override;
+
+  void Start();
+  // Takes no new sessions once the balancer has noticed, lets open work end, then stops the event loop.
+  void Shutdown();
+  void Reload(const Settings& update);
+
+  const StatementCodec& Codec() const override;
+  const Configuration* CurrentConfiguration() const override;
+  Dispatcher* FindDispatcher(const GroupName& group) override;
+  bool MayAcknowledge(const GroupName& group, const EndpointName& endpoint, TimePoint now) const override;
+  std::uint64_t RecordVersion() const override;
+  bool ShuttingDown() const override;
+  void PumpSoon() override;
+  void OnStatementEnd(const StatementEnd& end) override;
+
+ private:
+  struct KnownEndpoint {
+    failover::EndpointEntry entry;
+    std::unique_ptr<EndpointPool> pool;
+    // Since when its entry is missing from the directory.
+    std::optional<TimePoint> missing_since;
+  };
+
+  // Node.cc
+  void Accept();
+  void Tick();
+  void TickSessions(TimePoint now);
+  void TickShutdown(TimePoint now);
+  void AnswerReadiness(const net::HttpRequest& request, const net::HttpServer::Answer& answer);
+  bool Ready() const;
+  void OnConfiguration(Configuration update);
+
+  // endpoints.cc
+  void OnDirectory(failover::EndpointDirectory update);
+  void TickEndpoints(TimePoint now);
+  void AddEndpoint(const failover::EndpointEntry& entry, TimePoint now);
+  PoolEvents EventsOf(const failover::EndpointEntry& entry);
+  EndpointPool* FindPool(const EndpointName& endpoint) const;
+  std::pair<bool, EndpointName> PrimaryOf(const GroupName& group, TimePoint now) const;
+
+  // coordination.cc
+  void TickCoordination(TimePoint now);
+  coordination::LocalReport MakeReport(TimePoint now);
+  void Perform(coordination::Actions& actions);
+  void PerformBeat(const coordination::SendBeat& action);
+  void PerformNotice(const coordination::SendNotice& action);
+  void PerformRead();
+  void PerformWrite(const coordination::WriteRecord& action);
+  void PerformFailover(const failover::Actions& actions, TimePoint now);
+  void AnswerPeer(const net::HttpRequest& request, const net::HttpServer::Answer& answer);
+  void OnRecordAdopted(const std::string& source);
+  net::HttpPool& PeerPool(const std::string& address);
+
+  boost::asio::io_context& loop;
+  Settings settings;
+  const StatementCodec& codec;
+  PlatformServices& platform;
+  metrics::Registry registry;
+
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::set<std::shared_ptr<CallerSession>> sessions;
+  net::HttpServer readiness_server;
+  net::HttpServer peers_server;
+  boost::asio::steady_timer timer;
+  bool pump_posted = false;
+
+  std::optional<Configuration> configuration;
+  std::map<EndpointName, KnownEndpoint> endpoints;
+  bool directory_known = false;
+  std::map<GroupName, std::unique_ptr<Dispatcher>> dispatchers;
+
+  coordination::CoordinationSystem coordination;
+  failover::PrimaryChangeSystem failover;
+  std::map<std::string, std::unique_ptr<net::HttpPool>> peer_pools;
+  // Since when the groups are changing, as this VM sees it.
+  std::map<GroupName, TimePoint> changing_since;
+
+  std::optional<TimePoint> shutdown_at;
+  TimePoint next_session_tick;
+  TimePoint next_refresh;
+  logging::Budget statement_lines;
+  logging::Budget belief_lines;
+};
+
+}  // namespace amaranthlane::proxy
+
+#endif  // AMARANTHLANE_PROXY_NODE_H_
--- /dev/null
+++ b/source/proxy/node_coordination.cc
@@ -0,0 +1,260 @@
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "common/json.h"
+#include "proxy/node.h"
+
+// A node's part in coordination: what it says to its peers, and what it orders while it holds the duty.
+namespace amaranthlane::proxy {
+
+namespace {
+
+constexpr char kBeatTarget[] = "/peer/beat";
+constexpr char kNoticeTarget[] = "/peer/notice";
+constexpr std::size_t kConnectionsPerPeer = 2;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+// How long statements that are under way at a primary that leaves may go on. One that is out of reach gets none.
+constexpr std::chrono::milliseconds kReleaseLimit{1500};
+
+template <class... Handlers>
+struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <class... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+net::HttpRequest PostJson(const char* target, const nlohmann::json& body) {
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = target;
+  request.body = body.dump();
+  return request;
+}
+
+}  // namespace
+
+void Node::TickCoordination(TimePoint now) {
+  coordination::Actions actions;
+  this->coordination.Report(this->MakeReport(now), now, actions);
+  this->coordination.Tick(now, actions);
+  failover::Actions orders;
+  if (this->directory_known) {
+    failover::EndpointDirectory directory;
+    for (const auto& [name, known] : this->endpoints) {
+      if (!known.missing_since) {
+        directory.emplace(name, known.entry);
+      }
+    }
+    std::map<GroupName, std::uint64_t> synchronous;
+    if (this->configuration) {
+      for (const auto& [group, limits] : this->configuration->groups) {
+        synchronous[group] = limits.synchronous_replicas;
+      }
+    }
+    if (this->coordination.Record() != nullptr) {
+      this->failover.Tick(directory, synchronous, this->coordination, now, actions, orders);
+    }
+  }
+  this->Perform(actions);
+  this->PerformFailover(orders, now);
+}
+
+coordination::LocalReport Node::MakeReport(TimePoint now) {
+  coordination::LocalReport report;
+  report.leaving = this->shutdown_at.has_value();
+  report.configuration_version = this->configuration ? this->configuration->version : 0;
+  const coordination::CoordinationRecord* record = this->coordination.Record();
+  if (record == nullptr) {
+    return report;
+  }
+  for (const auto& [group, state] : record->groups) {
+    EndpointPool* pool = this->FindPool(state.primary);
+    if (state.changing) {
+      const TimePoint since = this->changing_since.try_emplace(group, now).first->second;
+      const bool wait = pool != nullptr && pool->Reachable() && now < since + kReleaseLimit;
+      if (pool != nullptr && pool->InUse() > 0 && wait) {
+        report.busy.push_back(group);
+      } else if (pool != nullptr && pool->InUse() > 0) {
+        pool->CloseAll();
+      }
+      continue;
+    }
+    this->changing_since.erase(group);
+    const bool others = std::any_of(this->endpoints.begin(), this->endpoints.end(), [&](const auto& known) {
+      return known.second.entry.group == group && known.first != state.primary && known.second.pool->Reachable();
+    });
+    if (others && pool != nullptr && !pool->Reachable()) {
+      report.suspects.push_back(group);
+    }
+  }
+  return report;
+}
+
+void Node::Perform(coordination::Actions& actions) {
+  const Overloaded perform = {
+      [this](const coordination::SendBeat& action) { this->PerformBeat(action); },
+      [this](const coordination::SendNotice& action) { this->PerformNotice(action); },
+      [this](const coordination::ReadRecord&) { this->PerformRead(); },
+      [this](const coordination::WriteRecord& action) { this->PerformWrite(action); },
+      [this](const coordination::RecordAdopted& action) { this->OnRecordAdopted(action.source); },
+      [](const coordination::Decision& action) {
+        logging::Write(logging::Level::kInfo, action.what, {{"why", action.why}});
+      }};
+  for (const coordination::Action& action : std::exchange(actions, {})) {
+    std::visit(perform, action);
+  }
+}
+
+void Node::PerformBeat(const coordination::SendBeat& action) {
+  const TimePoint sent_at = BootClock::now();
+  const VmName member = action.member.vm;
+  this->PeerPool(action.member.address)
+      .Call(PostJson(kBeatTarget, ToJson(action.beat)), sent_at + coordination::CoordinationSettings{}.answer_limit,
+            [this, member, sent_at](const net::CallResult& result) {
+              const TimePoint now = BootClock::now();
+              coordination::Actions actions;
+              try {
+                if (result.status != net::CallStatus::kAnswered) {
+                  this->coordination.OnBeatFailed(member, now);
+                  return;
+                }
+                this->coordination.OnBeatReply(
+                    member, coordination::ParseBeatReply(json::Parse(result.response.body, "beat reply")), sent_at, now,
+                    actions);
+              } catch (const ParseError& failure) {
+                logging::Write(logging::Level::kWarning, "peer's reply makes no sense",
+                               {{"vm", member}, {"why", failure.what()}});
+                this->coordination.OnBeatFailed(member, now);
+              }
+              this->Perform(actions);
+            });
+}
+
+void Node::PerformNotice(const coordination::SendNotice& action) {
+  const TimePoint deadline = BootClock::now() + coordination::CoordinationSettings{}.answer_limit;
+  // A VM that misses the notice hears of the record with its next beat.
+  this->PeerPool(action.address)
+      .Call(PostJson(kNoticeTarget, ToJson(action.record)), deadline, [](const net::CallResult&) {});
+}
+
+void Node::PerformRead() {
+  this->platform.ReadRecord([this](bool answered, std::optional<coordination::CoordinationRecord> record,
+                                   ObjectVersion revision) {
+    const TimePoint now = BootClock::now();
+    if (!answered) {
+      this->coordination.OnReadFailed(now);
+      return;
+    }
+    coordination::Actions actions;
+    this->coordination.OnRecordRead(record, revision, now, actions);
+    this->Perform(actions);
+  });
+}
+
+void Node::PerformWrite(const coordination::WriteRecord& action) {
+  this->platform.WriteRecord(
+      action.record, action.expected_revision,
+      [this, version = action.record.version](coordination::WriteResult result, ObjectVersion revision) {
+        static constexpr std::array<const char*, 4> kResults = {"written", "conflict", "refused", "unknown"};
+        logging::Write(logging::Level::kInfo, "record write ended",
+                       {{"result", kResults.at(static_cast<std::size_t>(result))},
+                        {"version", version},
+                        {"revision", revision}});
+        coordination::Actions actions;
+        this->coordination.OnRecordWritten(result, revision, BootClock::now(), actions);
+        this->Perform(actions);
+      });
+}
+
+void Node::OnRecordAdopted(const std::string& source) {
+  const coordination::CoordinationRecord& record = *this->coordination.Record();
+  std::string members;
+  for (const coordination::Member& member : record.members) {
+    members += (members.empty() ? "" : " ") + member.vm;
+  }
+  std::string groups;
+  for (const auto& [name, state] : record.groups) {
+    groups += (groups.empty() ? "" : " ") + name + "=" + state.primary + "@" + std::to_string(state.term) +
+              (state.changing ? " changing" : "");
+  }
+  logging::Write(logging::Level::kInfo, "record adopted",
+                 {{"source", source},
+                  {"version", record.version},
+                  {"epoch", record.epoch},
+                  {"token", record.fencing_token},
+                  {"members", members},
+                  {"groups", groups}});
+  coordination::Actions actions;
+  const TimePoint now = BootClock::now();
+  this->coordination.Report(this->MakeReport(now), now, actions);
+  this->Perform(actions);
+  this->PumpSoon();
+}
+
+void Node::PerformFailover(const failover::Actions& actions, TimePoint now) {
+  const Overloaded perform = {
+      [this, now](const failover::QueryStatus& action) {
+        EndpointPool* pool = this->FindPool(action.endpoint);
+        if (pool != nullptr) {
+          pool->QueryStatus(now);
+        }
+      },
+      [this, now](const failover::StepDown& action) {
+        EndpointPool* pool = this->FindPool(action.endpoint);
+        if (pool != nullptr) {
+          pool->TellStepDown(action.term, now);
+        }
+      },
+      [this](const failover::OrderPromotion& action) {
+        this->platform.Promote(action, this->settings.vm, [this, action](failover::PromotionResult result) {
+          static constexpr std::array<const char*, 3> kResults = {"accepted", "refused", "failed"};
+          logging::Write(logging::Level::kInfo, "promotion order ended",
+                         {{"group", action.group},
+                          {"endpoint", action.endpoint},
+                          {"token", action.fencing_token},
+                          {"result", kResults.at(static_cast<std::size_t>(result))}});
+          this->failover.OnPromotionResult(action.group, action.endpoint, result, BootClock::now());
+        });
+      },
+      [](const failover::ChangeStep& action) {
+        logging::Write(logging::Level::kInfo, action.step, {{"group", action.group}, {"why", action.why}});
+      }};
+  for (const failover::Action& action : actions) {
+    std::visit(perform, action);
+  }
+}
+
+void Node::AnswerPeer(const net::HttpRequest& request, const net::HttpServer::Answer& answer) {
+  net::HttpResponse response;
+  coordination::Actions actions;
+  const TimePoint now = BootClock::now();
+  try {
+    if (request.target == kBeatTarget) {
+      const coordination::Beat beat = coordination::ParseBeat(json::Parse(request.body, "beat"));
+      response.body = ToJson(this->coordination.OnBeat(beat, now, actions)).dump();
+    } else if (request.target == kNoticeTarget) {
+      this->coordination.OnNotice(coordination::ParseCoordinationRecord(json::Parse(request.body, "notice")), now,
+                                  actions);
+      response.body = "{}";
+    } else {
+      response.status = kNotFound;
+    }
+  } catch (const ParseError& failure) {
+    logging::Write(logging::Level::kWarning, "peer's message makes no sense", {{"why", failure.what()}});
+    response.status = kBadRequest;
+  }
+  answer(std::move(response));
+  this->Perform(actions);
+}
+
+net::HttpPool& Node::PeerPool(const std::string& address) {
+  auto& pool = this->peer_pools[address];
+  if (pool == nullptr) {
+    pool = std::make_unique<net::HttpPool>(this->loop, net::ParseAddress(address), kConnectionsPerPeer);
+  }
+  return *pool;
+}
+
+}  // namespace amaranthlane::proxy
--- /dev/null
+++ b/source/proxy/node_endpoints.cc
@@ -0,0 +1,126 @@
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "proxy/node.h"
+
+// The endpoints that a node knows, and its connections to them.
+namespace amaranthlane::proxy {
+
+namespace {
+
+// The longest time without a question to an endpoint. A primary's position is needed more often than any route's greatest
+// age; replicas are asked so that their reachability is known.
+constexpr std::chrono::milliseconds kPrimaryProbe{200};
+constexpr std::chrono::milliseconds kReplicaProbe{1000};
+// Entries vanish for up to two seconds after an outage of the store.
+constexpr std::chrono::milliseconds kForgetEndpointAfter{2600};
+// The share of an endpoint's connections that VMs divide among themselves; the rest is for those that come and go.
+constexpr double kSharedConnections = 0.9;
+
+}  // namespace
+
+void Node::OnDirectory(failover::EndpointDirectory update) {
+  const TimePoint now = BootClock::now();
+  this->directory_known = true;
+  for (const auto& [name, entry] : update) {
+    const auto found = this->endpoints.find(name);
+    const bool moved = found != this->endpoints.end() &&
+                       (found->second.entry.address != entry.address || found->second.entry.group != entry.group);
+    if (moved) {
+      this->dispatchers.at(found->second.entry.group)->RemovePool(name);
+      this->endpoints.erase(found);
+    }
+    if (found == this->endpoints.end() || moved) {
+      this->AddEndpoint(entry, now);
+      continue;
+    }
+    if (found->second.entry.draining != entry.draining || found->second.missing_since) {
+      logging::Write(logging::Level::kInfo, "endpoint changed",
+                     {{"endpoint", name}, {"draining", entry.draining}, {"group", entry.group}});
+    }
+    found->second.entry = entry;
+    found->second.missing_since.reset();
+    found->second.pool->SetEndpoint(entry, now);
+  }
+  for (auto& [name, known] : this->endpoints) {
+    if (update.count(name) == 0 && !known.missing_since) {
+      known.missing_since = now;
+      logging::Write(logging::Level::kInfo, "endpoint's entry is missing", {{"endpoint", name}});
+    }
+  }
+  this->PumpSoon();
+}
+
+void Node::AddEndpoint(const failover::EndpointEntry& entry, TimePoint now) {
+  logging::Write(logging::Level::kInfo, "endpoint added",
+                 {{"endpoint", entry.name}, {"group", entry.group}, {"address", entry.address}});
+  auto& dispatcher = this->dispatchers[entry.group];
+  if (dispatcher == nullptr) {
+    dispatcher = std::make_unique<Dispatcher>(
+        this->settings.data_centre, [this, group = entry.group](TimePoint at) { return this->PrimaryOf(group, at); });
+  }
+  KnownEndpoint known;
+  known.entry = entry;
+  known.pool = std::make_unique<EndpointPool>(this->loop, this->codec, this->settings.vm, entry, PoolSettings{},
+                                              this->EventsOf(entry));
+  known.pool->SetEndpoint(entry, now);
+  dispatcher->AddPool(entry.name, known.pool.get());
+  this->endpoints.emplace(entry.name, std::move(known));
+}
+
+PoolEvents Node::EventsOf(const failover::EndpointEntry& entry) {
+  PoolEvents events;
+  events.changed = [this] { this->PumpSoon(); };
+  events.position = [this, group = entry.group](const failover::EndpointEntry& endpoint, TimePoint sent_at,
+                                                const LogPosition& position) {
+    this->FindDispatcher(group)->NotePosition(endpoint.name, sent_at, position, BootClock::now());
+  };
+  events.status = [this, group = entry.group](const failover::EndpointEntry& endpoint,
+                                              const failover::EndpointStatus& status, TimePoint sent_at) {
+    this->failover.OnStatus(group, endpoint.name, status, sent_at);
+  };
+  events.reachability = [](const failover::EndpointEntry& endpoint, bool reachable, const std::string& why) {
+    logging::Write(reachable ? logging::Level::kInfo : logging::Level::kWarning,
+                   reachable ? "endpoint is in reach again" : "endpoint is out of reach",
+                   {{"endpoint", endpoint.name}, {"group", endpoint.group}, {"why", why}});
+  };
+  return events;
+}
+
+void Node::TickEndpoints(TimePoint now) {
+  const double fleet = static_cast<double>(this->coordination.FleetSize());
+  for (auto found = this->endpoints.begin(); found != this->endpoints.end();) {
+    KnownEndpoint& known = found->second;
+    if (known.missing_since && now > *known.missing_since + kForgetEndpointAfter) {
+      logging::Write(logging::Level::kInfo, "endpoint removed", {{"endpoint", found->first}});
+      this->dispatchers.at(known.entry.group)->RemovePool(found->first);
+      found = this->endpoints.erase(found);
+      continue;
+    }
+    double limit = 1;
+    if (this->configuration && this->configuration->groups.count(known.entry.group) > 0) {
+      limit = static_cast<double>(this->configuration->groups.at(known.entry.group).connections);
+    }
+    const auto share = static_cast<std::size_t>(std::max(1.0, limit * kSharedConnections / fleet));
+    known.pool->SetLimits(share, share * 2 + 1);
+    const bool primary = this->PrimaryOf(known.entry.group, now).second == found->first;
+    known.pool->Tick(now, primary ? kPrimaryProbe : kReplicaProbe);
+    ++found;
+  }
+}
+
+EndpointPool* Node::FindPool(const EndpointName& endpoint) const {
+  const auto found = this->endpoints.find(endpoint);
+  return found == this->endpoints.end() ? nullptr : found->second.pool.get();
+}
+
+std::pair<bool, EndpointName> Node::PrimaryOf(const GroupName& group, TimePoint now) const {
+  const coordination::CoordinationRecord* record = this->coordination.Record();
+  if (record == nullptr || record->groups.count(group) == 0) {
+    return {false, {}};
+  }
+  return {this->coordination.MayUsePrimary(group, now), record->groups.at(group).primary};
+}
+
+}  // namespace amaranthlane::proxy
--- /dev/null
+++ b/source/proxy/socket_options.cc
@@ -0,0 +1,35 @@
+#include "proxy/socket_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <boost/asio/detail/socket_option.hpp>
+
+namespace amaranthlane::proxy {
+
+namespace {
+
+using IntegerOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using IntervalOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using CountOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+using UserTimeoutOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+constexpr int kKeepAliveIdleSeconds = 3;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr int kUserTimeoutMilliseconds = 3000;
+
+}  // namespace
+
+void SetSocketOptions(boost::asio::ip::tcp::socket& socket) {
+  // A socket that is closed already fails its next use, so failures here need no answer.
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(IntegerOption(kKeepAliveIdleSeconds), ignored);
+  socket.set_option(IntervalOption(kKeepAliveIntervalSeconds), ignored);
+  socket.set_option(CountOption(kKeepAliveProbes), ignored);
+  socket.set_option(UserTimeoutOption(kUserTimeoutMilliseconds), ignored);
+}
+
+}  // namespace amaranthlane::proxy
