Don't ask replicas that lag, and don't count being turned away as an attempt

Ruled out: connections (124 opened), the primary's reach. Change: a replica that lacked a position isn't asked for 8 to 250 ms, growing; an attempt counts only if it may have run.

--- a/source/proxy/caller_operation.cc
+++ b/source/proxy/caller_operation.cc
@@ -25,8 +25,8 @@
 // Pauses before work is tried again that an endpoint turned away.
 constexpr std::chrono::milliseconds kBusyPause{15};
 constexpr std::chrono::milliseconds kWrongPrimaryPause{30};
-// How long a replica that lacked a position isn't asked first.
-constexpr std::chrono::milliseconds kLaggingPause{20};
+// Times that endpoints may turn a statement away; its time limit usually ends the trying first.
+constexpr int kMaximumTurnedAway = 60;
 // A connection that rested so long is tried with a harmless command before a write goes over it.
 constexpr std::chrono::milliseconds kRestedConnection{1000};
 // How long the rollback of an abandoned transaction may take.
@@ -173,23 +173,15 @@
           self->SendStatement();
           return;
         }
-        Duration pause = kBusyPause;
+        bool again = false;
         if (status == ExchangeStatus::kAnswered && answers.front().failed) {
           connection->in_transaction = answers.front().state != SessionState::kIdle;
-          Dispatcher* dispatcher = self->context.FindDispatcher(self->group);
-          EndpointPool* pool = dispatcher == nullptr ? nullptr : dispatcher->Pool(self->operation->endpoint);
-          if (answers.front().code == FailureCode::kLagging) {
-            pause = Duration::zero();
-            if (pool != nullptr) {
-              pool->lagging_until = BootClock::now() + kLaggingPause;
-            }
-          } else if (answers.front().code == FailureCode::kReadOnly) {
-            pause = kWrongPrimaryPause;
-          }
+          again = self->TryAgainAfter(answers.front().code);
         } else {
           connection->Close();
+          again = self->TryAgain(BootClock::now());
         }
-        if (!self->TryAgain(BootClock::now() + pause)) {
+        if (!again) {
           self->OnRefusal({"no endpoint began the transaction", kBusyPause});
         }
       });
@@ -246,6 +238,9 @@
       dispatcher->NotePosition(current.endpoint, current.connection->SentAt(), *answer.position, now);
     }
     EndpointPool* pool = dispatcher->Pool(current.endpoint);
+    if (pool != nullptr && !answer.failed && current.at_least) {
+      pool->NoteCaughtUp();
+    }
     if (pool != nullptr && !answer.failed) {
       pool->NoteLatency(now - current.connection->SentAt(), now);
     }
@@ -320,44 +315,22 @@
     this->FailTransaction(why);
     return;
   }
-  Dispatcher* dispatcher = this->context.FindDispatcher(this->group);
-  EndpointPool* pool = dispatcher == nullptr ? nullptr : dispatcher->Pool(current.endpoint);
-  TimePoint not_before = now;
-  bool again = statements::DidNotRun(answer.code) || !this->Writes(current.statement);
-  switch (answer.code) {
-    case FailureCode::kLagging:
-      if (pool != nullptr) {
-        pool->lagging_until = now + kLaggingPause;
-      }
-      break;
-    case FailureCode::kUnknownStatement:
-      current.connection->contents.prepared.clear();
-      break;
-    case FailureCode::kReadOnly:
-      not_before = now + kWrongPrimaryPause;
-      break;
-    case FailureCode::kNotRun:
-      not_before = now + kBusyPause;
-      current.avoid = current.endpoint;
-      break;
-    case FailureCode::kMalformed:
-    case FailureCode::kTooLarge:
-    case FailureCode::kDenied:
-      again = false;
-      break;
-    default:
-      current.avoid = current.endpoint;
-      break;
-  }
-  if (!statements::DidNotRun(answer.code)) {
-    current.may_have_run = true;
-  }
   current.connection->in_transaction = answer.state != SessionState::kIdle;
-  if (again && this->TryAgain(not_before)) {
+  if (statements::DidNotRun(answer.code)) {
+    if (!this->TryAgainAfter(answer.code)) {
+      this->DropConnection();
+      this->FailStatement(current.may_have_run ? FailureCode::kTimedOut : FailureCode::kNotRun, why);
+    }
     return;
   }
-  this->DropConnection();
-  this->FailStatement(again && !current.may_have_run ? FailureCode::kNotRun : answer.code, why);
+  current.may_have_run = true;
+  current.avoid = current.endpoint;
+  const bool lasting = answer.code == FailureCode::kMalformed || answer.code == FailureCode::kTooLarge ||
+                       answer.code == FailureCode::kDenied;
+  if (lasting || this->Writes(current.statement) || !this->TryAgain(now)) {
+    this->DropConnection();
+    this->FailStatement(answer.code, why);
+  }
 }
 
 void CallerSession::OnLostAnswer(ExchangeStatus status) {
@@ -402,6 +375,35 @@
   }
 }
 
+bool CallerSession::TryAgainAfter(FailureCode code) {
+  Operation& current = *this->operation;
+  Dispatcher* dispatcher = this->context.FindDispatcher(this->group);
+  EndpointPool* pool = dispatcher == nullptr ? nullptr : dispatcher->Pool(current.endpoint);
+  TimePoint not_before = BootClock::now();
+  switch (code) {
+    case FailureCode::kLagging:
+      if (pool != nullptr) {
+        pool->NoteLagging(not_before);
+      }
+      break;
+    case FailureCode::kUnknownStatement:
+      current.connection->contents.prepared.clear();
+      break;
+    case FailureCode::kReadOnly:
+      not_before += kWrongPrimaryPause;
+      break;
+    default:
+      not_before += kBusyPause;
+      current.avoid = current.endpoint;
+      break;
+  }
+  --current.attempts;
+  if (++current.turned_away > kMaximumTurnedAway) {
+    return false;
+  }
+  return this->TryAgain(not_before);
+}
+
 bool CallerSession::TryAgain(TimePoint not_before) {
   Operation& current = *this->operation;
   this->DropConnection();
--- a/source/proxy/caller_session.h
+++ b/source/proxy/caller_session.h
@@ -45,7 +45,10 @@
     Route route;
     TimePoint received_at;
     TimePoint limit;
+    // Times that the statement went to an endpoint and may have run there, the present one included.
     int attempts = 0;
+    // Times that an endpoint turned it away unrun.
+    int turned_away = 0;
     // True once the statement itself was sent to an endpoint in the present attempt.
     bool sent = false;
     // It may have run at some endpoint.
@@ -91,8 +94,10 @@
   void OnSuccess(const EndpointAnswer& answer);
   void OnEndpointFailure(const EndpointAnswer& answer);
   void OnLostAnswer(ExchangeStatus status);
-  // Gives the connection back, or closes it, and tries again where that is safe. Returns false when the limit is reached.
+  // Gives the connection back, or closes it, and looks for another one. Returns false when the limits are reached.
   bool TryAgain(TimePoint not_before);
+  // The same after an endpoint turned the statement or its transaction away unrun with this code.
+  bool TryAgainAfter(statements::FailureCode code);
   void DropConnection();
   bool Writes(const statements::Statement& statement) const;
   const statements::PreparedStatement* Prepared(const statements::Statement& statement) const;
--- a/source/proxy/dispatcher.cc
+++ b/source/proxy/dispatcher.cc
@@ -14,7 +14,8 @@
 // What makes an endpoint less attractive, as factors of its expected latency.
 constexpr double kOtherDataCentre = 1.15;
 constexpr double kPrimaryForReads = 1.6;
-constexpr double kBehind = 4;
+constexpr double kBehind = 2;
+constexpr double kFailedBefore = 16;
 // A primary that drains gets new work until another one leads, but no longer than this.
 constexpr std::chrono::seconds kDrainingPrimaryLimit{5};
 // How soon a caller may come back while no primary is known to be usable, and while work waits for connections.
@@ -90,11 +91,11 @@
   }
   if (is_primary) {
     cost *= kPrimaryForReads;
-  } else if (owed && (now < pool.lagging_until || pool.known_position < *owed)) {
+  } else if (owed && pool.known_position < *owed) {
     cost *= kBehind;
   }
   if (pool.Endpoint().name == work.avoid) {
-    cost *= kBehind * kBehind;
+    cost *= kFailedBefore;
   }
   return cost;
 }
@@ -107,7 +108,7 @@
   for (const auto& [name, pool] : this->pools) {
     const bool is_primary = name == primary_name;
     const bool eligible = is_primary ? usable && !pool->DrainingFor(kDrainingPrimaryLimit, now)
-                                     : owed.has_value() && !pool->Endpoint().draining;
+                                     : owed.has_value() && !pool->Endpoint().draining && !pool->Lagging(now);
     if (eligible && pool->Reachable() && (is_primary || !work.needs_primary)) {
       choices.emplace_back(this->Cost(*pool, is_primary, work, owed, now), pool);
     }
--- a/source/proxy/endpoint_pool.cc
+++ b/source/proxy/endpoint_pool.cc
@@ -17,6 +17,9 @@
 // An old latency counts half after so long, so that an endpoint that was slow is tried again.
 constexpr double kLatencyHalfLifeMs = 1500;
 constexpr double kLeastLatencyMs = 3;
+// How long a replica that lacked a position isn't asked: first, and at most.
+constexpr std::chrono::milliseconds kFirstLaggingPause{8};
+constexpr std::chrono::milliseconds kLongestLaggingPause{250};
 
 double Milliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
 
@@ -289,6 +292,21 @@
       std::chrono::duration<double, std::milli>(std::max(faded, kLeastLatencyMs)));
 }
 
+void EndpointPool::NoteLagging(TimePoint now) {
+  if (now < this->lagging_until) {
+    return;
+  }
+  this->lagging_pause = std::clamp<Duration>(this->lagging_pause * 2, kFirstLaggingPause, kLongestLaggingPause);
+  this->lagging_until = now + this->lagging_pause;
+}
+
+void EndpointPool::NoteCaughtUp() {
+  this->lagging_pause = Duration::zero();
+  this->lagging_until = TimePoint();
+}
+
+bool EndpointPool::Lagging(TimePoint now) const { return now < this->lagging_until; }
+
 void EndpointPool::NoteLatency(Duration latency, TimePoint now) {
   const double known = Milliseconds(this->TypicalLatency(now));
   this->latency_ms = known + kLatencyWeight * (Milliseconds(latency) - known);
--- a/source/proxy/endpoint_pool.h
+++ b/source/proxy/endpoint_pool.h
@@ -85,8 +85,12 @@
   Duration TypicalLatency(TimePoint now) const;
   void NoteLatency(Duration latency, TimePoint now);
 
-  // Set when a replica refused a read for lack of a position.
-  TimePoint lagging_until;
+  // A replica refused a read for lack of a position, or answered one. It isn't asked for a while after a refusal, longer
+  // with each one in a row.
+  void NoteLagging(TimePoint now);
+  void NoteCaughtUp();
+  bool Lagging(TimePoint now) const;
+
   // The newest position that it told.
   LogPosition known_position;
 
@@ -119,6 +123,8 @@
   TimePoint last_sent;
   TimePoint refused_until;
   TimePoint draining_since = kNever;
+  TimePoint lagging_until;
+  Duration lagging_pause{};
   double latency_ms = 10;
   TimePoint latency_at;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
