Bound work and connections at an endpoint by the VM's share

Ruled out: hedged reads alone (7046 repeats were mostly refusals of connections). Change: a VM holds its share of connections; bulk statements keep to a share of two per slot, each more urgent rank may go one beyond; a read is repeated elsewhere no sooner than 4 times the endpoint's usual latency; primaries are probed each 400 ms.

--- a/source/proxy/caller_operation.cc
+++ b/source/proxy/caller_operation.cc
@@ -21,7 +21,12 @@
 constexpr double kWaitingShare = 0.4;
 // The share of its target after which a read that isn't answered is sent to another endpoint.
 constexpr double kRepeatAfterTarget = 0.6;
-constexpr std::chrono::milliseconds kRepeatAfterAtLeast{80};
+// It is never repeated sooner, nor before so many times what the endpoint's statements take now: a busy endpoint must not
+// get the same work twice.
+constexpr std::chrono::milliseconds kRepeatAfterAtLeast{150};
+constexpr int kRepeatAfterLatencies = 4;
+// How long the commands before a statement, which take an endpoint no work, may take.
+constexpr std::chrono::milliseconds kBringUpLimit{250};
 // Pauses before work is tried again that an endpoint turned away.
 constexpr std::chrono::milliseconds kBusyPause{15};
 constexpr std::chrono::milliseconds kWrongPrimaryPause{30};
@@ -123,7 +128,7 @@
   }
   const std::size_t count = steps.size();
   current.connection->Exchange(
-      std::move(messages), count, std::min(current.limit, now + kRepeatAfterAtLeast),
+      std::move(messages), count, std::min(current.limit, now + kBringUpLimit),
       [self = this->shared_from_this(), serial = this->serial, steps = std::move(steps)](
           ExchangeStatus status, const std::vector<EndpointAnswer>& answers) {
         if (self->serial != serial) {
@@ -159,7 +164,7 @@
   current.connection->in_transaction = true;
   current.connection->Exchange(
       this->context.Codec().Forward(this->transaction->begin, current.at_least, {}), 1,
-      std::min(current.limit, now + std::max<Duration>(kRepeatAfterAtLeast, Share(current.route.target, kRepeatAfterTarget))),
+      std::min(current.limit, now + kBringUpLimit),
       [self = this->shared_from_this(), serial = this->serial](ExchangeStatus status,
                                                                const std::vector<EndpointAnswer>& answers) {
         if (self->serial != serial) {
@@ -193,8 +198,14 @@
   if (!repeatable || current.attempts >= kMaximumAttempts - 1) {
     return current.limit;
   }
-  const Duration patience = std::max<Duration>(kRepeatAfterAtLeast, Share(current.route.target, kRepeatAfterTarget));
-  return std::min(current.limit, BootClock::now() + patience * current.attempts);
+  const TimePoint now = BootClock::now();
+  Duration patience = std::max<Duration>(kRepeatAfterAtLeast, Share(current.route.target, kRepeatAfterTarget));
+  Dispatcher* dispatcher = this->context.FindDispatcher(this->group);
+  EndpointPool* pool = dispatcher == nullptr ? nullptr : dispatcher->Pool(current.endpoint);
+  if (pool != nullptr) {
+    patience = std::max(patience, pool->TypicalLatency(now) * kRepeatAfterLatencies);
+  }
+  return std::min(current.limit, now + patience * current.attempts);
 }
 
 void CallerSession::SendStatement() {
--- a/source/proxy/dispatcher.cc
+++ b/source/proxy/dispatcher.cc
@@ -119,7 +119,7 @@
     if (this->PlaceOn(*pool, is_primary ? std::nullopt : owed, waiting, now)) {
       return true;
     }
-    if (opened[pool->Endpoint().name]++ < 1) {
+    if (pool->Idle() == 0 && opened[pool->Endpoint().name]++ < 1) {
       pool->OpenFor(work.rank, now);
     }
   }
@@ -128,6 +128,9 @@
 
 bool Dispatcher::PlaceOn(EndpointPool& pool, const std::optional<LogPosition>& at_least, const WaitingWork& waiting,
                          TimePoint /*now*/) {
+  if (!pool.MayExecute(waiting.work.rank)) {
+    return false;
+  }
   const std::shared_ptr<EndpointConnection> connection = pool.Take(waiting.work.values);
   if (connection == nullptr) {
     return false;
--- a/source/proxy/endpoint_pool.cc
+++ b/source/proxy/endpoint_pool.cc
@@ -12,6 +12,8 @@
 
 // A connection kept for urgent work: others can't take the last one.
 constexpr std::size_t kReservedForUrgent = 1;
+// Connections that are opened at a time; each takes one of the endpoint's slots for a while.
+constexpr std::size_t kOpenedAtOnce = 2;
 // The weight of the newest latency in the running mean.
 constexpr double kLatencyWeight = 0.2;
 // An old latency counts half after so long, so that an endpoint that was slow is tried again.
@@ -59,10 +61,10 @@
 }
 
 void EndpointPool::OpenFor(Rank rank, TimePoint now) {
-  const std::size_t limit = now < this->refused_until ? this->share : this->most;
   const std::size_t reserved = rank == Rank::kUrgent ? 0 : kReservedForUrgent;
-  const std::size_t held = this->connections.size() + this->opening;
-  if (this->reachable && this->opening < 2 && held + reserved < std::max<std::size_t>(limit, 1 + reserved)) {
+  const std::size_t limit = std::max<std::size_t>(this->most, 1 + reserved);
+  const bool refused = now < this->refused_until && !this->connections.empty();
+  if (this->reachable && !refused && this->opening < kOpenedAtOnce && this->connections.size() + reserved < limit) {
     this->Open(now, false);
   }
 }
@@ -240,7 +242,7 @@
 }
 
 void EndpointPool::CloseSurplus(TimePoint now) {
-  while (this->connections.size() > this->share && !this->idle.empty() &&
+  while (this->connections.size() > this->most && !this->idle.empty() &&
          now > this->idle.front()->idle_since + this->settings.surplus_idle) {
     const std::shared_ptr<EndpointConnection> surplus = this->idle.front();
     this->idle.erase(this->idle.begin());
@@ -249,9 +251,16 @@
   }
 }
 
-void EndpointPool::SetLimits(std::size_t new_share, std::size_t new_most) {
-  this->share = new_share;
-  this->most = std::max(new_share, new_most);
+void EndpointPool::SetLimits(std::size_t new_most, std::size_t new_concurrency) {
+  this->most = new_most;
+  this->concurrency = new_concurrency;
+}
+
+bool EndpointPool::MayExecute(Rank rank) const {
+  const auto executing = std::count_if(this->connections.begin(), this->connections.end(),
+                                       [](const auto& connection) { return connection->Busy(); });
+  const std::size_t more = static_cast<std::size_t>(Rank::kBulk) - static_cast<std::size_t>(rank);
+  return static_cast<std::size_t>(executing) < this->concurrency + more;
 }
 
 void EndpointPool::SetEndpoint(const failover::EndpointEntry& update, TimePoint now) {
--- a/source/proxy/endpoint_pool.h
+++ b/source/proxy/endpoint_pool.h
@@ -25,9 +25,9 @@
   Duration retry_interval = std::chrono::milliseconds(200);
   // Connections beyond this VM's share are closed after so long without use, so that other VMs can have them.
   Duration surplus_idle = std::chrono::milliseconds(400);
-  // How long the endpoint's refusal of connections keeps this VM from opening more than its share.
+  // How long the endpoint's refusal of a connection keeps this VM from opening another one. Each costs the endpoint work.
   Duration refusal_pause = std::chrono::milliseconds(300);
-  // A read that has to be exact within this time is answered by `silence`; the status of an endpoint is awaited as long.
+  // How long the status of an endpoint is awaited.
   Duration status_limit = std::chrono::milliseconds(300);
 };
 
@@ -68,8 +68,11 @@
   // an exchange.
   void Tick(TimePoint now, Duration probe_interval);
 
-  // Connections that this VM may always hold, and may hold while the endpoint accepts them.
-  void SetLimits(std::size_t share, std::size_t most);
+  // The connections that this VM may hold, and its share of the work that the endpoint has at once. Bulk work keeps to
+  // that share, each more urgent rank may go one beyond it, so that it waits behind little at the endpoint.
+  void SetLimits(std::size_t connections, std::size_t concurrency);
+  // True when one more statement of this rank may go to the endpoint now.
+  bool MayExecute(Rank rank) const;
   void SetEndpoint(const failover::EndpointEntry& update, TimePoint now);
   // True when the endpoint has been draining for longer than `limit`.
   bool DrainingFor(Duration limit, TimePoint now) const;
@@ -113,8 +116,8 @@
   std::vector<std::shared_ptr<EndpointConnection>> idle;
   std::vector<std::string> waiting_commands;
   std::size_t opening = 0;
-  std::size_t share = 2;
-  std::size_t most = 4;
+  std::size_t most = 2;
+  std::size_t concurrency = 1;
   std::uint64_t opened_total = 0;
   bool reachable = true;
   bool verifying = false;
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -11,13 +11,16 @@
 
 // The longest time without a question to an endpoint. A primary's position is needed more often than any route's greatest
 // age; replicas are asked so that their reachability is known.
-constexpr std::chrono::milliseconds kPrimaryProbe{200};
+constexpr std::chrono::milliseconds kPrimaryProbe{400};
 constexpr std::chrono::milliseconds kReplicaProbe{1000};
 // Entries vanish for up to two seconds after an outage of the store.
 constexpr std::chrono::milliseconds kForgetEndpointAfter{2600};
 // The share of an endpoint's connections that VMs divide among themselves; the rest is for those that come and go.
 constexpr double kSharedConnections = 0.9;
 
+// Bulk statements that all VMs together have at an endpoint, for each of its slots.
+constexpr double kWorkPerSlot = 2;
+
 }  // namespace
 
 void Node::OnDirectory(failover::EndpointDirectory update) {
@@ -102,8 +105,9 @@
     if (this->configuration && this->configuration->groups.count(known.entry.group) > 0) {
       limit = static_cast<double>(this->configuration->groups.at(known.entry.group).connections);
     }
-    const auto share = static_cast<std::size_t>(std::max(1.0, limit * kSharedConnections / fleet));
-    known.pool->SetLimits(share, share * 2 + 1);
+    const auto connections = static_cast<std::size_t>(std::max(1.0, limit * kSharedConnections / fleet));
+    const double concurrency = static_cast<double>(known.entry.slots) * kWorkPerSlot / fleet;
+    known.pool->SetLimits(connections, static_cast<std::size_t>(std::max(1.0, concurrency)));
     const bool primary = this->PrimaryOf(known.entry.group, now).second == found->first;
     known.pool->Tick(now, primary ? kPrimaryProbe : kReplicaProbe);
     ++found;
