Test coordination by a seeded fleet; tell positions and directory digests in beats

Ruled out: a fault of the systems in two failures of the first property runs (the test's own network lost failures, and its check took a holder that still waits for its predecessor's release for one that may promote).

--- a/source/core/coordination/messages.cc
+++ b/source/core/coordination/messages.cc
@@ -1,5 +1,7 @@
 #include "core/coordination/messages.h"
 
+#include <algorithm>
+
 #include "common/json.h"
 
 namespace amaranthlane::coordination {
@@ -13,6 +15,23 @@
   return ParseCoordinationRecord(reader.Object("record"));
 }
 
+// Ages beyond this are all the same; a VM that never heard from the store has a silence as long as its uptime.
+constexpr std::chrono::hours kLongestAge{1};
+
+std::uint64_t Milliseconds(Duration duration) {
+  const Duration bounded = std::clamp<Duration>(duration, Duration::zero(), kLongestAge);
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(bounded).count());
+}
+
+KnownPosition ParseKnownPosition(const nlohmann::json& document) {
+  const json::ObjectReader reader(document, "known position");
+  KnownPosition known;
+  known.group = reader.String("group");
+  known.position = {reader.Unsigned("term"), reader.Unsigned("offset")};
+  known.age = reader.Milliseconds("age_ms");
+  return known;
+}
+
 }  // namespace
 
 nlohmann::json ToJson(const Beat& beat) {
@@ -53,10 +72,19 @@
       {"incarnation", reply.incarnation},
       {"promised", reply.promised},
       {"version", reply.version},
-      {"store_silence_ms", std::chrono::duration_cast<std::chrono::milliseconds>(reply.store_silence).count()},
+      {"store_silence_ms", Milliseconds(reply.store_silence)},
       {"wants_relief", reply.wants_relief},
       {"fleet_size", reply.fleet_size},
-      {"configuration_version", reply.configuration_version}};
+      {"configuration_version", reply.configuration_version},
+      {"directory_digest", reply.knowledge.directory_digest},
+      {"positions", nlohmann::json::array()}};
+  for (const KnownPosition& known : reply.knowledge.positions) {
+    // Ages are rounded up: a position must never seem fresher than it is.
+    document["positions"].push_back({{"group", known.group},
+                                     {"term", known.position.term},
+                                     {"offset", known.position.offset},
+                                     {"age_ms", Milliseconds(known.age) + 1}});
+  }
   if (reply.record) {
     document["record"] = ToJson(*reply.record);
   }
@@ -74,6 +102,10 @@
   reply.wants_relief = reader.Bool("wants_relief");
   reply.fleet_size = reader.Unsigned("fleet_size");
   reply.configuration_version = reader.Unsigned("configuration_version");
+  reply.knowledge.directory_digest = reader.String("directory_digest");
+  for (const nlohmann::json& known : reader.Array("positions")) {
+    reply.knowledge.positions.push_back(ParseKnownPosition(known));
+  }
   reply.record = ParseOptionalRecord(reader);
   return reply;
 }
--- a/source/core/coordination/messages.h
+++ b/source/core/coordination/messages.h
@@ -14,6 +14,13 @@
 // What VMs say to each other about promises.
 namespace amaranthlane::coordination {
 
+// Where a group's primary stood, and how long ago it was asked.
+struct KnownPosition {
+  GroupName group;
+  LogPosition position;
+  Duration age{};
+};
+
 // A VM asks a member for a promise, and tells what it knows and does.
 struct Beat {
   VmName vm;
@@ -34,6 +41,14 @@
   std::uint64_t configuration_version = 0;
 };
 
+// What a member tells beside its promise. Ages count up to the sending of the reply, so the asker may take what it reads as
+// known at the time that it sent its beat, less the age.
+struct MemberKnowledge {
+  std::vector<KnownPosition> positions;
+  // A digest of the directory of endpoints, so that a VM whose watch went silent notices.
+  std::string directory_digest;
+};
+
 struct BeatReply {
   VmName vm;
   Incarnation incarnation = 0;
@@ -49,11 +64,7 @@
   // VMs that beat to this member lately.
   std::uint64_t fleet_size = 0;
   std::uint64_t configuration_version = 0;
-};
-
-// The holder tells a VM of a newer record; the VM answers with its beat.
-struct Notice {
-  CoordinationRecord record;
+  MemberKnowledge knowledge;
 };
 
 nlohmann::json ToJson(const Beat& beat);
--- a/source/core/failover/endpoint_status.h
+++ b/source/core/failover/endpoint_status.h
@@ -40,6 +40,9 @@
 
 using EndpointDirectory = std::map<EndpointName, EndpointEntry>;
 
+// The same text for equal directories, as far as work is concerned: which endpoints there are and whether they drain.
+std::string DirectoryDigest(const EndpointDirectory& directory);
+
 }  // namespace amaranthlane::failover
 
 #endif  // AMARANTHLANE_CORE_FAILOVER_ENDPOINT_STATUS_H_
--- a/source/proxy/dispatcher.cc
+++ b/source/proxy/dispatcher.cc
@@ -173,6 +173,10 @@
   }
 }
 
+void Dispatcher::NoteMemberPosition(TimePoint asked_at, const LogPosition& position) {
+  this->history.Add(asked_at, position);
+}
+
 const statements::PositionHistory& Dispatcher::History() const { return this->history; }
 
 std::size_t Dispatcher::Waiting() const { return this->queue.size(); }
--- a/source/proxy/dispatcher.h
+++ b/source/proxy/dispatcher.h
@@ -69,6 +69,8 @@
 
   // A position that `endpoint` told; counts for the history if this VM may use it as the primary.
   void NotePosition(const EndpointName& endpoint, TimePoint sent_at, const LogPosition& position, TimePoint now);
+  // A position that a member told; it was asked for no earlier than `asked_at`.
+  void NoteMemberPosition(TimePoint asked_at, const LogPosition& position);
   const statements::PositionHistory& History() const;
 
   std::size_t Waiting() const;
--- a/source/proxy/endpoint_pool.cc
+++ b/source/proxy/endpoint_pool.cc
@@ -164,6 +164,7 @@
 }
 
 void EndpointPool::QueryStatus(TimePoint now) {
+  this->last_asked = now;
   this->Command(this->codec.Status(), now, [this](const EndpointAnswer& answer, TimePoint sent_at) {
     if (answer.rows.empty() || !this->events.status) {
       return;
@@ -195,6 +196,7 @@
   if (before > 0 && this->connections.empty() && this->opening == 0) {
     // All at once: the endpoint may be gone.
     this->last_sent = TimePoint();
+    this->last_asked = TimePoint();
   }
   this->CheckReachability(now);
   if (!this->reachable) {
@@ -204,7 +206,7 @@
     }
     return;
   }
-  if (now >= this->last_sent + probe_interval) {
+  if (now >= std::max(this->last_sent, this->last_asked) + probe_interval) {
     this->QueryStatus(now);
   }
   this->CloseSurplus(now);
--- a/source/proxy/endpoint_pool.h
+++ b/source/proxy/endpoint_pool.h
@@ -124,6 +124,7 @@
   TimePoint next_try;
   TimePoint last_heard;
   TimePoint last_sent;
+  TimePoint last_asked;
   TimePoint refused_until;
   TimePoint draining_since = kNever;
   TimePoint lagging_until;
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -82,6 +82,8 @@
   void PerformWrite(const coordination::WriteRecord& action);
   void PerformFailover(const failover::Actions& actions, TimePoint now);
   void AnswerPeer(const net::HttpRequest& request, const net::HttpServer::Answer& answer);
+  coordination::MemberKnowledge Knowledge(TimePoint now) const;
+  void OnKnowledge(const coordination::MemberKnowledge& knowledge, TimePoint asked_at, TimePoint now);
   void OnRecordAdopted(const std::string& source);
   net::HttpPool& PeerPool(const std::string& address);
 
@@ -101,6 +103,9 @@
   std::optional<Configuration> configuration;
   std::map<EndpointName, KnownEndpoint> endpoints;
   bool directory_known = false;
+  std::string directory_digest;
+  // Since when a member knows another directory.
+  std::optional<TimePoint> directory_differs_since;
   std::map<GroupName, std::unique_ptr<Dispatcher>> dispatchers;
 
   coordination::CoordinationSystem coordination;
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -18,6 +18,9 @@
 // How long statements that are under way at a primary that leaves may go on. One that is out of reach gets none.
 constexpr std::chrono::milliseconds kReleaseLimit{1500};
 
+// How long this VM's directory may differ from a member's; usually one of them hears of a change a little later.
+constexpr std::chrono::milliseconds kDirectoryPatience{900};
+
 template <class... Handlers>
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
@@ -120,9 +123,10 @@
                   this->coordination.OnBeatFailed(member, now);
                   return;
                 }
-                this->coordination.OnBeatReply(
-                    member, coordination::ParseBeatReply(json::Parse(result.response.body, "beat reply")), sent_at, now,
-                    actions);
+                const coordination::BeatReply reply =
+                    coordination::ParseBeatReply(json::Parse(result.response.body, "beat reply"));
+                this->coordination.OnBeatReply(member, reply, sent_at, now, actions);
+                this->OnKnowledge(reply.knowledge, sent_at, now);
               } catch (const ParseError& failure) {
                 logging::Write(logging::Level::kWarning, "peer's reply makes no sense",
                                {{"vm", member}, {"why", failure.what()}});
@@ -132,6 +136,38 @@
             });
 }
 
+coordination::MemberKnowledge Node::Knowledge(TimePoint now) const {
+  coordination::MemberKnowledge knowledge;
+  knowledge.directory_digest = this->directory_digest;
+  for (const auto& [group, dispatcher] : this->dispatchers) {
+    const std::optional<LogPosition> newest = dispatcher->History().Newest();
+    if (newest) {
+      knowledge.positions.push_back({group, *newest, now - dispatcher->History().LastAsked()});
+    }
+  }
+  return knowledge;
+}
+
+void Node::OnKnowledge(const coordination::MemberKnowledge& knowledge, TimePoint asked_at, TimePoint now) {
+  for (const coordination::KnownPosition& known : knowledge.positions) {
+    Dispatcher* dispatcher = this->FindDispatcher(known.group);
+    if (dispatcher != nullptr) {
+      dispatcher->NoteMemberPosition(asked_at - known.age, known.position);
+    }
+  }
+  if (!this->directory_known || knowledge.directory_digest.empty() ||
+      knowledge.directory_digest == this->directory_digest) {
+    this->directory_differs_since.reset();
+  } else if (!this->directory_differs_since) {
+    this->directory_differs_since = now;
+  } else if (now > *this->directory_differs_since + kDirectoryPatience) {
+    this->directory_differs_since = now;
+    logging::Write(logging::Level::kInfo, "a member knows another directory; reading it anew",
+                   {{"own_digest", this->directory_digest}, {"member_digest", knowledge.directory_digest}});
+    this->platform.RefreshDirectory();
+  }
+}
+
 void Node::PerformNotice(const coordination::SendNotice& action) {
   const TimePoint deadline = BootClock::now() + coordination::CoordinationSettings{}.answer_limit;
   // A VM that misses the notice hears of the record with its next beat.
@@ -186,6 +222,7 @@
                   {"token", record.fencing_token},
                   {"members", members},
                   {"groups", groups}});
+  this->platform.SetPatientWatches(!record.IsMember(this->settings.vm));
   coordination::Actions actions;
   const TimePoint now = BootClock::now();
   this->coordination.Report(this->MakeReport(now), now, actions);
@@ -233,7 +270,9 @@
   try {
     if (request.target == kBeatTarget) {
       const coordination::Beat beat = coordination::ParseBeat(json::Parse(request.body, "beat"));
-      response.body = ToJson(this->coordination.OnBeat(beat, now, actions)).dump();
+      coordination::BeatReply reply = this->coordination.OnBeat(beat, now, actions);
+      reply.knowledge = this->Knowledge(now);
+      response.body = ToJson(reply).dump();
     } else if (request.target == kNoticeTarget) {
       this->coordination.OnNotice(coordination::ParseCoordinationRecord(json::Parse(request.body, "notice")), now,
                                   actions);
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -9,10 +9,14 @@
 
 namespace {
 
-// The longest time without a question to an endpoint. A primary's position is needed more often than any route's greatest
-// age; replicas are asked so that their reachability is known.
-constexpr std::chrono::milliseconds kPrimaryProbe{400};
-constexpr std::chrono::milliseconds kReplicaProbe{1000};
+// A primary is asked for its position when the newest one known, from statements or from members, is this old; well within
+// any route's greatest age.
+constexpr std::chrono::milliseconds kPositionAge{400};
+// Other VMs learn positions from members, so they ask only when that fails.
+constexpr std::chrono::milliseconds kPositionAgeOfOthers{900};
+// The longest time without a question to an endpoint, so that its reachability is known before work needs it.
+constexpr std::chrono::milliseconds kPrimaryProbe{2000};
+constexpr std::chrono::milliseconds kReplicaProbe{5000};
 // Entries vanish for up to two seconds after an outage of the store.
 constexpr std::chrono::milliseconds kForgetEndpointAfter{2600};
 // The share of an endpoint's connections that VMs divide among themselves; the rest is for those that come and go.
@@ -26,6 +30,7 @@
 void Node::OnDirectory(failover::EndpointDirectory update) {
   const TimePoint now = BootClock::now();
   this->directory_known = true;
+  this->directory_digest = failover::DirectoryDigest(update);
   for (const auto& [name, entry] : update) {
     const auto found = this->endpoints.find(name);
     const bool moved = found != this->endpoints.end() &&
@@ -93,6 +98,8 @@
 
 void Node::TickEndpoints(TimePoint now) {
   const double fleet = static_cast<double>(this->coordination.FleetSize());
+  const coordination::CoordinationRecord* record = this->coordination.Record();
+  const bool member = record != nullptr && record->IsMember(this->settings.vm);
   for (auto found = this->endpoints.begin(); found != this->endpoints.end();) {
     KnownEndpoint& known = found->second;
     if (known.missing_since && now > *known.missing_since + kForgetEndpointAfter) {
@@ -108,8 +115,11 @@
     const auto connections = static_cast<std::size_t>(std::max(1.0, limit * kSharedConnections / fleet));
     const double concurrency = static_cast<double>(known.entry.slots) * kWorkPerSlot / fleet;
     known.pool->SetLimits(connections, static_cast<std::size_t>(std::max(1.0, concurrency)));
-    const bool primary = this->PrimaryOf(known.entry.group, now).second == found->first;
-    known.pool->Tick(now, primary ? kPrimaryProbe : kReplicaProbe);
+    const auto [usable, primary] = this->PrimaryOf(known.entry.group, now);
+    const bool is_primary = primary == found->first;
+    const TimePoint asked = this->dispatchers.at(known.entry.group)->History().LastAsked();
+    const bool ask = is_primary && usable && now > asked + (member ? kPositionAge : kPositionAgeOfOthers);
+    known.pool->Tick(now, ask ? kPositionAge : (is_primary ? kPrimaryProbe : kReplicaProbe));
     ++found;
   }
 }
--- a/source/proxy/services.h
+++ b/source/proxy/services.h
@@ -30,8 +30,12 @@
   // Follow the configuration and the directory of endpoints for as long as the process lives.
   virtual void FollowConfiguration(ConfigurationChanged callback) = 0;
   virtual void FollowDirectory(DirectoryChanged callback) = 0;
-  // Reads the configuration at once: a peer acts on a newer one.
+  // Read the configuration or the directory at once: a peer knows a newer one.
   virtual void RefreshConfiguration() = 0;
+  virtual void RefreshDirectory() = 0;
+  // Watches may wait for long: a peer will tell when this VM has missed something. Otherwise they end soon, so that one that
+  // went silent is noticed.
+  virtual void SetPatientWatches(bool patient) = 0;
 };
 
 }  // namespace amaranthlane::proxy
--- /dev/null
+++ b/tests/core/coordination/coordination_system_test.cc
@@ -0,0 +1,143 @@
+#include "core/coordination/coordination_system.h"
+
+#include <gtest/gtest.h>
+
+#include "core/coordination/vm_fleet.h"
+
+namespace amaranthlane::coordination {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class CoordinationSystemTest : public testing::Test {
+ protected:
+  CoordinationSystemTest() : fleet(6, 42) {
+    this->fleet.RunFor(seconds(4));
+    this->holder = this->fleet.Holder().value();
+  }
+
+  ~CoordinationSystemTest() override { EXPECT_EQ(this->fleet.violation, std::nullopt); }
+
+  // The VM's number of the record's member at `place`.
+  std::size_t MemberAt(std::size_t place) const {
+    const VmName& vm = this->fleet.System(this->holder).Record()->members.at(place).vm;
+    return static_cast<std::size_t>(std::stoul(vm.substr(3)));
+  }
+
+  // The longest time in which fewer than `least` VMs could use the primary.
+  milliseconds LongestGap(milliseconds time, std::size_t least) {
+    milliseconds gap{0};
+    milliseconds longest{0};
+    for (milliseconds passed{0}; passed < time; passed += milliseconds(10)) {
+      this->fleet.RunFor(milliseconds(10));
+      gap = this->fleet.Users() < least ? gap + milliseconds(10) : milliseconds(0);
+      longest = std::max(longest, gap);
+    }
+    return longest;
+  }
+
+  VmFleet fleet;
+  std::size_t holder = 0;
+};
+
+TEST_F(CoordinationSystemTest, AllVmsUseThePrimaryOnceTheRecordStands) {
+  EXPECT_EQ(this->fleet.Users(), 6U);
+  EXPECT_EQ(this->fleet.System(0).Record()->members.size(), 3U);
+}
+
+TEST_F(CoordinationSystemTest, AnOutageOfTheStoreStopsNobody) {
+  this->fleet.store_down = true;
+  EXPECT_EQ(this->LongestGap(seconds(15), 6), milliseconds(0));
+}
+
+TEST_F(CoordinationSystemTest, AKilledHolderStopsNobodyElse) {
+  this->fleet.Kill(this->holder);
+  EXPECT_EQ(this->LongestGap(seconds(6), 5), milliseconds(0));
+  EXPECT_NE(this->fleet.Holder(), std::nullopt);
+  EXPECT_NE(this->fleet.Holder(), this->holder);
+}
+
+TEST_F(CoordinationSystemTest, AKilledWitnessIsReplacedBeforePromisesEnd) {
+  const std::size_t witness = this->MemberAt(1);
+  this->fleet.Kill(witness);
+  EXPECT_EQ(this->LongestGap(seconds(6), 5), milliseconds(0));
+  EXPECT_FALSE(this->fleet.System(this->holder).Record()->IsMember("vm-" + std::to_string(witness)));
+}
+
+TEST_F(CoordinationSystemTest, AFrozenHolderWakesWithoutRights) {
+  this->fleet.SetFrozen(this->holder, true);
+  this->fleet.RunFor(seconds(5));
+  EXPECT_FALSE(this->fleet.System(this->holder).MayPromote(TimePoint(std::chrono::seconds(109))));
+  this->fleet.SetFrozen(this->holder, false);
+  this->fleet.RunFor(seconds(2));
+  EXPECT_EQ(this->fleet.Users(), 6U);
+}
+
+TEST_F(CoordinationSystemTest, AVmThatIsCutOffLosesItsRight) {
+  const std::size_t cut = (this->holder + 1) % 6 == this->MemberAt(1) || (this->holder + 1) % 6 == this->MemberAt(2)
+                              ? (this->holder + 4) % 6
+                              : (this->holder + 1) % 6;
+  this->fleet.SetCut(cut, true);
+  this->fleet.RunFor(milliseconds(2200));
+  EXPECT_LE(this->fleet.Users(), 5U);
+}
+
+TEST_F(CoordinationSystemTest, APrimaryThatIsGoneIsReplacedWithinASecond) {
+  this->fleet.primary_answers = false;
+  EXPECT_LT(this->LongestGap(seconds(5), 6), milliseconds(1000));
+  EXPECT_EQ(this->fleet.term, 2U);
+}
+
+TEST_F(CoordinationSystemTest, APrimaryIsReplacedAlthoughAVmIsCutOff) {
+  const std::size_t cut = this->MemberAt(2);
+  this->fleet.SetCut(cut, true);
+  this->fleet.primary_answers = false;
+  this->fleet.RunFor(seconds(6));
+  EXPECT_EQ(this->fleet.term, 2U);
+  EXPECT_GE(this->fleet.Users(), 5U);
+}
+
+TEST_F(CoordinationSystemTest, AHolderWithoutTheStoreIsRelieved) {
+  this->fleet.without_store.insert(this->holder);
+  this->fleet.primary_answers = false;
+  this->fleet.RunFor(seconds(9));
+  EXPECT_EQ(this->fleet.term, 2U);
+  EXPECT_NE(this->fleet.Holder(), this->holder);
+}
+
+TEST_F(CoordinationSystemTest, AHolderThatDiesDuringAChangeIsSucceeded) {
+  this->fleet.primary_answers = false;
+  this->fleet.RunFor(milliseconds(120));
+  this->fleet.Kill(this->holder);
+  this->fleet.RunFor(seconds(7));
+  EXPECT_GE(this->fleet.term, 2U);
+  EXPECT_EQ(this->fleet.Users(), 5U);
+}
+
+TEST_F(CoordinationSystemTest, AllVmsRestartedServeAgainWithinTwoSeconds) {
+  for (std::size_t vm = 0; vm < 6; ++vm) {
+    this->fleet.Kill(vm);
+  }
+  this->fleet.RunFor(milliseconds(500));
+  for (std::size_t vm = 0; vm < 6; ++vm) {
+    this->fleet.Restart(vm);
+  }
+  this->fleet.RunFor(seconds(2));
+  EXPECT_EQ(this->fleet.Users(), 6U);
+}
+
+TEST_F(CoordinationSystemTest, LostAnswersOfTheStoreEndInOneRecord) {
+  this->fleet.write_answer_loss = 0.5;
+  this->fleet.lost_writes_are_late = true;
+  this->fleet.Kill(this->holder);
+  this->fleet.primary_answers = false;
+  this->fleet.RunFor(seconds(20));
+  this->fleet.write_answer_loss = 0;
+  this->fleet.RunFor(seconds(8));
+  EXPECT_EQ(this->fleet.Users(), 5U);
+  EXPECT_GE(this->fleet.term, 2U);
+}
+
+}  // namespace
+}  // namespace amaranthlane::coordination
--- /dev/null
+++ b/tests/core/coordination/fleet_property_test.cc
@@ -0,0 +1,95 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include "core/coordination/vm_fleet.h"
+
+namespace amaranthlane::coordination {
+namespace {
+
+constexpr std::size_t kVms = 5;
+
+// One random fault, or its end.
+void Disturb(VmFleet& fleet, int kind, std::size_t vm) {
+  switch (kind) {
+    case 0:
+      fleet.Kill(vm);
+      break;
+    case 1:
+      fleet.Restart(vm);
+      break;
+    case 2:
+      fleet.SetFrozen(vm, true);
+      break;
+    case 3:
+      fleet.SetFrozen(vm, false);
+      break;
+    case 4:
+      fleet.SetCut(vm, true);
+      break;
+    case 5:
+      fleet.SetCut(vm, false);
+      break;
+    case 6:
+      fleet.store_down = !fleet.store_down;
+      break;
+    case 7:
+      fleet.write_answer_loss = fleet.write_answer_loss > 0 ? 0 : 0.4;
+      fleet.lost_writes_are_late = true;
+      break;
+    case 8:
+      fleet.primary_answers = false;
+      break;
+    case 9:
+      if (fleet.without_store.erase(vm) == 0) {
+        fleet.without_store.insert(vm);
+      }
+      break;
+    default:
+      break;
+  }
+}
+
+// Whatever fails, singly or together: nobody may use a primary that is being replaced, and at most one VM may promote.
+TEST(CoordinationProperty, NobodyUsesAReplacedPrimary) {
+  const bool passed = rc::check("nobody uses a replaced primary", [] {
+    VmFleet fleet(kVms, *rc::gen::arbitrary<std::uint64_t>());
+    fleet.RunFor(std::chrono::seconds(3));
+    const auto faults = *rc::gen::container<std::vector<std::tuple<int, std::size_t, int>>>(
+        rc::gen::tuple(rc::gen::inRange(0, 10), rc::gen::inRange<std::size_t>(0, kVms), rc::gen::inRange(0, 1500)));
+    for (const auto& [kind, vm, pause] : faults) {
+      Disturb(fleet, kind, vm);
+      fleet.RunFor(std::chrono::milliseconds(pause));
+    }
+    RC_ASSERT(fleet.violation.value_or("none") == std::string("none"));
+  });
+  EXPECT_TRUE(passed);
+}
+
+// Once every fault has ended, all VMs use one primary again.
+TEST(CoordinationProperty, ServiceReturnsWhenFaultsEnd) {
+  const bool passed = rc::check("service returns when faults end", [] {
+    VmFleet fleet(kVms, *rc::gen::arbitrary<std::uint64_t>());
+    fleet.RunFor(std::chrono::seconds(3));
+    const auto faults = *rc::gen::container<std::vector<std::tuple<int, std::size_t, int>>>(
+        rc::gen::tuple(rc::gen::inRange(0, 10), rc::gen::inRange<std::size_t>(0, kVms), rc::gen::inRange(0, 800)));
+    for (const auto& [kind, vm, pause] : faults) {
+      Disturb(fleet, kind, vm);
+      fleet.RunFor(std::chrono::milliseconds(pause));
+    }
+    fleet.store_down = false;
+    fleet.write_answer_loss = 0;
+    fleet.without_store.clear();
+    for (std::size_t vm = 0; vm < kVms; ++vm) {
+      fleet.SetFrozen(vm, false);
+      fleet.SetCut(vm, false);
+      fleet.Restart(vm);
+    }
+    fleet.RunFor(std::chrono::seconds(14));
+    RC_ASSERT(fleet.violation.value_or("none") == std::string("none"));
+    RC_ASSERT(fleet.Users() == kVms);
+  });
+  EXPECT_TRUE(passed);
+}
+
+}  // namespace
+}  // namespace amaranthlane::coordination
--- /dev/null
+++ b/tests/core/coordination/vm_fleet.h
@@ -0,0 +1,101 @@
+#ifndef AMARANTHLANE_TESTS_CORE_COORDINATION_VM_FLEET_H_
+#define AMARANTHLANE_TESTS_CORE_COORDINATION_VM_FLEET_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/coordination/coordination_system.h"
+#include "core/failover/primary_change_system.h"
+
+namespace amaranthlane::coordination {
+
+// Some VMs' coordination and failover systems, one database group, the store and the endpoints, driven by a seed. It checks
+// the promise all along: when a promotion is ordered, no VM may use the former primary, and no second VM may promote.
+class VmFleet {
+ public:
+  VmFleet(std::size_t vms, std::uint64_t seed);
+
+  void RunFor(std::chrono::milliseconds time);
+
+  void Kill(std::size_t vm);
+  void Restart(std::size_t vm);
+  // Frozen VMs do nothing and hear nothing until they thaw; what was sent to them arrives then.
+  void SetFrozen(std::size_t vm, bool frozen);
+  void SetCut(std::size_t vm, bool cut);
+
+  // VMs that may use the group's primary now.
+  std::size_t Users() const;
+  // The VM that holds the duty by its own record and is alive; none if there are several or none.
+  std::optional<std::size_t> Holder() const;
+  const CoordinationSystem& System(std::size_t vm) const;
+
+  // Conditions of the store.
+  bool store_down = false;
+  double write_answer_loss = 0;
+  bool lost_writes_are_late = false;
+  // VMs that the store doesn't answer.
+  std::set<std::size_t> without_store;
+
+  // The endpoint that leads, and whether it answers. Endpoints are e1 to e3.
+  EndpointName primary = "e1";
+  Term term = 1;
+  bool primary_answers = true;
+  std::size_t promotions = 0;
+  std::optional<std::string> violation;
+
+ private:
+  static constexpr std::size_t kWorld = SIZE_MAX;
+  struct Vm {
+    VmName name;
+    Incarnation incarnation = 0;
+    bool alive = true;
+    bool frozen = false;
+    bool cut = false;
+    std::unique_ptr<CoordinationSystem> system;
+    std::unique_ptr<failover::PrimaryChangeSystem> failover;
+  };
+  struct Event {
+    TimePoint due;
+    // The VM that it happens at, and that VM's incarnation then; events of a former life are dropped. kWorld: none.
+    std::size_t vm = kWorld;
+    Incarnation incarnation = 0;
+    std::function<void()> run;
+  };
+
+  void Start(std::size_t vm);
+  void Step();
+  void Tick(std::size_t vm);
+  void Post(std::size_t vm, Duration delay, std::function<void()> run);
+  Duration Delay();
+  bool Chance(double share);
+  void Perform(std::size_t vm, Actions& actions);
+  void DeliverBeat(std::size_t from, const SendBeat& action);
+  void DoRead(std::size_t vm);
+  void DoWrite(std::size_t vm, const WriteRecord& action);
+  bool Apply(const WriteRecord& action);
+  void PerformFailover(std::size_t vm, const failover::Actions& actions);
+  void Promote(std::size_t vm, const failover::OrderPromotion& order);
+  void CheckUsers();
+  std::optional<std::size_t> Find(const VmName& name) const;
+  LocalReport ReportOf(const Vm& vm) const;
+
+  std::mt19937_64 random;
+  TimePoint now;
+  std::vector<Vm> vms;
+  std::vector<Event> events;
+  std::optional<CoordinationRecord> stored;
+  ObjectVersion revision = 0;
+  // Former primaries by term.
+  std::map<Term, EndpointName> leaders = {{1, "e1"}};
+};
+
+}  // namespace amaranthlane::coordination
+
+#endif  // AMARANTHLANE_TESTS_CORE_COORDINATION_VM_FLEET_H_
--- /dev/null
+++ b/tests/core/statements/session_replay_test.cc
@@ -0,0 +1,57 @@
+#include "core/statements/session_replay.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace amaranthlane::statements {
+namespace {
+
+TEST(SessionReplay, AConnectionThatHoldsWhatIsNeededGetsNothing) {
+  ConnectionContents contents;
+  contents.values = {{"a", "1"}};
+  contents.prepared = {EndpointStatementName({false, "q"})};
+  const PreparedStatement needed{false, "q"};
+  EXPECT_TRUE(PlanReplay(contents, {{"a", "1"}}, &needed).empty());
+}
+
+TEST(SessionReplay, AValueTooManyClearsTheConnectionFirst) {
+  ConnectionContents contents;
+  contents.values = {{"a", "1"}, {"b", "2"}};
+  const std::vector<ReplayStep> steps = PlanReplay(contents, {{"a", "1"}}, nullptr);
+  ASSERT_EQ(steps.size(), 2U);
+  EXPECT_EQ(steps.front().kind, ReplayStep::Kind::kReset);
+}
+
+TEST(SessionReplay, NamesDifferWhereShapesOrModesDo) {
+  EXPECT_NE(EndpointStatementName({false, "q"}), EndpointStatementName({true, "q"}));
+  EXPECT_NE(EndpointStatementName({false, "a b"}), EndpointStatementName({false, "ab"}));
+  EXPECT_EQ(EndpointStatementName({false, "a b"}).find(' '), std::string::npos);
+}
+
+// Whatever a connection held, after the plan it holds exactly the session's values.
+TEST(SessionReplay, ThePlanEndsInTheSessionsValues) {
+  const bool passed = rc::check("the plan ends in the session's values", [] {
+    // A choice a name: not set, or one of two values.
+    const auto draw = [] {
+      SessionValues values;
+      for (const char* name : {"a", "b", "c"}) {
+        const int choice = *rc::gen::inRange(0, 3);
+        if (choice > 0) {
+          values[name] = std::to_string(choice);
+        }
+      }
+      return values;
+    };
+    ConnectionContents contents;
+    contents.values = draw();
+    const SessionValues wanted = draw();
+    for (const ReplayStep& step : PlanReplay(contents, wanted, nullptr)) {
+      ApplyReplay(step, contents);
+    }
+    RC_ASSERT(contents.values == wanted);
+  });
+  EXPECT_TRUE(passed);
+}
+
+}  // namespace
+}  // namespace amaranthlane::statements
