Wait for orders under way before a change of primary is settled

Ruled out: the promises themselves; all VMs had released the group. Change: a change that was inherited waits 1 s for the former holder's orders; an own order under way must take effect or run out before another endpoint is accepted; a directory that names another leader for 1 s starts a change.

--- a/source/core/failover/primary_change_system.cc
+++ b/source/core/failover/primary_change_system.cc
@@ -93,7 +93,7 @@
     }
     const bool choosing = change.phase == Phase::kChoosing && now > change.released_at + this->settings.stuck_limit;
     const bool ordering = change.phase == Phase::kPromoting && !change.order_accepted &&
-                          now > change.ordered_at + this->settings.stuck_limit;
+                          now > change.chosen_at + this->settings.stuck_limit;
     stuck = stuck || choosing || ordering;
   }
   coordination.WantRelief(stuck || coordination.WriteStuck(now));
@@ -126,6 +126,7 @@
   const GroupState next = {state.term, state.primary, true};
   if (view.coordination.ProposeGroups({{group, next}}, reason, view.now, view.updates)) {
     change.reason = reason;
+    change.own = true;
     change.may_abort = true;
     view.Log(group, "change of primary begins", reason);
   }
@@ -151,6 +152,9 @@
   } else if (view.now > *change.missing_since + this->settings.missing_limit) {
     return state.primary + " has no entry";
   }
+  if (this->Disagrees(view, endpoints, state, change)) {
+    return "another endpoint says that it leads";
+  }
   const double share = view.coordination.SuspectShare(group, view.now);
   if (share >= this->settings.suspect_share) {
     return state.primary + " is out of reach for a share of " + std::to_string(share) + " of the VMs";
@@ -158,9 +162,28 @@
   return {};
 }
 
+// An order of a former holder can take effect after the record was settled.
+bool PrimaryChangeSystem::Disagrees(const View& view, const std::vector<const EndpointEntry*>& endpoints,
+                                    const GroupState& state, GroupChange& change) const {
+  bool own_claim = false;
+  bool other_claim = false;
+  for (const EndpointEntry* entry : endpoints) {
+    (entry->name == state.primary ? own_claim : other_claim) |= entry->claims_primary;
+  }
+  if (own_claim || !other_claim) {
+    change.disagrees_since.reset();
+  } else if (!change.disagrees_since) {
+    change.disagrees_since = view.now;
+  }
+  return change.disagrees_since && view.now > *change.disagrees_since + this->settings.disagreement_limit;
+}
+
 void PrimaryChangeSystem::Release(const View& view, const GroupName& group, GroupChange& change) {
   this->Query(view, group, change, this->settings.query_interval);
   const std::vector<VmName> holdouts = view.coordination.Holdouts(group, view.now);
+  if (holdouts.empty() && !change.own && view.now < change.started + this->settings.inherited_orders) {
+    return;
+  }
   if (holdouts.empty()) {
     change.phase = Phase::kChoosing;
     change.released_at = view.now;
@@ -176,8 +199,12 @@
 // Ends the change when an endpoint leads already, or when the old primary is back. Returns true when it ended.
 bool PrimaryChangeSystem::Settled(const View& view, const GroupName& group, const GroupState& state,
                                   GroupChange& change) {
+  // An order of this VM that is under way may take effect after another endpoint's.
+  const bool ordered = !change.candidate.empty() && !change.may_abort &&
+                       view.now < change.ordered_at + this->settings.promotion_limit;
   for (const auto& [name, known] : change.statuses) {
-    if (known.sent_at >= change.released_at && known.status.is_primary && known.status.term > state.term) {
+    const bool leads = known.sent_at >= change.released_at && known.status.is_primary && known.status.term > state.term;
+    if (leads && (!ordered || name == change.candidate)) {
       this->Finish(view, group, {known.status.term, name, false}, name + " leads a newer term", change);
       return true;
     }
@@ -236,6 +263,7 @@
   change.candidate = *best;
   change.phase = Phase::kPromoting;
   change.next_order = view.now;
+  change.chosen_at = view.now;
   change.ordered_at = view.now;
   change.order_accepted = false;
   view.Log(group, "candidate chosen", *best + " at " + PositionText(best_position) + ", " + std::to_string(answered) +
@@ -258,6 +286,7 @@
     return;
   }
   change.next_order = view.now + this->settings.order_interval;
+  change.ordered_at = view.now;
   change.may_abort = false;
   view.actions.emplace_back(OrderPromotion{group, change.candidate, view.coordination.Record()->fencing_token});
 }
--- a/source/core/failover/primary_change_system.h
+++ b/source/core/failover/primary_change_system.h
@@ -51,6 +51,10 @@
   Duration catch_up_limit = std::chrono::milliseconds(1500);
   // How long an ordered promotion may take until it is ordered again.
   Duration promotion_limit = std::chrono::milliseconds(1500);
+  // How long an order of a former holder may still take effect after that holder lost the duty.
+  Duration inherited_orders = std::chrono::milliseconds(1000);
+  // How long endpoints may say of themselves that another one leads than the record says.
+  Duration disagreement_limit = std::chrono::milliseconds(1000);
   // Between two orders that the platform didn't accept.
   Duration order_interval = std::chrono::milliseconds(200);
   // An entry that is missing for so long means that the endpoint is gone; above the two seconds that entries may take to
@@ -98,10 +102,15 @@
     TimePoint released_at;
     TimePoint next_query;
     TimePoint next_order;
+    TimePoint chosen_at;
     TimePoint ordered_at;
     bool order_accepted = false;
-    // This VM began the change and has ordered nothing yet, so the old primary may stay.
+    // This VM began the change, so no other VM's order is under way.
+    bool own = false;
+    // It has ordered nothing yet, so the old primary may stay.
     bool may_abort = false;
+    // Since when the directory disagrees with the record.
+    std::optional<TimePoint> disagrees_since;
     EndpointName candidate;
     // Candidates that the platform refused, with the end of their exclusion.
     std::map<EndpointName, TimePoint> excluded;
@@ -124,6 +133,8 @@
   void Steady(const View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
   std::string ReasonToChange(const View& view, const GroupName& group, const coordination::GroupState& state,
                              GroupChange& change) const;
+  bool Disagrees(const View& view, const std::vector<const EndpointEntry*>& endpoints,
+                 const coordination::GroupState& state, GroupChange& change) const;
   void Release(const View& view, const GroupName& group, GroupChange& change);
   void Choose(const View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
   bool Settled(const View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
