Let carriers serve the sessions of VMs that can't hold connections

Ruled out: connections opened on demand (12 ms of a slot each), fewer replicas a VM (58 VMs still need each primary). Change: where a VM's share is under two connections, rendezvous hashing chooses carriers of each group, spread over data centres, with three connections each; other VMs pass whole sessions on to them. Members tell the fleet in beats.

--- a/source/common/settings.h
+++ b/source/common/settings.h
@@ -20,6 +20,8 @@
   std::string callers_address = "127.0.0.1:7400";
   std::string peers_address = "127.0.0.1:7500";
   std::string operators_address = "127.0.0.1:7600";
+  // Empty: sessions are never passed on to this VM.
+  std::string relay_address;
   std::string platform_address;
   // Empty: `platform_address`.
   std::string promotion_address;
--- /dev/null
+++ b/source/core/carriers/carrier_choice.h
@@ -0,0 +1,44 @@
+#ifndef AMARANTHLANE_CORE_CARRIERS_CARRIER_CHOICE_H_
+#define AMARANTHLANE_CORE_CARRIERS_CARRIER_CHOICE_H_
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "core/types.h"
+
+// Which VMs hold connections to a group's endpoints. Where the endpoints take too few connections for every VM, some VMs
+// carry the sessions of the others.
+namespace amaranthlane::carriers {
+
+// A VM that is alive and stays.
+struct FleetVm {
+  VmName vm;
+  // Where it takes sessions that other VMs pass on, as ip:port.
+  std::string relay_address;
+  std::string data_centre;
+
+  bool operator==(const FleetVm&) const = default;
+};
+
+// The same text for equal fleets.
+std::string FleetDigest(const std::vector<FleetVm>& fleet);
+
+// What the connections of an endpoint allow.
+struct CarrierPlan {
+  // 0: every VM holds connections of its own.
+  std::size_t carriers = 0;
+  // Connections that each VM or carrier may hold.
+  std::size_t connections = 1;
+};
+
+// Divides `connections`, which an endpoint takes from all VMs together, among `fleet` VMs.
+CarrierPlan PlanCarriers(std::size_t connections, std::size_t fleet);
+
+// Chooses `count` carriers of the group, spread over the data centres by their share of the VMs, at least one in each.
+// VMs that know the same fleet choose the same.
+std::vector<FleetVm> ChooseCarriers(const GroupName& group, const std::vector<FleetVm>& fleet, std::size_t count);
+
+}  // namespace amaranthlane::carriers
+
+#endif  // AMARANTHLANE_CORE_CARRIERS_CARRIER_CHOICE_H_
--- a/source/core/configuration/relay_selection.cc
+++ b/source/core/configuration/relay_selection.cc
@@ -1,10 +1,10 @@
 #include "core/configuration/relay_selection.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cstdint>
 
+#include "core/rendezvous.h"
+
 namespace amaranthlane::configuration {
 
 namespace {
@@ -14,12 +14,6 @@
   const VmName* vm = nullptr;
 };
 
-// Rendezvous hashing: every VM has a weight of its own for the data centre, and the greatest weights win.
-std::uint64_t WeightOf(const VmName& vm, std::string_view data_centre) {
-  const std::uint64_t seed = XXH3_64bits(data_centre.data(), data_centre.size());
-  return XXH3_64bits_withSeed(vm.data(), vm.size(), seed);
-}
-
 bool Outranks(const Candidate& left, const Candidate& right) {
   return left.weight != right.weight ? left.weight > right.weight : *left.vm < *right.vm;
 }
@@ -30,7 +24,7 @@
   std::vector<Candidate> candidates;
   for (const Member& member : members) {
     if (member.data_centre == data_centre) {
-      candidates.push_back({WeightOf(member.vm, data_centre), &member.vm});
+      candidates.push_back({RendezvousHash(data_centre, member.vm), &member.vm});
     }
   }
   std::sort(candidates.begin(), candidates.end(), Outranks);
--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -72,7 +72,10 @@
   beat.vm = this->self.vm;
   beat.incarnation = this->self.incarnation;
   beat.address = this->self.address;
+  beat.relay_address = this->self.relay_address;
   beat.data_centre = this->self.data_centre;
+  beat.reaches = this->report.reaches;
+  beat.fleet_digest = this->report.fleet_digest;
   beat.version = this->record->version;
   if (contact.version < this->record->version) {
     beat.record = this->record;
@@ -371,16 +374,18 @@
 double CoordinationSystem::SuspectShare(const GroupName& group, TimePoint now) const {
   const std::vector<GroupName>& own = this->report.suspects;
   double suspects = std::find(own.begin(), own.end(), group) != own.end() ? 1 : 0;
-  double all = 1;
+  const std::vector<GroupName>& reached = this->report.reaches;
+  double all = suspects + (std::find(reached.begin(), reached.end(), group) != reached.end() ? 1 : 0);
   const auto serving = this->serving_since.find(group);
   const std::uint64_t since = serving == this->serving_since.end() ? 0 : serving->second;
   for (const auto& [vm, entry] : this->ledger.Entries()) {
     if (vm != this->self.vm && entry.last_beat + this->settings.beat * kFleetBeats >= now) {
-      all += 1;
-      suspects += entry.version >= since && entry.suspects.count(group) > 0 ? 1 : 0;
+      const double suspected = entry.version >= since && entry.suspects.count(group) > 0 ? 1 : 0;
+      suspects += suspected;
+      all += suspected + (entry.reaches.count(group) > 0 ? 1 : 0);
     }
   }
-  return suspects / all;
+  return all > 0 ? suspects / all : 0;
 }
 
 bool CoordinationSystem::WritePending() const { return this->pending.has_value(); }
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -51,6 +51,7 @@
   VmName vm;
   Incarnation incarnation = 0;
   std::string address;
+  std::string relay_address;
   std::string data_centre;
 };
 
@@ -58,7 +59,9 @@
 struct LocalReport {
   std::vector<GroupName> busy;
   std::vector<GroupName> suspects;
+  std::vector<GroupName> reaches;
   bool leaving = false;
+  std::string fleet_digest;
   std::uint64_t configuration_version = 0;
 };
 
@@ -118,7 +121,7 @@
   // True when no VM can still use the group's former primary.
   bool Released(const GroupName& group, TimePoint now) const;
   std::vector<VmName> Holdouts(const GroupName& group, TimePoint now) const;
-  // The share of the VMs heard from lately that can't reach the group's primary.
+  // Of the VMs heard from lately that have connections to the group, the share that can't reach its primary.
   double SuspectShare(const GroupName& group, TimePoint now) const;
   bool WritePending() const;
   // True when the store hasn't settled a write for long.
--- a/source/core/coordination/ledger.cc
+++ b/source/core/coordination/ledger.cc
@@ -9,11 +9,13 @@
     entry.incarnation = beat.incarnation;
   }
   entry.address = beat.address;
+  entry.relay_address = beat.relay_address;
   entry.data_centre = beat.data_centre;
   entry.last_beat = now;
   entry.version = beat.version;
   entry.busy = {beat.busy.begin(), beat.busy.end()};
   entry.suspects = {beat.suspects.begin(), beat.suspects.end()};
+  entry.reaches = {beat.reaches.begin(), beat.reaches.end()};
   entry.leaving = beat.leaving;
   return entry;
 }
@@ -34,14 +36,14 @@
   return holdouts;
 }
 
-std::vector<VmName> PromiseLedger::HeardSince(TimePoint since) const {
-  std::vector<VmName> heard;
+std::vector<carriers::FleetVm> PromiseLedger::AliveSince(TimePoint since) const {
+  std::vector<carriers::FleetVm> alive;
   for (const auto& [vm, entry] : this->entries) {
-    if (entry.last_beat >= since) {
-      heard.push_back(vm);
+    if (entry.last_beat >= since && !entry.leaving) {
+      alive.push_back({vm, entry.relay_address, entry.data_centre});
     }
   }
-  return heard;
+  return alive;
 }
 
 const std::map<VmName, LedgerEntry>& PromiseLedger::Entries() const { return this->entries; }
--- a/source/core/coordination/ledger.h
+++ b/source/core/coordination/ledger.h
@@ -16,6 +16,7 @@
 struct LedgerEntry {
   Incarnation incarnation = 0;
   std::string address;
+  std::string relay_address;
   std::string data_centre;
   // When the last promise given to it ends.
   TimePoint promised_until;
@@ -24,6 +25,7 @@
   std::uint64_t version = 0;
   std::set<GroupName> busy;
   std::set<GroupName> suspects;
+  std::set<GroupName> reaches;
   bool leaving = false;
 };
 
@@ -40,8 +42,8 @@
   // The VMs that keep Released() from being true, for the log.
   std::vector<VmName> Holdouts(const GroupName& group, std::uint64_t version, const VmName& self, TimePoint now) const;
 
-  // VMs heard from since `since`.
-  std::vector<VmName> HeardSince(TimePoint since) const;
+  // VMs heard from since `since` that don't leave.
+  std::vector<carriers::FleetVm> AliveSince(TimePoint since) const;
 
   const std::map<VmName, LedgerEntry>& Entries() const;
 
--- a/source/core/coordination/messages.cc
+++ b/source/core/coordination/messages.cc
@@ -38,10 +38,13 @@
   nlohmann::json document = {{"vm", beat.vm},
                              {"incarnation", beat.incarnation},
                              {"address", beat.address},
+                             {"relay_address", beat.relay_address},
                              {"data_centre", beat.data_centre},
                              {"version", beat.version},
                              {"busy", beat.busy},
                              {"suspects", beat.suspects},
+                             {"reaches", beat.reaches},
+                             {"fleet_digest", beat.fleet_digest},
                              {"leaving", beat.leaving},
                              {"configuration_version", beat.configuration_version}};
   if (beat.record) {
@@ -56,10 +59,13 @@
   beat.vm = reader.String("vm");
   beat.incarnation = reader.Unsigned("incarnation");
   beat.address = reader.String("address");
+  beat.relay_address = reader.String("relay_address");
   beat.data_centre = reader.String("data_centre");
   beat.version = reader.Unsigned("version");
   beat.busy = reader.Strings("busy");
   beat.suspects = reader.Strings("suspects");
+  beat.reaches = reader.Strings("reaches");
+  beat.fleet_digest = reader.String("fleet_digest");
   beat.leaving = reader.Bool("leaving");
   beat.configuration_version = reader.Unsigned("configuration_version");
   beat.record = ParseOptionalRecord(reader);
@@ -85,6 +91,12 @@
                                      {"offset", known.position.offset},
                                      {"age_ms", Milliseconds(known.age) + 1}});
   }
+  if (!reply.knowledge.fleet.empty()) {
+    for (const carriers::FleetVm& known : reply.knowledge.fleet) {
+      document["fleet"].push_back(
+          {{"vm", known.vm}, {"relay_address", known.relay_address}, {"data_centre", known.data_centre}});
+    }
+  }
   if (reply.record) {
     document["record"] = ToJson(*reply.record);
   }
@@ -106,6 +118,12 @@
   for (const nlohmann::json& known : reader.Array("positions")) {
     reply.knowledge.positions.push_back(ParseKnownPosition(known));
   }
+  if (reader.Has("fleet")) {
+    for (const nlohmann::json& known : reader.Array("fleet")) {
+      const json::ObjectReader vm(known, "fleet");
+      reply.knowledge.fleet.push_back({vm.String("vm"), vm.String("relay_address"), vm.String("data_centre")});
+    }
+  }
   reply.record = ParseOptionalRecord(reader);
   return reply;
 }
--- a/source/core/coordination/messages.h
+++ b/source/core/coordination/messages.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/carriers/carrier_choice.h"
 #include "core/coordination/record.h"
 #include "core/types.h"
 
@@ -26,6 +27,7 @@
   VmName vm;
   Incarnation incarnation = 0;
   std::string address;
+  std::string relay_address;
   std::string data_centre;
   // The version of the record that the sender acts on. It uses no primary of a group that is changing in it.
   std::uint64_t version = 0;
@@ -35,8 +37,12 @@
   std::vector<GroupName> busy;
   // Groups whose primary doesn't answer this VM, while other endpoints of the group do.
   std::vector<GroupName> suspects;
+  // Groups whose primary answers it. A VM that has no connections to a group names it in neither list.
+  std::vector<GroupName> reaches;
   // The VM shuts down.
   bool leaving = false;
+  // The fleet that the sender knows.
+  std::string fleet_digest;
   // The version of the configuration that the sender acts on.
   std::uint64_t configuration_version = 0;
 };
@@ -47,6 +53,8 @@
   std::vector<KnownPosition> positions;
   // A digest of the directory of endpoints, so that a VM whose watch went silent notices.
   std::string directory_digest;
+  // The VMs that are alive; empty when the asker knows them.
+  std::vector<carriers::FleetVm> fleet;
 };
 
 struct BeatReply {
--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -20,12 +20,13 @@
 
 }  // namespace
 
-CallerSession::CallerSession(boost::asio::ip::tcp::socket socket, SessionContext& context)
-    : socket(std::move(socket)), context(context) {}
+CallerSession::CallerSession(boost::asio::ip::tcp::socket socket, SessionContext& context, bool may_relay)
+    : socket(std::move(socket)), context(context), may_relay(may_relay) {}
 
-void CallerSession::Start() {
+void CallerSession::Start(std::string beginning) {
   SetSocketOptions(this->socket);
-  this->Read();
+  this->received = std::move(beginning);
+  this->OnBytes();
 }
 
 void CallerSession::Read() {
@@ -54,6 +55,7 @@
       break;
     }
     const std::string frame = this->received.substr(0, length);
+    this->opening_frame = this->database.empty() ? frame : std::string();
     this->received.erase(0, length);
     if (!this->Handle(frame)) {
       return;
@@ -129,11 +131,29 @@
     this->close_after_write = true;
     return;
   }
+  if (this->Relay(route->second)) {
+    return;
+  }
   this->database = message.database;
   this->group = route->second.group;
   this->Send(this->context.Codec().Ready(SessionState::kIdle));
 }
 
+bool CallerSession::Relay(const Route& route) {
+  // A socket that is being read can't be handed over.
+  if (!this->may_relay || this->reading) {
+    return false;
+  }
+  std::vector<std::string> carriers = this->context.CarriersOf(route.group);
+  if (carriers.empty()) {
+    return false;
+  }
+  this->closed = true;
+  this->context.Relay(std::move(this->socket), this->opening_frame + this->received, std::move(carriers),
+                      route.statement_limit);
+  return true;
+}
+
 void CallerSession::OnStatement(const Statement& statement) {
   if (this->transaction && this->transaction->failed && statement.kind != StatementKind::kCommit &&
       statement.kind != StatementKind::kRollback) {
--- a/source/proxy/caller_session.h
+++ b/source/proxy/caller_session.h
@@ -12,31 +12,28 @@
 #include "common/boot_clock.h"
 #include "core/statements/session_replay.h"
 #include "core/statements/statement.h"
+#include "proxy/session.h"
 #include "proxy/session_context.h"
 
 namespace amaranthlane::proxy {
 
 // One caller's connection: its values, prepared statements and transaction, and the statement that is under way. Used on
 // one thread.
-class CallerSession : public std::enable_shared_from_this<CallerSession> {
+class CallerSession : public Session, public std::enable_shared_from_this<CallerSession> {
  public:
-  CallerSession(boost::asio::ip::tcp::socket socket, SessionContext& context);
+  // `may_relay`: another VM may serve the session. Sessions that were passed on once stay.
+  CallerSession(boost::asio::ip::tcp::socket socket, SessionContext& context, bool may_relay);
 
-  void Start();
+  // `beginning` are bytes that the caller has sent already.
+  void Start(std::string beginning = {});
 
-  // Ends what has taken too long: the opening while no configuration is known, and a transaction that rests.
-  void Tick(TimePoint now);
-
-  // Closes the session if nothing is under way in it. Returns true when it is closed.
-  bool CloseIfIdle();
-
-  // Rolls an open transaction back as soon as no statement is under way; its caller is told at its next statement.
-  void AbortTransaction(const std::string& why);
-
-  // Closes at once and drops what is under way.
-  void Close();
-
-  bool Closed() const;
+  // Ends the opening when no configuration comes, and a transaction that rests.
+  void Tick(TimePoint now) override;
+  bool CloseIfIdle() override;
+  // The caller is told at its next statement.
+  void AbortTransaction(const std::string& why) override;
+  void Close() override;
+  bool Closed() const override;
 
  private:
   // The statement under way.
@@ -77,6 +74,8 @@
   bool Handle(const std::string& frame);
   void OnOpenSession(const OpenSession& message);
   void TryOpen();
+  // Hands the session to a carrier. Returns false when it is served here.
+  bool Relay(const Route& route);
   void OnStatement(const statements::Statement& statement);
   void OnBegin(const statements::Statement& statement);
   void OnSessionChange(const statements::Statement& statement);
@@ -124,8 +123,10 @@
   bool close_after_write = false;
   bool reading = false;
   bool closed = false;
+  bool may_relay = false;
 
   std::optional<OpenSession> opening;
+  std::string opening_frame;
   TimePoint opening_limit;
   std::string database;
   GroupName group;
--- a/source/proxy/endpoint_pool.cc
+++ b/source/proxy/endpoint_pool.cc
@@ -199,6 +199,11 @@
     this->last_asked = TimePoint();
   }
   this->CheckReachability(now);
+  if (this->Passive() && this->connections.empty()) {
+    // Nothing is known of it, and nothing needs to be until work comes.
+    this->reachable = true;
+    return;
+  }
   if (!this->reachable) {
     if (now >= this->next_try && this->opening == 0 && !this->verifying) {
       this->next_try = now + this->settings.retry_interval;
@@ -206,7 +211,7 @@
     }
     return;
   }
-  if (now >= std::max(this->last_sent, this->last_asked) + probe_interval) {
+  if (!this->Passive() && now >= std::max(this->last_sent, this->last_asked) + probe_interval) {
     this->QueryStatus(now);
   }
   this->CloseSurplus(now);
@@ -258,6 +263,8 @@
   this->concurrency = new_concurrency;
 }
 
+bool EndpointPool::Passive() const { return this->most == 0; }
+
 bool EndpointPool::MayExecute(Rank rank) const {
   const auto executing = std::count_if(this->connections.begin(), this->connections.end(),
                                        [](const auto& connection) { return connection->Busy(); });
--- a/source/proxy/endpoint_pool.h
+++ b/source/proxy/endpoint_pool.h
@@ -71,6 +71,8 @@
   // The connections that this VM may hold, and its share of the work that the endpoint has at once. Bulk work keeps to
   // that share, each more urgent rank may go one beyond it, so that it waits behind little at the endpoint.
   void SetLimits(std::size_t connections, std::size_t concurrency);
+  // True when this VM leaves the endpoint to other VMs. Work that comes all the same gets connections for a moment.
+  bool Passive() const;
   // True when one more statement of this rank may go to the endpoint now.
   bool MayExecute(Rank rank) const;
   void SetEndpoint(const failover::EndpointEntry& update, TimePoint now);
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "net/address.h"
+#include "net/error.h"
 
 namespace amaranthlane::proxy {
 
@@ -27,12 +28,22 @@
 constexpr char kStatements[] = "amaranthlane_statements_total";
 
 coordination::Self MakeSelf(const Settings& settings, Incarnation incarnation) {
-  return {settings.vm, incarnation, settings.peers_address, settings.data_centre};
+  const std::string& peers =
+      settings.advertised_peers_address.empty() ? settings.peers_address : settings.advertised_peers_address;
+  return {settings.vm, incarnation, peers, settings.relay_address, settings.data_centre};
 }
 
-boost::asio::ip::tcp::endpoint ListenEndpoint(const std::string& text) {
+void Listen(boost::asio::ip::tcp::acceptor& acceptor, const std::string& text) {
   const net::Address address = net::ParseAddress(text);
-  return {boost::asio::ip::make_address(address.ip), address.port};
+  const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip), address.port);
+  try {
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen(kListenBacklog);
+  } catch (const boost::system::system_error& failure) {
+    throw net::ListenError("cannot listen on " + text + ": " + failure.what());
+  }
 }
 
 }  // namespace
@@ -44,6 +55,7 @@
       codec(codec),
       platform(platform),
       acceptor(loop),
+      relay_acceptor(loop),
       readiness_server(loop, net::ParseAddress(settings.operators_address), {},
                        [this](const net::HttpRequest& request, const net::HttpServer::Answer& answer) {
                          this->AnswerReadiness(request, answer);
@@ -65,34 +77,34 @@
 }
 
 void Node::Start() {
-  const boost::asio::ip::tcp::endpoint endpoint = ListenEndpoint(this->settings.callers_address);
-  this->acceptor.open(endpoint.protocol());
-  this->acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
-  this->acceptor.bind(endpoint);
-  this->acceptor.listen(kListenBacklog);
+  Listen(this->acceptor, this->settings.callers_address);
+  if (!this->settings.relay_address.empty()) {
+    Listen(this->relay_acceptor, this->settings.relay_address);
+    this->Accept(this->relay_acceptor, false);
+  }
   this->readiness_server.Start();
   this->peers_server.Start();
   this->platform.FollowConfiguration([this](Configuration update) { this->OnConfiguration(std::move(update)); });
   this->platform.FollowDirectory([this](failover::EndpointDirectory update) { this->OnDirectory(std::move(update)); });
   logging::Write(logging::Level::kInfo, "started",
                  {{"callers", this->settings.callers_address}, {"peers", this->settings.peers_address}});
-  this->Accept();
+  this->Accept(this->acceptor, true);
   this->Tick();
 }
 
-void Node::Accept() {
-  this->acceptor.async_accept([this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+void Node::Accept(boost::asio::ip::tcp::acceptor& door, bool may_relay) {
+  door.async_accept([this, &door, may_relay](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
     if (error == boost::asio::error::operation_aborted) {
       return;
     }
     if (!error) {
-      const auto session = std::make_shared<CallerSession>(std::move(socket), *this);
+      const auto session = std::make_shared<CallerSession>(std::move(socket), *this, may_relay);
       this->sessions.insert(session);
       session->Start();
     } else {
       logging::Write(logging::Level::kWarning, "accepting a caller failed", {{"why", error.message()}});
     }
-    this->Accept();
+    this->Accept(door, may_relay);
   });
 }
 
@@ -118,7 +130,7 @@
 
 void Node::TickSessions(TimePoint now) {
   std::erase_if(this->sessions, [](const auto& session) { return session->Closed(); });
-  const std::set<std::shared_ptr<CallerSession>> all = this->sessions;
+  const std::set<std::shared_ptr<Session>> all = this->sessions;
   for (const auto& session : all) {
     session->Tick(now);
   }
@@ -154,7 +166,7 @@
   }
   const bool end_transactions = passed > Duration(static_cast<Duration::rep>(
                                              static_cast<double>(grace.count()) * kTransactionShare));
-  const std::set<std::shared_ptr<CallerSession>> all = this->sessions;
+  const std::set<std::shared_ptr<Session>> all = this->sessions;
   for (const auto& session : all) {
     if (end_transactions) {
       session->AbortTransaction("the VM shuts down");
@@ -233,6 +245,20 @@
 
 bool Node::ShuttingDown() const { return this->shutdown_at.has_value(); }
 
+void Node::Relay(boost::asio::ip::tcp::socket socket, std::string beginning, std::vector<std::string> carriers,
+                 Duration statement_limit) {
+  const auto session = std::make_shared<RelayedSession>(std::move(socket), *this, std::move(beginning),
+                                                        std::move(carriers), statement_limit);
+  this->sessions.insert(session);
+  session->Start();
+}
+
+void Node::ServeHere(boost::asio::ip::tcp::socket socket, std::string beginning) {
+  const auto session = std::make_shared<CallerSession>(std::move(socket), *this, false);
+  this->sessions.insert(session);
+  session->Start(std::move(beginning));
+}
+
 void Node::PumpSoon() {
   if (this->pump_posted) {
     return;
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -20,6 +20,7 @@
 #include "proxy/caller_session.h"
 #include "proxy/dispatcher.h"
 #include "proxy/endpoint_pool.h"
+#include "proxy/relayed_session.h"
 #include "proxy/services.h"
 #include "proxy/session_context.h"
 
@@ -45,6 +46,10 @@
   std::uint64_t RecordVersion() const override;
   bool ShuttingDown() const override;
   void PumpSoon() override;
+  std::vector<std::string> CarriersOf(const GroupName& group) override;
+  void Relay(boost::asio::ip::tcp::socket socket, std::string beginning, std::vector<std::string> carriers,
+             Duration statement_limit) override;
+  void ServeHere(boost::asio::ip::tcp::socket socket, std::string beginning) override;
   void OnStatementEnd(const StatementEnd& end) override;
 
  private:
@@ -55,8 +60,8 @@
     std::optional<TimePoint> missing_since;
   };
 
-  // Node.cc
-  void Accept();
+  // node.cc
+  void Accept(boost::asio::ip::tcp::acceptor& door, bool may_relay);
   void Tick();
   void TickSessions(TimePoint now);
   void TickShutdown(TimePoint now);
@@ -64,15 +69,18 @@
   bool Ready() const;
   void OnConfiguration(Configuration update);
 
-  // endpoints.cc
+  // node_endpoints.cc
   void OnDirectory(failover::EndpointDirectory update);
   void TickEndpoints(TimePoint now);
   void AddEndpoint(const failover::EndpointEntry& entry, TimePoint now);
   PoolEvents EventsOf(const failover::EndpointEntry& entry);
+  carriers::CarrierPlan PlanFor(const GroupName& group) const;
+  bool Carries(const GroupName& group) const;
+  void UpdateFleet(std::vector<carriers::FleetVm> update);
   EndpointPool* FindPool(const EndpointName& endpoint) const;
   std::pair<bool, EndpointName> PrimaryOf(const GroupName& group, TimePoint now) const;
 
-  // coordination.cc
+  // node_coordination.cc
   void TickCoordination(TimePoint now);
   coordination::LocalReport MakeReport(TimePoint now);
   void Perform(coordination::Actions& actions);
@@ -82,7 +90,8 @@
   void PerformWrite(const coordination::WriteRecord& action);
   void PerformFailover(const failover::Actions& actions, TimePoint now);
   void AnswerPeer(const net::HttpRequest& request, const net::HttpServer::Answer& answer);
-  coordination::MemberKnowledge Knowledge(TimePoint now) const;
+  // What to tell a VM that knows the fleet of this digest.
+  coordination::MemberKnowledge Knowledge(const std::string& known_fleet, TimePoint now) const;
   void OnKnowledge(const coordination::MemberKnowledge& knowledge, TimePoint asked_at, TimePoint now);
   void OnRecordAdopted(const std::string& source);
   net::HttpPool& PeerPool(const std::string& address);
@@ -94,7 +103,9 @@
   metrics::Registry registry;
 
   boost::asio::ip::tcp::acceptor acceptor;
-  std::set<std::shared_ptr<CallerSession>> sessions;
+  // Takes sessions that other VMs pass on.
+  boost::asio::ip::tcp::acceptor relay_acceptor;
+  std::set<std::shared_ptr<Session>> sessions;
   net::HttpServer readiness_server;
   net::HttpServer peers_server;
   boost::asio::steady_timer timer;
@@ -114,6 +125,13 @@
   // Since when the groups are changing, as this VM sees it.
   std::map<GroupName, TimePoint> changing_since;
 
+  std::vector<carriers::FleetVm> fleet;
+  std::string fleet_digest;
+  TimePoint next_fleet_update;
+  // The carriers of each group that has any.
+  std::map<GroupName, std::vector<carriers::FleetVm>> carriers_of;
+  std::size_t relay_turn = 0;
+
   std::optional<TimePoint> shutdown_at;
   TimePoint next_session_tick;
   TimePoint next_refresh;
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -21,6 +21,10 @@
 // How long this VM's directory may differ from a member's; usually one of them hears of a change a little later.
 constexpr std::chrono::milliseconds kDirectoryPatience{900};
 
+// How often members look who is alive, and how recently a VM must have sent a beat for that.
+constexpr std::chrono::milliseconds kFleetInterval{300};
+constexpr std::chrono::milliseconds kAliveWithin{1400};
+
 template <class... Handlers>
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
@@ -40,6 +44,14 @@
 
 void Node::TickCoordination(TimePoint now) {
   coordination::Actions actions;
+  const coordination::CoordinationRecord* record = this->coordination.Record();
+  if (record != nullptr && record->IsMember(this->settings.vm) && now >= this->next_fleet_update) {
+    this->next_fleet_update = now + kFleetInterval;
+    std::vector<carriers::FleetVm> alive = this->coordination.Ledger().AliveSince(now - kAliveWithin);
+    std::erase_if(alive, [this](const carriers::FleetVm& vm) { return vm.vm == this->settings.vm; });
+    alive.push_back({this->settings.vm, this->settings.relay_address, this->settings.data_centre});
+    this->UpdateFleet(std::move(alive));
+  }
   this->coordination.Report(this->MakeReport(now), now, actions);
   this->coordination.Tick(now, actions);
   failover::Actions orders;
@@ -67,6 +79,7 @@
 coordination::LocalReport Node::MakeReport(TimePoint now) {
   coordination::LocalReport report;
   report.leaving = this->shutdown_at.has_value();
+  report.fleet_digest = this->fleet_digest;
   report.configuration_version = this->configuration ? this->configuration->version : 0;
   const coordination::CoordinationRecord* record = this->coordination.Record();
   if (record == nullptr) {
@@ -88,8 +101,13 @@
     const bool others = std::any_of(this->endpoints.begin(), this->endpoints.end(), [&](const auto& known) {
       return known.second.entry.group == group && known.first != state.primary && known.second.pool->Reachable();
     });
+    if (pool != nullptr && pool->Passive()) {
+      continue;
+    }
     if (others && pool != nullptr && !pool->Reachable()) {
       report.suspects.push_back(group);
+    } else if (pool != nullptr && pool->Reachable()) {
+      report.reaches.push_back(group);
     }
   }
   return report;
@@ -136,8 +154,12 @@
             });
 }
 
-coordination::MemberKnowledge Node::Knowledge(TimePoint now) const {
+coordination::MemberKnowledge Node::Knowledge(const std::string& known_fleet, TimePoint now) const {
   coordination::MemberKnowledge knowledge;
+  const coordination::CoordinationRecord* record = this->coordination.Record();
+  if (record != nullptr && record->IsMember(this->settings.vm) && known_fleet != this->fleet_digest) {
+    knowledge.fleet = this->fleet;
+  }
   knowledge.directory_digest = this->directory_digest;
   for (const auto& [group, dispatcher] : this->dispatchers) {
     const std::optional<LogPosition> newest = dispatcher->History().Newest();
@@ -155,6 +177,10 @@
       dispatcher->NoteMemberPosition(asked_at - known.age, known.position);
     }
   }
+  const coordination::CoordinationRecord* record = this->coordination.Record();
+  if (!knowledge.fleet.empty() && record != nullptr && !record->IsMember(this->settings.vm)) {
+    this->UpdateFleet(knowledge.fleet);
+  }
   if (!this->directory_known || knowledge.directory_digest.empty() ||
       knowledge.directory_digest == this->directory_digest) {
     this->directory_differs_since.reset();
@@ -271,7 +297,7 @@
     if (request.target == kBeatTarget) {
       const coordination::Beat beat = coordination::ParseBeat(json::Parse(request.body, "beat"));
       coordination::BeatReply reply = this->coordination.OnBeat(beat, now, actions);
-      reply.knowledge = this->Knowledge(now);
+      reply.knowledge = this->Knowledge(beat.fleet_digest, now);
       response.body = ToJson(reply).dump();
     } else if (request.target == kNoticeTarget) {
       this->coordination.OnNotice(coordination::ParseCoordinationRecord(json::Parse(request.body, "notice")), now,
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -19,9 +19,8 @@
 constexpr std::chrono::milliseconds kReplicaProbe{5000};
 // Entries vanish for up to two seconds after an outage of the store.
 constexpr std::chrono::milliseconds kForgetEndpointAfter{2600};
-// The share of an endpoint's connections that VMs divide among themselves; the rest is for those that come and go.
-constexpr double kSharedConnections = 0.9;
 
+constexpr std::size_t kCarriersTried = 3;
 // Bulk statements that all VMs together have at an endpoint, for each of its slots.
 constexpr double kWorkPerSlot = 2;
 
@@ -97,7 +96,6 @@
 }
 
 void Node::TickEndpoints(TimePoint now) {
-  const double fleet = static_cast<double>(this->coordination.FleetSize());
   const coordination::CoordinationRecord* record = this->coordination.Record();
   const bool member = record != nullptr && record->IsMember(this->settings.vm);
   for (auto found = this->endpoints.begin(); found != this->endpoints.end();) {
@@ -108,13 +106,12 @@
       found = this->endpoints.erase(found);
       continue;
     }
-    double limit = 1;
-    if (this->configuration && this->configuration->groups.count(known.entry.group) > 0) {
-      limit = static_cast<double>(this->configuration->groups.at(known.entry.group).connections);
-    }
-    const auto connections = static_cast<std::size_t>(std::max(1.0, limit * kSharedConnections / fleet));
-    const double concurrency = static_cast<double>(known.entry.slots) * kWorkPerSlot / fleet;
-    known.pool->SetLimits(connections, static_cast<std::size_t>(std::max(1.0, concurrency)));
+    const carriers::CarrierPlan plan = this->PlanFor(known.entry.group);
+    const std::size_t holders = plan.carriers == 0 ? this->coordination.FleetSize() : plan.carriers;
+    const double concurrency =
+        static_cast<double>(known.entry.slots) * kWorkPerSlot / static_cast<double>(std::max<std::size_t>(holders, 1));
+    const std::size_t own = this->Carries(known.entry.group) ? plan.connections : (member ? 1 : 0);
+    known.pool->SetLimits(own, static_cast<std::size_t>(std::max(1.0, concurrency)));
     const auto [usable, primary] = this->PrimaryOf(known.entry.group, now);
     const bool is_primary = primary == found->first;
     const TimePoint asked = this->dispatchers.at(known.entry.group)->History().LastAsked();
@@ -124,6 +121,63 @@
   }
 }
 
+carriers::CarrierPlan Node::PlanFor(const GroupName& group) const {
+  std::size_t connections = 1;
+  if (this->configuration && this->configuration->groups.count(group) > 0) {
+    connections = this->configuration->groups.at(group).connections;
+  }
+  return carriers::PlanCarriers(connections, std::max(this->coordination.FleetSize(), this->fleet.size()));
+}
+
+bool Node::Carries(const GroupName& group) const {
+  const auto found = this->carriers_of.find(group);
+  return found == this->carriers_of.end() ||
+         std::any_of(found->second.begin(), found->second.end(),
+                     [this](const carriers::FleetVm& carrier) { return carrier.vm == this->settings.vm; });
+}
+
+void Node::UpdateFleet(std::vector<carriers::FleetVm> update) {
+  std::sort(update.begin(), update.end(), [](const auto& left, const auto& right) { return left.vm < right.vm; });
+  const std::string digest = carriers::FleetDigest(update);
+  if (digest != this->fleet_digest) {
+    logging::Write(logging::Level::kInfo, "fleet changed", {{"vms", update.size()}, {"digest", digest}});
+    this->fleet = std::move(update);
+    this->fleet_digest = digest;
+  }
+  this->carriers_of.clear();
+  for (const auto& [group, dispatcher] : this->dispatchers) {
+    const carriers::CarrierPlan plan = this->PlanFor(group);
+    if (plan.carriers > 0) {
+      this->carriers_of[group] = carriers::ChooseCarriers(group, this->fleet, plan.carriers);
+    }
+  }
+}
+
+std::vector<std::string> Node::CarriersOf(const GroupName& group) {
+  const auto found = this->carriers_of.find(group);
+  if (found == this->carriers_of.end() || this->Carries(group)) {
+    return {};
+  }
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  for (const carriers::FleetVm& carrier : found->second) {
+    if (!carrier.relay_address.empty()) {
+      (carrier.data_centre == this->settings.data_centre ? near : far).push_back(carrier.relay_address);
+    }
+  }
+  // Sessions take turns, so that carriers share the load; each tries a few carriers before it is served here.
+  ++this->relay_turn;
+  for (std::vector<std::string>* addresses : {&near, &far}) {
+    if (!addresses->empty()) {
+      std::rotate(addresses->begin(), addresses->begin() + static_cast<std::ptrdiff_t>(this->relay_turn % addresses->size()),
+                  addresses->end());
+    }
+  }
+  near.insert(near.end(), far.begin(), far.end());
+  near.resize(std::min(near.size(), kCarriersTried));
+  return near;
+}
+
 EndpointPool* Node::FindPool(const EndpointName& endpoint) const {
   const auto found = this->endpoints.find(endpoint);
   return found == this->endpoints.end() ? nullptr : found->second.pool.get();
--- /dev/null
+++ b/source/proxy/relayed_session.cc
@@ -0,0 +1,194 @@
+#include "proxy/relayed_session.h"
+
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <utility>
+
+#include "net/address.h"
+#include "net/source_address.h"
+#include "proxy/socket_options.h"
+
+namespace amaranthlane::proxy {
+
+namespace {
+
+constexpr std::chrono::milliseconds kConnectLimit{250};
+// How much longer than the statement's own limit its answer is awaited from the carrier, which ends it by itself.
+constexpr std::chrono::milliseconds kAnswerSlack{400};
+
+}  // namespace
+
+RelayedSession::RelayedSession(boost::asio::ip::tcp::socket socket, SessionContext& context, std::string beginning,
+                               std::vector<std::string> carriers, Duration statement_limit)
+    : caller(std::move(socket)),
+      carrier(this->caller.get_executor()),
+      timer(this->caller.get_executor()),
+      context(context),
+      beginning(std::move(beginning)),
+      carriers(std::move(carriers)),
+      statement_limit(statement_limit) {}
+
+void RelayedSession::Start() { this->TryCarrier(); }
+
+void RelayedSession::TryCarrier() {
+  if (this->carriers.empty()) {
+    this->ServeHere();
+    return;
+  }
+  const net::Address address = net::ParseAddress(this->carriers.front());
+  this->carriers.erase(this->carriers.begin());
+  const boost::asio::ip::tcp::endpoint target(boost::asio::ip::make_address(address.ip), address.port);
+  boost::system::error_code failure;
+  this->carrier = boost::asio::ip::tcp::socket(this->caller.get_executor());
+  net::BindToSourceAddress(this->carrier, target.protocol(), failure);
+  this->timer.expires_after(kConnectLimit);
+  this->timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+    if (!error && !self->connected && !self->closed) {
+      boost::system::error_code ignored;
+      self->carrier.close(ignored);
+    }
+  });
+  this->carrier.async_connect(target, [self = this->shared_from_this()](boost::system::error_code error) {
+    if (self->closed) {
+      return;
+    }
+    if (error) {
+      self->TryCarrier();
+      return;
+    }
+    self->connected = true;
+    self->timer.cancel();
+    SetSocketOptions(self->carrier);
+    self->oldest_unanswered = BootClock::now();
+    self->unanswered = 1;
+    boost::asio::async_write(self->carrier, boost::asio::buffer(self->beginning),
+                             [self](boost::system::error_code failed, std::size_t) {
+                               if (failed) {
+                                 self->Close();
+                                 return;
+                               }
+                               self->PassFromCaller();
+                               self->PassFromCarrier();
+                             });
+  });
+}
+
+void RelayedSession::ServeHere() {
+  this->closed = true;
+  this->context.ServeHere(std::move(this->caller), std::move(this->beginning));
+}
+
+void RelayedSession::PassFromCaller() {
+  this->caller.async_read_some(
+      boost::asio::buffer(this->from_caller.chunk),
+      [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
+        if (error || self->closed) {
+          self->Close();
+          return;
+        }
+        self->CountFromCaller(size);
+        boost::asio::async_write(self->carrier, boost::asio::buffer(self->from_caller.chunk.data(), size),
+                                 [self](boost::system::error_code failed, std::size_t) {
+                                   if (failed || self->closed) {
+                                     self->Close();
+                                   } else {
+                                     self->PassFromCaller();
+                                   }
+                                 });
+      });
+}
+
+void RelayedSession::PassFromCarrier() {
+  this->carrier.async_read_some(
+      boost::asio::buffer(this->from_carrier.chunk),
+      [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
+        if (error || self->closed) {
+          self->Close();
+          return;
+        }
+        self->CountFromCarrier(size);
+        boost::asio::async_write(self->caller, boost::asio::buffer(self->from_carrier.chunk.data(), size),
+                                 [self](boost::system::error_code failed, std::size_t) {
+                                   if (failed || self->closed) {
+                                     self->Close();
+                                     return;
+                                   }
+                                   if (self->abort_wanted && self->unanswered == 0) {
+                                     self->Close();
+                                     return;
+                                   }
+                                   self->PassFromCarrier();
+                                 });
+      });
+}
+
+void RelayedSession::CountFromCaller(std::size_t size) {
+  Direction& direction = this->from_caller;
+  direction.partial.append(direction.chunk.data(), size);
+  std::size_t length = 0;
+  while ((length = this->context.Codec().FrameLength(direction.partial)) > 0) {
+    direction.partial.erase(0, length);
+    if (this->unanswered++ == 0) {
+      this->oldest_unanswered = BootClock::now();
+    }
+  }
+}
+
+void RelayedSession::CountFromCarrier(std::size_t size) {
+  Direction& direction = this->from_carrier;
+  direction.partial.append(direction.chunk.data(), size);
+  std::size_t length = 0;
+  while ((length = this->context.Codec().FrameLength(direction.partial)) > 0) {
+    const EndpointMessage message =
+        this->context.Codec().ParseEndpointMessage(std::string_view(direction.partial).substr(0, length));
+    direction.partial.erase(0, length);
+    if (message.kind == EndpointMessage::Kind::kReady) {
+      this->state = message.state;
+      this->unanswered -= this->unanswered > 0 ? 1 : 0;
+      this->oldest_unanswered = BootClock::now();
+    }
+  }
+}
+
+void RelayedSession::Tick(TimePoint now) {
+  if (!this->closed && this->connected && this->unanswered > 0 &&
+      now > this->oldest_unanswered + this->statement_limit + kAnswerSlack) {
+    StatementEnd end;
+    end.kind = "relay";
+    end.outcome = statements::FailureCodeName(statements::FailureCode::kOutcomeUnknown);
+    end.why = "the carrier gave no answer in time";
+    end.failed = true;
+    this->context.OnStatementEnd(end);
+    this->Close();
+  }
+}
+
+bool RelayedSession::CloseIfIdle() {
+  if (!this->closed && this->connected && this->unanswered == 0 && this->state == statements::SessionState::kIdle) {
+    this->Close();
+  }
+  return this->closed;
+}
+
+void RelayedSession::AbortTransaction(const std::string& /*why*/) {
+  // The carrier rolls back what is open when the connection to it ends.
+  this->abort_wanted = true;
+  if (!this->closed && this->connected && this->unanswered == 0) {
+    this->Close();
+  }
+}
+
+void RelayedSession::Close() {
+  if (this->closed) {
+    return;
+  }
+  this->closed = true;
+  boost::system::error_code ignored;
+  this->timer.cancel();
+  this->caller.close(ignored);
+  this->carrier.close(ignored);
+}
+
+bool RelayedSession::Closed() const { return this->closed; }
+
+}  // namespace amaranthlane::proxy
--- /dev/null
+++ b/source/proxy/relayed_session.h
@@ -0,0 +1,66 @@
+#ifndef AMARANTHLANE_PROXY_RELAYED_SESSION_H_
+#define AMARANTHLANE_PROXY_RELAYED_SESSION_H_
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "proxy/session.h"
+#include "proxy/session_context.h"
+
+namespace amaranthlane::proxy {
+
+// A caller's session that another VM, a carrier of its database group, serves. Bytes are passed on unchanged; messages are
+// counted, so that the session is closed only between them. Used on one thread.
+class RelayedSession : public Session, public std::enable_shared_from_this<RelayedSession> {
+ public:
+  // `beginning` are the caller's bytes so far. `carriers` are tried in turn; when none accepts, the session is served here.
+  RelayedSession(boost::asio::ip::tcp::socket socket, SessionContext& context, std::string beginning,
+                 std::vector<std::string> carriers, Duration statement_limit);
+
+  void Start();
+
+  void Tick(TimePoint now) override;
+  bool CloseIfIdle() override;
+  void AbortTransaction(const std::string& why) override;
+  void Close() override;
+  bool Closed() const override;
+
+ private:
+  struct Direction {
+    std::array<char, 8192> chunk{};
+    // Bytes of a message that isn't whole yet; only to count messages.
+    std::string partial;
+  };
+
+  void TryCarrier();
+  void ServeHere();
+  void PassFromCaller();
+  void PassFromCarrier();
+  void CountFromCaller(std::size_t size);
+  void CountFromCarrier(std::size_t size);
+
+  boost::asio::ip::tcp::socket caller;
+  boost::asio::ip::tcp::socket carrier;
+  boost::asio::steady_timer timer;
+  SessionContext& context;
+  std::string beginning;
+  std::vector<std::string> carriers;
+  Duration statement_limit;
+  Direction from_caller;
+  Direction from_carrier;
+  // Messages of the caller that have no answer yet.
+  std::size_t unanswered = 0;
+  TimePoint oldest_unanswered;
+  statements::SessionState state = statements::SessionState::kIdle;
+  bool connected = false;
+  bool abort_wanted = false;
+  bool closed = false;
+};
+
+}  // namespace amaranthlane::proxy
+
+#endif  // AMARANTHLANE_PROXY_RELAYED_SESSION_H_
--- a/source/proxy/session_context.h
+++ b/source/proxy/session_context.h
@@ -1,7 +1,9 @@
 #ifndef AMARANTHLANE_PROXY_SESSION_CONTEXT_H_
 #define AMARANTHLANE_PROXY_SESSION_CONTEXT_H_
 
+#include <boost/asio/ip/tcp.hpp>
 #include <string>
+#include <vector>
 
 #include "core/statements/statement.h"
 #include "proxy/configuration.h"
@@ -46,6 +48,12 @@
   virtual bool ShuttingDown() const = 0;
   // Runs the dispatchers soon.
   virtual void PumpSoon() = 0;
+  // Where to pass on sessions of the group, in the order to try; empty: this VM serves them.
+  virtual std::vector<std::string> CarriersOf(const GroupName& group) = 0;
+  // Takes a session over from the one that held its socket; `beginning` are the caller's bytes so far.
+  virtual void Relay(boost::asio::ip::tcp::socket socket, std::string beginning, std::vector<std::string> carriers,
+                     Duration statement_limit) = 0;
+  virtual void ServeHere(boost::asio::ip::tcp::socket socket, std::string beginning) = 0;
   virtual void OnStatementEnd(const StatementEnd& end) = 0;
 };
 
--- a/tests/core/coordination/vm_fleet.cc
+++ b/tests/core/coordination/vm_fleet.cc
@@ -46,7 +46,7 @@
   ++vm.incarnation;
   vm.alive = true;
   vm.system = std::make_unique<CoordinationSystem>(
-      Self{vm.name, vm.incarnation, vm.name, "dc-" + std::to_string(index % 3)}, CoordinationSettings{});
+      Self{vm.name, vm.incarnation, vm.name, vm.name, "dc-" + std::to_string(index % 3)}, CoordinationSettings{});
   vm.failover = std::make_unique<failover::PrimaryChangeSystem>(failover::FailoverSettings{});
 }
 
@@ -97,10 +97,11 @@
 LocalReport VmFleet::ReportOf(const Vm& vm) const {
   LocalReport report;
   const CoordinationRecord* record = vm.system->Record();
-  if (record != nullptr && record->groups.count(kGroup) > 0 && !this->primary_answers &&
-      record->groups.at(kGroup).primary == this->primary) {
-    report.suspects.push_back(kGroup);
+  if (record == nullptr || record->groups.count(kGroup) == 0) {
+    return report;
   }
+  const bool gone = !this->primary_answers && record->groups.at(kGroup).primary == this->primary;
+  (gone ? report.suspects : report.reaches).push_back(kGroup);
   return report;
 }
 
