Cache clean lint results; format; test carriers

Change: scripts/lint.py skips units whose preprocessed text was clean; no connections until the fleet is known; carriers are chosen twice a second.

--- /dev/null
+++ b/scripts/lint.py
@@ -0,0 +1,77 @@
+#!/usr/bin/env python3
+"""Runs the linter over every translation unit, and skips those whose preprocessed text was clean before.
+
+The cache lives outside the tree, in $AMARANTHLANE_LINT_CACHE or the user's cache folder. A unit's key covers its
+preprocessed text, its compile command, the linter's version and its configuration.
+"""
+import concurrent.futures
+import hashlib
+import json
+import os
+import pathlib
+import re
+import shlex
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+CACHE = pathlib.Path(os.environ.get("AMARANTHLANE_LINT_CACHE",
+                                    pathlib.Path.home() / ".cache" / "amaranthlane-lint"))
+
+
+def preprocess(entry):
+    arguments = shlex.split(entry["command"])
+    arguments = [a for a in arguments if not a.endswith("ccache")]
+    keep, skip = [], False
+    for argument in arguments:
+        if skip:
+            skip = False
+        elif argument in ("-o", "-MF", "-MT"):
+            skip = True
+        elif argument not in ("-c", "-MD"):
+            keep.append(argument)
+    # Comments stay, as they may hold directions to the linter.
+    return subprocess.run(keep + ["-E", "-C", "-P"], cwd=entry["directory"], capture_output=True, check=False).stdout
+
+
+def check(entry, salt):
+    text = preprocess(entry)
+    # The folder of a checkout says nothing about its code.
+    command = re.sub(re.escape(str(ROOT)), "", entry["command"])
+    key = hashlib.sha256(salt + command.encode() + text).hexdigest()
+    marker = CACHE / key
+    if text and marker.exists():
+        return entry["file"], True, "", True
+    run = subprocess.run(["clang-tidy", "--quiet", "-p", "build", entry["file"]], cwd=ROOT, capture_output=True,
+                         text=True, check=False)
+    if run.returncode == 0 and text:
+        marker.touch()
+    return entry["file"], run.returncode == 0, run.stdout, False
+
+
+def main():
+    CACHE.mkdir(parents=True, exist_ok=True)
+    version = subprocess.run(["clang-tidy", "--version"], capture_output=True, check=True).stdout
+    salt = version + (ROOT / ".clang-tidy").read_bytes()
+    entries = {}
+    for entry in json.loads((ROOT / "build" / "compile_commands.json").read_text()):
+        if pathlib.Path(entry["file"]).is_relative_to(ROOT):
+            entries[entry["file"]] = entry
+    tracked = subprocess.run(["git", "ls-files", "*.cc"], cwd=ROOT, capture_output=True, text=True,
+                             check=True).stdout.split()
+    missing = [name for name in tracked if str(ROOT / name) not in entries]
+    failed, cached = 0, 0
+    with concurrent.futures.ThreadPoolExecutor(int(os.environ.get("JOBS", os.cpu_count()))) as pool:
+        for name, clean, output, hit in pool.map(lambda entry: check(entry, salt), entries.values()):
+            cached += hit
+            if not clean:
+                failed += 1
+                print(f"lint: {name}\n{output}")
+    for name in missing:
+        print(f"lint: {name} belongs to no target")
+    print(f"lint: {len(entries)} units, {cached} unchanged since they were clean, {failed} with findings")
+    return 1 if failed or missing else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scripts/run_checks.sh
+++ b/scripts/run_checks.sh
@@ -5,5 +5,5 @@
 jobs=${JOBS:-$(nproc)}
 git ls-files '*.cc' '*.h' | xargs -r -P "$jobs" -n 16 clang-format --dry-run --Werror
 cmake -S . -B build -G Ninja > /dev/null
-git ls-files '*.cc' | xargs -r -P "$jobs" -n 1 clang-tidy --quiet -p build 2> /dev/null
+python3 scripts/lint.py
 echo "format and lint: clean"
--- a/source/common/settings_table.cc
+++ b/source/common/settings_table.cc
@@ -141,11 +141,13 @@
                        .member = &Settings::scheduling_policy,
                        .rule = &kPolicy,
                        .help = "How ranks share a group's slots; all but floors are baselines for measurements."},
-    SettingDeclaration{.key = "shutdown.grace_ms",
-                       .member = &Settings::shutdown_grace,
-                       .minimum = 100,
-                       .maximum = kMaximumTimingMs,
-                       .help = "How long open work may go on after SIGTERM; just below what the supervisor allows."},
+    SettingDeclaration{
+        .key = "shutdown.grace_ms",
+        .member = &Settings::shutdown_grace,
+        .minimum = 100,
+        .maximum = kMaximumTimingMs,
+        .help =
+            "How long open work may go on after SIGTERM, at most what the supervisor allows; also as seconds (6s)."},
     SettingDeclaration{.key = "log.level",
                        .member = &Settings::log_level,
                        .rule = &kLogLevel,
@@ -180,7 +182,8 @@
 
 bool ParseInRange(const SettingDeclaration& declaration, std::string_view text, std::uint64_t& number) {
   const bool is_time = std::holds_alternative<std::chrono::milliseconds Settings::*>(declaration.member);
-  return (is_time ? ParseTime(text, number) : ParseWhole(text, number)) && number >= declaration.minimum && number <= declaration.maximum;
+  return (is_time ? ParseTime(text, number) : ParseWhole(text, number)) && number >= declaration.minimum &&
+         number <= declaration.maximum;
 }
 
 }  // namespace
@@ -212,7 +215,7 @@
                                       : declaration.rule->expected;
   }
   const bool is_time = std::holds_alternative<std::chrono::milliseconds Settings::*>(declaration.member);
-  return "a whole number " + std::string(is_time ? "of milliseconds, or seconds as 1.5s, " : "") + "from " +
+  return "a whole number " + std::string(is_time ? "of milliseconds " : "") + "from " +
          std::to_string(declaration.minimum) + " to " + std::to_string(declaration.maximum);
 }
 
--- a/source/core/carriers/carrier_choice.h
+++ b/source/core/carriers/carrier_choice.h
@@ -7,8 +7,8 @@
 
 #include "core/types.h"
 
-// Which VMs hold connections to a group's endpoints. Where the endpoints take too few connections for every VM, some VMs
-// carry the sessions of the others.
+// Which VMs hold connections to a group's endpoints. Where the endpoints take too few connections for every VM, some
+// VMs carry the sessions of the others.
 namespace amaranthlane::carriers {
 
 // A VM that is alive and stays.
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -76,9 +76,9 @@
   kUnknown,
 };
 
-// Who orders changes of primary, and who may use a primary. The record in the store names the members; a VM uses primaries
-// while all members promise, and the holder changes a primary once every VM has released it or its promise has ended.
-// Nothing is written to the store while nothing changes, so an outage of the store ends no right.
+// Who orders changes of primary, and who may use a primary. The record in the store names the members; a VM uses
+// primaries while all members promise, and the holder changes a primary once every VM has released it or its promise
+// has ended. Nothing is written to the store while nothing changes, so an outage of the store ends no right.
 class CoordinationSystem {
  public:
   CoordinationSystem(Self self, const CoordinationSettings& settings);
--- a/source/core/coordination/messages.cc
+++ b/source/core/coordination/messages.cc
@@ -73,17 +73,16 @@
 }
 
 nlohmann::json ToJson(const BeatReply& reply) {
-  nlohmann::json document = {
-      {"vm", reply.vm},
-      {"incarnation", reply.incarnation},
-      {"promised", reply.promised},
-      {"version", reply.version},
-      {"store_silence_ms", Milliseconds(reply.store_silence)},
-      {"wants_relief", reply.wants_relief},
-      {"fleet_size", reply.fleet_size},
-      {"configuration_version", reply.configuration_version},
-      {"directory_digest", reply.knowledge.directory_digest},
-      {"positions", nlohmann::json::array()}};
+  nlohmann::json document = {{"vm", reply.vm},
+                             {"incarnation", reply.incarnation},
+                             {"promised", reply.promised},
+                             {"version", reply.version},
+                             {"store_silence_ms", Milliseconds(reply.store_silence)},
+                             {"wants_relief", reply.wants_relief},
+                             {"fleet_size", reply.fleet_size},
+                             {"configuration_version", reply.configuration_version},
+                             {"directory_digest", reply.knowledge.directory_digest},
+                             {"positions", nlohmann::json::array()}};
   for (const KnownPosition& known : reply.knowledge.positions) {
     // Ages are rounded up: a position must never seem fresher than it is.
     document["positions"].push_back({{"group", known.group},
--- a/source/core/coordination/messages.h
+++ b/source/core/coordination/messages.h
@@ -47,8 +47,8 @@
   std::uint64_t configuration_version = 0;
 };
 
-// What a member tells beside its promise. Ages count up to the sending of the reply, so the asker may take what it reads as
-// known at the time that it sent its beat, less the age.
+// What a member tells beside its promise. Ages count up to the sending of the reply, so the asker may take what it
+// reads as known at the time that it sent its beat, less the age.
 struct MemberKnowledge {
   std::vector<KnownPosition> positions;
   // A digest of the directory of endpoints, so that a VM whose watch went silent notices.
@@ -60,8 +60,8 @@
 struct BeatReply {
   VmName vm;
   Incarnation incarnation = 0;
-  // The member helps nobody change a primary or the holder's duty for the promised time, counted from the sending of the
-  // beat, unless the asker has released the group first.
+  // The member helps nobody change a primary or the holder's duty for the promised time, counted from the sending of
+  // the beat, unless the asker has released the group first.
   bool promised = false;
   std::uint64_t version = 0;
   std::optional<CoordinationRecord> record;
--- a/source/core/coordination/record.cc
+++ b/source/core/coordination/record.cc
@@ -38,8 +38,8 @@
   for (const auto& [name, group] : record.groups) {
     groups[name] = {{"term", group.term}, {"primary", group.primary}, {"changing", group.changing}};
   }
-  return {{"version", record.version}, {"epoch", record.epoch},   {"fencing_token", record.fencing_token},
-          {"members", members},        {"groups", groups}, {"update_id", record.update_id}};
+  return {{"version", record.version}, {"epoch", record.epoch}, {"fencing_token", record.fencing_token},
+          {"members", members},        {"groups", groups},      {"update_id", record.update_id}};
 }
 
 CoordinationRecord ParseCoordinationRecord(const nlohmann::json& document) {
--- a/source/core/failover/primary_change_system.cc
+++ b/source/core/failover/primary_change_system.cc
@@ -200,8 +200,8 @@
 bool PrimaryChangeSystem::Settled(const View& view, const GroupName& group, const GroupState& state,
                                   GroupChange& change) {
   // An order of this VM that is under way may take effect after another endpoint's.
-  const bool ordered = !change.candidate.empty() && !change.may_abort &&
-                       view.now < change.ordered_at + this->settings.promotion_limit;
+  const bool ordered =
+      !change.candidate.empty() && !change.may_abort && view.now < change.ordered_at + this->settings.promotion_limit;
   for (const auto& [name, known] : change.statuses) {
     const bool leads = known.sent_at >= change.released_at && known.status.is_primary && known.status.term > state.term;
     if (leads && (!ordered || name == change.candidate)) {
@@ -266,8 +266,9 @@
   change.chosen_at = view.now;
   change.ordered_at = view.now;
   change.order_accepted = false;
-  view.Log(group, "candidate chosen", *best + " at " + PositionText(best_position) + ", " + std::to_string(answered) +
-                                          " of " + std::to_string(replicas) + " replicas answered");
+  view.Log(group, "candidate chosen",
+           *best + " at " + PositionText(best_position) + ", " + std::to_string(answered) + " of " +
+               std::to_string(replicas) + " replicas answered");
 }
 
 void PrimaryChangeSystem::Promote(const View& view, const GroupName& group, const GroupState& state,
@@ -276,7 +277,8 @@
     return;
   }
   this->Query(view, group, change, this->settings.query_interval);
-  if (change.candidate.empty() || (change.order_accepted && view.now > change.ordered_at + this->settings.promotion_limit)) {
+  if (change.candidate.empty() ||
+      (change.order_accepted && view.now > change.ordered_at + this->settings.promotion_limit)) {
     change.candidate.clear();
     change.phase = Phase::kChoosing;
     change.released_at = view.now;
--- a/source/core/failover/primary_change_system.h
+++ b/source/core/failover/primary_change_system.h
@@ -57,8 +57,8 @@
   Duration disagreement_limit = std::chrono::milliseconds(1000);
   // Between two orders that the platform didn't accept.
   Duration order_interval = std::chrono::milliseconds(200);
-  // An entry that is missing for so long means that the endpoint is gone; above the two seconds that entries may take to
-  // return after an outage of the store.
+  // An entry that is missing for so long means that the endpoint is gone; above the two seconds that entries may take
+  // to return after an outage of the store.
   Duration missing_limit = std::chrono::milliseconds(2600);
   // Without any replica in reach for so long, the holder asks another VM to take the duty over.
   Duration stuck_limit = std::chrono::milliseconds(1200);
--- a/source/core/statements/position_history.h
+++ b/source/core/statements/position_history.h
@@ -9,7 +9,8 @@
 namespace amaranthlane::statements {
 
 // Where a group's primary stood, and when it was asked. A position that the primary told covers every commit that was
-// acknowledged before the question was sent, so a read that may be B old needs any position asked for within the last B.
+// acknowledged before the question was sent, so a read that may be B old needs any position asked for within the last
+// B.
 class PositionHistory {
  public:
   // The primary of `position.term` told `position` to a question sent at `asked_at`.
--- a/source/core/statements/session_replay.cc
+++ b/source/core/statements/session_replay.cc
@@ -22,9 +22,8 @@
 std::vector<ReplayStep> PlanReplay(const ConnectionContents& contents, const SessionValues& values,
                                    const PreparedStatement* prepared) {
   std::vector<ReplayStep> steps;
-  const bool surplus = std::any_of(contents.values.begin(), contents.values.end(), [&values](const auto& held) {
-    return values.count(held.first) == 0;
-  });
+  const bool surplus = std::any_of(contents.values.begin(), contents.values.end(),
+                                   [&values](const auto& held) { return values.count(held.first) == 0; });
   if (surplus) {
     steps.push_back({ReplayStep::Kind::kReset, {}, {}, {}});
   }
--- a/source/core/statements/session_replay.h
+++ b/source/core/statements/session_replay.h
@@ -18,8 +18,8 @@
   std::set<std::string> prepared;
 };
 
-// The name that a prepared statement has at endpoints. It is derived from what is prepared, so sessions that prepare the
-// same share it, and names of two callers never collide.
+// The name that a prepared statement has at endpoints. It is derived from what is prepared, so sessions that prepare
+// the same share it, and names of two callers never collide.
 std::string EndpointStatementName(const PreparedStatement& prepared);
 
 // One command that changes what a connection holds.
--- a/source/core/statements/statement.cc
+++ b/source/core/statements/statement.cc
@@ -6,8 +6,8 @@
 
 std::string_view FailureCodeName(FailureCode code) {
   static constexpr std::array<std::string_view, 14> kNames = {
-      "not run",          "aborted", "lagging",   "read only",       "wrong endpoint",    "connection limit", "failed",
-      "timed out",        "unknown", "unknown statement", "unknown database", "malformed", "too large", "denied"};
+      "not run",   "aborted", "lagging",           "read only",        "wrong endpoint", "connection limit", "failed",
+      "timed out", "unknown", "unknown statement", "unknown database", "malformed",      "too large",        "denied"};
   return kNames.at(static_cast<std::size_t>(code));
 }
 
--- a/source/frontend/daemon_main.h
+++ b/source/frontend/daemon_main.h
@@ -23,9 +23,9 @@
 // Runs a daemon with its settings and returns the exit code. It may throw Error.
 using RunDaemon = std::function<int(const Settings& settings, const SettingsSource& source)>;
 
-// Handles --settings, --set, --check-settings, --settings-reference and --help, then runs the daemon. `default_path` is the
-// settings file when the command line names none; it may be empty. Errors go to standard error and end as exit codes: 1 for
-// a failure, 2 for the command line, 3 for settings.
+// Handles --settings, --set, --check-settings, --settings-reference and --help, then runs the daemon. `default_path` is
+// the settings file when the command line names none; it may be empty. Errors go to standard error and end as exit
+// codes: 1 for a failure, 2 for the command line, 3 for settings.
 int DaemonMain(const std::string& name, int argc, const char** argv, const std::string& default_path,
                const RunDaemon& run);
 
--- a/source/logging/log.h
+++ b/source/logging/log.h
@@ -9,8 +9,8 @@
 
 #include "common/boot_clock.h"
 
-// Structured logs: one event a line, as a JSON object on standard output. Secrets are never passed in. Where the reader of
-// the output falls behind, lines are dropped and counted; the process never waits for it.
+// Structured logs: one event a line, as a JSON object on standard output. Secrets are never passed in. Where the reader
+// of the output falls behind, lines are dropped and counted; the process never waits for it.
 namespace amaranthlane::logging {
 
 enum class Level : std::uint8_t { kDebug, kInfo, kWarning, kError };
--- a/source/proxy/caller_operation.cc
+++ b/source/proxy/caller_operation.cc
@@ -21,8 +21,8 @@
 constexpr double kWaitingShare = 0.4;
 // The share of its target after which a read that isn't answered is sent to another endpoint.
 constexpr double kRepeatAfterTarget = 0.6;
-// It is never repeated sooner, nor before so many times what the endpoint's statements take now: a busy endpoint must not
-// get the same work twice.
+// It is never repeated sooner, nor before so many times what the endpoint's statements take now: a busy endpoint must
+// not get the same work twice.
 constexpr std::chrono::milliseconds kRepeatAfterAtLeast{150};
 constexpr int kRepeatAfterLatencies = 4;
 // How long the commands before a statement, which take an endpoint no work, may take.
@@ -56,7 +56,8 @@
   work.refuse_at = std::min(current.limit, current.received_at + Share(route.statement_limit, kWaitingShare));
   work.not_before = not_before;
   const bool plain_transaction = this->transaction && this->transaction->begin.kind == StatementKind::kBegin;
-  work.needs_primary = plain_transaction || this->Writes(current.statement) || route.freshness == ReadFreshness::kPrimary;
+  work.needs_primary =
+      plain_transaction || this->Writes(current.statement) || route.freshness == ReadFreshness::kPrimary;
   work.greatest_age = route.greatest_age;
   if (route.freshness == ReadFreshness::kOwnWrites) {
     work.own_position = this->last_commit;
@@ -65,19 +66,19 @@
   work.values = this->values;
   current.sent = false;
   ++current.attempts;
-  current.work = dispatcher->Submit(
-      std::move(work), [weak = this->weak_from_this(), serial = this->serial](const Grant* grant, const Refusal* refusal) {
-        const std::shared_ptr<CallerSession> self = weak.lock();
-        if (self == nullptr || self->serial != serial) {
-          return;
-        }
-        self->operation->work = 0;
-        if (grant != nullptr) {
-          self->OnGrant(*grant);
-        } else {
-          self->OnRefusal(*refusal);
-        }
-      });
+  current.work = dispatcher->Submit(std::move(work), [weak = this->weak_from_this(), serial = this->serial](
+                                                         const Grant* grant, const Refusal* refusal) {
+    const std::shared_ptr<CallerSession> self = weak.lock();
+    if (self == nullptr || self->serial != serial) {
+      return;
+    }
+    self->operation->work = 0;
+    if (grant != nullptr) {
+      self->OnGrant(*grant);
+    } else {
+      self->OnRefusal(*refusal);
+    }
+  });
   this->context.PumpSoon();
 }
 
@@ -114,7 +115,8 @@
   if (steps.empty() && rested && this->SingleStatement() && this->Writes(current.statement)) {
     steps.push_back({statements::ReplayStep::Kind::kReset, {}, {}, {}});
     statements::ConnectionContents cleared;
-    for (statements::ReplayStep& step : statements::PlanReplay(cleared, this->values, this->Prepared(current.statement))) {
+    for (statements::ReplayStep& step :
+         statements::PlanReplay(cleared, this->values, this->Prepared(current.statement))) {
       steps.push_back(std::move(step));
     }
   }
@@ -127,31 +129,31 @@
     messages += this->context.Codec().Replay(step);
   }
   const std::size_t count = steps.size();
-  current.connection->Exchange(
-      std::move(messages), count, std::min(current.limit, now + kBringUpLimit),
-      [self = this->shared_from_this(), serial = this->serial, steps = std::move(steps)](
-          ExchangeStatus status, const std::vector<EndpointAnswer>& answers) {
-        if (self->serial != serial) {
-          return;
-        }
-        const bool good = status == ExchangeStatus::kAnswered &&
-                          std::none_of(answers.begin(), answers.end(), [](const auto& answer) { return answer.failed; });
-        if (good) {
-          for (const statements::ReplayStep& step : steps) {
-            statements::ApplyReplay(step, self->operation->connection->contents);
-          }
-          self->SendBegin();
-          return;
-        }
-        if (self->transaction && self->transaction->connection != nullptr) {
-          self->FailTransaction("the connection to the endpoint ended");
-          return;
-        }
-        self->operation->connection->Close();
-        if (!self->TryAgain(BootClock::now())) {
-          self->OnRefusal({"no endpoint took the session's values", kBusyPause});
-        }
-      });
+  current.connection->Exchange(std::move(messages), count, std::min(current.limit, now + kBringUpLimit),
+                               [self = this->shared_from_this(), serial = this->serial, steps = std::move(steps)](
+                                   ExchangeStatus status, const std::vector<EndpointAnswer>& answers) {
+                                 if (self->serial != serial) {
+                                   return;
+                                 }
+                                 const bool good = status == ExchangeStatus::kAnswered &&
+                                                   std::none_of(answers.begin(), answers.end(),
+                                                                [](const auto& answer) { return answer.failed; });
+                                 if (good) {
+                                   for (const statements::ReplayStep& step : steps) {
+                                     statements::ApplyReplay(step, self->operation->connection->contents);
+                                   }
+                                   self->SendBegin();
+                                   return;
+                                 }
+                                 if (self->transaction && self->transaction->connection != nullptr) {
+                                   self->FailTransaction("the connection to the endpoint ended");
+                                   return;
+                                 }
+                                 self->operation->connection->Close();
+                                 if (!self->TryAgain(BootClock::now())) {
+                                   self->OnRefusal({"no endpoint took the session's values", kBusyPause});
+                                 }
+                               });
 }
 
 void CallerSession::SendBegin() {
@@ -162,34 +164,33 @@
   Operation& current = *this->operation;
   const TimePoint now = BootClock::now();
   current.connection->in_transaction = true;
-  current.connection->Exchange(
-      this->context.Codec().Forward(this->transaction->begin, current.at_least, {}), 1,
-      std::min(current.limit, now + kBringUpLimit),
-      [self = this->shared_from_this(), serial = this->serial](ExchangeStatus status,
-                                                               const std::vector<EndpointAnswer>& answers) {
-        if (self->serial != serial) {
-          return;
-        }
-        const std::shared_ptr<EndpointConnection> connection = self->operation->connection;
-        if (status == ExchangeStatus::kAnswered && !answers.front().failed &&
-            answers.front().state == SessionState::kInTransaction) {
-          self->transaction->connection = connection;
-          self->operation->at_least.reset();
-          self->SendStatement();
-          return;
-        }
-        bool again = false;
-        if (status == ExchangeStatus::kAnswered && answers.front().failed) {
-          connection->in_transaction = answers.front().state != SessionState::kIdle;
-          again = self->TryAgainAfter(answers.front().code);
-        } else {
-          connection->Close();
-          again = self->TryAgain(BootClock::now());
-        }
-        if (!again) {
-          self->OnRefusal({"no endpoint began the transaction", kBusyPause});
-        }
-      });
+  current.connection->Exchange(this->context.Codec().Forward(this->transaction->begin, current.at_least, {}), 1,
+                               std::min(current.limit, now + kBringUpLimit),
+                               [self = this->shared_from_this(), serial = this->serial](
+                                   ExchangeStatus status, const std::vector<EndpointAnswer>& answers) {
+                                 if (self->serial != serial) {
+                                   return;
+                                 }
+                                 const std::shared_ptr<EndpointConnection> connection = self->operation->connection;
+                                 if (status == ExchangeStatus::kAnswered && !answers.front().failed &&
+                                     answers.front().state == SessionState::kInTransaction) {
+                                   self->transaction->connection = connection;
+                                   self->operation->at_least.reset();
+                                   self->SendStatement();
+                                   return;
+                                 }
+                                 bool again = false;
+                                 if (status == ExchangeStatus::kAnswered && answers.front().failed) {
+                                   connection->in_transaction = answers.front().state != SessionState::kIdle;
+                                   again = self->TryAgainAfter(answers.front().code);
+                                 } else {
+                                   connection->Close();
+                                   again = self->TryAgain(BootClock::now());
+                                 }
+                                 if (!again) {
+                                   self->OnRefusal({"no endpoint began the transaction", kBusyPause});
+                                 }
+                               });
 }
 
 TimePoint CallerSession::AnswerDeadline() const {
--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -306,8 +306,8 @@
 
 void CallerSession::ReportEnd(const std::string& outcome, const std::string& why, bool failed) {
   const Operation& ended = *this->operation;
-  static constexpr std::array<const char*, 10> kKinds = {"begin", "begin read", "commit", "rollback", "read",
-                                                         "write", "set",        "prepare", "execute", "deallocate"};
+  static constexpr std::array<const char*, 10> kKinds = {"begin", "begin read", "commit",  "rollback", "read",
+                                                         "write", "set",        "prepare", "execute",  "deallocate"};
   StatementEnd end;
   end.id = ended.statement.id;
   end.database = this->database;
--- a/source/proxy/caller_session.h
+++ b/source/proxy/caller_session.h
@@ -17,8 +17,8 @@
 
 namespace amaranthlane::proxy {
 
-// One caller's connection: its values, prepared statements and transaction, and the statement that is under way. Used on
-// one thread.
+// One caller's connection: its values, prepared statements and transaction, and the statement that is under way. Used
+// on one thread.
 class CallerSession : public Session, public std::enable_shared_from_this<CallerSession> {
  public:
   // `may_relay`: another VM may serve the session. Sessions that were passed on once stay.
--- a/source/proxy/endpoint_pool.cc
+++ b/source/proxy/endpoint_pool.cc
@@ -114,8 +114,8 @@
   this->next_try = now + this->settings.retry_interval;
   // One connection that fails while others answer says little.
   if (now - this->last_heard > this->settings.silence / 2 || this->connections.empty()) {
-    this->SetReachable(false, refusal.failed ? std::string(statements::FailureCodeName(refusal.code))
-                                             : "a new connection fails");
+    this->SetReachable(
+        false, refusal.failed ? std::string(statements::FailureCodeName(refusal.code)) : "a new connection fails");
   }
 }
 
--- a/source/proxy/endpoint_pool.h
+++ b/source/proxy/endpoint_pool.h
@@ -25,7 +25,8 @@
   Duration retry_interval = std::chrono::milliseconds(200);
   // Connections beyond this VM's share are closed after so long without use, so that other VMs can have them.
   Duration surplus_idle = std::chrono::milliseconds(400);
-  // How long the endpoint's refusal of a connection keeps this VM from opening another one. Each costs the endpoint work.
+  // How long the endpoint's refusal of a connection keeps this VM from opening another one. Each costs the endpoint
+  // work.
   Duration refusal_pause = std::chrono::milliseconds(300);
   // How long the status of an endpoint is awaited.
   Duration status_limit = std::chrono::milliseconds(300);
@@ -64,8 +65,8 @@
   void QueryStatus(TimePoint now);
   void TellStepDown(Term term, TimePoint now);
 
-  // Checks deadlines, reachability, and connections that are idle too long. `probe_interval` is the longest time without
-  // an exchange.
+  // Checks deadlines, reachability, and connections that are idle too long. `probe_interval` is the longest time
+  // without an exchange.
   void Tick(TimePoint now, Duration probe_interval);
 
   // The connections that this VM may hold, and its share of the work that the endpoint has at once. Bulk work keeps to
@@ -90,8 +91,8 @@
   Duration TypicalLatency(TimePoint now) const;
   void NoteLatency(Duration latency, TimePoint now);
 
-  // A replica refused a read for lack of a position, or answered one. It isn't asked for a while after a refusal, longer
-  // with each one in a row.
+  // A replica refused a read for lack of a position, or answered one. It isn't asked for a while after a refusal,
+  // longer with each one in a row.
   void NoteLagging(TimePoint now);
   void NoteCaughtUp();
   bool Lagging(TimePoint now) const;
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -164,8 +164,8 @@
     boost::system::error_code ignored;
     this->acceptor.close(ignored);
   }
-  const bool end_transactions = passed > Duration(static_cast<Duration::rep>(
-                                             static_cast<double>(grace.count()) * kTransactionShare));
+  const bool end_transactions =
+      passed > Duration(static_cast<Duration::rep>(static_cast<double>(grace.count()) * kTransactionShare));
   const std::set<std::shared_ptr<Session>> all = this->sessions;
   for (const auto& session : all) {
     if (end_transactions) {
@@ -191,8 +191,7 @@
 }
 
 bool Node::Ready() const {
-  return !this->shutdown_at && this->configuration && this->directory_known &&
-         this->coordination.Record() != nullptr;
+  return !this->shutdown_at && this->configuration && this->directory_known && this->coordination.Record() != nullptr;
 }
 
 void Node::AnswerReadiness(const net::HttpRequest& request, const net::HttpServer::Answer& answer) {
@@ -274,7 +273,8 @@
 }
 
 void Node::OnStatementEnd(const StatementEnd& end) {
-  this->registry.GetCounter(kStatements, "Statements by outcome.", {{"kind", end.kind}, {"outcome", end.outcome}}).value++;
+  this->registry.GetCounter(kStatements, "Statements by outcome.", {{"kind", end.kind}, {"outcome", end.outcome}})
+      .value++;
   this->registry
       .GetHistogram("amaranthlane_statement_seconds", "Time from a statement's arrival to its answer.",
                     {{"rank", std::string(RankName(end.rank))}})
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -26,8 +26,8 @@
 
 namespace amaranthlane::proxy {
 
-// One VM of the fleet that speaks statements: callers' sessions, connections to endpoints, and its part in coordination.
-// Used on one thread.
+// One VM of the fleet that speaks statements: callers' sessions, connections to endpoints, and its part in
+// coordination. Used on one thread.
 class Node : public SessionContext {
  public:
   Node(boost::asio::io_context& loop, const Settings& settings, Incarnation incarnation, const StatementCodec& codec,
@@ -77,6 +77,7 @@
   carriers::CarrierPlan PlanFor(const GroupName& group) const;
   bool Carries(const GroupName& group) const;
   void UpdateFleet(std::vector<carriers::FleetVm> update);
+  void ChooseCarriers();
   EndpointPool* FindPool(const EndpointName& endpoint) const;
   std::pair<bool, EndpointName> PrimaryOf(const GroupName& group, TimePoint now) const;
 
@@ -131,6 +132,7 @@
   // The carriers of each group that has any.
   std::map<GroupName, std::vector<carriers::FleetVm>> carriers_of;
   std::size_t relay_turn = 0;
+  TimePoint next_carrier_choice;
 
   std::optional<TimePoint> shutdown_at;
   TimePoint next_session_tick;
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -202,17 +202,17 @@
 }
 
 void Node::PerformRead() {
-  this->platform.ReadRecord([this](bool answered, std::optional<coordination::CoordinationRecord> record,
-                                   ObjectVersion revision) {
-    const TimePoint now = BootClock::now();
-    if (!answered) {
-      this->coordination.OnReadFailed(now);
-      return;
-    }
-    coordination::Actions actions;
-    this->coordination.OnRecordRead(record, revision, now, actions);
-    this->Perform(actions);
-  });
+  this->platform.ReadRecord(
+      [this](bool answered, std::optional<coordination::CoordinationRecord> record, ObjectVersion revision) {
+        const TimePoint now = BootClock::now();
+        if (!answered) {
+          this->coordination.OnReadFailed(now);
+          return;
+        }
+        coordination::Actions actions;
+        this->coordination.OnRecordRead(record, revision, now, actions);
+        this->Perform(actions);
+      });
 }
 
 void Node::PerformWrite(const coordination::WriteRecord& action) {
@@ -220,10 +220,9 @@
       action.record, action.expected_revision,
       [this, version = action.record.version](coordination::WriteResult result, ObjectVersion revision) {
         static constexpr std::array<const char*, 4> kResults = {"written", "conflict", "refused", "unknown"};
-        logging::Write(logging::Level::kInfo, "record write ended",
-                       {{"result", kResults.at(static_cast<std::size_t>(result))},
-                        {"version", version},
-                        {"revision", revision}});
+        logging::Write(
+            logging::Level::kInfo, "record write ended",
+            {{"result", kResults.at(static_cast<std::size_t>(result))}, {"version", version}, {"revision", revision}});
         coordination::Actions actions;
         this->coordination.OnRecordWritten(result, revision, BootClock::now(), actions);
         this->Perform(actions);
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -9,8 +9,8 @@
 
 namespace {
 
-// A primary is asked for its position when the newest one known, from statements or from members, is this old; well within
-// any route's greatest age.
+// A primary is asked for its position when the newest one known, from statements or from members, is this old; well
+// within any route's greatest age.
 constexpr std::chrono::milliseconds kPositionAge{400};
 // Other VMs learn positions from members, so they ask only when that fails.
 constexpr std::chrono::milliseconds kPositionAgeOfOthers{900};
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds kForgetEndpointAfter{2600};
 
 constexpr std::size_t kCarriersTried = 3;
+// How often carriers are chosen anew; groups and their connections change seldom.
+constexpr std::chrono::milliseconds kCarrierChoiceInterval{500};
 // Bulk statements that all VMs together have at an endpoint, for each of its slots.
 constexpr double kWorkPerSlot = 2;
 
@@ -98,6 +100,10 @@
 void Node::TickEndpoints(TimePoint now) {
   const coordination::CoordinationRecord* record = this->coordination.Record();
   const bool member = record != nullptr && record->IsMember(this->settings.vm);
+  if (now >= this->next_carrier_choice) {
+    this->next_carrier_choice = now + kCarrierChoiceInterval;
+    this->ChooseCarriers();
+  }
   for (auto found = this->endpoints.begin(); found != this->endpoints.end();) {
     KnownEndpoint& known = found->second;
     if (known.missing_since && now > *known.missing_since + kForgetEndpointAfter) {
@@ -110,7 +116,9 @@
     const std::size_t holders = plan.carriers == 0 ? this->coordination.FleetSize() : plan.carriers;
     const double concurrency =
         static_cast<double>(known.entry.slots) * kWorkPerSlot / static_cast<double>(std::max<std::size_t>(holders, 1));
-    const std::size_t own = this->Carries(known.entry.group) ? plan.connections : (member ? 1 : 0);
+    // Until the fleet is known this VM may be one of many.
+    const bool carries = !this->fleet.empty() && this->Carries(known.entry.group);
+    const std::size_t own = carries ? plan.connections : (member ? 1 : 0);
     known.pool->SetLimits(own, static_cast<std::size_t>(std::max(1.0, concurrency)));
     const auto [usable, primary] = this->PrimaryOf(known.entry.group, now);
     const bool is_primary = primary == found->first;
@@ -143,7 +151,11 @@
     logging::Write(logging::Level::kInfo, "fleet changed", {{"vms", update.size()}, {"digest", digest}});
     this->fleet = std::move(update);
     this->fleet_digest = digest;
+    this->ChooseCarriers();
   }
+}
+
+void Node::ChooseCarriers() {
   this->carriers_of.clear();
   for (const auto& [group, dispatcher] : this->dispatchers) {
     const carriers::CarrierPlan plan = this->PlanFor(group);
@@ -169,7 +181,8 @@
   ++this->relay_turn;
   for (std::vector<std::string>* addresses : {&near, &far}) {
     if (!addresses->empty()) {
-      std::rotate(addresses->begin(), addresses->begin() + static_cast<std::ptrdiff_t>(this->relay_turn % addresses->size()),
+      std::rotate(addresses->begin(),
+                  addresses->begin() + static_cast<std::ptrdiff_t>(this->relay_turn % addresses->size()),
                   addresses->end());
     }
   }
--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -79,47 +79,47 @@
 }
 
 void RelayedSession::PassFromCaller() {
-  this->caller.async_read_some(
-      boost::asio::buffer(this->from_caller.chunk),
-      [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
-        if (error || self->closed) {
-          self->Close();
-          return;
-        }
-        self->CountFromCaller(size);
-        boost::asio::async_write(self->carrier, boost::asio::buffer(self->from_caller.chunk.data(), size),
-                                 [self](boost::system::error_code failed, std::size_t) {
-                                   if (failed || self->closed) {
-                                     self->Close();
-                                   } else {
-                                     self->PassFromCaller();
-                                   }
-                                 });
-      });
+  this->caller.async_read_some(boost::asio::buffer(this->from_caller.chunk),
+                               [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
+                                 if (error || self->closed) {
+                                   self->Close();
+                                   return;
+                                 }
+                                 self->CountFromCaller(size);
+                                 boost::asio::async_write(self->carrier,
+                                                          boost::asio::buffer(self->from_caller.chunk.data(), size),
+                                                          [self](boost::system::error_code failed, std::size_t) {
+                                                            if (failed || self->closed) {
+                                                              self->Close();
+                                                            } else {
+                                                              self->PassFromCaller();
+                                                            }
+                                                          });
+                               });
 }
 
 void RelayedSession::PassFromCarrier() {
-  this->carrier.async_read_some(
-      boost::asio::buffer(this->from_carrier.chunk),
-      [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
-        if (error || self->closed) {
-          self->Close();
-          return;
-        }
-        self->CountFromCarrier(size);
-        boost::asio::async_write(self->caller, boost::asio::buffer(self->from_carrier.chunk.data(), size),
-                                 [self](boost::system::error_code failed, std::size_t) {
-                                   if (failed || self->closed) {
-                                     self->Close();
-                                     return;
-                                   }
-                                   if (self->abort_wanted && self->unanswered == 0) {
-                                     self->Close();
-                                     return;
-                                   }
-                                   self->PassFromCarrier();
-                                 });
-      });
+  this->carrier.async_read_some(boost::asio::buffer(this->from_carrier.chunk),
+                                [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
+                                  if (error || self->closed) {
+                                    self->Close();
+                                    return;
+                                  }
+                                  self->CountFromCarrier(size);
+                                  boost::asio::async_write(self->caller,
+                                                           boost::asio::buffer(self->from_carrier.chunk.data(), size),
+                                                           [self](boost::system::error_code failed, std::size_t) {
+                                                             if (failed || self->closed) {
+                                                               self->Close();
+                                                               return;
+                                                             }
+                                                             if (self->abort_wanted && self->unanswered == 0) {
+                                                               self->Close();
+                                                               return;
+                                                             }
+                                                             self->PassFromCarrier();
+                                                           });
+                                });
 }
 
 void RelayedSession::CountFromCaller(std::size_t size) {
--- a/source/proxy/relayed_session.h
+++ b/source/proxy/relayed_session.h
@@ -13,11 +13,12 @@
 
 namespace amaranthlane::proxy {
 
-// A caller's session that another VM, a carrier of its database group, serves. Bytes are passed on unchanged; messages are
-// counted, so that the session is closed only between them. Used on one thread.
+// A caller's session that another VM, a carrier of its database group, serves. Bytes are passed on unchanged; messages
+// are counted, so that the session is closed only between them. Used on one thread.
 class RelayedSession : public Session, public std::enable_shared_from_this<RelayedSession> {
  public:
-  // `beginning` are the caller's bytes so far. `carriers` are tried in turn; when none accepts, the session is served here.
+  // `beginning` are the caller's bytes so far. `carriers` are tried in turn; when none accepts, the session is served
+  // here.
   RelayedSession(boost::asio::ip::tcp::socket socket, SessionContext& context, std::string beginning,
                  std::vector<std::string> carriers, Duration statement_limit);
 
--- a/source/proxy/services.h
+++ b/source/proxy/services.h
@@ -33,8 +33,8 @@
   // Read the configuration or the directory at once: a peer knows a newer one.
   virtual void RefreshConfiguration() = 0;
   virtual void RefreshDirectory() = 0;
-  // Watches may wait for long: a peer will tell when this VM has missed something. Otherwise they end soon, so that one that
-  // went silent is noticed.
+  // Watches may wait for long: a peer will tell when this VM has missed something. Otherwise they end soon, so that one
+  // that went silent is noticed.
   virtual void SetPatientWatches(bool patient) = 0;
 };
 
--- a/source/proxy/session_context.h
+++ b/source/proxy/session_context.h
@@ -40,8 +40,8 @@
   virtual const Configuration* CurrentConfiguration() const = 0;
   // Null when the group has no endpoints yet.
   virtual Dispatcher* FindDispatcher(const GroupName& group) = 0;
-  // True when an answer that a connection to `endpoint` just gave may be passed on as a commit: no other primary can have
-  // taken over before it came.
+  // True when an answer that a connection to `endpoint` just gave may be passed on as a commit: no other primary can
+  // have taken over before it came.
   virtual bool MayAcknowledge(const GroupName& group, const EndpointName& endpoint, TimePoint now) const = 0;
   virtual std::uint64_t RecordVersion() const = 0;
   // True from the moment that the node shuts down.
--- /dev/null
+++ b/tests/core/carriers/carrier_choice_test.cc
@@ -0,0 +1,59 @@
+#include "core/carriers/carrier_choice.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace amaranthlane::carriers {
+namespace {
+
+std::vector<FleetVm> MakeFleet(std::size_t vms) {
+  std::vector<FleetVm> fleet;
+  for (std::size_t index = 0; index < vms; ++index) {
+    fleet.push_back({"vm-" + std::to_string(index), "10.0.0.1:1", "dc-" + std::to_string(index % 3)});
+  }
+  return fleet;
+}
+
+TEST(CarrierPlan, EveryVmHoldsConnectionsWhereTheySuffice) {
+  EXPECT_EQ(PlanCarriers(34, 9).carriers, 0U);
+  EXPECT_EQ(PlanCarriers(34, 9).connections, 3U);
+  EXPECT_EQ(PlanCarriers(28, 10).carriers, 0U);
+}
+
+TEST(CarrierPlan, CarriersNeverHoldMoreThanTheEndpointTakes) {
+  for (std::size_t fleet = 1; fleet <= 600; ++fleet) {
+    const CarrierPlan plan = PlanCarriers(47, fleet);
+    const std::size_t holders = plan.carriers == 0 ? fleet : plan.carriers;
+    EXPECT_LE(holders * plan.connections, 47U) << fleet << " VMs";
+  }
+}
+
+TEST(CarrierChoice, EveryDataCentreHasACarrier) {
+  std::set<std::string> data_centres;
+  for (const FleetVm& carrier : ChooseCarriers("group-1", MakeFleet(58), 14)) {
+    data_centres.insert(carrier.data_centre);
+  }
+  EXPECT_EQ(data_centres.size(), 3U);
+}
+
+TEST(CarrierChoice, ALostVmChangesAtMostOneCarrier) {
+  std::vector<FleetVm> fleet = MakeFleet(57);
+  const std::vector<FleetVm> before = ChooseCarriers("group-1", fleet, 15);
+  fleet.erase(std::find(fleet.begin(), fleet.end(), before.front()));
+  const std::vector<FleetVm> after = ChooseCarriers("group-1", fleet, 15);
+  std::size_t kept = 0;
+  for (const FleetVm& carrier : before) {
+    kept += static_cast<std::size_t>(std::count(after.begin(), after.end(), carrier));
+  }
+  EXPECT_GE(kept + 2, before.size());
+}
+
+TEST(FleetDigest, DiffersForDifferentFleets) {
+  EXPECT_EQ(FleetDigest(MakeFleet(5)), FleetDigest(MakeFleet(5)));
+  EXPECT_NE(FleetDigest(MakeFleet(5)), FleetDigest(MakeFleet(6)));
+}
+
+}  // namespace
+}  // namespace amaranthlane::carriers
--- a/tests/core/coordination/vm_fleet.cc
+++ b/tests/core/coordination/vm_fleet.cc
@@ -136,21 +136,21 @@
 }
 
 void VmFleet::Perform(std::size_t vm, Actions& actions) {
-  const Overloaded perform = {
-      [&](const SendBeat& action) { this->DeliverBeat(vm, action); },
-      [&](const SendNotice& action) {
-        const std::size_t to = this->Find(action.vm).value();
-        if (!this->vms[vm].cut && !this->vms[to].cut) {
-          this->Post(to, this->Delay(), [this, to, record = action.record] {
-            Actions more;
-            this->vms[to].system->OnNotice(record, this->now, more);
-            this->Perform(to, more);
-          });
-        }
-      },
-      [&](const ReadRecord&) { this->DoRead(vm); },
-      [&](const WriteRecord& action) { this->DoWrite(vm, action); },
-      [](const RecordAdopted&) {}, [](const Decision&) {}};
+  const Overloaded perform = {[&](const SendBeat& action) { this->DeliverBeat(vm, action); },
+                              [&](const SendNotice& action) {
+                                const std::size_t to = this->Find(action.vm).value();
+                                if (!this->vms[vm].cut && !this->vms[to].cut) {
+                                  this->Post(to, this->Delay(), [this, to, record = action.record] {
+                                    Actions more;
+                                    this->vms[to].system->OnNotice(record, this->now, more);
+                                    this->Perform(to, more);
+                                  });
+                                }
+                              },
+                              [&](const ReadRecord&) { this->DoRead(vm); },
+                              [&](const WriteRecord& action) { this->DoWrite(vm, action); },
+                              [](const RecordAdopted&) {},
+                              [](const Decision&) {}};
   for (const Action& action : std::exchange(actions, {})) {
     std::visit(perform, action);
   }
@@ -169,12 +169,13 @@
   if (this->vms[from].cut || this->vms[to].cut || !this->vms[to].alive) {
     return;
   }
-  this->Post(to, this->Delay(), [this, from, to, beat = action.beat, sent_at, answered] {
+  const Incarnation asker = this->vms[from].incarnation;
+  this->Post(to, this->Delay(), [this, from, to, asker, beat = action.beat, sent_at, answered] {
     Actions more;
     const BeatReply reply = this->vms[to].system->OnBeat(beat, this->now, more);
     this->Perform(to, more);
-    this->Post(from, this->Delay(), [this, from, to, reply, sent_at, answered] {
-      if (std::exchange(*answered, true)) {
+    this->Post(from, this->Delay(), [this, from, to, asker, reply, sent_at, answered] {
+      if (std::exchange(*answered, true) || this->vms[from].incarnation != asker) {
         return;
       }
       Actions after;
--- a/tests/core/coordination/vm_fleet.h
+++ b/tests/core/coordination/vm_fleet.h
@@ -16,8 +16,9 @@
 
 namespace amaranthlane::coordination {
 
-// Some VMs' coordination and failover systems, one database group, the store and the endpoints, driven by a seed. It checks
-// the promise all along: when a promotion is ordered, no VM may use the former primary, and no second VM may promote.
+// Some VMs' coordination and failover systems, one database group, the store and the endpoints, driven by a seed. It
+// checks the promise all along: when a promotion is ordered, no VM may use the former primary, and no second VM may
+// promote.
 class VmFleet {
  public:
   VmFleet(std::size_t vms, std::uint64_t seed);
