--- a/fuzz/core_parse_functions.cc
+++ b/fuzz/core_parse_functions.cc
@@ -1,4 +1,5 @@
 #include "common/json.h"
+#include "core/coordination/messages.h"
 #include "core/leadership/messages.h"
 #include "core/leadership/record.h"
 #include "core/membership/heartbeat.h"
@@ -23,6 +24,11 @@
   RequireSame(transactions::TransactionIdText(id) == text);
 }
 
+std::string RecordSample() {
+  return R"({"version":4,"epoch":2,"fencing_token":7,"members":[{"vm":"a","address":"127.0.0.1:1"}],
+      "groups":{"g":{"term":3,"primary":"e1","changing":true}},"update_id":"a/1/4"})";
+}
+
 std::string TokenSample() {
   sessions::SessionToken token;
   token.Merge("group-1", {3, 41});
@@ -61,6 +67,17 @@
           "history":[{"term":2,"base":{"term":1,"offset":8}}],"instances":[
           {"endpoint":"e1","address":"127.0.0.1:1","data_centre":"d","state":"live"},
           {"endpoint":"e2","address":"127.0.0.1:2","data_centre":"d","state":"leaving"}]})"}},
+      {"CoordinationRecord", RoundTrip<coordination::ParseCoordinationRecord>, {RecordSample()}},
+      {"CoordinationBeat",
+       ParseOnly<coordination::ParseBeat>,
+       {R"({"vm":"a","incarnation":5,"address":"127.0.0.1:1","relay_address":"","data_centre":"d","version":3,
+          "busy":["g"],"suspects":[],"reaches":["g"],"leaving":false,"fleet_digest":"7","configuration_version":4})"}},
+      {"CoordinationReply",
+       ParseOnly<coordination::ParseBeatReply>,
+       {R"({"vm":"a","incarnation":5,"promised":true,"version":3,"store_silence_ms":4,"wants_relief":false,
+          "fleet_size":9,"configuration_version":4,"directory_digest":"8","fleet":[{"vm":"b","relay_address":"",
+          "data_centre":"d"}],"positions":[{"group":"g","term":2,"offset":9,"age_ms":10}],"record":)" +
+        RecordSample() + "}"}},
       {"PositionAnswer",
        ParseOnly<replicas::ParsePositionAnswer>,
        {R"({"endpoint":"e","role":"replica","term":2,"position":{"term":2,"offset":8},"synced_term":2})"}},
--- a/fuzz/process_parse_functions.cc
+++ b/fuzz/process_parse_functions.cc
@@ -6,6 +6,9 @@
 #include "load/profile.h"
 #include "net/address.h"
 #include "parse_functions.h"
+#include "platform/decoders.h"
+#include "platform/line_codec.h"
+#include "platform/store_client.h"
 #include "round_trip.h"
 #include "tracing/trace_context.h"
 
@@ -69,6 +72,22 @@
   RequireSame(!context || tracing::ParseTraceparent(tracing::FormatTraceparent(*context)) == context);
 }
 
+void ParseCallersLine(std::string_view text) { platform::LineCodec().ParseCallerMessage(text); }
+
+void ParseEndpointsLine(std::string_view text) { platform::LineCodec().ParseEndpointMessage(text); }
+
+void ParseStatusRow(std::string_view text) { platform::LineCodec().ParseStatus(text); }
+
+void ParseStoreObject(std::string_view text) { platform::ParseStoredObject(platform::ParseBody(std::string(text))); }
+
+void ParsePlatformEntry(std::string_view text) {
+  platform::ParseEndpointEntry("e", platform::ParseBody(std::string(text)));
+}
+
+void ParsePlatformConfiguration(std::string_view text) {
+  platform::ParseConfiguration(platform::ParseBody(std::string(text)));
+}
+
 std::string WorkSample() {
   daemon::WorkRequest request;
   request.caller = "maker";
@@ -127,6 +146,22 @@
        ParseLoadProfile,
        {"duration_ms: 100\nvms: [\"127.0.0.1:1\"]\nstreams:\n  - {kind: a, mode: write, rank: bulk, rate: 5,\n"
         "     changes: [{from_ms: 1, until_ms: 2, factor: 3}]}\n"}},
+      {"CallersLine",
+       ParseCallersLine,
+       {"CONNECT db who\r\n", "QUERY 5c PREPARE s1 WRITE q\r\n", "QUERY 5c EXECUTE s1 a x y\r\n", "QUIT\r\n"}},
+      {"EndpointsLine",
+       ParseEndpointsLine,
+       {"ROW x y\r\n", "COMPLETE 7.1f\r\n", "ERROR LAGGING x\r\n", "READY T 3.1209\r\n"}},
+      {"StatusRow", ParseStatusRow, {"replica 3 3.1209 0 12 2 17"}},
+      {"StoreObject", ParseStoreObject, {R"({"meta":{"name":"a","revision":4},"spec":{"x":1},"status":null})"}},
+      {"PlatformEntry",
+       ParsePlatformEntry,
+       {R"({"service":"s","address":"127.0.0.1:1","zone":"z","slots":5,"state":"ready","db_role":"replica","born":7})"}},
+      {"PlatformConfiguration",
+       ParsePlatformConfiguration,
+       {R"({"version":7,"routes":[{"name":"r","host":"db","route_type":"read_your_writes","timeout_ms":1000,
+          "target_latency_ms":400,"priority":1,"service":"s","max_staleness_ms":2500}],
+          "services":[{"name":"s","max_conns":34,"sync_replicas":0}],"limits":{"tx_idle_ms":3000}})"}},
       {"Address", ParseIpAndPort, {"127.0.0.1:7000"}},
       {"Traceparent", ParseTrace, {"00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"}},
   };
--- /dev/null
+++ b/soak/links.py
@@ -0,0 +1,60 @@
+"""A forwarding proxy on loopback: each link delays, resets, cuts or silences the connections that go through it."""
+import asyncio
+
+
+class Link:
+    """One listening port that forwards to a target. Faults: cut (new and old connections hang), one_way (bytes towards the
+    target vanish), silent (connections that are open now hang for good; new ones work)."""
+
+    def __init__(self, name, target_port):
+        self.name, self.target, self.port = name, target_port, 0
+        self.cut = self.one_way = False
+        self.delay_s, self.open = 0.0, set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def accept(self, reader, writer):
+        state = {"silent": False, "writers": [writer]}
+        self.open.add(id(state))
+        self.states = getattr(self, "states", {})
+        self.states[id(state)] = state
+        try:
+            while self.cut:
+                await asyncio.sleep(0.05)
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target)
+            state["writers"].append(far_writer)
+            await asyncio.gather(self.pump(state, reader, far_writer, True),
+                                 self.pump(state, far_reader, writer, False))
+        except OSError:
+            pass
+        finally:
+            self.states.pop(id(state), None)
+            for end in state["writers"]:
+                end.close()
+
+    async def pump(self, state, reader, writer, towards_target):
+        try:
+            while data := await reader.read(65536):
+                while self.cut or state["silent"] or (self.one_way and towards_target):
+                    await asyncio.sleep(0.02)
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            if not state["silent"]:
+                for end in state["writers"]:
+                    end.close()
+
+    def silence(self):
+        for state in getattr(self, "states", {}).values():
+            state["silent"] = True
+
+    def reset(self):
+        for state in list(getattr(self, "states", {}).values()):
+            for end in state["writers"]:
+                end.transport.abort()
--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,282 @@
+#!/usr/bin/env python3
+"""Runs the real daemons against faults drawn from a seed, and checks the promises while they run. See README.md."""
+import argparse
+import asyncio
+import json
+import pathlib
+import random
+import signal
+import socket
+import sys
+import tempfile
+import time
+
+from callers import Caller
+from links import Link
+from wire_platform import Connection, Group, Platform
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+DAEMON = ROOT / "build" / "platform" / "amaranthlane-platformd"
+REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Vm:
+    """One daemon, and the links that it talks through."""
+
+    def __init__(self, number, folder):
+        self.name, self.folder, self.process, self.paused = f"vm-{number}", folder, None, False
+        self.callers, self.peers, self.ready, self.relay = (free_port() for _ in range(4))
+        self.store_link, self.peer_link = None, Link(f"peers of {self.name}", self.peers)
+        self.log = folder / f"{self.name}.log"
+
+    async def start(self):
+        if self.process and self.process.returncode is None:
+            return
+        settings = {"vm": self.name, "data_centre": f"dc-{int(self.name[3:]) % 3}", "region": "r",
+                    "addresses": {"callers": f"127.0.0.1:{self.callers}", "peers": f"127.0.0.1:{self.peers}",
+                                  "advertised_peers": f"127.0.0.1:{self.peer_link.port}",
+                                  "operators": f"127.0.0.1:{self.ready}", "relay": f"127.0.0.1:{self.relay}",
+                                  "platform": f"127.0.0.1:{self.store_link.port}"},
+                    "shutdown": {"grace_ms": 4000}}
+        path = self.folder / f"{self.name}.yaml"
+        path.write_text(json.dumps(settings))
+        output = self.log.open("ab")
+        self.process = await asyncio.create_subprocess_exec(str(DAEMON), "--settings", str(path), stdout=output,
+                                                            stderr=output)
+
+    def send(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+
+class Soak:
+    """One seed."""
+
+    def __init__(self, seed, vms, seconds, folder):
+        self.seed, self.seconds, self.folder = seed, seconds, folder
+        self.random = random.Random(seed)
+        self.group = Group("g", 3)
+        self.platform = Platform([self.group])
+        self.platform.random = random.Random(seed + 1)
+        self.vms = [Vm(number, folder) for number in range(vms)]
+        self.links, self.faults = [], []
+
+    async def start(self):
+        store = await asyncio.start_server(self.platform.serve, "127.0.0.1", 0)
+        self.store_port = store.sockets[0].getsockname()[1]
+        for endpoint in self.group.endpoints:
+            server = await asyncio.start_server(lambda r, w, e=endpoint: self.accept(e, r, w), "127.0.0.1", 0)
+            link = Link(f"to {endpoint.name}", server.sockets[0].getsockname()[1])
+            await link.start()
+            endpoint.link = link
+            self.links.append(link)
+        for vm in self.vms:
+            vm.store_link = Link(f"store of {vm.name}", self.store_port)
+            await vm.store_link.start()
+            await vm.peer_link.start()
+            self.links += [vm.store_link, vm.peer_link]
+        self.tasks = [asyncio.create_task(self.group.replicate()), asyncio.create_task(self.register())]
+        self.configure()
+        await asyncio.gather(*(vm.start() for vm in self.vms))
+
+    async def accept(self, endpoint, reader, writer):
+        if not endpoint.alive:
+            writer.transport.abort()
+            return
+        endpoint.writers.add(writer)
+        try:
+            await Connection(self.group, endpoint, reader, writer).serve()
+        except (ConnectionError, asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            endpoint.writers.discard(writer)
+            writer.close()
+
+    async def register(self):
+        known = {}
+        while True:
+            for e in self.group.endpoints:
+                entry = {"service": "g", "address": f"127.0.0.1:{e.link.port}", "zone": "dc-0", "version": "v1",
+                         "slots": 5, "state": "ready", "db_role": "primary" if e.is_primary else "replica"}
+                if e.alive and known.get(e.name) != entry:
+                    known[e.name] = entry
+                    self.platform.put("servers", e.name, entry)
+            await asyncio.sleep(0.1)
+
+    def configure(self):
+        routes = [{"name": f"r-{host}", "host": host, "route_type": kind, "timeout_ms": 1000, "target_latency_ms": 200,
+                   "priority": 1, "service": "g", "max_staleness_ms": 1500}
+                  for host, kind in (("exact", "primary"), ("own", "read_your_writes"))]
+        self.platform.put("config", "main", {"version": 1, "routes": routes, "limits": {"tx_idle_ms": 3000},
+                                             "services": [{"name": "g", "max_conns": 40, "sync_replicas": 0}]})
+
+    # Each fault is a coroutine that begins, lasts and ends.
+    def draw(self):
+        vm, link = self.random.choice(self.vms), self.random.choice(self.links)
+        leader = self.group.leader()
+        last = 0.3 + self.random.random() * 3
+        choices = [("kill", self.kill(vm, last)), ("pause", self.pause(vm, last)), ("stop", self.stop(vm)),
+                   ("kill all", self.kill_all(last)), ("cut " + link.name, self.set_link(link, "cut", last)),
+                   ("one way " + link.name, self.set_link(link, "one_way", last)),
+                   ("delay " + link.name, self.delay(link, last)), ("reset " + link.name, self.once(link.reset)),
+                   ("silence " + link.name, self.once(link.silence)), ("store refuses", self.store("refuse", last)),
+                   ("store silent", self.store("silent", last)), ("answers lost", self.lose(last)),
+                   ("primary crashes", self.crash(leader, last)),
+                   ("replica lags", self.lag(self.random.choice(self.group.endpoints), last)),
+                   ("primary cut", self.set_link(leader.link, "cut", last))]
+        chosen = self.random.randrange(len(choices))
+        for index, (_, coroutine) in enumerate(choices):
+            if index != chosen:
+                coroutine.close()
+        return choices[chosen]
+
+    async def kill(self, vm, last):
+        vm.send(signal.SIGKILL)
+        await asyncio.sleep(last)
+        await vm.start()
+
+    async def kill_all(self, last):
+        for vm in self.vms:
+            vm.send(signal.SIGKILL)
+        await asyncio.sleep(last)
+        await asyncio.gather(*(vm.start() for vm in self.vms))
+
+    async def pause(self, vm, last):
+        vm.send(signal.SIGSTOP)
+        await asyncio.sleep(last)
+        vm.send(signal.SIGCONT)
+
+    async def stop(self, vm):
+        vm.send(signal.SIGTERM)
+        if vm.process:
+            await vm.process.wait()
+        await vm.start()
+
+    async def set_link(self, link, what, last):
+        setattr(link, what, True)
+        await asyncio.sleep(last)
+        setattr(link, what, False)
+
+    async def delay(self, link, last):
+        link.delay_s = 0.2
+        await asyncio.sleep(last)
+        link.delay_s = 0.0
+
+    async def once(self, action):
+        action()
+
+    async def store(self, mode, last):
+        self.platform.mode = mode
+        await asyncio.sleep(last)
+        self.platform.mode = "up"
+
+    async def lose(self, last):
+        self.platform.lost_share = 0.5
+        await asyncio.sleep(last)
+        self.platform.lost_share = 0.0
+
+    async def crash(self, endpoint, last):
+        endpoint.alive = False
+        for writer in list(endpoint.writers):
+            writer.transport.abort()
+        await asyncio.sleep(last)
+        endpoint.alive = True
+
+    async def lag(self, endpoint, last):
+        endpoint.lag_s = 0.8
+        await asyncio.sleep(last)
+        endpoint.lag_s = 0.01
+
+    async def run(self):
+        await self.start()
+        await asyncio.sleep(2.5)
+        begin = time.monotonic()
+        end = begin + self.seconds
+        callers = [Caller(n, self.seed, [vm.callers for vm in self.vms], self.group, ("exact", "own")[n % 2])
+                   for n in range(10)]
+        running = [asyncio.create_task(caller.run(end + 6)) for caller in callers]
+        under_way = []
+        while time.monotonic() < end:
+            await asyncio.sleep(self.random.random() * 1.5)
+            name, coroutine = self.draw()
+            self.faults.append(f"{time.monotonic() - begin:.2f} s {name}")
+            under_way.append(asyncio.create_task(coroutine))
+        await asyncio.gather(*under_way)
+        done_before = sum(caller.outcomes["done"] for caller in callers)
+        await asyncio.gather(*running)
+        served = sum(caller.outcomes["done"] for caller in callers)
+        if served == done_before:
+            self.group.say("RECOVER: nothing was served after the last fault")
+        for attempt in getattr(self.group, "promised", set()):
+            if attempt in self.group.commits and attempt not in self.group.rolled_back:
+                self.group.say(f"REFUSED: {attempt} was promised unrun and is committed")
+        self.totals = {k: sum(c.outcomes[k] for c in callers) for k in callers[0].outcomes}
+
+    async def stop_all(self):
+        for vm in self.vms:
+            vm.send(signal.SIGCONT)
+            vm.send(signal.SIGKILL)
+            if vm.process:
+                await vm.process.wait()
+        for task in self.tasks:
+            task.cancel()
+
+
+def report_unless_cancelled(loop, context):
+    """At the end of a seed the stand-in's connections are cancelled; that is no finding."""
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
+async def play(seed, arguments):
+    asyncio.get_running_loop().set_exception_handler(report_unless_cancelled)
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    soak = Soak(seed, arguments.vms, arguments.seconds, folder)
+    try:
+        await soak.run()
+    finally:
+        await soak.stop_all()
+    violations = soak.group.violations
+    print(f"seed {seed}: {soak.totals}, {len(soak.group.promotions)} promotions, {len(soak.faults)} faults, "
+          f"{len(violations)} violations", flush=True)
+    if violations:
+        print("  faults: " + "; ".join(soak.faults))
+        print("\n".join("  " + text for text in violations[:10]))
+        print(f"  logs: {folder}", flush=True)
+    else:
+        for path in folder.iterdir():
+            path.unlink()
+        folder.rmdir()
+    return not violations
+
+
+def parse_arguments():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, action="append", default=[], help="a seed to play; may be repeated")
+    parser.add_argument("--seeds", type=int, default=0, help="play so many fresh seeds")
+    parser.add_argument("--regressions", action="store_true", help="play each seed that ever failed")
+    parser.add_argument("--seconds", type=float, default=12, help="how long faults are injected")
+    parser.add_argument("--vms", type=int, default=5)
+    return parser.parse_args()
+
+
+def main():
+    arguments = parse_arguments()
+    seeds = list(arguments.seed)
+    if arguments.regressions:
+        lines = [line for line in REGRESSIONS.read_text().splitlines() if line and not line.startswith("#")]
+        seeds += [int(line.split()[0]) for line in lines]
+    seeds += [random.SystemRandom().randrange(1 << 31) for _ in range(arguments.seeds)]
+    failed = [seed for seed in seeds if not asyncio.run(play(seed, arguments))]
+    print(f"{len(seeds)} seeds, failed: {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/wire_platform.py
@@ -0,0 +1,301 @@
+"""A small stand-in of the users' platform: the object store, the promotion call, and one database group of endpoints.
+
+It keeps what the checks need: which endpoint led when, which log each statement ran on, and which attempts committed.
+"""
+import asyncio
+import json
+import time
+import urllib.parse
+
+
+class Endpoint:
+    """One database instance. Its log is a list of (term, number, attempt, item, data)."""
+
+    def __init__(self, name, group):
+        self.name, self.group = name, group
+        self.log, self.term, self.is_primary, self.alive = [], 1, False, True
+        self.lag_s, self.deaf, self.port, self.server, self.writers = 0.01, False, 0, None, set()
+        self.work_s = 0.002
+
+    def position(self):
+        return f"{self.log[-1][0]}.{self.log[-1][1]}" if self.log else f"{self.term}.0"
+
+    def covers(self, position):
+        term, number = (int(part) for part in position.split("."))
+        mine = (self.log[-1][0], self.log[-1][1]) if self.log else (0, 0)
+        if number == 0:
+            return True
+        return any(entry[0] == term and entry[1] == number for entry in self.log) and mine >= (term, number)
+
+
+class Group:
+    """The endpoints of one service, and the truth about them."""
+
+    def __init__(self, name, count):
+        self.name = name
+        self.endpoints = [Endpoint(f"i-{name}{number}", name) for number in range(1, count + 1)]
+        self.endpoints[0].is_primary = True
+        self.term, self.violations, self.commits, self.promotions = 1, [], {}, []
+        # Commits that a promotion rolled back, and acknowledged positions with their time.
+        self.rolled_back, self.acknowledged = set(), []
+
+    def leader(self):
+        return max((e for e in self.endpoints if e.is_primary), key=lambda e: e.term)
+
+    def say(self, text):
+        self.violations.append(text)
+
+    async def replicate(self):
+        while True:
+            leader = self.leader()
+            for endpoint in self.endpoints:
+                if endpoint is leader or not endpoint.alive or endpoint.deaf or not leader.alive:
+                    continue
+                if endpoint.is_primary and endpoint.term < leader.term:
+                    endpoint.is_primary = False
+                    self.cut_to_common(endpoint, leader)
+                endpoint.term = leader.term
+                now = time.monotonic()
+                visible = [entry for entry in leader.log if entry[5] + endpoint.lag_s <= now]
+                if len(visible) > len(endpoint.log):
+                    self.cut_to_common(endpoint, leader)
+                    endpoint.log = list(visible)
+            await asyncio.sleep(0.004)
+
+    def cut_to_common(self, endpoint, leader):
+        keep = 0
+        while keep < min(len(endpoint.log), len(leader.log)) and endpoint.log[keep][:3] == leader.log[keep][:3]:
+            keep += 1
+        endpoint.log = endpoint.log[:keep]
+
+    async def promote(self, name):
+        chosen = next((e for e in self.endpoints if e.name == name and e.alive), None)
+        if chosen is None:
+            return 409
+        if chosen is self.leader():
+            return 200
+        asyncio.create_task(self.take_effect(chosen))
+        return 200
+
+    async def take_effect(self, chosen):
+        await asyncio.sleep(0.3)
+        if not chosen.alive:
+            return
+        former = self.leader()
+        kept = {entry[2] for entry in chosen.log}
+        self.rolled_back |= {entry[2] for entry in former.log if entry[2] not in kept}
+        self.term += 1
+        chosen.term, chosen.is_primary = self.term, True
+        self.promotions.append((time.monotonic(), chosen.name, self.term))
+
+
+class Connection:
+    """One connection to an endpoint."""
+
+    def __init__(self, group, endpoint, reader, writer):
+        self.group, self.endpoint, self.reader, self.writer = group, endpoint, reader, writer
+        self.state, self.values, self.prepared, self.buffer = "I", {}, {}, []
+        self.plain, self.term = False, 0
+
+    def send(self, *lines):
+        position = self.endpoint.position()
+        text = "".join(line + "\r\n" for line in lines)
+        self.writer.write((text + f"READY {self.state} {position}\r\n").encode())
+
+    async def serve(self):
+        while True:
+            line = (await self.reader.readline()).decode()
+            if not line.endswith("\r\n") or not self.endpoint.alive:
+                return
+            word, _, rest = line[:-2].partition(" ")
+            if word == "CONNECT":
+                fields = rest.split(" ")
+                if fields[0] != self.group.name or (len(fields) > 2 and fields[2] != self.endpoint.name):
+                    self.writer.write(b"ERROR WRONGNODE -\r\n")
+                    return
+                await asyncio.sleep(0.002)
+                self.send()
+            elif word == "QUERY":
+                identity, _, text = rest.partition(" ")
+                await self.query(identity, text)
+            else:
+                return
+            await self.writer.drain()
+
+    async def query(self, identity, text):
+        verb, _, rest = text.partition(" ")
+        if verb == "WAITPOS":
+            position, _, text = rest.partition(" ")
+            verb, _, rest = text.partition(" ")
+            if not self.endpoint.covers(position):
+                return self.send("ERROR LAGGING -")
+        simple = {"STATUS": self.status, "RESET": self.reset, "SET": self.set_value, "PREPARE": self.prepare,
+                  "STEPDOWN": self.step_down, "BEGIN": self.begin, "ROLLBACK": self.rollback}
+        if verb in simple:
+            return simple[verb](rest)
+        await asyncio.sleep(self.endpoint.work_s)
+        if verb == "COMMIT":
+            return self.commit(identity)
+        return self.run(identity, verb, rest)
+
+    def status(self, _):
+        e = self.endpoint
+        role = "primary" if e.is_primary else "replica"
+        self.send(f"ROW {role} {e.term} {e.position()} 0 0 0 {len(e.writers)}", "COMPLETE -")
+
+    def reset(self, _):
+        self.values, self.prepared = {}, {}
+        self.send("COMPLETE -")
+
+    def set_value(self, rest):
+        name, _, value = rest.partition(" ")
+        self.values[name] = value
+        self.send("COMPLETE -")
+
+    def prepare(self, rest):
+        name, mode, shape = rest.split(" ", 2)
+        self.prepared[name] = (mode, shape)
+        self.send("COMPLETE -")
+
+    def step_down(self, rest):
+        if self.endpoint.is_primary and self.endpoint.term < int(rest):
+            self.endpoint.is_primary = False
+        self.status(rest)
+
+    def begin(self, rest):
+        self.plain = rest != "READ"
+        if self.plain and not self.endpoint.is_primary:
+            return self.send(f"ERROR READONLY {self.endpoint.name}")
+        self.state, self.term, self.buffer = "T", self.endpoint.term, []
+        return self.send("COMPLETE -")
+
+    def rollback(self, _):
+        self.state, self.buffer = "I", []
+        self.send("COMPLETE -")
+
+    def lost_lead(self):
+        return self.plain and self.state == "T" and not (self.endpoint.is_primary and self.endpoint.term == self.term)
+
+    def commit(self, identity):
+        if self.lost_lead() and self.buffer:
+            self.state, self.buffer = "I", []
+            return self.send("ERROR READONLY -")
+        for attempt, item, data in self.buffer:
+            self.append(attempt, item, data)
+        self.state, self.buffer = "I", []
+        return self.send(f"COMPLETE {self.signature(identity)}")
+
+    def run(self, identity, verb, rest):
+        mode = verb
+        if verb == "EXECUTE":
+            name, _, rest = rest.partition(" ")
+            if name not in self.prepared:
+                return self.send("ERROR NOSUCHSTMT -")
+            mode = self.prepared[name][0]
+        item, _, data = rest.partition(" ")
+        # Callers put the values that their session has into what they write and ask for.
+        wanted = item.partition("@")[2]
+        if wanted and wanted != ",".join(f"{k}={v}" for k, v in sorted(self.values.items())):
+            self.group.say(f"PINNED: {identity} wants {wanted}, the connection holds {self.values}")
+        if mode == "READ":
+            newest = [entry for entry in self.endpoint.log if entry[3] == item.partition("@")[0]]
+            value = newest[-1][4] if newest else "-"
+            return self.send(f"ROW {self.endpoint.position()} {value}", f"COMPLETE {self.signature(identity)}")
+        if not self.endpoint.is_primary or self.lost_lead():
+            return self.send("ERROR READONLY -")
+        attempt, _, value = data.partition("/")
+        if self.state == "T":
+            self.buffer.append((attempt, item.partition("@")[0], value))
+        else:
+            self.append(attempt, item.partition("@")[0], value)
+        return self.send(f"COMPLETE {self.signature(identity)}")
+
+    def append(self, attempt, item, value):
+        e = self.endpoint
+        number = (e.log[-1][1] if e.log else 0) + 1
+        if any(entry[2] == attempt for entry in e.log):
+            self.group.say(f"TWICE: {attempt} at {e.name}")
+        e.log.append((e.term, number, attempt, item, value, time.monotonic()))
+        self.group.commits[attempt] = (time.monotonic(), e.name, e.term, self.group.leader() is e)
+
+    def signature(self, identity):
+        return f"{identity}.{self.endpoint.name}"
+
+
+class Platform:
+    """The store and the promotion call, on one HTTP port."""
+
+    def __init__(self, groups):
+        self.groups = {group.name: group for group in groups}
+        self.objects, self.revision, self.changed = {}, 1, asyncio.Event()
+        # Faults: refuse (503), silent, and the share of writes whose answer is lost.
+        self.mode, self.lost_share, self.random = "up", 0.0, None
+        self.history = []
+
+    def put(self, kind, name, spec):
+        self.revision += 1
+        old = self.objects.get((kind, name))
+        meta = {"name": name, "revision": self.revision, "created": old["meta"]["created"] if old else self.revision,
+                "finalizers": [], "deletion_started": False}
+        self.objects[(kind, name)] = {"meta": meta, "spec": spec, "status": None}
+        self.history.append((self.revision, kind, {"object": self.objects[(kind, name)], "deleted": False}))
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.objects[(kind, name)]
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                first, *fields = head.split("\r\n")
+                headers = {f.split(":")[0].lower(): f.split(":", 1)[1].strip() for f in fields if ":" in f}
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                method, target, _ = first.split(" ")
+                if self.mode == "silent":
+                    await asyncio.sleep(3600)
+                status, answer = (503, {}) if self.mode == "refuse" else await self.handle(method, target, body)
+                if method in ("PUT", "POST") and self.random and self.random.random() < self.lost_share:
+                    return
+                data = json.dumps(answer).encode()
+                writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+                             f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def handle(self, method, target, body):
+        url = urllib.parse.urlsplit(target)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        parts = url.path.strip("/").split("/")
+        if parts == ["promotion"]:
+            order = json.loads(body)
+            return await self.groups[order["service"]].promote(order["id"]), {}
+        kind, name = parts[1], parts[2] if len(parts) > 2 else None
+        if method == "GET" and name:
+            found = self.objects.get((kind, name))
+            return (200, found) if found else (404, {})
+        if method == "GET" and "watch" in query:
+            return await self.watch(kind, int(query["watch"]), int(query["wait_ms"]) / 1000)
+        if method == "GET":
+            items = [o for (k, _), o in sorted(self.objects.items()) if k == kind]
+            return 200, {"items": items, "has_more": False, "as_of_rev": self.revision}
+        document = json.loads(body)
+        name = name or document["meta"]["name"]
+        found = self.objects.get((kind, name))
+        expected = document["meta"].get("revision")
+        if method == "POST" and found or (expected and (not found or found["meta"]["revision"] != expected)):
+            return 409, found or {}
+        return 200, self.put(kind, name, document["spec"])
+
+    async def watch(self, kind, since, wait_s):
+        end = time.monotonic() + wait_s
+        while True:
+            events = [event for revision, k, event in self.history if revision > since and k == kind]
+            if events or time.monotonic() >= end:
+                return 200, {"events": events, "as_of_rev": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), max(0.01, end - time.monotonic()))
+            except asyncio.TimeoutError:
+                pass
--- /dev/null
+++ b/tests/platform/decoders_test.cc
@@ -0,0 +1,80 @@
+#include "platform/decoders.h"
+
+#include <gtest/gtest.h>
+
+#include "common/error.h"
+#include "platform/store_client.h"
+
+namespace amaranthlane::platform {
+namespace {
+
+nlohmann::json Entry() {
+  return {{"service", "huvo11a"}, {"address", "10.128.0.9:8080"}, {"zone", "dub-a"},   {"version", "v1"},
+          {"slots", 5},           {"state", "ready"},             {"db_role", "replica"}, {"sequence", 4}};
+}
+
+nlohmann::json Config() {
+  return nlohmann::json::parse(R"({"version":7,"routes":[
+      {"name":"r-1","host":"lepu270","path_prefix":"/","route_type":"primary","timeout_ms":1000,"target_latency_ms":200,
+       "priority":0,"service":"huvo11a","max_attempts":2},
+      {"name":"r-2","host":"xapu221","route_type":"bounded_staleness","timeout_ms":3000,"target_latency_ms":1500,
+       "priority":5,"service":"huvo11a","max_staleness_ms":1500}],
+      "services":[{"name":"huvo11a","max_conns":34,"sync_replicas":1}],"limits":{"tx_idle_ms":3000}})");
+}
+
+TEST(Decoders, ReadAnEndpointsEntry) {
+  const failover::EndpointEntry entry = ParseEndpointEntry("i-1", Entry());
+  EXPECT_EQ(entry.group, "huvo11a");
+  EXPECT_EQ(entry.data_centre, "dub-a");
+  EXPECT_FALSE(entry.claims_primary);
+  EXPECT_FALSE(entry.draining);
+}
+
+// Entries of another writer name no endpoint to use.
+TEST(Decoders, RefuseAnEntryThatMisses) {
+  for (const char* key : {"service", "address", "slots", "state", "db_role"}) {
+    nlohmann::json entry = Entry();
+    entry.erase(key);
+    EXPECT_THROW(ParseEndpointEntry("i-1", entry), ParseError) << key;
+    entry[key] = nlohmann::json::array();
+    EXPECT_THROW(ParseEndpointEntry("i-1", entry), ParseError) << key;
+  }
+  nlohmann::json entry = Entry();
+  entry["state"] = "retired";
+  EXPECT_THROW(ParseEndpointEntry("i-1", entry), ParseError);
+  EXPECT_THROW(ParseEndpointEntry("i-1", "text"), ParseError);
+  EXPECT_THROW(ParseEndpointEntry("i-1", nullptr), ParseError);
+}
+
+TEST(Decoders, ReadTheConfiguration) {
+  const proxy::Configuration configuration = ParseConfiguration(Config());
+  EXPECT_EQ(configuration.version, 7U);
+  EXPECT_EQ(configuration.routes.at("lepu270").freshness, proxy::ReadFreshness::kPrimary);
+  EXPECT_EQ(configuration.routes.at("lepu270").rank, Rank::kUrgent);
+  EXPECT_EQ(configuration.routes.at("xapu221").rank, Rank::kBulk);
+  EXPECT_EQ(configuration.routes.at("xapu221").greatest_age, std::chrono::milliseconds(1500));
+  EXPECT_EQ(configuration.groups.at("huvo11a").connections, 34U);
+  EXPECT_EQ(configuration.groups.at("huvo11a").synchronous_replicas, 1U);
+}
+
+TEST(Decoders, RefuseAnUnknownKindOfRoute) {
+  nlohmann::json document = Config();
+  document["routes"][0]["route_type"] = "nearest";
+  EXPECT_THROW(ParseConfiguration(document), ParseError);
+}
+
+// One entry with bytes that aren't text must not hide the others.
+TEST(StoreBody, BytesThatAreNotTextAreReplaced) {
+  const nlohmann::json document = ParseBody("{\"items\":[\"good\",\"b\xff\xfe" "d\"]}");
+  EXPECT_EQ(document["items"][0], "good");
+  EXPECT_THROW(ParseBody("{\"items\":"), ParseError);
+}
+
+TEST(StoreBody, AnObjectNeedsItsNameAndRevision) {
+  EXPECT_EQ(ParseStoredObject({{"meta", {{"name", "main"}, {"revision", 4}}}, {"spec", nullptr}}).revision, 4U);
+  EXPECT_THROW(ParseStoredObject({{"meta", {{"name", "main"}}}}), ParseError);
+  EXPECT_THROW(ParseStoredObject({{"spec", 1}}), ParseError);
+}
+
+}  // namespace
+}  // namespace amaranthlane::platform
--- /dev/null
+++ b/tests/platform/line_codec_test.cc
@@ -0,0 +1,93 @@
+#include "platform/line_codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include "common/error.h"
+
+namespace amaranthlane::platform {
+namespace {
+
+using statements::FailureCode;
+using statements::Statement;
+using statements::StatementKind;
+
+const LineCodec kCodec;
+
+Statement ParseQuery(const std::string& text) {
+  return std::get<Statement>(kCodec.ParseCallerMessage("QUERY 5c0e " + text + "\r\n"));
+}
+
+TEST(LineCodec, AFrameEndsWithItsLine) {
+  EXPECT_EQ(kCodec.FrameLength("QUIT\r\nREST"), 6U);
+  EXPECT_EQ(kCodec.FrameLength("QUIT\r"), 0U);
+}
+
+TEST(LineCodec, ReadsEachStatement) {
+  EXPECT_EQ(ParseQuery("BEGIN").kind, StatementKind::kBegin);
+  EXPECT_EQ(ParseQuery("BEGIN READ").kind, StatementKind::kBeginReadOnly);
+  EXPECT_EQ(ParseQuery("COMMIT").kind, StatementKind::kCommit);
+  EXPECT_EQ(ParseQuery("ROLLBACK").kind, StatementKind::kRollback);
+  EXPECT_EQ(ParseQuery("READ 1a4").kind, StatementKind::kRead);
+  EXPECT_EQ(ParseQuery("WRITE 1a4 some data").kind, StatementKind::kWrite);
+  EXPECT_EQ(ParseQuery("DEALLOC s1").name, "s1");
+  const Statement set = ParseQuery("SET zone a b");
+  EXPECT_EQ(set.name, "zone");
+  EXPECT_EQ(set.argument, "a b");
+  const Statement prepare = ParseQuery("PREPARE s1 WRITE q2c");
+  EXPECT_TRUE(prepare.writes);
+  EXPECT_EQ(prepare.argument, "q2c");
+}
+
+TEST(LineCodec, RefusesWhatIsNoMessage) {
+  for (const char* line : {"\r\n", "QUERY\r\n", "QUERY x\r\n", "QUERY - READ a\r\n", "CONNECT\r\n", "QUERY x BEGIN now\r\n",
+                           "QUERY x PREPARE s READ\r\n", "QUERY x DROP all\r\n", "READ a\n", "QUERY x WAITPOS 1.2 READ a\r\n"}) {
+    EXPECT_TRUE(std::holds_alternative<proxy::MalformedMessage>(kCodec.ParseCallerMessage(line))) << line;
+  }
+}
+
+TEST(LineCodec, ForwardsIdAndTextUnchanged) {
+  EXPECT_EQ(kCodec.Forward(ParseQuery("WRITE 1a4 x  y "), std::nullopt, ""), "QUERY 5c0e WRITE 1a4 x  y \r\n");
+  EXPECT_EQ(kCodec.Forward(ParseQuery("READ 1a4"), LogPosition{3, 1207}, ""), "QUERY 5c0e WAITPOS 3.1207 READ 1a4\r\n");
+  EXPECT_EQ(kCodec.Forward(ParseQuery("EXECUTE s1 1a4 x y"), std::nullopt, "w_q"), "QUERY 5c0e EXECUTE w_q 1a4 x y\r\n");
+}
+
+TEST(LineCodec, ReadsAnEndpointsAnswer) {
+  const proxy::EndpointMessage failure = kCodec.ParseEndpointMessage("ERROR READONLY i-7f3a\r\n");
+  EXPECT_EQ(failure.kind, proxy::EndpointMessage::Kind::kFailure);
+  EXPECT_EQ(failure.code, FailureCode::kReadOnly);
+  const proxy::EndpointMessage ready = kCodec.ParseEndpointMessage("READY T 3.1209\r\n");
+  EXPECT_EQ(ready.state, statements::SessionState::kInTransaction);
+  EXPECT_EQ(ready.position, (LogPosition{3, 1209}));
+  EXPECT_EQ(kCodec.ParseEndpointMessage("READY I -\r\n").position, std::nullopt);
+  EXPECT_EQ(kCodec.ParseEndpointMessage("READY X -\r\n").kind, proxy::EndpointMessage::Kind::kMalformed);
+}
+
+// An unknown code promises nothing.
+TEST(LineCodec, AnUnknownCodeMayHaveRun) {
+  EXPECT_FALSE(statements::DidNotRun(kCodec.ParseEndpointMessage("ERROR NEWCODE x\r\n").code));
+}
+
+TEST(LineCodec, ReadsAStatus) {
+  const failover::EndpointStatus status = kCodec.ParseStatus("replica 3 3.1209 0 12 2 17");
+  EXPECT_FALSE(status.is_primary);
+  EXPECT_EQ(status.term, 3U);
+  EXPECT_EQ(status.position, (LogPosition{3, 1209}));
+  EXPECT_EQ(status.connections, 17U);
+  EXPECT_THROW(kCodec.ParseStatus("leader 3 3.1 0 0 0 0"), ParseError);
+  EXPECT_THROW(kCodec.ParseStatus("primary 3"), ParseError);
+}
+
+// Whatever a caller sends as a statement's text goes on as it came.
+TEST(LineCodec, AnyReadOrWriteKeepsItsText) {
+  const bool passed = rc::check("any read or write keeps its text", [] {
+    const auto item = *rc::gen::container<std::string>(rc::gen::inRange<char>('!', '~'));
+    RC_PRE(!item.empty());
+    const std::string text = (*rc::gen::arbitrary<bool>() ? "READ " : "WRITE ") + item;
+    RC_ASSERT(kCodec.Forward(ParseQuery(text), std::nullopt, "") == "QUERY 5c0e " + text + "\r\n");
+  });
+  EXPECT_TRUE(passed);
+}
+
+}  // namespace
+}  // namespace amaranthlane::platform
