Pass configuration and directory between VMs

Ruled out: silent watches (the store answered 503), the members (two of three knew the version). Change: beats and replies tell the configuration's version and the directory's revision and digest; a VM fetches what a peer has newer. The refresh from the store that this replaces is gone.

--- a/fuzz/process_parse_functions.cc
+++ b/fuzz/process_parse_functions.cc
@@ -9,6 +9,7 @@
 #include "platform/decoders.h"
 #include "platform/line_codec.h"
 #include "platform/store_client.h"
+#include "proxy/knowledge_messages.h"
 #include "round_trip.h"
 #include "tracing/trace_context.h"
 
@@ -152,6 +153,15 @@
       {"EndpointsLine",
        ParseEndpointsLine,
        {"ROW x y\r\n", "COMPLETE 7.1f\r\n", "ERROR LAGGING x\r\n", "READY T 3.1209\r\n"}},
+      {"ConfigurationMessage",
+       ParseOnly<proxy::ParseConfigurationMessage>,
+       {R"({"version":3,"routes":[{"name":"r","database":"d","group":"g","freshness":2,"greatest_age_ms":5,"rank":1,
+          "statement_limit_ms":9,"target_ms":4}],"groups":[{"name":"g","connections":3,"synchronous_replicas":0}],
+          "idle_transaction_limit_ms":7})"}},
+      {"DirectoryMessage",
+       ParseOnly<proxy::ParseDirectoryMessage>,
+       {R"({"revision":3,"endpoints":[{"name":"e","group":"g","address":"127.0.0.1:1","data_centre":"d",
+          "draining":false,"claims_primary":true,"slots":5,"born":0}]})"}},
       {"StatusRow", ParseStatusRow, {"replica 3 3.1209 0 12 2 17"}},
       {"StoreObject", ParseStoreObject, {R"({"meta":{"name":"a","revision":4},"spec":{"x":1},"status":null})"}},
       {"PlatformEntry",
--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -83,7 +83,7 @@
   beat.busy = this->report.busy;
   beat.suspects = this->report.suspects;
   beat.leaving = this->report.leaving;
-  beat.configuration_version = this->report.configuration_version;
+  beat.store = this->report.store;
   actions.emplace_back(SendBeat{member, std::move(beat)});
 }
 
@@ -92,11 +92,10 @@
     this->Adopt(*beat.record, "beat of " + beat.vm, now, actions);
   }
   LedgerEntry& entry = this->ledger.Note(beat, now);
-  this->newest_configuration = std::max(this->newest_configuration, beat.configuration_version);
   BeatReply reply;
   reply.vm = this->self.vm;
   reply.incarnation = this->self.incarnation;
-  reply.configuration_version = this->newest_configuration;
+  reply.store = this->report.store;
   reply.fleet_size = this->FleetSize();
   reply.wants_relief = this->relief_wanted;
   reply.store_silence = now - this->last_store_contact;
@@ -125,7 +124,6 @@
   contact.version = reply.version;
   contact.wants_relief = reply.wants_relief;
   contact.fleet_size = reply.fleet_size;
-  this->newest_configuration = std::max(this->newest_configuration, reply.configuration_version);
   const std::uint64_t asked_version = this->record ? this->record->version : 0;
   if (reply.promised && this->record && reply.version == this->record->version) {
     this->rights.Add(member, this->record->epoch, sent_at, reply.store_silence);
@@ -297,7 +295,6 @@
   const bool changed = update.busy != this->report.busy || update.suspects != this->report.suspects ||
                        update.leaving != this->report.leaving;
   this->report = update;
-  this->newest_configuration = std::max(this->newest_configuration, update.configuration_version);
   if (!changed || !this->record) {
     return;
   }
@@ -411,8 +408,6 @@
   return size;
 }
 
-std::uint64_t CoordinationSystem::NewestConfiguration() const { return this->newest_configuration; }
-
 const PromiseLedger& CoordinationSystem::Ledger() const { return this->ledger; }
 
 bool CoordinationSystem::Silent(const VmName& member, Duration limit, TimePoint now) const {
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -62,7 +62,7 @@
   std::vector<GroupName> reaches;
   bool leaving = false;
   std::string fleet_digest;
-  std::uint64_t configuration_version = 0;
+  StoreKnowledge store;
 };
 
 // How a conditional write ended.
@@ -127,8 +127,6 @@
   // True when the store hasn't settled a write for long.
   bool WriteStuck(TimePoint now) const;
   std::size_t FleetSize() const;
-  // The newest version of the configuration that any VM is known to act on.
-  std::uint64_t NewestConfiguration() const;
   const PromiseLedger& Ledger() const;
 
  private:
@@ -190,7 +188,6 @@
   std::map<GroupName, std::uint64_t> serving_since;
   TimePoint next_repair;
   bool relief_wanted = false;
-  std::uint64_t newest_configuration = 0;
 };
 
 }  // namespace amaranthlane::coordination
--- a/source/core/coordination/messages.cc
+++ b/source/core/coordination/messages.cc
@@ -32,6 +32,18 @@
   return known;
 }
 
+nlohmann::json ToJson(const StoreKnowledge& store) {
+  return {{"configuration_version", store.configuration_version},
+          {"directory_revision", store.directory_revision},
+          {"directory_digest", store.directory_digest}};
+}
+
+StoreKnowledge ParseStoreKnowledge(const nlohmann::json& document) {
+  const json::ObjectReader reader(document, "store knowledge");
+  return {reader.Unsigned("configuration_version"), reader.Unsigned("directory_revision"),
+          reader.String("directory_digest")};
+}
+
 }  // namespace
 
 nlohmann::json ToJson(const Beat& beat) {
@@ -46,7 +58,7 @@
                              {"reaches", beat.reaches},
                              {"fleet_digest", beat.fleet_digest},
                              {"leaving", beat.leaving},
-                             {"configuration_version", beat.configuration_version}};
+                             {"store", ToJson(beat.store)}};
   if (beat.record) {
     document["record"] = ToJson(*beat.record);
   }
@@ -67,7 +79,7 @@
   beat.reaches = reader.Strings("reaches");
   beat.fleet_digest = reader.String("fleet_digest");
   beat.leaving = reader.Bool("leaving");
-  beat.configuration_version = reader.Unsigned("configuration_version");
+  beat.store = ParseStoreKnowledge(reader.Object("store"));
   beat.record = ParseOptionalRecord(reader);
   return beat;
 }
@@ -80,8 +92,7 @@
                              {"store_silence_ms", Milliseconds(reply.store_silence)},
                              {"wants_relief", reply.wants_relief},
                              {"fleet_size", reply.fleet_size},
-                             {"configuration_version", reply.configuration_version},
-                             {"directory_digest", reply.knowledge.directory_digest},
+                             {"store", ToJson(reply.store)},
                              {"positions", nlohmann::json::array()}};
   for (const KnownPosition& known : reply.knowledge.positions) {
     // Ages are rounded up: a position must never seem fresher than it is.
@@ -112,8 +123,7 @@
   reply.store_silence = reader.Milliseconds("store_silence_ms");
   reply.wants_relief = reader.Bool("wants_relief");
   reply.fleet_size = reader.Unsigned("fleet_size");
-  reply.configuration_version = reader.Unsigned("configuration_version");
-  reply.knowledge.directory_digest = reader.String("directory_digest");
+  reply.store = ParseStoreKnowledge(reader.Object("store"));
   for (const nlohmann::json& known : reader.Array("positions")) {
     reply.knowledge.positions.push_back(ParseKnownPosition(known));
   }
--- a/source/core/coordination/messages.h
+++ b/source/core/coordination/messages.h
@@ -22,6 +22,17 @@
   Duration age{};
 };
 
+// What a VM has of the store's content.
+struct StoreKnowledge {
+  // The version of the configuration that it acts on.
+  std::uint64_t configuration_version = 0;
+  // The store's revision at which its directory of endpoints was read, and a digest of that directory.
+  ObjectVersion directory_revision = 0;
+  std::string directory_digest;
+
+  bool operator==(const StoreKnowledge&) const = default;
+};
+
 // A VM asks a member for a promise, and tells what it knows and does.
 struct Beat {
   VmName vm;
@@ -43,16 +54,13 @@
   bool leaving = false;
   // The fleet that the sender knows.
   std::string fleet_digest;
-  // The version of the configuration that the sender acts on.
-  std::uint64_t configuration_version = 0;
+  StoreKnowledge store;
 };
 
 // What a member tells beside its promise. Ages count up to the sending of the reply, so the asker may take what it
 // reads as known at the time that it sent its beat, less the age.
 struct MemberKnowledge {
   std::vector<KnownPosition> positions;
-  // A digest of the directory of endpoints, so that a VM whose watch went silent notices.
-  std::string directory_digest;
   // The VMs that are alive; empty when the asker knows them.
   std::vector<carriers::FleetVm> fleet;
 };
@@ -71,7 +79,7 @@
   bool wants_relief = false;
   // VMs that beat to this member lately.
   std::uint64_t fleet_size = 0;
-  std::uint64_t configuration_version = 0;
+  StoreKnowledge store;
   MemberKnowledge knowledge;
 };
 
--- /dev/null
+++ b/source/proxy/knowledge_messages.cc
@@ -0,0 +1,122 @@
+#include "proxy/knowledge_messages.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "common/error.h"
+#include "common/json.h"
+
+namespace amaranthlane::proxy {
+
+namespace {
+
+constexpr char kConfigurationDocument[] = "configuration message";
+constexpr char kDirectoryDocument[] = "directory message";
+
+std::uint64_t Milliseconds(Duration duration) {
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+template <typename Choice>
+Choice ParseChoice(const json::ObjectReader& reader, const char* key, Choice last) {
+  const std::uint64_t number = reader.Unsigned(key);
+  if (number > static_cast<std::uint64_t>(last)) {
+    throw ParseError(kConfigurationDocument, key, "a known choice");
+  }
+  return static_cast<Choice>(number);
+}
+
+Route ParseRouteMessage(const nlohmann::json& document) {
+  const json::ObjectReader reader(document, kConfigurationDocument);
+  Route route;
+  route.name = reader.String("name");
+  route.database = reader.String("database");
+  route.group = reader.String("group");
+  route.freshness = ParseChoice(reader, "freshness", ReadFreshness::kOwnWrites);
+  route.greatest_age = reader.Milliseconds("greatest_age_ms");
+  route.rank = ParseChoice(reader, "rank", Rank::kBulk);
+  route.statement_limit = reader.Milliseconds("statement_limit_ms");
+  route.target = reader.Milliseconds("target_ms");
+  return route;
+}
+
+}  // namespace
+
+nlohmann::json ToJson(const Configuration& configuration) {
+  nlohmann::json routes = nlohmann::json::array();
+  for (const auto& [database, route] : configuration.routes) {
+    routes.push_back({{"name", route.name},
+                      {"database", database},
+                      {"group", route.group},
+                      {"freshness", static_cast<unsigned>(route.freshness)},
+                      {"greatest_age_ms", Milliseconds(route.greatest_age)},
+                      {"rank", static_cast<unsigned>(route.rank)},
+                      {"statement_limit_ms", Milliseconds(route.statement_limit)},
+                      {"target_ms", Milliseconds(route.target)}});
+  }
+  nlohmann::json groups = nlohmann::json::array();
+  for (const auto& [name, limits] : configuration.groups) {
+    groups.push_back(
+        {{"name", name}, {"connections", limits.connections}, {"synchronous_replicas", limits.synchronous_replicas}});
+  }
+  return {{"version", configuration.version},
+          {"routes", routes},
+          {"groups", groups},
+          {"idle_transaction_limit_ms", Milliseconds(configuration.idle_transaction_limit)}};
+}
+
+Configuration ParseConfigurationMessage(const nlohmann::json& document) {
+  const json::ObjectReader reader(document, kConfigurationDocument);
+  Configuration configuration;
+  configuration.version = reader.Unsigned("version");
+  for (const nlohmann::json& entry : reader.Array("routes")) {
+    Route route = ParseRouteMessage(entry);
+    configuration.routes[route.database] = std::move(route);
+  }
+  for (const nlohmann::json& entry : reader.Array("groups")) {
+    const json::ObjectReader group(entry, kConfigurationDocument);
+    configuration.groups[group.String("name")] = {group.Unsigned("connections"),
+                                                  group.Unsigned("synchronous_replicas")};
+  }
+  configuration.idle_transaction_limit = reader.Milliseconds("idle_transaction_limit_ms");
+  return configuration;
+}
+
+nlohmann::json ToJson(const KnownDirectory& directory) {
+  nlohmann::json entries = nlohmann::json::array();
+  for (const auto& [name, entry] : directory.endpoints) {
+    entries.push_back({{"name", name},
+                       {"group", entry.group},
+                       {"address", entry.address},
+                       {"data_centre", entry.data_centre},
+                       {"draining", entry.draining},
+                       {"claims_primary", entry.claims_primary},
+                       {"slots", entry.slots},
+                       {"born", entry.born}});
+  }
+  return {{"revision", directory.revision}, {"endpoints", entries}};
+}
+
+KnownDirectory ParseDirectoryMessage(const nlohmann::json& document) {
+  const json::ObjectReader reader(document, kDirectoryDocument);
+  KnownDirectory directory;
+  directory.revision = reader.Unsigned("revision");
+  for (const nlohmann::json& item : reader.Array("endpoints")) {
+    const json::ObjectReader member(item, kDirectoryDocument);
+    failover::EndpointEntry entry;
+    entry.name = member.String("name");
+    entry.group = member.String("group");
+    entry.address = member.String("address");
+    entry.data_centre = member.String("data_centre");
+    entry.draining = member.Bool("draining");
+    entry.claims_primary = member.Bool("claims_primary");
+    entry.slots = member.Unsigned("slots");
+    entry.born = member.Unsigned("born");
+    directory.endpoints.emplace(entry.name, entry);
+  }
+  return directory;
+}
+
+}  // namespace amaranthlane::proxy
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -18,7 +18,6 @@
 constexpr double kTransactionShare = 0.5;
 // What is left of the grace period when the process ends whatever is still open.
 constexpr std::chrono::milliseconds kReserve{400};
-constexpr std::chrono::milliseconds kRefreshInterval{500};
 constexpr int kListenBacklog = 512;
 constexpr double kStatementLinesPerSecond = 40;
 constexpr double kStatementLinesBurst = 200;
@@ -85,7 +84,7 @@
   this->readiness_server.Start();
   this->peers_server.Start();
   this->platform.FollowConfiguration([this](Configuration update) { this->OnConfiguration(std::move(update)); });
-  this->platform.FollowDirectory([this](failover::EndpointDirectory update) { this->OnDirectory(std::move(update)); });
+  this->platform.FollowDirectory([this](KnownDirectory update) { this->OnDirectory(std::move(update)); });
   logging::Write(logging::Level::kInfo, "started",
                  {{"callers", this->settings.callers_address}, {"peers", this->settings.peers_address}});
   this->Accept(this->acceptor, true);
@@ -134,13 +133,6 @@
   for (const auto& session : all) {
     session->Tick(now);
   }
-  const std::uint64_t own = this->configuration ? this->configuration->version : 0;
-  if (this->coordination.NewestConfiguration() > own && now >= this->next_refresh) {
-    this->next_refresh = now + kRefreshInterval;
-    logging::Write(logging::Level::kInfo, "a peer acts on a newer configuration",
-                   {{"own_version", own}, {"newest_version", this->coordination.NewestConfiguration()}});
-    this->platform.RefreshConfiguration();
-  }
 }
 
 void Node::Shutdown() {
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -70,7 +70,7 @@
   void OnConfiguration(Configuration update);
 
   // node_endpoints.cc
-  void OnDirectory(failover::EndpointDirectory update);
+  void OnDirectory(KnownDirectory update);
   void TickEndpoints(TimePoint now);
   void AddEndpoint(const failover::EndpointEntry& entry, TimePoint now);
   PoolEvents EventsOf(const failover::EndpointEntry& entry);
@@ -93,7 +93,12 @@
   void AnswerPeer(const net::HttpRequest& request, const net::HttpServer::Answer& answer);
   // What to tell a VM that knows the fleet of this digest.
   coordination::MemberKnowledge Knowledge(const std::string& known_fleet, TimePoint now) const;
-  void OnKnowledge(const coordination::MemberKnowledge& knowledge, TimePoint asked_at, TimePoint now);
+  void OnKnowledge(const coordination::MemberKnowledge& knowledge, TimePoint asked_at);
+  // Fetches from a peer what it has newer than this VM.
+  void CatchUpWith(const std::string& address, const coordination::StoreKnowledge& store, TimePoint now);
+  void Fetch(const std::string& address, const char* target, TimePoint now,
+             std::function<void(const nlohmann::json&)> apply);
+  coordination::StoreKnowledge OwnStoreKnowledge() const;
   void OnRecordAdopted(const std::string& source);
   net::HttpPool& PeerPool(const std::string& address);
 
@@ -115,9 +120,8 @@
   std::optional<Configuration> configuration;
   std::map<EndpointName, KnownEndpoint> endpoints;
   bool directory_known = false;
+  KnownDirectory directory;
   std::string directory_digest;
-  // Since when a member knows another directory.
-  std::optional<TimePoint> directory_differs_since;
   std::map<GroupName, std::unique_ptr<Dispatcher>> dispatchers;
 
   coordination::CoordinationSystem coordination;
@@ -136,7 +140,8 @@
 
   std::optional<TimePoint> shutdown_at;
   TimePoint next_session_tick;
-  TimePoint next_refresh;
+  TimePoint next_configuration_fetch;
+  TimePoint next_directory_fetch;
   logging::Budget statement_lines;
   logging::Budget belief_lines;
 };
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -12,15 +12,16 @@
 
 constexpr char kBeatTarget[] = "/peer/beat";
 constexpr char kNoticeTarget[] = "/peer/notice";
+constexpr char kConfigurationTarget[] = "/peer/configuration";
+constexpr char kDirectoryTarget[] = "/peer/directory";
+// How often the same kind of knowledge is fetched from peers.
+constexpr std::chrono::milliseconds kFetchInterval{250};
 constexpr std::size_t kConnectionsPerPeer = 2;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
 // How long statements that are under way at a primary that leaves may go on. One that is out of reach gets none.
 constexpr std::chrono::milliseconds kReleaseLimit{1500};
 
-// How long this VM's directory may differ from a member's; usually one of them hears of a change a little later.
-constexpr std::chrono::milliseconds kDirectoryPatience{900};
-
 // How often members look who is alive, and how recently a VM must have sent a beat for that.
 constexpr std::chrono::milliseconds kFleetInterval{300};
 constexpr std::chrono::milliseconds kAliveWithin{1400};
@@ -80,7 +81,7 @@
   coordination::LocalReport report;
   report.leaving = this->shutdown_at.has_value();
   report.fleet_digest = this->fleet_digest;
-  report.configuration_version = this->configuration ? this->configuration->version : 0;
+  report.store = this->OwnStoreKnowledge();
   const coordination::CoordinationRecord* record = this->coordination.Record();
   if (record == nullptr) {
     return report;
@@ -133,7 +134,7 @@
   const VmName member = action.member.vm;
   this->PeerPool(action.member.address)
       .Call(PostJson(kBeatTarget, ToJson(action.beat)), sent_at + coordination::CoordinationSettings{}.answer_limit,
-            [this, member, sent_at](const net::CallResult& result) {
+            [this, member, address = action.member.address, sent_at](const net::CallResult& result) {
               const TimePoint now = BootClock::now();
               coordination::Actions actions;
               try {
@@ -144,7 +145,8 @@
                 const coordination::BeatReply reply =
                     coordination::ParseBeatReply(json::Parse(result.response.body, "beat reply"));
                 this->coordination.OnBeatReply(member, reply, sent_at, now, actions);
-                this->OnKnowledge(reply.knowledge, sent_at, now);
+                this->OnKnowledge(reply.knowledge, sent_at);
+                this->CatchUpWith(address, reply.store, now);
               } catch (const ParseError& failure) {
                 logging::Write(logging::Level::kWarning, "peer's reply makes no sense",
                                {{"vm", member}, {"why", failure.what()}});
@@ -160,7 +162,6 @@
   if (record != nullptr && record->IsMember(this->settings.vm) && known_fleet != this->fleet_digest) {
     knowledge.fleet = this->fleet;
   }
-  knowledge.directory_digest = this->directory_digest;
   for (const auto& [group, dispatcher] : this->dispatchers) {
     const std::optional<LogPosition> newest = dispatcher->History().Newest();
     if (newest) {
@@ -170,7 +171,7 @@
   return knowledge;
 }
 
-void Node::OnKnowledge(const coordination::MemberKnowledge& knowledge, TimePoint asked_at, TimePoint now) {
+void Node::OnKnowledge(const coordination::MemberKnowledge& knowledge, TimePoint asked_at) {
   for (const coordination::KnownPosition& known : knowledge.positions) {
     Dispatcher* dispatcher = this->FindDispatcher(known.group);
     if (dispatcher != nullptr) {
@@ -181,19 +182,57 @@
   if (!knowledge.fleet.empty() && record != nullptr && !record->IsMember(this->settings.vm)) {
     this->UpdateFleet(knowledge.fleet);
   }
-  if (!this->directory_known || knowledge.directory_digest.empty() ||
-      knowledge.directory_digest == this->directory_digest) {
-    this->directory_differs_since.reset();
-  } else if (!this->directory_differs_since) {
-    this->directory_differs_since = now;
-  } else if (now > *this->directory_differs_since + kDirectoryPatience) {
-    this->directory_differs_since = now;
-    logging::Write(logging::Level::kInfo, "a member knows another directory; reading it anew",
-                   {{"own_digest", this->directory_digest}, {"member_digest", knowledge.directory_digest}});
-    this->platform.RefreshDirectory();
+}
+
+coordination::StoreKnowledge Node::OwnStoreKnowledge() const {
+  return {this->configuration ? this->configuration->version : 0, this->directory.revision, this->directory_digest};
+}
+
+void Node::CatchUpWith(const std::string& address, const coordination::StoreKnowledge& store, TimePoint now) {
+  const coordination::StoreKnowledge own = this->OwnStoreKnowledge();
+  if (store.configuration_version > own.configuration_version && now >= this->next_configuration_fetch) {
+    this->next_configuration_fetch = now + kFetchInterval;
+    logging::Write(logging::Level::kInfo, "a peer acts on a newer configuration",
+                   {{"peer", address},
+                    {"own_version", own.configuration_version},
+                    {"peer_version", store.configuration_version}});
+    this->Fetch(address, kConfigurationTarget, now, [this](const nlohmann::json& document) {
+      this->OnConfiguration(ParseConfigurationMessage(document));
+    });
+  }
+  const bool newer = store.directory_revision > own.directory_revision && !store.directory_digest.empty();
+  if (newer && store.directory_digest != own.directory_digest && now >= this->next_directory_fetch) {
+    this->next_directory_fetch = now + kFetchInterval;
+    logging::Write(logging::Level::kInfo, "a peer knows a newer directory",
+                   {{"peer", address},
+                    {"own_revision", own.directory_revision},
+                    {"peer_revision", store.directory_revision}});
+    this->Fetch(address, kDirectoryTarget, now,
+                [this](const nlohmann::json& document) { this->OnDirectory(ParseDirectoryMessage(document)); });
   }
 }
 
+void Node::Fetch(const std::string& address, const char* target, TimePoint now,
+                 std::function<void(const nlohmann::json&)> apply) {
+  net::HttpRequest request;
+  request.method = "GET";
+  request.target = target;
+  this->PeerPool(address).Call(
+      std::move(request), now + coordination::CoordinationSettings{}.answer_limit,
+      [apply = std::move(apply), address](const net::CallResult& result) {
+        if (result.status != net::CallStatus::kAnswered || result.response.status != net::HttpResponse{}.status) {
+          // The next beat tells again what the peer has.
+          return;
+        }
+        try {
+          apply(json::Parse(result.response.body, "peer's knowledge"));
+        } catch (const ParseError& failure) {
+          logging::Write(logging::Level::kWarning, "a peer's knowledge makes no sense",
+                         {{"peer", address}, {"why", failure.what()}});
+        }
+      });
+}
+
 void Node::PerformNotice(const coordination::SendNotice& action) {
   const TimePoint deadline = BootClock::now() + coordination::CoordinationSettings{}.answer_limit;
   // A VM that misses the notice hears of the record with its next beat.
@@ -297,7 +336,12 @@
       const coordination::Beat beat = coordination::ParseBeat(json::Parse(request.body, "beat"));
       coordination::BeatReply reply = this->coordination.OnBeat(beat, now, actions);
       reply.knowledge = this->Knowledge(beat.fleet_digest, now);
+      this->CatchUpWith(beat.address, beat.store, now);
       response.body = ToJson(reply).dump();
+    } else if (request.target == kConfigurationTarget && this->configuration) {
+      response.body = ToJson(*this->configuration).dump();
+    } else if (request.target == kDirectoryTarget && this->directory_known) {
+      response.body = ToJson(this->directory).dump();
     } else if (request.target == kNoticeTarget) {
       this->coordination.OnNotice(coordination::ParseCoordinationRecord(json::Parse(request.body, "notice")), now,
                                   actions);
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -28,8 +28,17 @@
 
 }  // namespace
 
-void Node::OnDirectory(failover::EndpointDirectory update) {
+void Node::OnDirectory(KnownDirectory newer) {
+  if (this->directory_known && newer.revision < this->directory.revision) {
+    return;
+  }
+  const bool same = this->directory_known && newer.endpoints == this->directory.endpoints;
+  this->directory = std::move(newer);
+  if (same) {
+    return;
+  }
   const TimePoint now = BootClock::now();
+  const failover::EndpointDirectory& update = this->directory.endpoints;
   this->directory_known = true;
   this->directory_digest = failover::DirectoryDigest(update);
   for (const auto& [name, entry] : update) {
--- a/source/proxy/services.h
+++ b/source/proxy/services.h
@@ -8,6 +8,7 @@
 #include "core/failover/endpoint_status.h"
 #include "core/failover/primary_change_system.h"
 #include "proxy/configuration.h"
+#include "proxy/knowledge_messages.h"
 
 // What the proxy needs from the platform. Callbacks run later on the event loop's thread, once each.
 namespace amaranthlane::proxy {
@@ -19,7 +20,7 @@
   using RecordWritten = std::function<void(coordination::WriteResult result, ObjectVersion revision)>;
   using Promoted = std::function<void(failover::PromotionResult result)>;
   using ConfigurationChanged = std::function<void(Configuration configuration)>;
-  using DirectoryChanged = std::function<void(failover::EndpointDirectory directory)>;
+  using DirectoryChanged = std::function<void(KnownDirectory directory)>;
 
   virtual ~PlatformServices() = default;
 
@@ -27,12 +28,10 @@
   virtual void WriteRecord(const coordination::CoordinationRecord& record, ObjectVersion expected_revision,
                            RecordWritten callback) = 0;
   virtual void Promote(const failover::OrderPromotion& order, const VmName& holder, Promoted callback) = 0;
-  // Follow the configuration and the directory of endpoints for as long as the process lives.
+  // Follow the configuration and the directory of endpoints for as long as the process lives. The directory is told with
+  // each answer of the store, also when only its revision is new.
   virtual void FollowConfiguration(ConfigurationChanged callback) = 0;
   virtual void FollowDirectory(DirectoryChanged callback) = 0;
-  // Read the configuration or the directory at once: a peer knows a newer one.
-  virtual void RefreshConfiguration() = 0;
-  virtual void RefreshDirectory() = 0;
   // Watches may wait for long: a peer will tell when this VM has missed something. Otherwise they end soon, so that one
   // that went silent is noticed.
   virtual void SetPatientWatches(bool patient) = 0;
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -8,9 +8,18 @@
 namespace amaranthlane::platform {
 namespace {
 
+// As it comes from the store: numbers that C++ would take for signed ones are whole and unsigned there.
+nlohmann::json AsRead(const nlohmann::json& document) { return nlohmann::json::parse(document.dump()); }
+
 nlohmann::json Entry() {
-  return {{"service", "huvo11a"}, {"address", "10.128.0.9:8080"}, {"zone", "dub-a"},   {"version", "v1"},
-          {"slots", 5},           {"state", "ready"},             {"db_role", "replica"}, {"sequence", 4}};
+  return AsRead({{"service", "huvo11a"},
+                 {"address", "10.128.0.9:8080"},
+                 {"zone", "dub-a"},
+                 {"version", "v1"},
+                 {"slots", 5},
+                 {"state", "ready"},
+                 {"db_role", "replica"},
+                 {"sequence", 4}});
 }
 
 nlohmann::json Config() {
@@ -65,13 +74,15 @@
 
 // One entry with bytes that aren't text must not hide the others.
 TEST(StoreBody, BytesThatAreNotTextAreReplaced) {
-  const nlohmann::json document = ParseBody("{\"items\":[\"good\",\"b\xff\xfe" "d\"]}");
+  const nlohmann::json document = ParseBody(
+      "{\"items\":[\"good\",\"b\xff\xfe"
+      "d\"]}");
   EXPECT_EQ(document["items"][0], "good");
   EXPECT_THROW(ParseBody("{\"items\":"), ParseError);
 }
 
 TEST(StoreBody, AnObjectNeedsItsNameAndRevision) {
-  EXPECT_EQ(ParseStoredObject({{"meta", {{"name", "main"}, {"revision", 4}}}, {"spec", nullptr}}).revision, 4U);
+  EXPECT_EQ(ParseStoredObject(AsRead({{"meta", {{"name", "main"}, {"revision", 4}}}, {"spec", nullptr}})).revision, 4U);
   EXPECT_THROW(ParseStoredObject({{"meta", {{"name", "main"}}}}), ParseError);
   EXPECT_THROW(ParseStoredObject({{"spec", 1}}), ParseError);
 }
--- /dev/null
+++ b/tests/proxy/knowledge_messages_test.cc
@@ -0,0 +1,53 @@
+#include "proxy/knowledge_messages.h"
+
+#include <gtest/gtest.h>
+
+#include "common/error.h"
+#include "common/json.h"
+
+namespace amaranthlane::proxy {
+namespace {
+
+TEST(KnowledgeMessages, AConfigurationSurvives) {
+  Configuration configuration;
+  configuration.version = 9;
+  Route route;
+  route.name = "r";
+  route.database = "d";
+  route.group = "g";
+  route.freshness = ReadFreshness::kOwnWrites;
+  route.greatest_age = std::chrono::milliseconds(1500);
+  route.rank = Rank::kUrgent;
+  configuration.routes["d"] = route;
+  configuration.groups["g"] = {34, 1};
+  const Configuration read = ParseConfigurationMessage(ToJson(configuration));
+  EXPECT_EQ(read.version, 9U);
+  EXPECT_EQ(read.routes, configuration.routes);
+  EXPECT_EQ(read.groups.at("g").connections, 34U);
+  EXPECT_EQ(read.idle_transaction_limit, configuration.idle_transaction_limit);
+}
+
+TEST(KnowledgeMessages, ADirectorySurvives) {
+  KnownDirectory directory;
+  directory.revision = 12;
+  failover::EndpointEntry entry;
+  entry.name = "e";
+  entry.group = "g";
+  entry.address = "127.0.0.1:1";
+  entry.draining = true;
+  directory.endpoints["e"] = entry;
+  const KnownDirectory read = ParseDirectoryMessage(ToJson(directory));
+  EXPECT_EQ(read.revision, 12U);
+  EXPECT_EQ(read.endpoints, directory.endpoints);
+}
+
+TEST(KnowledgeMessages, AnUnknownChoiceIsRefused) {
+  EXPECT_THROW(ParseConfigurationMessage(json::Parse(
+                   R"({"version":1,"routes":[{"name":"r","database":"d","group":"g","freshness":9,"greatest_age_ms":1,
+                      "rank":0,"statement_limit_ms":1,"target_ms":1}],"groups":[],"idle_transaction_limit_ms":1})",
+                   "test")),
+               ParseError);
+}
+
+}  // namespace
+}  // namespace amaranthlane::proxy
