Let any VM replace members that can't; log late statements

Ruled out: the store's compaction (reads went on), the holder's repair (its writes got no answer). Change: a member silent for 1.5 s to 2 s is replaced by any VM that reaches the store; former members are told of their successors; a VM that no member answers reads the store itself. A statement that took longer than its target is logged with where its time went.

--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -214,10 +214,20 @@
   this->pending.reset();
   this->confirmed = true;
   this->revision = written_revision;
-  this->Adopt(written, "own update", now, actions);
+  std::map<VmName, std::string> told;
   for (const auto& [vm, entry] : this->ledger.Entries()) {
-    if (!written.IsMember(vm) && entry.last_beat + this->settings.promise > now) {
-      actions.emplace_back(SendNotice{vm, entry.address, written});
+    if (entry.last_beat + this->settings.promise > now) {
+      told[vm] = entry.address;
+    }
+  }
+  // Former members may hear of their successors from nobody else.
+  for (const Member& member : this->record ? this->record->members : std::vector<Member>{}) {
+    told[member.vm] = member.address;
+  }
+  this->Adopt(written, "own update", now, actions);
+  for (const auto& [vm, address] : told) {
+    if (!written.IsMember(vm)) {
+      actions.emplace_back(SendNotice{vm, address, written});
     }
   }
 }
--- a/source/core/coordination/succession.cc
+++ b/source/core/coordination/succession.cc
@@ -2,6 +2,7 @@
 #include <string>
 
 #include "core/coordination/coordination_system.h"
+#include "core/rendezvous.h"
 
 // Who holds the duty to promote: replacing silent members, and taking the duty over.
 namespace amaranthlane::coordination {
@@ -105,10 +106,15 @@
     }
     return {};
   }
-  const bool all_silent = std::all_of(members.begin(), members.end(), [&](const Member& member) {
-    return this->Silent(member.vm, this->settings.orphaned, now);
-  });
-  return all_silent ? "all members are silent" : "";
+  const auto share = static_cast<double>(RendezvousHash(holder, this->self.vm) % 1000) / 1000.0;
+  const Duration patience =
+      this->settings.orphaned + std::chrono::duration_cast<Duration>(this->settings.orphaned_spread * share);
+  for (const Member& member : members) {
+    if (this->Silent(member.vm, patience, now) && now - this->last_store_contact < this->settings.store_poll * 2) {
+      return member.vm + " is silent and nobody replaces it";
+    }
+  }
+  return {};
 }
 
 void CoordinationSystem::ConsiderTakeover(TimePoint now, Actions& actions) {
--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -318,6 +318,10 @@
   end.rank = ended.route.rank;
   end.failed = failed;
   end.attempts = ended.attempts;
+  end.turned_away = ended.turned_away;
+  end.target = std::chrono::duration_cast<std::chrono::microseconds>(ended.route.target);
+  const TimePoint granted = ended.granted_at == TimePoint() ? BootClock::now() : ended.granted_at;
+  end.waited = std::chrono::duration_cast<std::chrono::microseconds>(granted - ended.received_at);
   end.took = std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - ended.received_at);
   const Configuration* configuration = this->context.CurrentConfiguration();
   end.configuration_version = configuration == nullptr ? 0 : configuration->version;
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -272,10 +272,11 @@
                     {{"rank", std::string(RankName(end.rank))}})
       .Add(end.took);
   const TimePoint now = BootClock::now();
-  if (!end.failed || !this->statement_lines.Admit(now)) {
+  const bool late = end.target.count() > 0 && end.took > end.target;
+  if ((!end.failed && !late) || !this->statement_lines.Admit(now)) {
     return;
   }
-  logging::Write(logging::Level::kInfo, "statement failed",
+  logging::Write(logging::Level::kInfo, end.failed ? "statement failed" : "statement late",
                  {{"id", end.id},
                   {"database", end.database},
                   {"kind", end.kind},
@@ -283,7 +284,9 @@
                   {"why", end.why},
                   {"endpoint", end.endpoint},
                   {"attempts", end.attempts},
+                  {"turned_away", end.turned_away},
                   {"took_us", end.took.count()},
+                  {"waited_us", end.waited.count()},
                   {"configuration_version", end.configuration_version},
                   {"record_version", end.record_version},
                   {"lines_suppressed", this->statement_lines.TakeSuppressed()}});
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -140,6 +140,8 @@
 
   std::optional<TimePoint> shutdown_at;
   TimePoint next_session_tick;
+  TimePoint last_member_reply;
+  TimePoint next_refresh;
   TimePoint next_configuration_fetch;
   TimePoint next_directory_fetch;
   logging::Budget statement_lines;
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -22,6 +22,9 @@
 // How long statements that are under way at a primary that leaves may go on. One that is out of reach gets none.
 constexpr std::chrono::milliseconds kReleaseLimit{1500};
 
+// Without an answer of any member for so long, this VM reads the store itself, at this interval.
+constexpr std::chrono::milliseconds kAloneAfter{1200};
+constexpr std::chrono::milliseconds kRefreshInterval{2000};
 // How often members look who is alive, and how recently a VM must have sent a beat for that.
 constexpr std::chrono::milliseconds kFleetInterval{300};
 constexpr std::chrono::milliseconds kAliveWithin{1400};
@@ -53,6 +56,15 @@
     alive.push_back({this->settings.vm, this->settings.relay_address, this->settings.data_centre});
     this->UpdateFleet(std::move(alive));
   }
+  const bool alone = record != nullptr && !record->IsMember(this->settings.vm) &&
+                     now > this->last_member_reply + kAloneAfter && now >= this->next_refresh;
+  if (alone) {
+    this->next_refresh = now + kRefreshInterval;
+    logging::Write(logging::Level::kInfo, "no member answers; reading the store",
+                   {{"configuration_version", this->OwnStoreKnowledge().configuration_version},
+                    {"directory_revision", this->directory.revision}});
+    this->platform.Refresh();
+  }
   this->coordination.Report(this->MakeReport(now), now, actions);
   this->coordination.Tick(now, actions);
   failover::Actions orders;
@@ -144,6 +156,7 @@
                 }
                 const coordination::BeatReply reply =
                     coordination::ParseBeatReply(json::Parse(result.response.body, "beat reply"));
+                this->last_member_reply = now;
                 this->coordination.OnBeatReply(member, reply, sent_at, now, actions);
                 this->OnKnowledge(reply.knowledge, sent_at);
                 this->CatchUpWith(address, reply.store, now);
@@ -192,21 +205,18 @@
   const coordination::StoreKnowledge own = this->OwnStoreKnowledge();
   if (store.configuration_version > own.configuration_version && now >= this->next_configuration_fetch) {
     this->next_configuration_fetch = now + kFetchInterval;
-    logging::Write(logging::Level::kInfo, "a peer acts on a newer configuration",
-                   {{"peer", address},
-                    {"own_version", own.configuration_version},
-                    {"peer_version", store.configuration_version}});
-    this->Fetch(address, kConfigurationTarget, now, [this](const nlohmann::json& document) {
-      this->OnConfiguration(ParseConfigurationMessage(document));
-    });
+    logging::Write(
+        logging::Level::kInfo, "a peer acts on a newer configuration",
+        {{"peer", address}, {"own_version", own.configuration_version}, {"peer_version", store.configuration_version}});
+    this->Fetch(address, kConfigurationTarget, now,
+                [this](const nlohmann::json& document) { this->OnConfiguration(ParseConfigurationMessage(document)); });
   }
   const bool newer = store.directory_revision > own.directory_revision && !store.directory_digest.empty();
   if (newer && store.directory_digest != own.directory_digest && now >= this->next_directory_fetch) {
     this->next_directory_fetch = now + kFetchInterval;
-    logging::Write(logging::Level::kInfo, "a peer knows a newer directory",
-                   {{"peer", address},
-                    {"own_revision", own.directory_revision},
-                    {"peer_revision", store.directory_revision}});
+    logging::Write(
+        logging::Level::kInfo, "a peer knows a newer directory",
+        {{"peer", address}, {"own_revision", own.directory_revision}, {"peer_revision", store.directory_revision}});
     this->Fetch(address, kDirectoryTarget, now,
                 [this](const nlohmann::json& document) { this->OnDirectory(ParseDirectoryMessage(document)); });
   }
--- a/source/proxy/services.h
+++ b/source/proxy/services.h
@@ -28,10 +28,12 @@
   virtual void WriteRecord(const coordination::CoordinationRecord& record, ObjectVersion expected_revision,
                            RecordWritten callback) = 0;
   virtual void Promote(const failover::OrderPromotion& order, const VmName& holder, Promoted callback) = 0;
-  // Follow the configuration and the directory of endpoints for as long as the process lives. The directory is told with
-  // each answer of the store, also when only its revision is new.
+  // Follow the configuration and the directory of endpoints for as long as the process lives. The directory is told
+  // with each answer of the store, also when only its revision is new.
   virtual void FollowConfiguration(ConfigurationChanged callback) = 0;
   virtual void FollowDirectory(DirectoryChanged callback) = 0;
+  // Reads both at once: this VM hears from no peer that would tell it of changes.
+  virtual void Refresh() = 0;
   // Watches may wait for long: a peer will tell when this VM has missed something. Otherwise they end soon, so that one
   // that went silent is noticed.
   virtual void SetPatientWatches(bool patient) = 0;
--- a/source/proxy/session_context.h
+++ b/source/proxy/session_context.h
@@ -24,7 +24,13 @@
   Rank rank = Rank::kNormal;
   bool failed = false;
   int attempts = 0;
+  // Times that endpoints turned it away unrun.
+  int turned_away = 0;
   std::chrono::microseconds took{};
+  // The part of that before the last endpoint got it.
+  std::chrono::microseconds waited{};
+  // What the operation should take; zero: not stated.
+  std::chrono::microseconds target{};
   // What the decision rested on.
   std::uint64_t configuration_version = 0;
   std::uint64_t record_version = 0;
--- a/tests/core/coordination/coordination_system_test.cc
+++ b/tests/core/coordination/coordination_system_test.cc
@@ -139,5 +139,15 @@
   EXPECT_GE(this->fleet.term, 2U);
 }
 
+// The members can't replace one of theirs, as the store answers none of them; the other VMs reach both.
+TEST_F(CoordinationSystemTest, MembersWithoutTheStoreAreReplacedByOthers) {
+  for (std::size_t place = 0; place < 3; ++place) {
+    this->fleet.without_store.insert(this->MemberAt(place));
+  }
+  this->fleet.Kill(this->MemberAt(2));
+  EXPECT_LT(this->LongestGap(seconds(8), 5), milliseconds(1200));
+  EXPECT_EQ(this->fleet.Users(), 5U);
+}
+
 }  // namespace
 }  // namespace amaranthlane::coordination
