--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -29,5 +29,8 @@
 for suite in build/tests/*/*_tests; do
   [ -x "$suite" ] && run_suite "$(basename "$suite")" "./$suite"
 done
+echo "== soak"
+python3 soak/soak.py --seed 7 --seed 20261204 --regressions --seconds 8 --results "$results/soak.json" ||
+  [ -s "$results/soak.json" ] || status=1
 python3 scripts/count_results.py "$results" || status=1
 exit $status
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -263,6 +263,7 @@
     parser.add_argument("--regressions", action="store_true", help="play each seed that ever failed")
     parser.add_argument("--seconds", type=float, default=12, help="how long faults are injected")
     parser.add_argument("--vms", type=int, default=5)
+    parser.add_argument("--results", help="write the results to this file, as the test suites do")
     return parser.parse_args()
 
 
@@ -274,6 +275,10 @@
         seeds += [int(line.split()[0]) for line in lines]
     seeds += [random.SystemRandom().randrange(1 << 31) for _ in range(arguments.seeds)]
     failed = [seed for seed in seeds if not asyncio.run(play(seed, arguments))]
+    if arguments.results:
+        cases = [{"name": f"Seed{seed}", "failures": [{"failure": "see the output"}] if seed in failed else []}
+                 for seed in seeds]
+        pathlib.Path(arguments.results).write_text(json.dumps({"testsuites": [{"name": "Soak", "testsuite": cases}]}))
     print(f"{len(seeds)} seeds, failed: {failed}")
     return 1 if failed else 0
 
--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -202,7 +202,7 @@
     this->close_after_write = true;
     return;
   }
-  this->transaction.emplace();
+  this->transaction = Transaction{};
   this->transaction->begin = statement;
   this->transaction->resting_since = BootClock::now();
   this->Send(this->context.Codec().Complete() + this->context.Codec().Ready(SessionState::kInTransaction));
@@ -263,7 +263,7 @@
     return;
   }
   ++this->serial;
-  this->operation.emplace();
+  this->operation = Operation{};
   this->operation->statement = statement;
   this->operation->received_at = now;
   if (route != configuration->routes.end()) {
@@ -285,6 +285,14 @@
     this->operation->connection = this->transaction->connection;
     this->operation->endpoint = this->transaction->connection->Endpoint().name;
     this->operation->granted_at = now;
+    if (statement.kind == StatementKind::kCommit && this->transaction->wrote &&
+        !this->context.MayAcknowledge(this->group, this->operation->endpoint, now)) {
+      // Its answer could not be passed on, so it isn't sent: then nothing is kept, and the caller may repeat all of it.
+      this->DropConnection();
+      this->transaction.reset();
+      this->FailStatement(FailureCode::kAborted, "the right to use the primary ended before the commit");
+      return;
+    }
     this->BringUp();
     return;
   }
@@ -359,12 +367,11 @@
   boost::asio::async_write(this->socket, boost::asio::buffer(this->writing),
                            [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
                              self->write_under_way = false;
-                             if (error) {
+                             const bool done = self->outgoing.empty();
+                             if (error || (done && self->close_after_write)) {
                                self->Close();
-                             } else if (!self->outgoing.empty()) {
+                             } else if (!done) {
                                self->Write();
-                             } else if (self->close_after_write) {
-                               self->Close();
                              }
                            });
 }
--- a/source/proxy/endpoint_connection.cc
+++ b/source/proxy/endpoint_connection.cc
@@ -88,7 +88,8 @@
   std::size_t used = 0;
   const std::shared_ptr<EndpointConnection> alive = this->shared_from_this();
   while (!this->closed) {
-    const std::string_view rest = std::string_view(this->received).substr(used);
+    const std::string_view bytes = this->received;
+    const std::string_view rest = bytes.substr(used);
     const std::size_t length = this->codec.FrameLength(rest);
     if (length == 0) {
       if (rest.size() > kMaximumFrameBytes) {
--- a/source/proxy/endpoint_pool.cc
+++ b/source/proxy/endpoint_pool.cc
@@ -22,6 +22,8 @@
 // How long a replica that lacked a position isn't asked: first, and at most.
 constexpr std::chrono::milliseconds kFirstLaggingPause{8};
 constexpr std::chrono::milliseconds kLongestLaggingPause{250};
+// A replica that was left alone for so long, after several refusals in a row, is worth a line in the log.
+constexpr std::chrono::milliseconds kToldLaggingPause{64};
 
 double Milliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
 
@@ -316,11 +318,17 @@
   }
   this->lagging_pause = std::clamp<Duration>(this->lagging_pause * 2, kFirstLaggingPause, kLongestLaggingPause);
   this->lagging_until = now + this->lagging_pause;
+  if (this->lagging_pause >= kToldLaggingPause && !std::exchange(this->lagging_told, true) && this->events.lagging) {
+    this->events.lagging(this->endpoint, true, this->known_position);
+  }
 }
 
 void EndpointPool::NoteCaughtUp() {
   this->lagging_pause = Duration::zero();
   this->lagging_until = TimePoint();
+  if (std::exchange(this->lagging_told, false) && this->events.lagging) {
+    this->events.lagging(this->endpoint, false, this->known_position);
+  }
 }
 
 bool EndpointPool::Lagging(TimePoint now) const { return now < this->lagging_until; }
--- a/source/proxy/endpoint_pool.h
+++ b/source/proxy/endpoint_pool.h
@@ -41,6 +41,8 @@
   std::function<void(const failover::EndpointEntry& endpoint, const failover::EndpointStatus& status,
                      TimePoint sent_at)>
       status;
+  // The replica has refused reads for a while, or answers them again, for the log.
+  std::function<void(const failover::EndpointEntry& endpoint, bool lagging, const LogPosition& known)> lagging;
   // Reachability changed, for the log.
   std::function<void(const failover::EndpointEntry& endpoint, bool reachable, const std::string& why)> reachability;
 };
@@ -132,6 +134,7 @@
   TimePoint draining_since = kNever;
   TimePoint lagging_until;
   Duration lagging_pause{};
+  bool lagging_told = false;
   double latency_ms = 10;
   TimePoint latency_at;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -98,7 +98,9 @@
   if (record == nullptr) {
     return report;
   }
-  for (const auto& [group, state] : record->groups) {
+  for (const auto& entry : record->groups) {
+    const GroupName& group = entry.first;
+    const coordination::GroupState& state = entry.second;
     EndpointPool* pool = this->FindPool(state.primary);
     if (state.changing) {
       const TimePoint since = this->changing_since.try_emplace(group, now).first->second;
@@ -296,6 +298,9 @@
                   {"token", record.fencing_token},
                   {"members", members},
                   {"groups", groups}});
+  if (this->last_member_reply == TimePoint()) {
+    this->last_member_reply = BootClock::now();
+  }
   this->platform.SetPatientWatches(!record.IsMember(this->settings.vm));
   coordination::Actions actions;
   const TimePoint now = BootClock::now();
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -98,6 +98,11 @@
                                               const failover::EndpointStatus& status, TimePoint sent_at) {
     this->failover.OnStatus(group, endpoint.name, status, sent_at);
   };
+  events.lagging = [](const failover::EndpointEntry& endpoint, bool lagging, const LogPosition& known) {
+    logging::Write(
+        logging::Level::kInfo, lagging ? "replica lacks what reads are owed" : "replica has caught up",
+        {{"endpoint", endpoint.name}, {"group", endpoint.group}, {"term", known.term}, {"offset", known.offset}});
+  };
   events.reachability = [](const failover::EndpointEntry& endpoint, bool reachable, const std::string& why) {
     logging::Write(reachable ? logging::Level::kInfo : logging::Level::kWarning,
                    reachable ? "endpoint is in reach again" : "endpoint is out of reach",
--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -139,8 +139,7 @@
   direction.partial.append(direction.chunk.data(), size);
   std::size_t length = 0;
   while ((length = this->context.Codec().FrameLength(direction.partial)) > 0) {
-    const EndpointMessage message =
-        this->context.Codec().ParseEndpointMessage(std::string_view(direction.partial).substr(0, length));
+    const EndpointMessage message = this->context.Codec().ParseEndpointMessage(direction.partial.substr(0, length));
     direction.partial.erase(0, length);
     if (message.kind == EndpointMessage::Kind::kReady) {
       this->state = message.state;
