--- a/source/core/coordination/settings.h
+++ b/source/core/coordination/settings.h
@@ -20,8 +20,8 @@
   Duration detection = std::chrono::milliseconds(800);
   // How much longer each further successor waits, so that usually one of them tries.
   Duration succession_step = std::chrono::milliseconds(300);
-  // The silence of a member after which any VM may take the duty over: the other members should have replaced it long ago,
-  // and can't. Each VM waits up to `orphaned_spread` longer, so that usually one of them tries.
+  // The silence of a member after which any VM may take the duty over: the other members should have replaced it long
+  // ago, and can't. Each VM waits up to `orphaned_spread` longer, so that usually one of them tries.
   Duration orphaned = std::chrono::milliseconds(1500);
   Duration orphaned_spread = std::chrono::milliseconds(500);
   // Between two reads of the record by a member. Others read it only when a member is silent.
--- a/tests/platform/line_codec_test.cc
+++ b/tests/platform/line_codec_test.cc
@@ -40,8 +40,9 @@
 }
 
 TEST(LineCodec, RefusesWhatIsNoMessage) {
-  for (const char* line : {"\r\n", "QUERY\r\n", "QUERY x\r\n", "QUERY - READ a\r\n", "CONNECT\r\n", "QUERY x BEGIN now\r\n",
-                           "QUERY x PREPARE s READ\r\n", "QUERY x DROP all\r\n", "READ a\n", "QUERY x WAITPOS 1.2 READ a\r\n"}) {
+  for (const char* line :
+       {"\r\n", "QUERY\r\n", "QUERY x\r\n", "QUERY - READ a\r\n", "CONNECT\r\n", "QUERY x BEGIN now\r\n",
+        "QUERY x PREPARE s READ\r\n", "QUERY x DROP all\r\n", "READ a\n", "QUERY x WAITPOS 1.2 READ a\r\n"}) {
     EXPECT_TRUE(std::holds_alternative<proxy::MalformedMessage>(kCodec.ParseCallerMessage(line))) << line;
   }
 }
@@ -49,7 +50,8 @@
 TEST(LineCodec, ForwardsIdAndTextUnchanged) {
   EXPECT_EQ(kCodec.Forward(ParseQuery("WRITE 1a4 x  y "), std::nullopt, ""), "QUERY 5c0e WRITE 1a4 x  y \r\n");
   EXPECT_EQ(kCodec.Forward(ParseQuery("READ 1a4"), LogPosition{3, 1207}, ""), "QUERY 5c0e WAITPOS 3.1207 READ 1a4\r\n");
-  EXPECT_EQ(kCodec.Forward(ParseQuery("EXECUTE s1 1a4 x y"), std::nullopt, "w_q"), "QUERY 5c0e EXECUTE w_q 1a4 x y\r\n");
+  EXPECT_EQ(kCodec.Forward(ParseQuery("EXECUTE s1 1a4 x y"), std::nullopt, "w_q"),
+            "QUERY 5c0e EXECUTE w_q 1a4 x y\r\n");
 }
 
 TEST(LineCodec, ReadsAnEndpointsAnswer) {
