Let one member of five be silent: 4 of 5 promises, 2 declarations to change

Cause: a VM used primaries only while all three members promised.

Ruled out: leases in the store (writes without end, an outage stops all); a majority of three (two dark members stop everybody); three of five with three declarations (a change would wait for three of five after a loss of power).

Change: five members, of whom four promise from four members on. A member declares a changing group released once its own ledger shows no user, and gives no promise against that afterwards; the holder waits for two declarations of the members and of each former set, which the record now lists until it is known to be over. The record also says when a group changed and when the duty was taken over, which replaces in-memory guesses (joined_at, unfollowed, changing_since, serving_since). A VM that hears fewer than half of the members waits 3 s before it replaces anybody; refused connections count as dead processes, not as silence. VMs that are no members leave watching the store to members, whose replies to beats tell of changes already.

--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/coordination/quorum.h"
+
 namespace amaranthlane::coordination {
 
 namespace {
@@ -16,10 +18,15 @@
     : self(std::move(self)), settings(settings), rights(settings) {}
 
 void CoordinationSystem::Tick(TimePoint now, Actions& actions) {
+  if (this->started_at == kNever) {
+    this->started_at = now;
+  }
   this->PollStore(now, actions);
   if (!this->record) {
     return;
   }
+  this->NoteRetirements(now);
+  this->DeclareReleases(now, actions);
   this->SendBeats(now, actions);
   this->RepairMembers(now, actions);
   this->ConsiderTakeover(now, actions);
@@ -30,14 +37,16 @@
     return;
   }
   const bool unsettled = this->pending && !this->pending->answered;
-  const bool member = this->record && this->record->IsMember(this->self.vm);
-  bool members_silent = this->record.has_value();
+  bool reader = !this->record || !this->confirmed || unsettled;
   if (this->record) {
-    members_silent = std::any_of(this->record->members.begin(), this->record->members.end(), [&](const Member& other) {
-      return other.vm != this->self.vm && this->Silent(other.vm, this->settings.detection, now);
-    });
+    const std::vector<Member>& members = this->record->members;
+    for (std::size_t place = 0; place < members.size(); ++place) {
+      const bool own = members[place].vm == this->self.vm;
+      reader = reader || (own ? place < this->settings.store_readers
+                              : this->Silent(members[place].vm, this->settings.detection, now));
+    }
   }
-  if (!this->record || !this->confirmed || unsettled || member || members_silent) {
+  if (reader) {
     this->read_outstanding = true;
     this->next_read = now + this->settings.store_poll;
     actions.emplace_back(ReadRecord{});
@@ -47,8 +56,9 @@
 void CoordinationSystem::SendBeats(TimePoint now, Actions& actions) {
   for (const Member& member : this->record->members) {
     if (member.vm == this->self.vm) {
-      const Duration silence = now - this->last_store_contact;
-      this->rights.Add(member.vm, this->record->epoch, now, silence);
+      if (this->confirmed) {
+        this->rights.Add(member.vm, this->record->epoch, now, now - this->last_store_contact);
+      }
       continue;
     }
     const MemberContact& contact = this->contacts[member.vm];
@@ -81,6 +91,7 @@
     beat.record = this->record;
   }
   beat.busy = this->report.busy;
+  beat.released = this->released;
   beat.suspects = this->report.suspects;
   beat.leaving = this->report.leaving;
   beat.store = this->report.store;
@@ -106,13 +117,12 @@
   if (beat.version < this->record->version) {
     reply.record = this->record;
   }
-  if (beat.version >= this->record->version) {
-    std::erase(this->unfollowed, beat.vm);
-  }
-  if (this->confirmed && this->record->IsMember(this->self.vm) && beat.version == this->record->version) {
+  const bool same = this->confirmed && beat.version == this->record->version;
+  if (same && this->record->IsMember(this->self.vm) && !this->ReleasedBefore(beat)) {
     reply.promised = true;
     entry.promised_until = std::max(entry.promised_until, now + this->settings.promise);
   }
+  this->DeclareReleases(now, actions);
   return reply;
 }
 
@@ -122,7 +132,8 @@
   contact.outstanding = false;
   contact.last_reply = now;
   contact.version = reply.version;
-  contact.wants_relief = reply.wants_relief;
+  contact.relief_since = reply.wants_relief ? std::min(contact.relief_since, now) : kNever;
+  contact.refused = false;
   contact.fleet_size = reply.fleet_size;
   const std::uint64_t asked_version = this->record ? this->record->version : 0;
   if (reply.promised && this->record && reply.version == this->record->version) {
@@ -144,9 +155,10 @@
   this->Adopt(told, "notice of " + (told.members.empty() ? VmName() : told.members.front().vm), now, actions);
 }
 
-void CoordinationSystem::OnBeatFailed(const VmName& member, TimePoint now) {
+void CoordinationSystem::OnBeatFailed(const VmName& member, bool refused, TimePoint now) {
   MemberContact& contact = this->contacts[member];
   contact.outstanding = false;
+  contact.refused = refused;
   contact.next_beat = std::max(contact.next_beat, now + this->settings.beat / 4);
 }
 
@@ -159,6 +171,7 @@
       CoordinationRecord first;
       first.epoch = 1;
       first.fencing_token = 1;
+      first.duty_since = 1;
       first.members = {{this->self.vm, this->self.address}};
       this->Propose(first, now, actions);
     } else if (this->pending && !this->pending->answered) {
@@ -237,7 +250,6 @@
   if (this->record && newer.version <= this->record->version) {
     return;
   }
-  const bool was_member = this->record && this->record->IsMember(this->self.vm);
   const bool was_holder = this->IsHolder();
   const std::vector<Member> former = this->record ? this->record->members : std::vector<Member>{};
   if (source != "store" && source != "own update") {
@@ -251,25 +263,8 @@
       this->contacts[member.vm].last_reply = now;
     }
   }
-  if (!newer.IsMember(this->self.vm)) {
-    this->joined_at = kNever;
-  } else if (!was_member) {
-    this->joined_at = now;
-  }
+  this->NoteRetirements(now);
   if (this->IsHolder() && !was_holder) {
-    this->unfollowed.clear();
-    this->unfollowed_limit = now;
-    if (!was_member && !former.empty()) {
-      for (const Member& member : former) {
-        this->unfollowed.push_back(member.vm);
-      }
-      this->unfollowed_limit = now + this->settings.store_silence_limit;
-    }
-    for (const auto& [name, group] : newer.groups) {
-      if (group.changing) {
-        this->changing_since[name] = newer.version;
-      }
-    }
     this->next_repair = now + this->settings.gathering;
   }
   actions.emplace_back(RecordAdopted{source});
@@ -293,10 +288,7 @@
     std::erase(this->report.suspects, name);
     std::erase(this->report.busy, name);
     if (group.changing) {
-      this->changing_since[name] = newer.version;
       this->report.busy.push_back(name);
-    } else {
-      this->serving_since[name] = newer.version;
     }
   }
 }
@@ -305,6 +297,9 @@
   const bool changed = update.busy != this->report.busy || update.suspects != this->report.suspects ||
                        update.leaving != this->report.leaving;
   this->report = update;
+  if (this->record) {
+    this->DeclareReleases(now, actions);
+  }
   if (!changed || !this->record) {
     return;
   }
@@ -323,6 +318,7 @@
   CoordinationRecord next = *this->record;
   for (const auto& [name, group] : groups) {
     next.groups[name] = group;
+    next.groups[name].changed_at = next.version + 1;
   }
   actions.emplace_back(Decision{"propose groups", why});
   this->Propose(std::move(next), now, actions);
@@ -331,6 +327,14 @@
 
 void CoordinationSystem::Propose(CoordinationRecord next, TimePoint now, Actions& actions) {
   next.version = (this->record ? this->record->version : 0) + 1;
+  std::erase_if(next.former, [&](const FormerMembers& former) { return this->Ended(former, now); });
+  if (this->record && next.epoch != this->record->epoch) {
+    FormerMembers replaced{this->record->epoch, next.version, {}};
+    for (const Member& member : this->record->members) {
+      replaced.vms.push_back(member.vm);
+    }
+    next.former.push_back(std::move(replaced));
+  }
   next.update_id = this->self.vm + "/" + std::to_string(this->self.incarnation) + "/" + std::to_string(++this->updates);
   const ObjectVersion expected = this->revision.value_or(0);
   this->pending = PendingWrite{next, expected, now, true};
@@ -355,26 +359,36 @@
 
 TimePoint CoordinationSystem::RightsUntil() const { return this->rights.Until(); }
 
-bool CoordinationSystem::MayPromote(TimePoint now) const {
-  if (!this->IsHolder() || now >= this->rights.Until() || this->joined_at == kNever ||
-      now < this->joined_at + this->settings.promise) {
-    return false;
-  }
-  return this->unfollowed.empty() || now >= this->unfollowed_limit;
-}
+bool CoordinationSystem::MayPromote(TimePoint now) const { return this->IsHolder() && now < this->rights.Until(); }
 
 bool CoordinationSystem::Released(const GroupName& group, TimePoint now) const {
   return this->Holdouts(group, now).empty();
 }
 
 std::vector<VmName> CoordinationSystem::Holdouts(const GroupName& group, TimePoint now) const {
-  const auto found = this->changing_since.find(group);
-  const std::uint64_t version = found == this->changing_since.end() ? this->record->version : found->second;
-  std::vector<VmName> holdouts = this->ledger.Holdouts(group, version, this->self.vm, now);
-  const std::vector<GroupName>& own = this->report.busy;
-  if (std::find(own.begin(), own.end(), group) != own.end()) {
+  std::vector<VmName> holdouts;
+  if (!this->Declared(this->self.vm, group)) {
+    holdouts = this->ledger.Holdouts(group, this->record->ReleaseVersion(group), this->self.vm, now);
     holdouts.push_back(this->self.vm);
   }
+  const auto require = [&](const std::vector<VmName>& members) {
+    std::vector<VmName> missing;
+    std::copy_if(members.begin(), members.end(), std::back_inserter(missing),
+                 [&](const VmName& member) { return !this->Declared(member, group); });
+    if (members.size() - missing.size() < RefusalsNeeded(members.size())) {
+      holdouts.insert(holdouts.end(), missing.begin(), missing.end());
+    }
+  };
+  std::vector<VmName> present;
+  for (const Member& member : this->record->members) {
+    present.push_back(member.vm);
+  }
+  require(present);
+  for (const FormerMembers& former : this->record->former) {
+    if (!this->Ended(former, now)) {
+      require(former.vms);
+    }
+  }
   return holdouts;
 }
 
@@ -383,8 +397,9 @@
   double suspects = std::find(own.begin(), own.end(), group) != own.end() ? 1 : 0;
   const std::vector<GroupName>& reached = this->report.reaches;
   double all = suspects + (std::find(reached.begin(), reached.end(), group) != reached.end() ? 1 : 0);
-  const auto serving = this->serving_since.find(group);
-  const std::uint64_t since = serving == this->serving_since.end() ? 0 : serving->second;
+  // Suspicions of earlier versions concern another primary.
+  const auto state = this->record->groups.find(group);
+  const std::uint64_t since = state == this->record->groups.end() ? 0 : state->second.changed_at;
   for (const auto& [vm, entry] : this->ledger.Entries()) {
     if (vm != this->self.vm && entry.last_beat + this->settings.beat * kFleetBeats >= now) {
       const double suspected = entry.version >= since && entry.suspects.count(group) > 0 ? 1 : 0;
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -77,8 +77,10 @@
 };
 
 // Who orders changes of primary, and who may use a primary. The record in the store names the members; a VM uses
-// primaries while all members promise, and the holder changes a primary once every VM has released it or its promise
-// has ended. Nothing is written to the store while nothing changes, so an outage of the store ends no right.
+// primaries while all members, or all but one, promise. Each member declares a group that is changing released once
+// every VM that it gave promises to has released it or its promise has ended, and the holder changes the primary once
+// so many declared that no VM can have enough promises of the others. Nothing is written to the store while nothing
+// changes, so an outage of the store ends no right.
 class CoordinationSystem {
  public:
   CoordinationSystem(Self self, const CoordinationSettings& settings);
@@ -89,7 +91,8 @@
   // Answers a peer's beat.
   BeatReply OnBeat(const Beat& beat, TimePoint now, Actions& actions);
   void OnBeatReply(const VmName& member, const BeatReply& reply, TimePoint sent_at, TimePoint now, Actions& actions);
-  void OnBeatFailed(const VmName& member, TimePoint now);
+  // No reply. `refused`: its VM answers that nothing listens there, so the process is dead, not out of reach.
+  void OnBeatFailed(const VmName& member, bool refused, TimePoint now);
   // The holder told this VM of a record.
   void OnNotice(const CoordinationRecord& told, TimePoint now, Actions& actions);
 
@@ -116,10 +119,11 @@
   // True when this VM may use the group's primary now.
   bool MayUsePrimary(const GroupName& group, TimePoint now) const;
   TimePoint RightsUntil() const;
-  // True when this VM holds the duty and nobody else can have taken it over.
+  // True when this VM holds the duty, and whoever takes it over waits until it has followed or its right has ended.
   bool MayPromote(TimePoint now) const;
-  // True when no VM can still use the group's former primary.
+  // True when no VM can still use the group's former primary, nor another one order its change.
   bool Released(const GroupName& group, TimePoint now) const;
+  // The VMs that Released() waits for: those that use the primary, or members that haven't declared it released.
   std::vector<VmName> Holdouts(const GroupName& group, TimePoint now) const;
   // Of the VMs heard from lately that have connections to the group, the share that can't reach its primary.
   double SuspectShare(const GroupName& group, TimePoint now) const;
@@ -142,12 +146,28 @@
     bool outstanding = false;
     bool resend = false;
     std::uint64_t version = 0;
-    bool wants_relief = false;
+    // Since when it asks to be relieved; kNever: it doesn't.
+    TimePoint relief_since = kNever;
+    bool refused = false;
     std::uint64_t fleet_size = 0;
   };
+  // What this VM knows of members that were replaced.
+  struct Retirement {
+    TimePoint first_seen;
+    // When enough of them were known to have followed; kNever: not yet.
+    TimePoint refused_since = kNever;
+  };
 
   void Adopt(const CoordinationRecord& record, const std::string& source, TimePoint now, Actions& actions);
   void NoteGroups(const CoordinationRecord& newer);
+  // Declares groups released whose last user by this VM's promises is gone, and tells the holder.
+  void DeclareReleases(TimePoint now, Actions& actions);
+  bool Declared(const VmName& member, const GroupName& group) const;
+  // True when the asker still owes or expects an answer of a group that this VM has declared released.
+  bool ReleasedBefore(const Beat& beat) const;
+  void NoteRetirements(TimePoint now);
+  // True when no VM can use primaries by the promises of these members any more.
+  bool Ended(const FormerMembers& former, TimePoint now) const;
   void BeatTo(const Member& member, TimePoint now, Actions& actions);
   void SendBeats(TimePoint now, Actions& actions);
   void PollStore(TimePoint now, Actions& actions);
@@ -155,6 +175,14 @@
   void ConsiderTakeover(TimePoint now, Actions& actions);
   // The reason to take the duty over, or an empty text.
   std::string TakeoverReason(TimePoint now) const;
+  // The same for a member that is to succeed the holder.
+  std::string SuccessionReason(TimePoint now) const;
+  // The same for any VM that gets too few promises.
+  std::string OrphanReason(TimePoint now) const;
+  Duration OrphanPatience(TimePoint now) const;
+  // True when this VM hears more than half of the members whose processes aren't known to be dead.
+  bool HearsMajority(TimePoint now) const;
+  bool StoreAnswers(TimePoint now) const;
   std::vector<Member> ChooseMembers(TimePoint now, const std::vector<Member>& preferred, bool keep_holder) const;
   void Propose(CoordinationRecord record, TimePoint now, Actions& actions);
   void FinishWrite(ObjectVersion revision, TimePoint now, Actions& actions);
@@ -176,16 +204,12 @@
   bool read_outstanding = false;
   TimePoint next_read;
   TimePoint last_store_contact;
-  // When this VM became a member; promises given before that aren't in its ledger.
-  TimePoint joined_at = kNever;
-  // Members of the epoch that this VM took over from outside; until one of them is known to have followed, they may
-  // still promise.
-  std::vector<VmName> unfollowed;
-  TimePoint unfollowed_limit;
-  // The version from which a group's change counts as told.
-  std::map<GroupName, std::uint64_t> changing_since;
-  // The version from which suspicions concern the group's present primary.
-  std::map<GroupName, std::uint64_t> serving_since;
+  // When this process began; promises of a former one on this VM may last a little longer.
+  TimePoint started_at = kNever;
+  // The groups that this VM has declared released, and for which version. It gives no promise that contradicts one.
+  std::map<GroupName, std::uint64_t> released;
+  // By the epoch of the members that were replaced.
+  std::map<std::uint64_t, Retirement> retirements;
   TimePoint next_repair;
   bool relief_wanted = false;
 };
--- a/source/core/coordination/ledger.cc
+++ b/source/core/coordination/ledger.cc
@@ -16,6 +16,7 @@
   entry.busy = {beat.busy.begin(), beat.busy.end()};
   entry.suspects = {beat.suspects.begin(), beat.suspects.end()};
   entry.reaches = {beat.reaches.begin(), beat.reaches.end()};
+  entry.released = beat.released;
   entry.leaving = beat.leaving;
   return entry;
 }
--- a/source/core/coordination/ledger.h
+++ b/source/core/coordination/ledger.h
@@ -26,6 +26,8 @@
   std::set<GroupName> busy;
   std::set<GroupName> suspects;
   std::set<GroupName> reaches;
+  // The groups that it has declared released, and for which version.
+  std::map<GroupName, std::uint64_t> released;
   bool leaving = false;
 };
 
--- a/source/core/coordination/messages.cc
+++ b/source/core/coordination/messages.cc
@@ -56,6 +56,7 @@
                              {"busy", beat.busy},
                              {"suspects", beat.suspects},
                              {"reaches", beat.reaches},
+                             {"released", beat.released},
                              {"fleet_digest", beat.fleet_digest},
                              {"leaving", beat.leaving},
                              {"store", ToJson(beat.store)}};
@@ -77,6 +78,10 @@
   beat.busy = reader.Strings("busy");
   beat.suspects = reader.Strings("suspects");
   beat.reaches = reader.Strings("reaches");
+  const json::ObjectReader released(reader.Object("released"), "beat's released groups");
+  for (const auto& member : reader.Object("released").items()) {
+    beat.released.emplace(member.key(), released.Unsigned(member.key().c_str()));
+  }
   beat.fleet_digest = reader.String("fleet_digest");
   beat.leaving = reader.Bool("leaving");
   beat.store = ParseStoreKnowledge(reader.Object("store"));
--- a/source/core/coordination/messages.h
+++ b/source/core/coordination/messages.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -50,6 +51,9 @@
   std::vector<GroupName> suspects;
   // Groups whose primary answers it. A VM that has no connections to a group names it in neither list.
   std::vector<GroupName> reaches;
+  // Groups that are changing and that no VM can use any more by this VM's promises, each with the record's version
+  // for which that holds.
+  std::map<GroupName, std::uint64_t> released;
   // The VM shuts down.
   bool leaving = false;
   // The fleet that the sender knows.
@@ -68,8 +72,8 @@
 struct BeatReply {
   VmName vm;
   Incarnation incarnation = 0;
-  // The member helps nobody change a primary or the holder's duty for the promised time, counted from the sending of
-  // the beat, unless the asker has released the group first.
+  // For the promised time, counted from the sending of the beat, the member declares no group released unless the
+  // asker has released it.
   bool promised = false;
   std::uint64_t version = 0;
   std::optional<CoordinationRecord> record;
--- a/source/core/coordination/record.cc
+++ b/source/core/coordination/record.cc
@@ -17,7 +17,12 @@
 
 GroupState ParseGroupState(const nlohmann::json& document) {
   const json::ObjectReader reader(document, kDocument);
-  return {reader.Unsigned("term"), reader.String("primary"), reader.Bool("changing")};
+  return {reader.Unsigned("term"), reader.String("primary"), reader.Bool("changing"), reader.Unsigned("changed_at")};
+}
+
+FormerMembers ParseFormerMembers(const nlohmann::json& document) {
+  const json::ObjectReader reader(document, kDocument);
+  return {reader.Unsigned("epoch"), reader.Unsigned("replaced_at"), reader.Strings("vms")};
 }
 
 }  // namespace
@@ -29,6 +34,11 @@
                      [&vm](const Member& member) { return member.vm == vm; });
 }
 
+std::uint64_t CoordinationRecord::ReleaseVersion(const GroupName& group) const {
+  const auto found = this->groups.find(group);
+  return std::max(found == this->groups.end() ? 0 : found->second.changed_at, this->duty_since);
+}
+
 nlohmann::json ToJson(const CoordinationRecord& record) {
   nlohmann::json members = nlohmann::json::array();
   for (const Member& member : record.members) {
@@ -36,10 +46,23 @@
   }
   nlohmann::json groups = nlohmann::json::object();
   for (const auto& [name, group] : record.groups) {
-    groups[name] = {{"term", group.term}, {"primary", group.primary}, {"changing", group.changing}};
+    groups[name] = {{"term", group.term},
+                    {"primary", group.primary},
+                    {"changing", group.changing},
+                    {"changed_at", group.changed_at}};
+  }
+  nlohmann::json former = nlohmann::json::array();
+  for (const FormerMembers& set : record.former) {
+    former.push_back({{"epoch", set.epoch}, {"replaced_at", set.replaced_at}, {"vms", set.vms}});
   }
-  return {{"version", record.version}, {"epoch", record.epoch}, {"fencing_token", record.fencing_token},
-          {"members", members},        {"groups", groups},      {"update_id", record.update_id}};
+  return {{"version", record.version},
+          {"epoch", record.epoch},
+          {"fencing_token", record.fencing_token},
+          {"members", members},
+          {"former", former},
+          {"groups", groups},
+          {"update_id", record.update_id},
+          {"duty_since", record.duty_since}};
 }
 
 CoordinationRecord ParseCoordinationRecord(const nlohmann::json& document) {
@@ -54,6 +77,10 @@
   for (const auto& [name, group] : reader.Object("groups").items()) {
     record.groups.emplace(name, ParseGroupState(group));
   }
+  for (const nlohmann::json& set : reader.Array("former")) {
+    record.former.push_back(ParseFormerMembers(set));
+  }
+  record.duty_since = reader.Unsigned("duty_since");
   record.update_id = reader.String("update_id");
   return record;
 }
--- a/source/core/coordination/rights.cc
+++ b/source/core/coordination/rights.cc
@@ -1,6 +1,9 @@
 #include "core/coordination/rights.h"
 
 #include <algorithm>
+#include <vector>
+
+#include "core/coordination/quorum.h"
 
 namespace amaranthlane::coordination {
 
@@ -14,18 +17,23 @@
 }
 
 void PrimaryRights::Extend(const CoordinationRecord& record) {
-  if (record.members.empty()) {
-    return;
-  }
-  TimePoint earliest = kNever;
-  Duration silence = Duration::max();
+  std::vector<Promise> given;
   for (const Member& member : record.members) {
     const auto found = this->promises.find(member.vm);
-    if (found == this->promises.end() || found->second.epoch != record.epoch) {
-      return;
+    if (found != this->promises.end() && found->second.epoch == record.epoch) {
+      given.push_back(found->second);
     }
-    earliest = std::min(earliest, found->second.sent_at);
-    silence = std::min(silence, found->second.store_silence);
+  }
+  const std::size_t needed = PromisesNeeded(record.members.size());
+  if (needed == 0 || given.size() < needed) {
+    return;
+  }
+  std::sort(given.begin(), given.end(), [](const Promise& a, const Promise& b) { return a.sent_at > b.sent_at; });
+  given.resize(needed);
+  const TimePoint earliest = given.back().sent_at;
+  Duration silence = Duration::max();
+  for (const Promise& promise : given) {
+    silence = std::min(silence, promise.store_silence);
   }
   if (silence <= this->settings.store_silence_limit) {
     this->until = std::max(this->until, earliest + this->settings.promise - this->settings.margin);
--- a/source/core/coordination/rights.h
+++ b/source/core/coordination/rights.h
@@ -9,8 +9,8 @@
 
 namespace amaranthlane::coordination {
 
-// Until when this VM may use primaries: every member has promised not to change one before then without its consent.
-// The right counts from the sending of the request, on this VM's own clock, and only ever grows.
+// Until when this VM may use primaries: so many members have promised that nobody can change one before then without
+// its consent. The right counts from the sending of the request, on this VM's own clock, and only ever grows.
 class PrimaryRights {
  public:
   explicit PrimaryRights(const CoordinationSettings& settings);
--- a/source/core/coordination/settings.h
+++ b/source/core/coordination/settings.h
@@ -20,12 +20,16 @@
   Duration detection = std::chrono::milliseconds(800);
   // How much longer each further successor waits, so that usually one of them tries.
   Duration succession_step = std::chrono::milliseconds(300);
-  // The silence of a member after which any VM may take the duty over: the other members should have replaced it long
+  // How long a VM that hears fewer than half of the members waits before it replaces them or takes the duty over: it
+  // may itself be the one that is cut off, and would stop a fleet that is well.
+  Duration cut_off = std::chrono::milliseconds(3000);
+  // The silence of members after which any VM may take the duty over: the other members should have replaced them long
   // ago, and can't. Each VM waits up to `orphaned_spread` longer, so that usually one of them tries.
   Duration orphaned = std::chrono::milliseconds(1500);
   Duration orphaned_spread = std::chrono::milliseconds(500);
-  // Between two reads of the record by a member. Others read it only when a member is silent.
+  // Between two reads of the record by the first `store_readers` members. Others read it when members are silent.
   Duration store_poll = std::chrono::milliseconds(1000);
+  std::size_t store_readers = 3;
   // Promises end when no member has heard from the store for so long, so that a VM that isn't a member can take over.
   Duration store_silence_limit = std::chrono::seconds(20);
   // Between two changes of the members by the holder.
@@ -33,7 +37,7 @@
   // After the record is created, the holder waits so long for beats before it picks the other members.
   Duration gathering = std::chrono::milliseconds(700);
   // Members besides the holder.
-  std::size_t witnesses = 2;
+  std::size_t witnesses = 4;
   // How long an answer from a peer or the store is awaited.
   Duration answer_limit = std::chrono::milliseconds(600);
 };
--- a/source/core/coordination/succession.cc
+++ b/source/core/coordination/succession.cc
@@ -2,6 +2,7 @@
 #include <string>
 
 #include "core/coordination/coordination_system.h"
+#include "core/coordination/quorum.h"
 #include "core/rendezvous.h"
 
 // Who holds the duty to promote: replacing silent members, and taking the duty over.
@@ -9,6 +10,9 @@
 
 namespace {
 
+// In a set of so many members, hearing one other or none says nothing about who is cut off.
+constexpr std::size_t kSmallSet = 2;
+
 bool Contains(const std::vector<Member>& members, const VmName& vm) {
   return std::any_of(members.begin(), members.end(), [&vm](const Member& member) { return member.vm == vm; });
 }
@@ -51,6 +55,7 @@
   if (!this->IsHolder() || this->pending || !this->revision || now < this->next_repair || this->report.leaving) {
     return;
   }
+  const Duration patience = this->HearsMajority(now) ? this->settings.detection : this->settings.cut_off;
   std::string reason;
   for (const Member& member : this->record->members) {
     if (member.vm == this->self.vm) {
@@ -60,7 +65,7 @@
     const bool known = found != this->ledger.Entries().end();
     const TimePoint heard = known ? std::max(found->second.last_beat, this->contacts[member.vm].last_reply)
                                   : this->contacts[member.vm].last_reply;
-    if (heard + this->settings.detection <= now) {
+    if (heard + patience <= now) {
       reason = member.vm + " is silent";
     } else if (known && found->second.leaving) {
       reason = member.vm + " leaves";
@@ -85,36 +90,84 @@
   if (!this->record || this->record->members.empty() || this->IsHolder() || this->report.leaving) {
     return {};
   }
+  const std::string reason = this->SuccessionReason(now);
+  return reason.empty() ? this->OrphanReason(now) : reason;
+}
+
+std::string CoordinationSystem::SuccessionReason(TimePoint now) const {
   const std::vector<Member>& members = this->record->members;
+  const auto own =
+      std::find_if(members.begin(), members.end(), [this](const Member& m) { return m.vm == this->self.vm; });
+  if (own == members.end()) {
+    return {};
+  }
   const VmName& holder = members.front().vm;
-  for (std::size_t index = 1; index < members.size(); ++index) {
-    if (members[index].vm != this->self.vm) {
-      continue;
-    }
-    const Duration patience = this->settings.detection + this->settings.succession_step * (index - 1);
-    if (this->Silent(holder, patience, now)) {
-      return holder + " is silent";
-    }
-    const auto entry = this->ledger.Entries().find(holder);
-    if (entry != this->ledger.Entries().end() && entry->second.leaving && index == 1) {
-      return holder + " leaves";
-    }
-    const auto contact = this->contacts.find(holder);
-    const bool store_answers = now - this->last_store_contact < this->settings.store_poll * 2;
-    if (contact != this->contacts.end() && contact->second.wants_relief && store_answers && index == 1) {
-      return holder + " asks for relief";
-    }
+  const Duration turn = this->settings.succession_step * (own - members.begin() - 1);
+  const Duration patience = this->HearsMajority(now) ? this->settings.detection : this->settings.cut_off;
+  if (this->Silent(holder, patience + turn, now)) {
+    return holder + " is silent";
+  }
+  const auto entry = this->ledger.Entries().find(holder);
+  if (entry != this->ledger.Entries().end() && entry->second.leaving && turn == Duration::zero()) {
+    return holder + " leaves";
+  }
+  const auto contact = this->contacts.find(holder);
+  const bool asked = contact != this->contacts.end() && contact->second.relief_since != kNever;
+  if (asked && now >= contact->second.relief_since + turn && this->StoreAnswers(now)) {
+    return holder + " asks for relief";
+  }
+  return {};
+}
+
+std::string CoordinationSystem::OrphanReason(TimePoint now) const {
+  if (!this->StoreAnswers(now)) {
     return {};
   }
-  const auto share = static_cast<double>(RendezvousHash(holder, this->self.vm) % 1000) / 1000.0;
-  const Duration patience =
-      this->settings.orphaned + std::chrono::duration_cast<Duration>(this->settings.orphaned_spread * share);
+  const std::vector<Member>& members = this->record->members;
+  const Duration patience = this->OrphanPatience(now);
+  std::size_t silent = 0;
+  std::string names;
   for (const Member& member : members) {
-    if (this->Silent(member.vm, patience, now) && now - this->last_store_contact < this->settings.store_poll * 2) {
-      return member.vm + " is silent and nobody replaces it";
+    if (member.vm != this->self.vm && this->Silent(member.vm, patience, now)) {
+      ++silent;
+      names += member.vm + " ";
     }
   }
-  return {};
+  return silent < RefusalsNeeded(members.size()) ? "" : names + "silent and nobody replaces them";
+}
+
+Duration CoordinationSystem::OrphanPatience(TimePoint now) const {
+  const std::vector<Member>& members = this->record->members;
+  const auto share = static_cast<double>(RendezvousHash(members.front().vm, this->self.vm) % 1000) / 1000.0;
+  const auto spread = std::chrono::duration_cast<Duration>(this->settings.orphaned_spread * share);
+  if (members.size() > kSmallSet) {
+    return (this->HearsMajority(now) ? this->settings.orphaned : this->settings.cut_off) + spread;
+  }
+  // A VM that was cut off may have taken over alone: those that it replaced take the duty back before rights end.
+  for (const FormerMembers& former : this->record->former) {
+    const auto own = std::find(former.vms.begin(), former.vms.end(), this->self.vm);
+    if (own != former.vms.end() && former.vms.size() > kSmallSet) {
+      return this->settings.detection + this->settings.succession_step * (own - former.vms.begin());
+    }
+  }
+  return this->settings.orphaned + spread;
+}
+
+bool CoordinationSystem::HearsMajority(TimePoint now) const {
+  std::size_t expected = 0;
+  std::size_t heard = 0;
+  for (const Member& member : this->record->members) {
+    const auto contact = this->contacts.find(member.vm);
+    const bool own = member.vm == this->self.vm;
+    const bool dead = !own && contact != this->contacts.end() && contact->second.refused;
+    expected += dead ? 0 : 1;
+    heard += !dead && (own || !this->Silent(member.vm, this->settings.detection, now)) ? 1 : 0;
+  }
+  return expected <= kSmallSet || heard * 2 > expected;
+}
+
+bool CoordinationSystem::StoreAnswers(TimePoint now) const {
+  return now - this->last_store_contact < this->settings.store_poll * 2;
 }
 
 void CoordinationSystem::ConsiderTakeover(TimePoint now, Actions& actions) {
@@ -130,6 +183,7 @@
   next.members = this->ChooseMembers(now, this->record->members, false);
   next.epoch += 1;
   next.fencing_token += 1;
+  next.duty_since = next.version + 1;
   actions.emplace_back(Decision{"take the duty over", reason});
   this->Propose(std::move(next), now, actions);
 }
--- a/source/net/http_connection.cc
+++ b/source/net/http_connection.cc
@@ -85,6 +85,7 @@
       return;
     }
     if (error) {
+      self->refused = error == boost::asio::error::connection_refused;
       self->Finish(CallStatus::kNotSent, {});
       return;
     }
@@ -169,7 +170,7 @@
     return;
   }
   const Callback finished = std::exchange(this->callback, nullptr);
-  finished(CallResult{status, std::move(response), this->sent_bytes, this->received_bytes});
+  finished(CallResult{status, std::move(response), this->sent_bytes, this->received_bytes, this->refused});
 }
 
 }  // namespace amaranthlane::net
--- a/source/net/http_connection.h
+++ b/source/net/http_connection.h
@@ -36,6 +36,8 @@
   // Bytes on the connection for this call, headers included; zero for a message that didn't go or come whole.
   std::size_t sent_bytes = 0;
   std::size_t received_bytes = 0;
+  // The peer's host is there and says that nothing listens at the address.
+  bool refused = false;
 };
 
 // One client connection that carries one request at a time. It connects on first use and never reconnects: a connection
@@ -81,6 +83,7 @@
   bool connected = false;
   bool sent = false;
   bool failed = false;
+  bool refused = false;
 };
 
 }  // namespace amaranthlane::net
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -153,7 +153,7 @@
               coordination::Actions actions;
               try {
                 if (result.status != net::CallStatus::kAnswered) {
-                  this->coordination.OnBeatFailed(member, now);
+                  this->coordination.OnBeatFailed(member, result.refused, now);
                   return;
                 }
                 const coordination::BeatReply reply =
@@ -165,7 +165,7 @@
               } catch (const ParseError& failure) {
                 logging::Write(logging::Level::kWarning, "peer's reply makes no sense",
                                {{"vm", member}, {"why", failure.what()}});
-                this->coordination.OnBeatFailed(member, now);
+                this->coordination.OnBeatFailed(member, false, now);
               }
               this->Perform(actions);
             });
@@ -301,7 +301,7 @@
   if (this->last_member_reply == TimePoint()) {
     this->last_member_reply = BootClock::now();
   }
-  this->platform.SetPatientWatches(!record.IsMember(this->settings.vm));
+  this->platform.SetWatching(record.IsMember(this->settings.vm));
   coordination::Actions actions;
   const TimePoint now = BootClock::now();
   this->coordination.Report(this->MakeReport(now), now, actions);
--- a/source/proxy/services.h
+++ b/source/proxy/services.h
@@ -34,9 +34,8 @@
   virtual void FollowDirectory(DirectoryChanged callback) = 0;
   // Reads both at once: this VM hears from no peer that would tell it of changes.
   virtual void Refresh() = 0;
-  // Watches may wait for long: a peer will tell when this VM has missed something. Otherwise they end soon, so that one
-  // that went silent is noticed.
-  virtual void SetPatientWatches(bool patient) = 0;
+  // Whether this VM watches the store for changes; otherwise its peers tell it of them.
+  virtual void SetWatching(bool watching) = 0;
 };
 
 }  // namespace amaranthlane::proxy
--- a/tests/core/coordination/vm_fleet.h
+++ b/tests/core/coordination/vm_fleet.h
@@ -30,6 +30,8 @@
   // Frozen VMs do nothing and hear nothing until they thaw; what was sent to them arrives then.
   void SetFrozen(std::size_t vm, bool frozen);
   void SetCut(std::size_t vm, bool cut);
+  // These VMs and the others don't reach each other; the store reaches both sides.
+  void SetApart(std::set<std::size_t> side);
 
   // VMs that may use the group's primary now.
   std::size_t Users() const;
@@ -73,6 +75,8 @@
   void Start(std::size_t vm);
   void Step();
   void Tick(std::size_t vm);
+  // True when a message passes from one VM to another now.
+  bool Passes(std::size_t from, std::size_t to) const;
   void Post(std::size_t vm, Duration delay, std::function<void()> run);
   Duration Delay();
   bool Chance(double share);
@@ -90,6 +94,7 @@
   std::mt19937_64 random;
   TimePoint now;
   std::vector<Vm> vms;
+  std::set<std::size_t> apart;
   std::vector<Event> events;
   std::optional<CoordinationRecord> stored;
   ObjectVersion revision = 0;
