Begin no change of primary that can't be finished; end inherited ones sooner

Ruled out: slow releases (all VMs had released after 1 s); a promotion that failed (none was ordered until the third successor).

Change: a holder begins a change only while it hears so many members that the primary can be released; a change that was inherited may end with the old primary once former orders are past; only a change without any candidate asks for relief. What the holder waits for while choosing is a log line now (it was missing).

--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds everything and runs every test. The last line counts the results.
+# Builds everything and runs every test, in three lanes beside each other. The last line counts the results.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 ./scripts/install_dependencies.sh || exit 1
@@ -11,26 +11,52 @@
   cmake --build build-asan -j "$jobs" || exit 1
 results=$(mktemp -d)
 trap 'rm -rf "$results"' EXIT
-status=0
+
 run_suite() {  # name, command...
   local name=$1
   shift
   echo "== $name"
   # Failures are judged by count_results.py; a suite that left no results has crashed.
-  "$@" --gtest_brief=1 --gtest_output="json:$results/$name.json" || [ -s "$results/$name.json" ] || status=1
+  "$@" --gtest_brief=1 --gtest_output="json:$results/$name.json" || [ -s "$results/$name.json" ] ||
+    { echo "$name left no results"; touch "$results/crashed"; }
+}
+run_check() {  # name, command...
+  local name=$1
+  shift
+  echo "== $name"
+  "$@" || { echo "$name failed"; touch "$results/crashed"; }
+}
+settings_reference() {
+  diff <(./build/source/daemon/amaranthlaned --settings-reference) docs/SETTINGS.md ||
+    { echo "docs/SETTINGS.md is out of date: amaranthlaned --settings-reference > docs/SETTINGS.md"; return 1; }
 }
-run_suite unit ./build/tests/unit_tests
-run_suite sanitized ./build-asan/tests/unit_tests
-echo "== example"
-./build/examples/embed_leadership || status=1
-echo "== settings reference"
-diff <(./build/source/daemon/amaranthlaned --settings-reference) docs/SETTINGS.md ||
-  { echo "docs/SETTINGS.md is out of date: amaranthlaned --settings-reference > docs/SETTINGS.md"; status=1; }
-for suite in build/tests/*/*_tests; do
-  [ -x "$suite" ] && run_suite "$(basename "$suite")" "./$suite"
+# Mostly waiting.
+lane_processes() {
+  run_suite integration_tests ./build/tests/integration/integration_tests
+}
+lane_sanitized() {
+  run_suite sanitized ./build-asan/tests/unit_tests
+}
+lane_others() {
+  run_suite unit ./build/tests/unit_tests
+  run_check example ./build/examples/embed_leadership
+  run_check "settings reference" settings_reference
+  for suite in build/tests/*/*_tests; do
+    [ -x "$suite" ] && [ "$(basename "$suite")" != integration_tests ] && run_suite "$(basename "$suite")" "./$suite"
+  done
+  echo "== soak"
+  python3 soak/soak.py --seed 7 --seed 20261204 --regressions --seconds 8 --results "$results/soak.json" ||
+    [ -s "$results/soak.json" ] || touch "$results/crashed"
+}
+lanes="others sanitized processes"
+for lane in $lanes; do
+  "lane_$lane" > "$results/$lane.log" 2>&1 &
 done
-echo "== soak"
-python3 soak/soak.py --seed 7 --seed 20261204 --regressions --seconds 8 --results "$results/soak.json" ||
-  [ -s "$results/soak.json" ] || status=1
+wait
+for lane in $lanes; do
+  cat "$results/$lane.log"
+done
+status=0
+[ ! -e "$results/crashed" ] || status=1
 python3 scripts/count_results.py "$results" || status=1
 exit $status
--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -359,6 +359,18 @@
 
 bool CoordinationSystem::MayPromote(TimePoint now) const { return this->IsHolder() && now < this->rights.Until(); }
 
+bool CoordinationSystem::CanRelease(TimePoint now) const {
+  const std::vector<std::vector<VmName>> sets = this->PromisingSets(now);
+  return std::all_of(sets.begin(), sets.end(), [&](const std::vector<VmName>& members) {
+    const auto heard = std::count_if(members.begin(), members.end(), [&](const VmName& member) {
+      const auto entry = this->ledger.Entries().find(member);
+      return member == this->self.vm || (entry != this->ledger.Entries().end() &&
+                                         entry->second.last_beat + this->settings.beat * kFleetBeats >= now);
+    });
+    return static_cast<std::size_t>(heard) >= RefusalsNeeded(members.size());
+  });
+}
+
 bool CoordinationSystem::Released(const GroupName& group, TimePoint now) const {
   return this->Holdouts(group, now).empty();
 }
@@ -369,23 +381,13 @@
     holdouts = this->ledger.Holdouts(group, this->record->ReleaseVersion(group), this->self.vm, now);
     holdouts.push_back(this->self.vm);
   }
-  const auto require = [&](const std::vector<VmName>& members) {
+  for (const std::vector<VmName>& members : this->PromisingSets(now)) {
     std::vector<VmName> missing;
     std::copy_if(members.begin(), members.end(), std::back_inserter(missing),
                  [&](const VmName& member) { return !this->Declared(member, group); });
     if (members.size() - missing.size() < RefusalsNeeded(members.size())) {
       holdouts.insert(holdouts.end(), missing.begin(), missing.end());
     }
-  };
-  std::vector<VmName> present;
-  for (const Member& member : this->record->members) {
-    present.push_back(member.vm);
-  }
-  require(present);
-  for (const FormerMembers& former : this->record->former) {
-    if (!this->Ended(former, now)) {
-      require(former.vms);
-    }
   }
   return holdouts;
 }
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -121,6 +121,9 @@
   TimePoint RightsUntil() const;
   // True when this VM holds the duty, and whoever takes it over waits until it has followed or its right has ended.
   bool MayPromote(TimePoint now) const;
+  // True when this VM hears enough members, of those now and of former ones whose promises may last, for a primary to
+  // be released soon.
+  bool CanRelease(TimePoint now) const;
   // True when no VM can still use the group's former primary, nor another one order its change.
   bool Released(const GroupName& group, TimePoint now) const;
   // The VMs that Released() waits for: those that use the primary, or members that haven't declared it released.
@@ -166,6 +169,8 @@
   // True when the asker still owes or expects an answer of a group that this VM has declared released.
   bool ReleasedBefore(const Beat& beat) const;
   void NoteRetirements(TimePoint now);
+  // The members now and the former ones whose promises may last.
+  std::vector<std::vector<VmName>> PromisingSets(TimePoint now) const;
   // True when no VM can use primaries by the promises of these members any more.
   bool Ended(const FormerMembers& former, TimePoint now) const;
   void BeatTo(const Member& member, TimePoint now, Actions& actions);
--- a/source/core/coordination/releases.cc
+++ b/source/core/coordination/releases.cc
@@ -70,6 +70,19 @@
   this->retirements = std::move(kept);
 }
 
+std::vector<std::vector<VmName>> CoordinationSystem::PromisingSets(TimePoint now) const {
+  std::vector<std::vector<VmName>> sets(1);
+  for (const Member& member : this->record->members) {
+    sets.front().push_back(member.vm);
+  }
+  for (const FormerMembers& former : this->record->former) {
+    if (!this->Ended(former, now)) {
+      sets.push_back(former.vms);
+    }
+  }
+  return sets;
+}
+
 bool CoordinationSystem::Ended(const FormerMembers& former, TimePoint now) const {
   const auto found = this->retirements.find(former.epoch);
   if (found == this->retirements.end()) {
--- a/source/core/failover/primary_change_system.cc
+++ b/source/core/failover/primary_change_system.cc
@@ -1,6 +1,7 @@
 #include "core/failover/primary_change_system.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace amaranthlane::failover {
 
@@ -72,6 +73,7 @@
     if (state.changing && change.phase == Phase::kSteady) {
       change.phase = Phase::kReleasing;
       change.started = now;
+      change.may_abort = true;
     }
     if (!state.changing && change.phase != Phase::kSteady) {
       change = {};
@@ -91,7 +93,8 @@
     if (change.phase == Phase::kRecording) {
       this->Record(view, group, state, change);
     }
-    const bool choosing = change.phase == Phase::kChoosing && now > change.released_at + this->settings.stuck_limit;
+    const bool choosing = change.phase == Phase::kChoosing && change.nobody_since &&
+                          now > *change.nobody_since + this->settings.stuck_limit;
     const bool ordering = change.phase == Phase::kPromoting && !change.order_accepted &&
                           now > change.chosen_at + this->settings.stuck_limit;
     stuck = stuck || choosing || ordering;
@@ -121,13 +124,21 @@
                                  GroupChange& change) {
   const std::string reason = this->ReasonToChange(view, group, state, change);
   if (reason.empty() || !view.coordination.MayPromote(view.now)) {
+    change.waiting_logged = false;
+    return;
+  }
+  if (!view.coordination.CanRelease(view.now)) {
+    // A change that can't be finished would only stop those who use the primary well.
+    if (!change.waiting_logged) {
+      change.waiting_logged = true;
+      view.Log(group, "no change of primary: too few members are heard", reason);
+    }
     return;
   }
   const GroupState next = {state.term, state.primary, true};
   if (view.coordination.ProposeGroups({{group, next}}, reason, view.now, view.updates)) {
     change.reason = reason;
     change.own = true;
-    change.may_abort = true;
     view.Log(group, "change of primary begins", reason);
   }
 }
@@ -187,6 +198,7 @@
   if (holdouts.empty()) {
     change.phase = Phase::kChoosing;
     change.released_at = view.now;
+    change.abort_from = change.own ? view.now : view.now + this->settings.inherited_orders;
     change.next_query = view.now;
     view.Log(group, "all VMs released the primary", change.reason);
     this->Query(view, group, change, this->settings.query_interval);
@@ -213,62 +225,77 @@
   const auto entry = view.directory.find(state.primary);
   const bool leads = former != change.statuses.end() && former->second.sent_at >= change.released_at &&
                      former->second.status.is_primary && former->second.status.term == state.term;
-  if (leads && change.may_abort && entry != view.directory.end() && !entry->second.draining &&
-      view.coordination.SuspectShare(group, view.now) < this->settings.suspect_share) {
+  if (leads && change.may_abort && view.now >= change.abort_from && entry != view.directory.end() &&
+      !entry->second.draining && view.coordination.SuspectShare(group, view.now) < this->settings.suspect_share) {
     this->Finish(view, group, {state.term, state.primary, false}, "the primary answers again", change);
     return true;
   }
   return false;
 }
 
-void PrimaryChangeSystem::Choose(const View& view, const GroupName& group, const GroupState& state,
-                                 GroupChange& change) {
-  this->Query(view, group, change, this->settings.query_interval);
-  if (this->Settled(view, group, state, change)) {
-    return;
-  }
-  std::size_t replicas = 0;
-  std::size_t answered = 0;
-  const EndpointName* best = nullptr;
-  LogPosition best_position;
+PrimaryChangeSystem::Candidates PrimaryChangeSystem::FindCandidates(const View& view, const GroupName& group,
+                                                                    const GroupState& state,
+                                                                    const GroupChange& change) const {
+  Candidates found;
   for (const EndpointEntry* entry : view.Endpoints(group)) {
     if (entry->name == state.primary) {
       continue;
     }
-    ++replicas;
+    ++found.replicas;
     const auto known = change.statuses.find(entry->name);
     if (known == change.statuses.end() || known->second.sent_at < change.released_at) {
       continue;
     }
-    ++answered;
+    ++found.answered;
     const auto excluded = change.excluded.find(entry->name);
     const bool usable = !entry->draining && (excluded == change.excluded.end() || excluded->second < view.now);
-    if (usable && (best == nullptr || known->second.status.position > best_position)) {
-      best = &entry->name;
-      best_position = known->second.status.position;
+    if (usable && (found.best.empty() || known->second.status.position > found.position)) {
+      found.best = entry->name;
+      found.position = known->second.status.position;
     }
   }
+  return found;
+}
+
+void PrimaryChangeSystem::Choose(const View& view, const GroupName& group, const GroupState& state,
+                                 GroupChange& change) {
+  this->Query(view, group, change, this->settings.query_interval);
+  if (this->Settled(view, group, state, change)) {
+    return;
+  }
+  const Candidates found = this->FindCandidates(view, group, state, change);
+  if (!found.best.empty()) {
+    change.nobody_since.reset();
+  } else if (!change.nobody_since) {
+    change.nobody_since = view.now;
+  }
   const auto former = change.statuses.find(state.primary);
   const bool former_answers = former != change.statuses.end() && former->second.sent_at >= change.released_at &&
                               former->second.status.is_primary;
-  const bool complete = best != nullptr && former_answers && best_position >= former->second.status.position;
+  const bool complete = !found.best.empty() && former_answers && found.position >= former->second.status.position;
   const auto synchronous = view.synchronous_replicas.find(group);
   const bool must_cover = synchronous != view.synchronous_replicas.end() && synchronous->second > 0;
   const Duration waited = view.now - change.released_at;
-  const bool enough = must_cover ? answered == replicas : answered == replicas || waited > this->settings.choice_limit;
+  const bool all = found.answered == found.replicas;
+  const bool enough = all || (!must_cover && waited > this->settings.choice_limit);
   const bool caught_up = !former_answers || waited > this->settings.catch_up_limit;
-  if (best == nullptr || (!complete && (!enough || !caught_up))) {
+  const std::string told = found.best + " at " + PositionText(found.position) + ", " + std::to_string(found.answered) +
+                           " of " + std::to_string(found.replicas) + " replicas answered";
+  if (found.best.empty() || (!complete && (!enough || !caught_up))) {
+    if (waited > this->settings.choice_limit && !std::exchange(change.choosing_logged, true)) {
+      const std::string primary =
+          former_answers ? ", the former primary is at " + PositionText(former->second.status.position) : "";
+      view.Log(group, "no candidate yet", (found.best.empty() ? "nobody" : told) + primary);
+    }
     return;
   }
-  change.candidate = *best;
+  change.candidate = found.best;
   change.phase = Phase::kPromoting;
   change.next_order = view.now;
   change.chosen_at = view.now;
   change.ordered_at = view.now;
   change.order_accepted = false;
-  view.Log(group, "candidate chosen",
-           *best + " at " + PositionText(best_position) + ", " + std::to_string(answered) + " of " +
-               std::to_string(replicas) + " replicas answered");
+  view.Log(group, "candidate chosen", told);
 }
 
 void PrimaryChangeSystem::Promote(const View& view, const GroupName& group, const GroupState& state,
--- a/source/core/failover/primary_change_system.h
+++ b/source/core/failover/primary_change_system.h
@@ -107,8 +107,11 @@
     bool order_accepted = false;
     // This VM began the change, so no other VM's order is under way.
     bool own = false;
-    // It has ordered nothing yet, so the old primary may stay.
+    // It has ordered nothing yet, so the old primary may stay, from the time on when no other VM's order is under way.
     bool may_abort = false;
+    TimePoint abort_from = kNever;
+    // Since when no replica is known that could lead.
+    std::optional<TimePoint> nobody_since;
     // Since when the directory disagrees with the record.
     std::optional<TimePoint> disagrees_since;
     EndpointName candidate;
@@ -120,6 +123,7 @@
     // What the record is to say at the end.
     coordination::GroupState next;
     bool waiting_logged = false;
+    bool choosing_logged = false;
   };
   struct PendingStepDown {
     EndpointName endpoint;
@@ -137,6 +141,16 @@
                  const coordination::GroupState& state, GroupChange& change) const;
   void Release(const View& view, const GroupName& group, GroupChange& change);
   void Choose(const View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
+  // What the replicas say that can lead.
+  struct Candidates {
+    std::size_t replicas = 0;
+    std::size_t answered = 0;
+    // Empty: none.
+    EndpointName best;
+    LogPosition position;
+  };
+  Candidates FindCandidates(const View& view, const GroupName& group, const coordination::GroupState& state,
+                            const GroupChange& change) const;
   bool Settled(const View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
   void Promote(const View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
   void Finish(const View& view, const GroupName& group, const coordination::GroupState& next, const std::string& why,
--- a/tests/core/coordination/coordination_system_test.cc
+++ b/tests/core/coordination/coordination_system_test.cc
@@ -175,6 +175,38 @@
   EXPECT_EQ(this->LongestGap(seconds(8), 5), milliseconds(0));
 }
 
+// It can't have the primary released by those that it doesn't hear, so it must not begin a change that stops them all
+// once they are back.
+TEST_F(CoordinationSystemTest, AMemberAloneWithTheStoreBeginsNoChange) {
+  const std::size_t alone = this->MemberAt(2);
+  this->fleet.SetApart({alone});
+  this->fleet.without_primary.insert(alone);
+  for (std::size_t vm = 0; vm < 6; ++vm) {
+    if (vm != alone) {
+      this->fleet.without_store.insert(vm);
+    }
+  }
+  this->fleet.RunFor(seconds(7));
+  this->fleet.SetApart({});
+  this->fleet.without_store.clear();
+  this->fleet.without_primary.clear();
+  EXPECT_LT(this->LongestGap(seconds(8), 5), milliseconds(300));
+  EXPECT_EQ(this->fleet.Users(), 6U);
+}
+
+// The successor of a change finds the former primary well and the replicas behind it.
+TEST_F(CoordinationSystemTest, AnInheritedChangeEndsAlthoughReplicasStayBehind) {
+  this->fleet.replicas_behind = 2;
+  this->fleet.primary_answers = false;
+  this->fleet.RunFor(milliseconds(60));
+  this->fleet.Kill(this->holder);
+  this->fleet.RunFor(milliseconds(300));
+  this->fleet.primary_answers = true;
+  this->fleet.RunFor(seconds(6));
+  EXPECT_EQ(this->fleet.Users(), 5U);
+  EXPECT_EQ(this->fleet.promotions, 0U);
+}
+
 // A VM that hears none of its peers, but has the store, must not take the duty from a fleet that is well.
 TEST_F(CoordinationSystemTest, AVmApartFromAllOthersStopsNobodyElse) {
   for (std::size_t vm = 0; vm < 6; ++vm) {
--- a/tests/core/coordination/vm_fleet.cc
+++ b/tests/core/coordination/vm_fleet.cc
@@ -11,6 +11,7 @@
 constexpr std::chrono::milliseconds kStep{10};
 constexpr std::chrono::milliseconds kPromotionTakes{300};
 constexpr std::chrono::milliseconds kAnswerLimit{600};
+constexpr std::uint64_t kLogEnd = 5;
 const GroupName kGroup = "group-1";
 
 template <class... Handlers>
@@ -94,13 +95,14 @@
   }
 }
 
-LocalReport VmFleet::ReportOf(const Vm& vm) const {
+LocalReport VmFleet::ReportOf(std::size_t vm) const {
   LocalReport report;
-  const CoordinationRecord* record = vm.system->Record();
+  const CoordinationRecord* record = this->vms[vm].system->Record();
   if (record == nullptr || record->groups.count(kGroup) == 0) {
     return report;
   }
-  const bool gone = !this->primary_answers && record->groups.at(kGroup).primary == this->primary;
+  const bool gone = (!this->primary_answers || this->without_primary.count(vm) > 0) &&
+                    record->groups.at(kGroup).primary == this->primary;
   (gone ? report.suspects : report.reaches).push_back(kGroup);
   return report;
 }
@@ -109,7 +111,7 @@
   Vm& vm = this->vms[index];
   Actions actions;
   failover::Actions orders;
-  vm.system->Report(this->ReportOf(vm), this->now, actions);
+  vm.system->Report(this->ReportOf(index), this->now, actions);
   vm.system->Tick(this->now, actions);
   if (vm.system->Record() != nullptr) {
     vm.failover->Tick(Directory(), {}, *vm.system, this->now, actions, orders);
@@ -237,14 +239,14 @@
   for (const failover::Action& action : actions) {
     if (const auto* query = std::get_if<failover::QueryStatus>(&action)) {
       const bool leads = query->endpoint == this->primary;
-      if (leads && !this->primary_answers) {
+      if (leads && (!this->primary_answers || this->without_primary.count(vm) > 0)) {
         continue;
       }
       const TimePoint sent_at = this->now;
       failover::EndpointStatus status;
       status.is_primary = leads;
       status.term = this->term;
-      status.position = {this->term, 5};
+      status.position = {this->term, kLogEnd - (leads ? 0 : this->replicas_behind)};
       this->Post(vm, this->Delay(), [this, vm, name = query->endpoint, status, sent_at] {
         this->vms[vm].failover->OnStatus(kGroup, name, status, sent_at);
       });
--- a/tests/core/coordination/vm_fleet.h
+++ b/tests/core/coordination/vm_fleet.h
@@ -45,11 +45,15 @@
   bool lost_writes_are_late = false;
   // VMs that the store doesn't answer.
   std::set<std::size_t> without_store;
+  // VMs that the primary doesn't answer.
+  std::set<std::size_t> without_primary;
 
   // The endpoint that leads, and whether it answers. Endpoints are e1 to e3.
   EndpointName primary = "e1";
   Term term = 1;
   bool primary_answers = true;
+  // How far the replicas are behind the primary.
+  std::uint64_t replicas_behind = 0;
   std::size_t promotions = 0;
   std::optional<std::string> violation;
 
@@ -89,7 +93,7 @@
   void Promote(std::size_t vm, const failover::OrderPromotion& order);
   void CheckUsers();
   std::optional<std::size_t> Find(const VmName& name) const;
-  LocalReport ReportOf(const Vm& vm) const;
+  LocalReport ReportOf(std::size_t vm) const;
 
   std::mt19937_64 random;
   TimePoint now;
