--- a/scripts/run_checks.sh
+++ b/scripts/run_checks.sh
@@ -5,6 +5,7 @@
 jobs=${JOBS:-$(nproc)}
 git ls-files '*.cc' '*.h' | xargs -r -P "$jobs" -n 16 clang-format --dry-run --Werror
 ./scripts/check_names.sh
+./scripts/check_pages.sh
 cmake -S . -B build -G Ninja > /dev/null
 python3 scripts/lint.py
 echo "format and lint: clean"
--- a/source/proxy/dispatcher.cc
+++ b/source/proxy/dispatcher.cc
@@ -54,7 +54,8 @@
     if (found == this->queue.end()) {
       continue;
     }
-    const bool refuse = now >= found->second.work.refuse_at;
+    const bool hopeless = found->second.work.needs_primary && this->primary(now).given_up;
+    const bool refuse = hopeless || now >= found->second.work.refuse_at;
     const bool early = now < found->second.work.not_before;
     if (early && !refuse) {
       continue;
@@ -102,13 +103,13 @@
 }
 
 bool Dispatcher::Place(const WaitingWork& waiting, TimePoint now, std::map<EndpointName, int>& opened) {
-  const auto [usable, primary_name] = this->primary(now);
+  const KnownPrimary known = this->primary(now);
   const Work& work = waiting.work;
   std::vector<std::pair<double, EndpointPool*>> choices;
   const std::optional<LogPosition> owed = work.needs_primary ? std::nullopt : this->Owed(work, now);
   for (const auto& [name, pool] : this->pools) {
-    const bool is_primary = name == primary_name;
-    const bool eligible = is_primary ? usable && !pool->DrainingFor(kDrainingPrimaryLimit, now)
+    const bool is_primary = name == known.name;
+    const bool eligible = is_primary ? known.usable && !pool->DrainingFor(kDrainingPrimaryLimit, now)
                                      : owed.has_value() && !pool->Endpoint().draining && !pool->Lagging(now);
     if (eligible && pool->Reachable() && (is_primary || !work.needs_primary)) {
       choices.emplace_back(this->Cost(*pool, is_primary, work, owed, now), pool);
@@ -116,7 +117,7 @@
   }
   std::sort(choices.begin(), choices.end());
   for (const auto& [cost, pool] : choices) {
-    const bool is_primary = pool->Endpoint().name == primary_name;
+    const bool is_primary = pool->Endpoint().name == known.name;
     if (this->PlaceOn(*pool, is_primary ? std::nullopt : owed, waiting, now)) {
       return true;
     }
@@ -142,11 +143,14 @@
 }
 
 Refusal Dispatcher::Explain(const WaitingWork& waiting, TimePoint now) const {
-  const auto [usable, primary_name] = this->primary(now);
-  if (!usable) {
-    return {primary_name.empty() ? "no primary is known" : "the primary may not be used now", kRetryAfterNoPrimary};
+  const KnownPrimary known = this->primary(now);
+  if (known.given_up) {
+    return {"too few members promise: this VM is probably cut off", kRetryAfterNoPrimary};
   }
-  const auto pool = this->pools.find(primary_name);
+  if (!known.usable) {
+    return {known.name.empty() ? "no primary is known" : "the primary may not be used now", kRetryAfterNoPrimary};
+  }
+  const auto pool = this->pools.find(known.name);
   if (waiting.work.needs_primary && (pool == this->pools.end() || !pool->second->Reachable())) {
     return {"the primary is out of reach", kRetryAfterNoPrimary};
   }
@@ -168,8 +172,8 @@
   if (pool != nullptr) {
     pool->known_position = std::max(pool->known_position, position);
   }
-  const auto [usable, primary_name] = this->primary(now);
-  if (usable && primary_name == endpoint) {
+  const KnownPrimary known = this->primary(now);
+  if (known.usable && known.name == endpoint) {
     this->history.Add(sent_at, position);
   }
 }
--- a/source/proxy/dispatcher.h
+++ b/source/proxy/dispatcher.h
@@ -47,12 +47,21 @@
 
 using Placement = std::function<void(const Grant* grant, const Refusal* refusal)>;
 
+// A group's primary, as this VM sees it.
+struct KnownPrimary {
+  // This VM may use it now.
+  bool usable = false;
+  // This VM has been without promises for so long that it is probably cut off: nothing is gained by waiting here.
+  bool given_up = false;
+  // Empty: unknown.
+  EndpointName name;
+};
+
 // The work of one database group that waits for a connection, most urgent first, and the choice of endpoints. Used on
 // one thread.
 class Dispatcher {
  public:
-  // Whether this VM may use the group's primary now, and which one that is (empty: unknown).
-  using PrimaryView = std::function<std::pair<bool, EndpointName>(TimePoint now)>;
+  using PrimaryView = std::function<KnownPrimary(TimePoint now)>;
 
   Dispatcher(std::string data_centre, PrimaryView primary);
 
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -117,6 +117,7 @@
   if (now >= this->next_session_tick) {
     this->next_session_tick = now + kSessionTick;
     this->TickSessions(now);
+    this->UpdateGauges(now);
   }
   this->TickShutdown(now);
   this->timer.expires_after(kTick);
@@ -135,6 +136,35 @@
   }
 }
 
+void Node::UpdateGauges(TimePoint now) {
+  const auto set = [this](const char* name, const char* help, std::uint64_t value) {
+    this->registry.GetGauge(name, help).value = static_cast<double>(value);
+  };
+  const coordination::CoordinationRecord* record = this->coordination.Record();
+  std::uint64_t changing = 0;
+  if (record != nullptr) {
+    changing = static_cast<std::uint64_t>(std::count_if(record->groups.begin(), record->groups.end(),
+                                                        [](const auto& group) { return group.second.changing; }));
+  }
+  const auto out_of_reach = std::count_if(this->endpoints.begin(), this->endpoints.end(),
+                                          [](const auto& known) { return !known.second.pool->Reachable(); });
+  std::uint64_t waiting = 0;
+  for (const auto& [group, dispatcher] : this->dispatchers) {
+    waiting += dispatcher->Waiting();
+  }
+  set("amaranthlane_sessions", "Callers' sessions on this VM.", this->sessions.size());
+  set("amaranthlane_statements_waiting", "Statements without a connection yet.", waiting);
+  set("amaranthlane_may_use_primaries", "1 while enough members promise.",
+      now < this->coordination.RightsUntil() ? 1 : 0);
+  set("amaranthlane_holds_duty", "1 on the VM that orders promotions.", this->coordination.IsHolder() ? 1 : 0);
+  set("amaranthlane_groups_changing", "Groups whose primary is being changed.", changing);
+  set("amaranthlane_endpoints_out_of_reach", "Endpoints that don't answer this VM.",
+      static_cast<std::uint64_t>(out_of_reach));
+  set("amaranthlane_record_version", "The coordination record that this VM acts on.", this->RecordVersion());
+  set("amaranthlane_configuration_version", "The configuration that this VM acts on.",
+      this->configuration ? this->configuration->version : 0);
+}
+
 void Node::Shutdown() {
   if (this->shutdown_at) {
     return;
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -64,6 +64,7 @@
   void Accept(boost::asio::ip::tcp::acceptor& door, bool may_relay);
   void Tick();
   void TickSessions(TimePoint now);
+  void UpdateGauges(TimePoint now);
   void TickShutdown(TimePoint now);
   void AnswerReadiness(const net::HttpRequest& request, const net::HttpServer::Answer& answer);
   bool Ready() const;
@@ -79,7 +80,7 @@
   void UpdateFleet(std::vector<carriers::FleetVm> update);
   void ChooseCarriers();
   EndpointPool* FindPool(const EndpointName& endpoint) const;
-  std::pair<bool, EndpointName> PrimaryOf(const GroupName& group, TimePoint now) const;
+  KnownPrimary PrimaryOf(const GroupName& group, TimePoint now) const;
 
   // node_coordination.cc
   void TickCoordination(TimePoint now);
@@ -91,8 +92,10 @@
   void PerformWrite(const coordination::WriteRecord& action);
   void PerformFailover(const failover::Actions& actions, TimePoint now);
   void AnswerPeer(const net::HttpRequest& request, const net::HttpServer::Answer& answer);
-  // What to tell a VM that knows the fleet of this digest.
-  coordination::MemberKnowledge Knowledge(const std::string& known_fleet, TimePoint now) const;
+  // What to tell the VM that sent this beat.
+  coordination::MemberKnowledge Knowledge(const coordination::Beat& beat, TimePoint now) const;
+  // True for a few members by asker: positions of all groups from every member would be most of what VMs say.
+  bool TellsPositionsTo(const VmName& asker) const;
   void OnKnowledge(const coordination::MemberKnowledge& knowledge, TimePoint asked_at);
   // Fetches from a peer what it has newer than this VM.
   void CatchUpWith(const std::string& address, const coordination::StoreKnowledge& store, TimePoint now);
@@ -141,6 +144,8 @@
   std::optional<TimePoint> shutdown_at;
   TimePoint next_session_tick;
   TimePoint last_member_reply;
+  // Since when this VM has been seen without enough promises; none: it has them.
+  std::optional<TimePoint> without_promises_since;
   TimePoint next_refresh;
   TimePoint next_configuration_fetch;
   TimePoint next_directory_fetch;
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -3,6 +3,7 @@
 #include <variant>
 
 #include "common/json.h"
+#include "core/rendezvous.h"
 #include "proxy/node.h"
 
 // A node's part in coordination: what it says to its peers, and what it orders while it holds the duty.
@@ -25,6 +26,8 @@
 // Without an answer of any member for so long, this VM reads the store itself, at this interval.
 constexpr std::chrono::milliseconds kAloneAfter{1200};
 constexpr std::chrono::milliseconds kRefreshInterval{2000};
+// So many members tell a VM positions; if both are lost it asks the primary itself.
+constexpr std::size_t kMembersThatTellPositions = 2;
 // How often members look who is alive, and how recently a VM must have sent a beat for that.
 constexpr std::chrono::milliseconds kFleetInterval{300};
 constexpr std::chrono::milliseconds kAliveWithin{1400};
@@ -67,6 +70,11 @@
   }
   this->coordination.Report(this->MakeReport(now), now, actions);
   this->coordination.Tick(now, actions);
+  if (record == nullptr || now < this->coordination.RightsUntil()) {
+    this->without_promises_since.reset();
+  } else if (!this->without_promises_since) {
+    this->without_promises_since = now;
+  }
   failover::Actions orders;
   if (this->directory_known) {
     failover::EndpointDirectory directory;
@@ -171,12 +179,26 @@
             });
 }
 
-coordination::MemberKnowledge Node::Knowledge(const std::string& known_fleet, TimePoint now) const {
+bool Node::TellsPositionsTo(const VmName& asker) const {
+  const coordination::CoordinationRecord* record = this->coordination.Record();
+  const std::size_t members = record == nullptr ? 0 : record->members.size();
+  if (members <= kMembersThatTellPositions) {
+    return true;
+  }
+  const std::size_t place = record->Place(this->settings.vm);
+  const std::size_t first = RendezvousHash("positions", asker) % members;
+  return (place + members - first) % members < kMembersThatTellPositions;
+}
+
+coordination::MemberKnowledge Node::Knowledge(const coordination::Beat& beat, TimePoint now) const {
   coordination::MemberKnowledge knowledge;
   const coordination::CoordinationRecord* record = this->coordination.Record();
-  if (record != nullptr && record->IsMember(this->settings.vm) && known_fleet != this->fleet_digest) {
+  if (record != nullptr && record->IsMember(this->settings.vm) && beat.fleet_digest != this->fleet_digest) {
     knowledge.fleet = this->fleet;
   }
+  if (!this->TellsPositionsTo(beat.vm)) {
+    return knowledge;
+  }
   for (const auto& [group, dispatcher] : this->dispatchers) {
     const std::optional<LogPosition> newest = dispatcher->History().Newest();
     if (newest) {
@@ -350,7 +372,7 @@
     if (request.target == kBeatTarget) {
       const coordination::Beat beat = coordination::ParseBeat(json::Parse(request.body, "beat"));
       coordination::BeatReply reply = this->coordination.OnBeat(beat, now, actions);
-      reply.knowledge = this->Knowledge(beat.fleet_digest, now);
+      reply.knowledge = this->Knowledge(beat, now);
       this->CatchUpWith(beat.address, beat.store, now);
       response.body = ToJson(reply).dump();
     } else if (request.target == kConfigurationTarget && this->configuration) {
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds kForgetEndpointAfter{2600};
 
 constexpr std::size_t kCarriersTried = 3;
+// A VM that has had too few promises for so long refuses work for primaries at once. Members are replaced sooner.
+constexpr std::chrono::milliseconds kGiveUpAfter{1000};
 // So many members keep a connection to each endpoint in any case, to know positions and who leads.
 constexpr std::size_t kMembersInTouch = 3;
 // How often carriers are chosen anew; groups and their connections change seldom.
@@ -137,10 +139,10 @@
     const bool carries = !this->fleet.empty() && this->Carries(known.entry.group);
     const std::size_t own = carries ? plan.connections : (in_touch ? 1 : 0);
     known.pool->SetLimits(own, static_cast<std::size_t>(std::max(1.0, concurrency)));
-    const auto [usable, primary] = this->PrimaryOf(known.entry.group, now);
-    const bool is_primary = primary == found->first;
+    const KnownPrimary primary = this->PrimaryOf(known.entry.group, now);
+    const bool is_primary = primary.name == found->first;
     const TimePoint asked = this->dispatchers.at(known.entry.group)->History().LastAsked();
-    const bool ask = is_primary && usable && now > asked + (member ? kPositionAge : kPositionAgeOfOthers);
+    const bool ask = is_primary && primary.usable && now > asked + (member ? kPositionAge : kPositionAgeOfOthers);
     known.pool->Tick(now, ask ? kPositionAge : (is_primary ? kPrimaryProbe : kReplicaProbe));
     ++found;
   }
@@ -218,12 +220,13 @@
   return found == this->endpoints.end() ? nullptr : found->second.pool.get();
 }
 
-std::pair<bool, EndpointName> Node::PrimaryOf(const GroupName& group, TimePoint now) const {
+KnownPrimary Node::PrimaryOf(const GroupName& group, TimePoint now) const {
   const coordination::CoordinationRecord* record = this->coordination.Record();
   if (record == nullptr || record->groups.count(group) == 0) {
-    return {false, {}};
+    return {};
   }
-  return {this->coordination.MayUsePrimary(group, now), record->groups.at(group).primary};
+  const bool given_up = this->without_promises_since && now > *this->without_promises_since + kGiveUpAfter;
+  return {this->coordination.MayUsePrimary(group, now), given_up, record->groups.at(group).primary};
 }
 
 }  // namespace amaranthlane::proxy
--- a/tests/proxy/dispatcher_test.cc
+++ b/tests/proxy/dispatcher_test.cc
@@ -17,7 +17,9 @@
         replica(this->loop, this->group, "r"),
         primary_pool(this->loop, this->codec, "vm", this->primary.Entry(), PoolSettings{}, {}),
         replica_pool(this->loop, this->codec, "vm", this->replica.Entry(), PoolSettings{}, {}),
-        dispatcher("dc-0", [this](TimePoint) { return std::make_pair(this->usable, EndpointName("p")); }) {
+        dispatcher("dc-0", [this](TimePoint) {
+          return KnownPrimary{this->usable, this->given_up, "p"};
+        }) {
     this->group.primary = "p";
     for (EndpointPool* pool : {&this->primary_pool, &this->replica_pool}) {
       pool->SetLimits(4, 4);
@@ -67,6 +69,7 @@
   EndpointPool replica_pool;
   Dispatcher dispatcher;
   bool usable = true;
+  bool given_up = false;
   std::vector<std::string> order;
   std::map<std::string, std::string> outcome;
   std::vector<Grant> granted;
@@ -99,6 +102,17 @@
   EXPECT_EQ(this->outcome["write"], "the primary may not be used now");
 }
 
+// The caller may do better elsewhere, and learns it at once.
+TEST_F(DispatcherTest, WorkForThePrimaryIsRefusedAtOnceOnAVmThatIsCutOff) {
+  this->usable = false;
+  this->given_up = true;
+  this->Submit(PrimaryWork(Rank::kUrgent), "write");
+  this->Submit(BoundedRead(), "read");
+  this->dispatcher.Pump(BootClock::now());
+  EXPECT_EQ(this->order, (std::vector<std::string>{"write"}));
+  EXPECT_EQ(this->outcome["write"].rfind("too few members promise", 0), 0U);
+}
+
 TEST_F(DispatcherTest, AReadNeedsAPositionToGoToAReplica) {
   this->usable = false;
   this->Submit(BoundedRead(), "early");
--- a/tests/proxy/node_test.cc
+++ b/tests/proxy/node_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "net/address.h"
+#include "net/http_pool.h"
 #include "proxy/node_fixture.h"
 
 namespace amaranthlane::proxy {
@@ -190,6 +192,24 @@
   EXPECT_EQ(this->group.log.size(), served);
 }
 
+TEST_F(NodeTest, MetricsTellWhatTheVmBelieves) {
+  const auto caller = this->Open(0, "exact");
+  this->Ask(*caller, "write w1");
+  this->RunFor(milliseconds(200));
+  net::HttpPool pool(this->loop, net::ParseAddress(this->vms[0].settings.operators_address), 1);
+  net::HttpRequest request;
+  request.method = "GET";
+  request.target = "/metrics";
+  std::string body;
+  pool.Call(std::move(request), BootClock::now() + std::chrono::seconds(5),
+            [&body](const net::CallResult& result) { body = result.response.body; });
+  ASSERT_TRUE(this->RunUntil([&body] { return !body.empty(); }));
+  for (const char* line : {"amaranthlane_may_use_primaries 1\n", "amaranthlane_sessions 1\n",
+                           "amaranthlane_groups_changing 0\n", "amaranthlane_configuration_version 1\n"}) {
+    EXPECT_NE(body.find(line), std::string::npos) << line << body;
+  }
+}
+
 // What VMs tell each other.
 
 TEST_F(LargeFleetTest, OnlyMembersWatchTheStore) {
