One way to fail a commit; drop what nobody asked of a session's context

Cause: four places ended a transaction whose COMMIT had no success by the same three lines, and SessionContext offered a question that no session asks. Ruled out: a difference between the four (none but the code). Change: FailCommit(); ShuttingDown() is gone.

--- a/source/proxy/caller_operation.cc
+++ b/source/proxy/caller_operation.cc
@@ -315,15 +315,11 @@
       return;
     }
     if (committing && !statements::DidNotRun(answer.code) && this->transaction->wrote) {
-      this->DropConnection();
-      this->transaction.reset();
-      this->FailStatement(FailureCode::kOutcomeUnknown, why);
+      this->FailCommit(FailureCode::kOutcomeUnknown, why);
       return;
     }
     if (committing) {
-      this->DropConnection();
-      this->transaction.reset();
-      this->FailStatement(FailureCode::kAborted, why);
+      this->FailCommit(FailureCode::kAborted, why);
       return;
     }
     this->FailTransaction(why);
@@ -347,6 +343,13 @@
   }
 }
 
+// The transaction ends with a COMMIT that gave no success.
+void CallerSession::FailCommit(FailureCode code, const std::string& why) {
+  this->DropConnection();
+  this->transaction.reset();
+  this->FailStatement(code, why);
+}
+
 void CallerSession::OnLostAnswer(ExchangeStatus status) {
   Operation& current = *this->operation;
   const bool timed_out = status == ExchangeStatus::kTimedOut;
@@ -354,9 +357,7 @@
   if (this->transaction) {
     const bool committing = current.statement.kind == StatementKind::kCommit;
     if (committing && this->transaction->wrote) {
-      this->DropConnection();
-      this->transaction.reset();
-      this->FailStatement(FailureCode::kOutcomeUnknown, why);
+      this->FailCommit(FailureCode::kOutcomeUnknown, why);
       return;
     }
     if (current.statement.kind == StatementKind::kRollback) {
@@ -368,9 +369,7 @@
       return;
     }
     if (committing) {
-      this->DropConnection();
-      this->transaction.reset();
-      this->FailStatement(FailureCode::kAborted, why);
+      this->FailCommit(FailureCode::kAborted, why);
       return;
     }
     this->FailTransaction(why);
--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -288,9 +288,7 @@
     if (statement.kind == StatementKind::kCommit && this->transaction->wrote &&
         !this->context.MayAcknowledge(this->group, this->operation->endpoint, now)) {
       // Its answer could not be passed on, so it isn't sent: then nothing is kept, and the caller may repeat all of it.
-      this->DropConnection();
-      this->transaction.reset();
-      this->FailStatement(FailureCode::kAborted, "the right to use the primary ended before the commit");
+      this->FailCommit(FailureCode::kAborted, "the right to use the primary ended before the commit");
       return;
     }
     this->BringUp();
--- a/source/proxy/caller_session.h
+++ b/source/proxy/caller_session.h
@@ -105,6 +105,7 @@
 
   void FailStatement(statements::FailureCode code, const std::string& why);
   void FailTransaction(const std::string& why);
+  void FailCommit(statements::FailureCode code, const std::string& why);
   void Complete(const std::string& frames, statements::SessionState state);
   void ReportEnd(const std::string& outcome, const std::string& why, bool failed);
   void Send(std::string bytes);
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -264,8 +264,6 @@
   return this->coordination.Record() == nullptr ? 0 : this->coordination.Record()->version;
 }
 
-bool Node::ShuttingDown() const { return this->shutdown_at.has_value(); }
-
 void Node::Relay(boost::asio::ip::tcp::socket socket, std::string beginning, std::vector<std::string> carriers,
                  Duration statement_limit) {
   const auto session = std::make_shared<RelayedSession>(std::move(socket), *this, std::move(beginning),
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -44,7 +44,6 @@
   Dispatcher* FindDispatcher(const GroupName& group) override;
   bool MayAcknowledge(const GroupName& group, const EndpointName& endpoint, TimePoint now) const override;
   std::uint64_t RecordVersion() const override;
-  bool ShuttingDown() const override;
   void PumpSoon() override;
   std::vector<std::string> CarriersOf(const GroupName& group) override;
   void Relay(boost::asio::ip::tcp::socket socket, std::string beginning, std::vector<std::string> carriers,
--- a/source/proxy/session_context.h
+++ b/source/proxy/session_context.h
@@ -50,8 +50,6 @@
   // have taken over before it came.
   virtual bool MayAcknowledge(const GroupName& group, const EndpointName& endpoint, TimePoint now) const = 0;
   virtual std::uint64_t RecordVersion() const = 0;
-  // True from the moment that the node shuts down.
-  virtual bool ShuttingDown() const = 0;
   // Runs the dispatchers soon.
   virtual void PumpSoon() = 0;
   // Where to pass on sessions of the group, in the order to try; empty: this VM serves them.
