--- a/soak/soak.py
+++ b/soak/soak.py
@@ -61,6 +61,7 @@
     def __init__(self, seed, vms, seconds, folder):
         self.seed, self.seconds, self.folder = seed, seconds, folder
         self.random = random.Random(seed)
+        random.seed(seed + 2)
         # Few connections make some VMs carry the sessions of others.
         vms, connections = vms or self.random.choice([5, 7, 9]), self.random.choice([40, 9])
         self.groups = [Group(name, 3, connections) for name in ("g", "h")[:self.random.randint(1, 2)]]
@@ -139,6 +140,7 @@
                    ("primary crashes", self.crash(leader, last)),
                    ("replica lags", self.change(endpoint, "lag_s", 0.8, last)),
                    ("endpoint slow", self.change(endpoint, "work_s", 0.15, last)),
+                   ("answers to commits lost", self.change(leader, "lost_share", 0.3, last)),
                    ("primary drains", self.change(leader, "draining", True, last)),
                    ("primary cut", self.set_link(leader.link, "cut", last))]
         chosen = self.random.randrange(len(choices))
--- a/soak/wire_platform.py
+++ b/soak/wire_platform.py
@@ -4,6 +4,7 @@
 """
 import asyncio
 import json
+import random
 import time
 import urllib.parse
 
@@ -11,8 +12,9 @@
 class Endpoint:
     """One database instance. Its log is a list of (term, number, attempt, item, data)."""
 
-    # Seconds that a replica is behind and that a statement takes; whether new work should go elsewhere.
-    lag_s, work_s, draining = 0.01, 0.002, False
+    # Seconds that a replica is behind and that a statement takes; whether new work should go elsewhere; the share of
+    # commits whose connection breaks instead of an answer.
+    lag_s, work_s, draining, lost_share = 0.01, 0.002, False, 0.0
 
     def __init__(self, name, group):
         self.name, self.group = name, group
@@ -98,12 +100,12 @@
     def __init__(self, group, endpoint, reader, writer):
         self.group, self.endpoint, self.reader, self.writer = group, endpoint, reader, writer
         self.state, self.values, self.prepared, self.buffer = "I", {}, {}, []
-        self.plain, self.term = False, 0
+        self.plain, self.term, self.answer = False, 0, b""
 
     def send(self, *lines):
         position = self.endpoint.position()
         text = "".join(line + "\r\n" for line in lines)
-        self.writer.write((text + f"READY {self.state} {position}\r\n").encode())
+        self.answer = (text + f"READY {self.state} {position}\r\n").encode()
 
     async def serve(self):
         while True:
@@ -121,9 +123,15 @@
                     return
                 await asyncio.sleep(0.002)
                 self.send()
+                self.writer.write(self.answer)
             elif word == "QUERY":
                 identity, _, text = rest.partition(" ")
+                before = len(self.endpoint.log)
                 await self.query(identity, text)
+                if len(self.endpoint.log) > before and random.random() < self.endpoint.lost_share:
+                    self.writer.transport.abort()
+                    return
+                self.writer.write(self.answer)
             else:
                 return
             await self.writer.drain()
