A relayed statement whose carrier ends is answered; carriers close their door first

By the log the only VM that had ended was a carrier of the same data centre (front-dub-a-11, stopped 0.1 s before).

Ruled out: the VM's own end (it had only reloaded its settings); a time limit (208 ms had passed); the endpoint (no line).

Change: when a carrier ends while a statement has no answer, its caller is told that the outcome is unknown, then the session is closed. Before the session is open the next carrier is tried, unless statements stand behind the opening. A VM that shuts down closes the door for passed-on sessions at once, so that others try the next carrier.

--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -170,6 +170,9 @@
     return;
   }
   this->shutdown_at = BootClock::now();
+  // VMs that would pass sessions on to this one try another carrier.
+  boost::system::error_code ignored;
+  this->relay_acceptor.close(ignored);
   logging::Write(logging::Level::kInfo, "shutting down", {{"sessions", this->sessions.size()}});
 }
 
--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -59,17 +59,22 @@
     self->connected = true;
     self->timer.cancel();
     SetSocketOptions(self->carrier);
-    self->oldest_unanswered = BootClock::now();
-    self->unanswered = 1;
+    self->from_caller.partial.clear();
+    self->from_carrier.partial.clear();
+    self->unanswered = 0;
+    self->CountFromCaller(self->beginning);
+    // With statements behind the opening, it may not be sent twice.
+    self->opened = self->unanswered > 1;
+    if (self->opened) {
+      self->PassFromCaller();
+    }
     boost::asio::async_write(self->carrier, boost::asio::buffer(self->beginning),
                              [self](boost::system::error_code failed, std::size_t) {
                                if (failed) {
-                                 self->Close();
-                                 return;
+                                 self->OnCarrierEnded("the carrier broke the connection");
                                }
-                               self->PassFromCaller();
-                               self->PassFromCarrier();
                              });
+    self->PassFromCarrier();
   });
 }
 
@@ -85,12 +90,12 @@
                                    self->Close();
                                    return;
                                  }
-                                 self->CountFromCaller(size);
+                                 self->CountFromCaller(std::string_view(self->from_caller.chunk.data(), size));
                                  boost::asio::async_write(self->carrier,
                                                           boost::asio::buffer(self->from_caller.chunk.data(), size),
                                                           [self](boost::system::error_code failed, std::size_t) {
                                                             if (failed || self->closed) {
-                                                              self->Close();
+                                                              self->OnCarrierEnded("the carrier broke the connection");
                                                             } else {
                                                               self->PassFromCaller();
                                                             }
@@ -102,7 +107,7 @@
   this->carrier.async_read_some(boost::asio::buffer(this->from_carrier.chunk),
                                 [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
                                   if (error || self->closed) {
-                                    self->Close();
+                                    self->OnCarrierEnded("the carrier ended the connection");
                                     return;
                                   }
                                   self->CountFromCarrier(size);
@@ -122,9 +127,9 @@
                                 });
 }
 
-void RelayedSession::CountFromCaller(std::size_t size) {
+void RelayedSession::CountFromCaller(std::string_view bytes) {
   Direction& direction = this->from_caller;
-  direction.partial.append(direction.chunk.data(), size);
+  direction.partial.append(bytes);
   std::size_t length = 0;
   while ((length = this->context.Codec().FrameLength(direction.partial)) > 0) {
     direction.partial.erase(0, length);
@@ -145,20 +150,49 @@
       this->state = message.state;
       this->unanswered -= this->unanswered > 0 ? 1 : 0;
       this->oldest_unanswered = BootClock::now();
+      if (!std::exchange(this->opened, true)) {
+        this->PassFromCaller();
+      }
     }
   }
 }
 
+void RelayedSession::OnCarrierEnded(const std::string& why) {
+  if (this->closed || this->ended) {
+    return;
+  }
+  boost::system::error_code ignored;
+  this->carrier.close(ignored);
+  if (!this->opened) {
+    this->connected = false;
+    this->TryCarrier();
+  } else if (this->unanswered > 0 && this->from_carrier.partial.empty()) {
+    this->AnswerUnknown(why);
+  } else {
+    this->Close();
+  }
+}
+
+// The carrier may have run what it didn't answer.
+void RelayedSession::AnswerUnknown(const std::string& why) {
+  this->ended = true;
+  StatementEnd end;
+  end.kind = "relay";
+  end.outcome = statements::FailureCodeName(statements::FailureCode::kOutcomeUnknown);
+  end.why = why;
+  end.failed = true;
+  this->context.OnStatementEnd(end);
+  this->last_answer = this->context.Codec().Failure(statements::FailureCode::kOutcomeUnknown, why) +
+                      this->context.Codec().Ready(statements::SessionState::kIdle);
+  boost::asio::async_write(
+      this->caller, boost::asio::buffer(this->last_answer),
+      [self = this->shared_from_this()](boost::system::error_code, std::size_t) { self->Close(); });
+}
+
 void RelayedSession::Tick(TimePoint now) {
   if (!this->closed && this->connected && this->unanswered > 0 &&
       now > this->oldest_unanswered + this->statement_limit + kAnswerSlack) {
-    StatementEnd end;
-    end.kind = "relay";
-    end.outcome = statements::FailureCodeName(statements::FailureCode::kOutcomeUnknown);
-    end.why = "the carrier gave no answer in time";
-    end.failed = true;
-    this->context.OnStatementEnd(end);
-    this->Close();
+    this->OnCarrierEnded("the carrier gave no answer in time");
   }
 }
 
--- a/source/proxy/relayed_session.h
+++ b/source/proxy/relayed_session.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "proxy/session.h"
@@ -14,7 +15,9 @@
 namespace amaranthlane::proxy {
 
 // A caller's session that another VM, a carrier of its database group, serves. Bytes are passed on unchanged; messages
-// are counted, so that the session is closed only between them. Used on one thread.
+// are counted, so that the session is closed only between them. When the carrier ends while a message has no answer,
+// the caller is told that the outcome is unknown; before the session is open, the next carrier is tried. Used on one
+// thread.
 class RelayedSession : public Session, public std::enable_shared_from_this<RelayedSession> {
  public:
   // `beginning` are the caller's bytes so far. `carriers` are tried in turn; when none accepts, the session is served
@@ -41,8 +44,11 @@
   void ServeHere();
   void PassFromCaller();
   void PassFromCarrier();
-  void CountFromCaller(std::size_t size);
+  // Count the messages that became whole.
+  void CountFromCaller(std::string_view bytes);
   void CountFromCarrier(std::size_t size);
+  void OnCarrierEnded(const std::string& why);
+  void AnswerUnknown(const std::string& why);
 
   boost::asio::ip::tcp::socket caller;
   boost::asio::ip::tcp::socket carrier;
@@ -51,6 +57,8 @@
   std::string beginning;
   std::vector<std::string> carriers;
   Duration statement_limit;
+  // What the caller is told when the carrier has ended.
+  std::string last_answer;
   Direction from_caller;
   Direction from_carrier;
   // Messages of the caller that have no answer yet.
@@ -58,6 +66,10 @@
   TimePoint oldest_unanswered;
   statements::SessionState state = statements::SessionState::kIdle;
   bool connected = false;
+  // The carrier has answered once.
+  bool opened = false;
+  // The carrier has ended; the caller's last answer is on its way.
+  bool ended = false;
   bool abort_wanted = false;
   bool closed = false;
 };
