--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -35,6 +35,7 @@
     this->ServeHere();
     return;
   }
+  ++this->attempt;
   const net::Address address = net::ParseAddress(this->carriers.front());
   this->carriers.erase(this->carriers.begin());
   const boost::asio::ip::tcp::endpoint target(boost::asio::ip::make_address(address.ip), address.port);
@@ -69,8 +70,8 @@
       self->PassFromCaller();
     }
     boost::asio::async_write(self->carrier, boost::asio::buffer(self->beginning),
-                             [self](boost::system::error_code failed, std::size_t) {
-                               if (failed) {
+                             [self, current = self->attempt](boost::system::error_code failed, std::size_t) {
+                               if (failed && current == self->attempt) {
                                  self->OnCarrierEnded("the carrier broke the connection");
                                }
                              });
@@ -104,27 +105,30 @@
 }
 
 void RelayedSession::PassFromCarrier() {
-  this->carrier.async_read_some(boost::asio::buffer(this->from_carrier.chunk),
-                                [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
-                                  if (error || self->closed) {
-                                    self->OnCarrierEnded("the carrier ended the connection");
-                                    return;
-                                  }
-                                  self->CountFromCarrier(size);
-                                  boost::asio::async_write(self->caller,
-                                                           boost::asio::buffer(self->from_carrier.chunk.data(), size),
-                                                           [self](boost::system::error_code failed, std::size_t) {
-                                                             if (failed || self->closed) {
-                                                               self->Close();
-                                                               return;
-                                                             }
-                                                             if (self->abort_wanted && self->unanswered == 0) {
-                                                               self->Close();
-                                                               return;
-                                                             }
-                                                             self->PassFromCarrier();
-                                                           });
-                                });
+  this->carrier.async_read_some(
+      boost::asio::buffer(this->from_carrier.chunk),
+      [self = this->shared_from_this(), current = this->attempt](boost::system::error_code error, std::size_t size) {
+        if (current != self->attempt) {
+          return;
+        }
+        if (error || self->closed) {
+          self->OnCarrierEnded("the carrier ended the connection");
+          return;
+        }
+        self->CountFromCarrier(size);
+        boost::asio::async_write(self->caller, boost::asio::buffer(self->from_carrier.chunk.data(), size),
+                                 [self](boost::system::error_code failed, std::size_t) {
+                                   if (failed || self->closed) {
+                                     self->Close();
+                                     return;
+                                   }
+                                   if (self->abort_wanted && self->unanswered == 0) {
+                                     self->Close();
+                                     return;
+                                   }
+                                   self->PassFromCarrier();
+                                 });
+      });
 }
 
 void RelayedSession::CountFromCaller(std::string_view bytes) {
@@ -146,6 +150,7 @@
   while ((length = this->context.Codec().FrameLength(direction.partial)) > 0) {
     const EndpointMessage message = this->context.Codec().ParseEndpointMessage(direction.partial.substr(0, length));
     direction.partial.erase(0, length);
+    this->mid_answer = message.kind != EndpointMessage::Kind::kReady;
     if (message.kind == EndpointMessage::Kind::kReady) {
       this->state = message.state;
       this->unanswered -= this->unanswered > 0 ? 1 : 0;
@@ -163,10 +168,13 @@
   }
   boost::system::error_code ignored;
   this->carrier.close(ignored);
-  if (!this->opened) {
+  if (this->mid_answer || !this->from_carrier.partial.empty()) {
+    // Whatever the caller were told now would be taken for the rest of that answer.
+    this->Close();
+  } else if (!this->opened) {
     this->connected = false;
     this->TryCarrier();
-  } else if (this->unanswered > 0 && this->from_carrier.partial.empty()) {
+  } else if (this->unanswered > 0) {
     this->AnswerUnknown(why);
   } else {
     this->Close();
--- a/source/proxy/relayed_session.h
+++ b/source/proxy/relayed_session.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -65,9 +66,13 @@
   std::size_t unanswered = 0;
   TimePoint oldest_unanswered;
   statements::SessionState state = statements::SessionState::kIdle;
+  // Which carrier it is; what comes of an earlier one is dropped.
+  std::uint64_t attempt = 0;
   bool connected = false;
   // The carrier has answered once.
   bool opened = false;
+  // The caller has a part of an answer, such as the refusal of its session.
+  bool mid_answer = false;
   // The carrier has ended; the caller's last answer is on its way.
   bool ended = false;
   bool abort_wanted = false;
--- a/tests/proxy/relayed_session_test.cc
+++ b/tests/proxy/relayed_session_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
 
@@ -51,6 +52,11 @@
 
   std::string Address() const { return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()); }
 
+  void Close() {
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+  }
+
   // Called with what came; returns the answer, or nothing to close the connection.
   std::function<std::optional<std::string>(const std::string&)> answer;
   std::string received;
@@ -65,11 +71,11 @@
                                    const std::string bytes(this->chunk.data(), size);
                                    this->received += bytes;
                                    const std::optional<std::string> reply = this->answer(bytes);
-                                   boost::system::error_code ignored;
                                    if (!reply) {
-                                     this->socket.close(ignored);
+                                     this->Close();
                                      return;
                                    }
+                                   boost::system::error_code ignored;
                                    boost::asio::write(this->socket, boost::asio::buffer(*reply), ignored);
                                    this->Read();
                                  });
@@ -187,6 +193,34 @@
   EXPECT_EQ(this->second.received, "");
 }
 
+// An unknown database, for example.
+TEST_F(RelayedSessionTest, ARefusedOpeningIsPassedOnOnce) {
+  this->first.answer = [this](const std::string&) {
+    boost::asio::post(this->loop, [this] { this->first.Close(); });
+    return std::optional<std::string>("failure 10 g\n");
+  };
+  this->second.answer = this->first.answer;
+  this->Start({this->first.Address(), this->second.Address()});
+  ASSERT_TRUE(this->RunUntil([this] { return this->caller_closed; }));
+  EXPECT_EQ(this->received, "failure 10 g\n");
+  EXPECT_EQ(this->second.received, "");
+}
+
+TEST_F(RelayedSessionTest, AnAnswerThatBreaksOffIsNotCompletedHere) {
+  this->first.answer = [this](const std::string& bytes) {
+    if (bytes.rfind("open", 0) == 0) {
+      return AnswerAll(bytes);
+    }
+    boost::asio::post(this->loop, [this] { this->first.Close(); });
+    return std::optional<std::string>("row e1 r1\n");
+  };
+  this->Start({this->first.Address()});
+  ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\n"; }));
+  this->Send("read r1\n");
+  ASSERT_TRUE(this->RunUntil([this] { return this->caller_closed; }));
+  EXPECT_EQ(this->received, "ready 0 0 0\nrow e1 r1\n");
+}
+
 TEST_F(RelayedSessionTest, IsClosedOnlyBetweenMessages) {
   this->first.answer = [](const std::string& bytes) {
     return bytes.rfind("open", 0) == 0 ? AnswerAll(bytes) : std::optional<std::string>("");
