The soak starts a VM once when two faults end together

Ruled out: a soak that was broken off (its log ends with its verdict). Change: starting a VM is done by one fault at a time.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -34,10 +34,15 @@
         self.callers, self.peers, self.ready, self.relay = (free_port() for _ in range(4))
         self.store_link, self.peer_link = None, Link(f"peers of {self.name}", self.peers)
         self.log = folder / f"{self.name}.log"
+        self.starting = asyncio.Lock()
 
     async def start(self):
-        if self.process and self.process.returncode is None:
-            return
+        # Two faults that end together must not start the VM twice.
+        async with self.starting:
+            if not self.process or self.process.returncode is not None:
+                await self.spawn()
+
+    async def spawn(self):
         settings = {"vm": self.name, "data_centre": f"dc-{int(self.name[3:]) % 3}", "region": "r",
                     "addresses": {"callers": f"127.0.0.1:{self.callers}", "peers": f"127.0.0.1:{self.peers}",
                                   "advertised_peers": f"127.0.0.1:{self.peer_link.port}",
