Pass what a caller sends behind the opening in order

Cause: read again: with statements behind the opening, further bytes of the caller could be written while the beginning was still being written. Ruled out for usual callers, who wait for their session. Change: the caller is read once the beginning has been written.

--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -65,14 +65,17 @@
     self->unanswered = 0;
     self->CountFromCaller(self->beginning);
     // With statements behind the opening, it may not be sent twice.
-    self->opened = self->unanswered > 1;
-    if (self->opened) {
-      self->PassFromCaller();
-    }
+    self->passes_at_once = self->unanswered > 1;
+    self->opened = self->passes_at_once;
     boost::asio::async_write(self->carrier, boost::asio::buffer(self->beginning),
                              [self, current = self->attempt](boost::system::error_code failed, std::size_t) {
-                               if (failed && current == self->attempt) {
+                               if (current != self->attempt) {
+                                 return;
+                               }
+                               if (failed) {
                                  self->OnCarrierEnded("the carrier broke the connection");
+                               } else if (self->passes_at_once) {
+                                 self->PassFromCaller();
                                }
                              });
     self->PassFromCarrier();
--- a/tests/proxy/relayed_session_test.cc
+++ b/tests/proxy/relayed_session_test.cc
@@ -221,6 +221,13 @@
   EXPECT_EQ(this->received, "ready 0 0 0\nrow e1 r1\n");
 }
 
+TEST_F(RelayedSessionTest, StatementsBehindTheOpeningStayInOrder) {
+  this->first.answer = [](const std::string&) { return std::optional<std::string>(""); };
+  this->Start({this->first.Address()}, "open g\nwrite w1\n");
+  this->Send("write w2\n");
+  EXPECT_TRUE(this->RunUntil([this] { return this->first.received == "open g\nwrite w1\nwrite w2\n"; }));
+}
+
 TEST_F(RelayedSessionTest, IsClosedOnlyBetweenMessages) {
   this->first.answer = [](const std::string& bytes) {
     return bytes.rfind("open", 0) == 0 ? AnswerAll(bytes) : std::optional<std::string>("");
