--- a/source/proxy/dispatcher.cc
+++ b/source/proxy/dispatcher.cc
@@ -118,7 +118,7 @@
   std::sort(choices.begin(), choices.end());
   for (const auto& [cost, pool] : choices) {
     const bool is_primary = pool->Endpoint().name == known.name;
-    if (this->PlaceOn(*pool, is_primary ? std::nullopt : owed, waiting, now)) {
+    if (this->PlaceOn(*pool, is_primary ? std::nullopt : owed, waiting)) {
       return true;
     }
     if (pool->Idle() == 0 && opened[pool->Endpoint().name]++ < 1) {
@@ -128,8 +128,7 @@
   return false;
 }
 
-bool Dispatcher::PlaceOn(EndpointPool& pool, const std::optional<LogPosition>& at_least, const WaitingWork& waiting,
-                         TimePoint /*now*/) {
+bool Dispatcher::PlaceOn(EndpointPool& pool, const std::optional<LogPosition>& at_least, const WaitingWork& waiting) {
   if (!pool.MayExecute(waiting.work.rank)) {
     return false;
   }
--- a/source/proxy/dispatcher.h
+++ b/source/proxy/dispatcher.h
@@ -93,8 +93,7 @@
   using Key = std::pair<Rank, std::uint64_t>;
 
   bool Place(const WaitingWork& waiting, TimePoint now, std::map<EndpointName, int>& opened);
-  bool PlaceOn(EndpointPool& pool, const std::optional<LogPosition>& at_least, const WaitingWork& waiting,
-               TimePoint now);
+  bool PlaceOn(EndpointPool& pool, const std::optional<LogPosition>& at_least, const WaitingWork& waiting);
   std::optional<LogPosition> Owed(const Work& work, TimePoint now) const;
   double Cost(const EndpointPool& pool, bool primary, const Work& work, const std::optional<LogPosition>& owed,
               TimePoint now) const;
--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -64,20 +64,20 @@
     self->from_carrier.partial.clear();
     self->unanswered = 0;
     self->CountFromCaller(self->beginning);
-    // With statements behind the opening, it may not be sent twice.
-    self->passes_at_once = self->unanswered > 1;
-    self->opened = self->passes_at_once;
-    boost::asio::async_write(self->carrier, boost::asio::buffer(self->beginning),
-                             [self, current = self->attempt](boost::system::error_code failed, std::size_t) {
-                               if (current != self->attempt) {
-                                 return;
-                               }
-                               if (failed) {
-                                 self->OnCarrierEnded("the carrier broke the connection");
-                               } else if (self->passes_at_once) {
-                                 self->PassFromCaller();
-                               }
-                             });
+    // With statements behind the opening, it may not be sent twice, and more of the caller's bytes wait for no answer.
+    self->opened = self->unanswered > 1;
+    boost::asio::async_write(
+        self->carrier, boost::asio::buffer(self->beginning),
+        [self, current = self->attempt, go_on = self->opened](boost::system::error_code failed, std::size_t) {
+          if (current != self->attempt) {
+            return;
+          }
+          if (failed) {
+            self->OnCarrierEnded("the carrier broke the connection");
+          } else if (go_on) {
+            self->PassFromCaller();
+          }
+        });
     self->PassFromCarrier();
   });
 }
--- a/source/proxy/relayed_session.h
+++ b/source/proxy/relayed_session.h
@@ -71,8 +71,6 @@
   bool connected = false;
   // The carrier has answered once, or has got more than the opening.
   bool opened = false;
-  // Statements stand behind the opening, so the caller's further bytes follow without waiting for an answer.
-  bool passes_at_once = false;
   // The caller has a part of an answer, such as the refusal of its session.
   bool mid_answer = false;
   // The carrier has ended; the caller's last answer is on its way.
