Tests take ports as the project already did: one FreePort for all

The new fixtures asked the kernel for a free port and closed it again; an outgoing connection of a suite in another lane got that port before the node listened. process_fixture had FreePort() against just this, with ports below the kernel's range; it had been written again, and worse.

Ruled out: a fault of the node (the test ended in its fixture's constructor); a left-over process (none had that port).

Change: FreePort() moves to tests/net and serves the proxy's and the adapter's fixtures too; the soak chooses its ports the same way.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -2,7 +2,9 @@
 """Runs the real daemons against faults drawn from a seed, and checks the promises while they run. See README.md."""
 import argparse
 import asyncio
+import itertools
 import json
+import os
 import pathlib
 import random
 import signal
@@ -20,10 +22,17 @@
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
 
 
+# Below the range that the kernel gives to outgoing connections, so that a port stays free until its daemon listens; soaks
+# that run at the same time begin at different places.
+PORTS = itertools.count(os.getpid() * 97)
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = 12000 + next(PORTS) % 20000
+        with socket.socket() as probe:
+            if probe.connect_ex(("127.0.0.1", port)) != 0:
+                return port
 
 
 class Vm:
--- a/tests/integration/process_fixture.cc
+++ b/tests/integration/process_fixture.cc
@@ -10,8 +10,6 @@
 #include <utility>
 
 // Boost.Asio 1.74 needs <utility> before it in C++20.
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/process.hpp>
 
 #include "common/boot_clock.h"
@@ -20,24 +18,11 @@
 
 namespace {
 
-constexpr std::uint16_t kFirstPort = 12000;
-constexpr std::uint16_t kPortCount = 20000;
-constexpr std::uint32_t kPortStride = 97;
 constexpr std::chrono::seconds kReadyLimit(10);
 // The daemon says by an event of its log that its ports are open.
 constexpr char kDaemonReady[] = "\"event\":\"listening\"";
 constexpr std::chrono::milliseconds kPollInterval(5);
 
-bool IsFree(std::uint16_t port) {
-  boost::asio::io_context io;
-  boost::asio::ip::tcp::acceptor acceptor(io);
-  boost::system::error_code error;
-  const boost::asio::ip::tcp::endpoint address(boost::asio::ip::address_v4::loopback(), port);
-  acceptor.open(address.protocol());
-  acceptor.bind(address, error);
-  return !error;
-}
-
 std::filesystem::path NextOutputPath() {
   static std::atomic<int> number = 0;
   const std::string name = "amaranthlane_" + std::to_string(::getpid()) + "_" + std::to_string(++number) + ".log";
@@ -57,19 +42,6 @@
 
 ProcessError::ProcessError(const std::string& program, const std::string& reason) : Error(program + ": " + reason) {}
 
-std::uint16_t FreePort() {
-  // Test programs that run at the same time begin at different places.
-  static std::atomic<std::uint32_t> next = static_cast<std::uint32_t>(::getpid()) * kPortStride;
-  while (true) {
-    const auto port = static_cast<std::uint16_t>(kFirstPort + next.fetch_add(1) % kPortCount);
-    if (IsFree(port)) {
-      return port;
-    }
-  }
-}
-
-std::string LoopbackAddress(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
-
 Process::Process(const std::string& program, const std::vector<std::string>& arguments)
     : program(program), output_path(NextOutputPath()) {
   this->child = std::make_unique<Child>(program, arguments, this->output_path.string());
--- a/tests/integration/process_fixture.h
+++ b/tests/integration/process_fixture.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "common/error.h"
+#include "net/free_port.h"
 
 namespace amaranthlane::testing {
 
@@ -18,13 +19,6 @@
   ProcessError(const std::string& program, const std::string& reason);
 };
 
-// A port of the loopback interface that nothing listens on. Ports are taken from below the range that the kernel gives
-// to outgoing connections, so that one stays free until the program under test listens on it.
-std::uint16_t FreePort();
-
-// The `ip:port` of a loopback port.
-std::string LoopbackAddress(std::uint16_t port);
-
 // One program under test. The destructor kills it.
 class Process {
  public:
--- a/tests/platform/object_follower_test.cc
+++ b/tests/platform/object_follower_test.cc
@@ -1,7 +1,6 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <deque>
 #include <functional>
 #include <map>
@@ -9,6 +8,7 @@
 #include <string>
 #include <utility>
 
+#include "net/free_port.h"
 #include "net/http_server.h"
 #include "platform/store_client.h"
 
@@ -20,17 +20,11 @@
 constexpr unsigned kGone = 410;
 constexpr unsigned kUnavailable = 503;
 
-net::Address FreeAddress(boost::asio::io_context& loop) {
-  const boost::asio::ip::tcp::acceptor probe(
-      loop, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  return {"127.0.0.1", probe.local_endpoint().port()};
-}
-
 // A store of one kind of objects, which answers lists and watches.
-class ObjectFollowerTest : public testing::Test {
+class ObjectFollowerTest : public ::testing::Test {
  protected:
   ObjectFollowerTest()
-      : address(FreeAddress(this->loop)),
+      : address({"127.0.0.1", testing::FreePort()}),
         server(this->loop, this->address, {},
                [this](const net::HttpRequest& request, net::HttpServer::Answer answer) {
                  this->Serve(request, std::move(answer));
--- a/tests/proxy/node_fixture.cc
+++ b/tests/proxy/node_fixture.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "net/address.h"
+#include "net/free_port.h"
 
 namespace amaranthlane::proxy {
 
@@ -18,11 +19,6 @@
 constexpr std::chrono::seconds kPatience{10};
 constexpr std::uint64_t kConnections = 24;
 
-std::string FreeAddress(boost::asio::io_context& loop) {
-  const tcp::acceptor probe(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
-}
-
 Route MakeRoute(const std::string& database, ReadFreshness freshness) {
   Route route;
   route.name = database;
@@ -126,7 +122,7 @@
   vm.settings.data_centre = "dc-" + std::to_string(number % 3);
   for (std::string* address : {&vm.settings.callers_address, &vm.settings.peers_address, &vm.settings.operators_address,
                                &vm.settings.relay_address}) {
-    *address = FreeAddress(this->loop);
+    *address = testing::LoopbackAddress(testing::FreePort());
   }
   vm.platform = std::make_unique<MemoryPlatform>(this->loop, this->store);
   vm.node = std::make_unique<Node>(this->loop, vm.settings, number + 1, this->codec, *vm.platform);
