Tell the rounds of racing edits apart by version

Cause: OneOfTwoRacingOperatorsWins took VM 1's version at the start of a round and waited until VM 5 held the same one. When the same operator wins two rounds, both edits have the same value, so that "in force" is true at once and VM 1 may still hold the older version, which VM 5 never holds again.

Ruled out: an edit that reverts or arrives late.

Change: a round goes on from the version that the winner was given, and each VM must hold just that version within the limit of an edit, counted from its acceptance. The former check of what callers meet stands. This is stricter: before, nobody looked whether the other four VMs held the round's version.

--- a/tests/integration/edits_test.cc
+++ b/tests/integration/edits_test.cc
@@ -50,6 +50,22 @@
   return all;
 }
 
+// Waits until each of the VMs holds this version of the note's selector, which nobody changes meanwhile.
+bool HoldVersion(FleetFixture& fleet, const Vms& vms, std::uint64_t version, TimePoint accepted_at) {
+  for (const std::size_t vm : vms) {
+    std::uint64_t held = HeldVersion(fleet, vm, "selectors", "note");
+    while (held != version && BootClock::now() < accepted_at + kInForceLimit) {
+      std::this_thread::sleep_for(kSampleInterval);
+      held = HeldVersion(fleet, vm, "selectors", "note");
+    }
+    if (held != version) {
+      ADD_FAILURE() << "VM " << vm << " holds version " << held << " instead of " << version;
+      return false;
+    }
+  }
+  return true;
+}
+
 // Whether callers at each of the VMs meet the edit each time during the observation.
 bool Stays(FleetFixture& fleet, const Vms& vms, bool needs_key) {
   const TimePoint end = BootClock::now() + kObservation;
@@ -160,10 +176,8 @@
   constexpr int kRounds = 5;
   FleetFixture fleet(SixVms());
   fleet.AwaitReady();
+  std::uint64_t version = HeldVersion(fleet, 1, "selectors", "note");
   for (int round = 0; round < kRounds; ++round) {
-    const std::uint64_t version = HeldVersion(fleet, 1, "selectors", "note");
-    ASSERT_TRUE(
-        FleetFixture::Await([&] { return HeldVersion(fleet, 5, "selectors", "note") == version; }, kInForceLimit));
     const auto write = [&fleet, version](std::size_t vm, bool idempotent) {
       const Json body{{"expected_version", version}, {"value", NoteSelector(idempotent)}};
       return fleet.Operate(vm, "PUT", "/v1/objects/selectors/note", body);
@@ -180,6 +194,10 @@
     EXPECT_EQ(lost.at("mine").at("value").at("owes"), NoteSelector(first_won).at("owes")) << lost;
     EXPECT_EQ(lost.at("current").at("value").at("owes"), NoteSelector(!first_won).at("owes")) << lost;
     EXPECT_TRUE(InForce(fleet, AllVms(fleet), first_won, accepted_at));
+    // The same operator may win twice with the same value, so only the version tells that this round's edit is in
+    // force.
+    version = (first_won ? first : second).body.at("version").get<std::uint64_t>();
+    ASSERT_TRUE(HoldVersion(fleet, AllVms(fleet), version, accepted_at));
   }
 }
 
