Tell a caller before its session is closed at a shutdown

Cause: a VM that shuts down closed each session that rested. A statement that was on its way met a closed socket: a reset without an answer, so that the caller couldn't repeat a single write or a commit (listed in PROMISES as not proved).

Ruled out: waiting for callers to close (many sessions are long and mostly idle); half-closing first, which tells a caller nothing that it could trust about the statement under way; serving what crosses, which moves the same race to the next statement.

Change: a session that rests is told by a failure "not run" that nobody asked for, with when to come back. SessionFarewell holds this for sessions served here and for relayed ones; a relayed session also no longer closes while an answer is being written to its caller. Two tests that expected silence at the end now expect the whole refusal, once, as the last thing said, and that nothing else is refused or run.

--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -49,6 +49,10 @@
 // One message is handled at a time; more bytes wait until it is answered.
 void CallerSession::OnBytes() {
   const std::shared_ptr<CallerSession> alive = this->shared_from_this();
+  if (this->farewell) {
+    this->OnFarewellBytes();
+    return;
+  }
   while (!this->closed && !this->operation && !this->opening && !this->close_after_write) {
     const std::size_t length = this->context.Codec().FrameLength(this->received);
     if (length == 0) {
@@ -70,6 +74,20 @@
   this->Read();
 }
 
+void CallerSession::OnFarewellBytes() {
+  const std::string answer = this->farewell->OnBytes(std::exchange(this->received, {}));
+  if (!answer.empty()) {
+    this->Send(answer);
+  }
+  if (!this->farewell->Done()) {
+    this->Read();
+  } else if (this->write_under_way) {
+    this->close_after_write = true;
+  } else {
+    this->Close();
+  }
+}
+
 bool CallerSession::Handle(const std::string& frame) {
   const CallerMessage message = this->context.Codec().ParseCallerMessage(frame);
   if (const auto* open = std::get_if<OpenSession>(&message)) {
@@ -375,6 +393,12 @@
 }
 
 void CallerSession::Tick(TimePoint now) {
+  if (this->farewell) {
+    if (now >= this->farewell_limit) {
+      this->Close();
+    }
+    return;
+  }
   if (this->opening) {
     this->TryOpen();
     if (!this->opening) {
@@ -389,9 +413,13 @@
   }
 }
 
-bool CallerSession::CloseIfIdle() {
-  if (!this->closed && !this->operation && !this->opening && !this->transaction && !this->write_under_way) {
-    this->Close();
+bool CallerSession::CloseIfIdle(const std::string& why) {
+  const bool idle = !this->operation && !this->opening && !this->transaction && !this->write_under_way;
+  if (!this->closed && !this->farewell && idle) {
+    this->farewell.emplace(this->context, why);
+    this->farewell_limit = BootClock::now() + kFarewellLimit;
+    this->Send(this->farewell->Greeting());
+    this->OnFarewellBytes();
   }
   return this->closed;
 }
--- a/source/proxy/caller_session.h
+++ b/source/proxy/caller_session.h
@@ -14,6 +14,7 @@
 #include "core/statements/statement.h"
 #include "proxy/session.h"
 #include "proxy/session_context.h"
+#include "proxy/session_farewell.h"
 
 namespace amaranthlane::proxy {
 
@@ -27,9 +28,9 @@
   // `beginning` are bytes that the caller has sent already.
   void Start(std::string beginning = {});
 
-  // Ends the opening when no configuration comes, and a transaction that rests.
+  // Ends the opening when no configuration comes, a transaction that rests, and a farewell without an answer.
   void Tick(TimePoint now) override;
-  bool CloseIfIdle() override;
+  bool CloseIfIdle(const std::string& why) override;
   // The caller is told at its next statement.
   void AbortTransaction(const std::string& why) override;
   void Close() override;
@@ -70,6 +71,8 @@
 
   void Read();
   void OnBytes();
+  // Answers what comes after the farewell.
+  void OnFarewellBytes();
   // Handles one frame; false ends the session.
   bool Handle(const std::string& frame);
   void OnOpenSession(const OpenSession& message);
@@ -136,6 +139,8 @@
   std::optional<LogPosition> last_commit;
   std::optional<Transaction> transaction;
   std::optional<Operation> operation;
+  std::optional<SessionFarewell> farewell;
+  TimePoint farewell_limit;
   // Distinguishes the present operation's callbacks from those of earlier ones.
   std::uint64_t serial = 0;
 };
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -24,6 +24,7 @@
 constexpr double kBeliefLinesPerSecond = 20;
 constexpr double kBeliefLinesBurst = 200;
 constexpr unsigned kServiceUnavailable = 503;
+constexpr char kShutdownReason[] = "the VM shuts down";
 constexpr char kStatements[] = "amaranthlane_statements_total";
 
 coordination::Self MakeSelf(const Settings& settings, Incarnation incarnation) {
@@ -194,9 +195,9 @@
   const std::set<std::shared_ptr<Session>> all = this->sessions;
   for (const auto& session : all) {
     if (end_transactions) {
-      session->AbortTransaction("the VM shuts down");
+      session->AbortTransaction(kShutdownReason);
     }
-    if (session->CloseIfIdle() || passed > grace - kReserve) {
+    if (session->CloseIfIdle(kShutdownReason) || passed > grace - kReserve) {
       session->Close();
       this->sessions.erase(session);
     }
--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -94,11 +94,17 @@
                                    self->Close();
                                    return;
                                  }
+                                 if (self->farewell) {
+                                   self->OnFarewellBytes(std::string_view(self->from_caller.chunk.data(), size));
+                                   return;
+                                 }
                                  self->CountFromCaller(std::string_view(self->from_caller.chunk.data(), size));
                                  boost::asio::async_write(self->carrier,
                                                           boost::asio::buffer(self->from_caller.chunk.data(), size),
                                                           [self](boost::system::error_code failed, std::size_t) {
-                                                            if (failed || self->closed) {
+                                                            if (self->farewell) {
+                                                              self->PassFromCaller();
+                                                            } else if (failed || self->closed) {
                                                               self->OnCarrierEnded("the carrier broke the connection");
                                                             } else {
                                                               self->PassFromCaller();
@@ -119,8 +125,10 @@
           return;
         }
         self->CountFromCarrier(size);
+        self->writing_to_caller = true;
         boost::asio::async_write(self->caller, boost::asio::buffer(self->from_carrier.chunk.data(), size),
                                  [self](boost::system::error_code failed, std::size_t) {
+                                   self->writing_to_caller = false;
                                    if (failed || self->closed) {
                                      self->Close();
                                      return;
@@ -200,19 +208,61 @@
 }
 
 void RelayedSession::Tick(TimePoint now) {
-  if (!this->closed && this->connected && this->unanswered > 0 &&
-      now > this->oldest_unanswered + this->statement_limit + kAnswerSlack) {
+  if (this->closed) {
+    return;
+  }
+  if (this->farewell) {
+    if (now >= this->farewell_limit) {
+      this->Close();
+    }
+  } else if (this->connected && this->unanswered > 0 &&
+             now > this->oldest_unanswered + this->statement_limit + kAnswerSlack) {
     this->OnCarrierEnded("the carrier gave no answer in time");
   }
 }
 
-bool RelayedSession::CloseIfIdle() {
-  if (!this->closed && this->connected && this->unanswered == 0 && this->state == statements::SessionState::kIdle) {
-    this->Close();
+bool RelayedSession::CloseIfIdle(const std::string& why) {
+  const bool idle = this->connected && this->unanswered == 0 && this->state == statements::SessionState::kIdle;
+  // The carrier may be saying farewell itself.
+  const bool between_answers = !this->mid_answer && !this->writing_to_caller && this->from_carrier.partial.empty();
+  if (!this->closed && !this->ended && idle && between_answers) {
+    ++this->attempt;
+    this->ended = true;
+    boost::system::error_code ignored;
+    this->carrier.close(ignored);
+    this->farewell.emplace(this->context, why);
+    this->farewell_limit = BootClock::now() + kFarewellLimit;
+    // The carrier has a part of a message at most, which it can't run.
+    this->SendFarewell(this->farewell->Greeting() + this->farewell->OnBytes(this->from_caller.partial));
   }
   return this->closed;
 }
 
+void RelayedSession::OnFarewellBytes(std::string_view bytes) {
+  this->SendFarewell(this->farewell->OnBytes(bytes));
+  if (!this->farewell->Done()) {
+    this->PassFromCaller();
+  }
+}
+
+void RelayedSession::SendFarewell(const std::string& bytes) {
+  this->unsent += bytes;
+  if (this->writing_to_caller) {
+    return;
+  }
+  this->writing_to_caller = true;
+  this->last_answer = std::exchange(this->unsent, {});
+  boost::asio::async_write(this->caller, boost::asio::buffer(this->last_answer),
+                           [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
+                             self->writing_to_caller = false;
+                             if (!error && !self->unsent.empty()) {
+                               self->SendFarewell({});
+                             } else if (error || self->farewell->Done()) {
+                               self->Close();
+                             }
+                           });
+}
+
 void RelayedSession::AbortTransaction(const std::string& /*why*/) {
   // The carrier rolls back what is open when the connection to it ends.
   this->abort_wanted = true;
--- a/source/proxy/relayed_session.h
+++ b/source/proxy/relayed_session.h
@@ -6,12 +6,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "proxy/session.h"
 #include "proxy/session_context.h"
+#include "proxy/session_farewell.h"
 
 namespace amaranthlane::proxy {
 
@@ -29,7 +31,7 @@
   void Start();
 
   void Tick(TimePoint now) override;
-  bool CloseIfIdle() override;
+  bool CloseIfIdle(const std::string& why) override;
   void AbortTransaction(const std::string& why) override;
   void Close() override;
   bool Closed() const override;
@@ -50,6 +52,9 @@
   void CountFromCarrier(std::size_t size);
   void OnCarrierEnded(const std::string& why);
   void AnswerUnknown(const std::string& why);
+  // Takes what the caller sends after the farewell.
+  void OnFarewellBytes(std::string_view bytes);
+  void SendFarewell(const std::string& bytes);
 
   boost::asio::ip::tcp::socket caller;
   boost::asio::ip::tcp::socket carrier;
@@ -58,8 +63,12 @@
   std::string beginning;
   std::vector<std::string> carriers;
   Duration statement_limit;
-  // What the caller is told when the carrier has ended.
+  // What the caller is told when the carrier has ended, or when the session is closed between messages.
   std::string last_answer;
+  // What follows it.
+  std::string unsent;
+  std::optional<SessionFarewell> farewell;
+  TimePoint farewell_limit;
   Direction from_caller;
   Direction from_carrier;
   // Messages of the caller that have no answer yet.
@@ -73,6 +82,8 @@
   bool opened = false;
   // The caller has a part of an answer, such as the refusal of its session.
   bool mid_answer = false;
+  // Bytes are being written to the caller.
+  bool writing_to_caller = false;
   // The carrier has ended; the caller's last answer is on its way.
   bool ended = false;
   bool abort_wanted = false;
--- a/tests/proxy/node_test.cc
+++ b/tests/proxy/node_test.cc
@@ -179,17 +179,41 @@
 TEST_F(NodeTest, AShutdownEndsSessionsBetweenStatementsAndAnswersWhatRuns) {
   const auto caller = this->Open(0, "exact");
   this->vms[0].node->Shutdown();
-  std::size_t served = 0;
-  while (!caller->closed && served < 100000) {
-    const std::string answer = this->Ask(*caller, "write w" + std::to_string(served));
-    if (answer.empty()) {
-      break;
-    }
-    ASSERT_EQ(answer.rfind("row", 0), 0U) << answer;
-    ++served;
+  caller->Take();
+  std::size_t asked = 0;
+  std::string all;
+  while (!caller->closed && asked < 100000) {
+    all += caller->Take() + this->Ask(*caller, "write w" + std::to_string(++asked));
   }
-  EXPECT_TRUE(this->RunUntil([&] { return caller->closed; }));
-  EXPECT_EQ(this->group.log.size(), served);
+  ASSERT_TRUE(caller->closed);
+  all += caller->Take();
+  // The statement that meets the end of the session is refused, whole, and isn't run.
+  const std::string refusal = "failure 0 retry_after_ms=0 the VM shuts down\nready 0 0 0\n";
+  ASSERT_GT(all.size(), refusal.size());
+  EXPECT_EQ(all.find("failure"), all.size() - refusal.size()) << all.substr(all.size() - refusal.size());
+  EXPECT_EQ(all.substr(all.size() - refusal.size()), refusal);
+  EXPECT_EQ(caller->ready, asked + 1);
+  EXPECT_EQ(this->group.log.size(), asked - 1);
+}
+
+TEST_F(NodeTest, ACallerThatRestsIsToldOfTheShutdown) {
+  const auto caller = this->Open(0, "exact");
+  caller->Take();
+  this->vms[0].node->Shutdown();
+  ASSERT_TRUE(this->RunUntil([&] { return caller->closed; }));
+  EXPECT_EQ(caller->Take(), "failure 0 retry_after_ms=0 the VM shuts down\n");
+}
+
+// The statement is on its way when the session's end is told.
+TEST_F(NodeTest, AStatementThatCrossesTheShutdownIsAnsweredAndNotRun) {
+  const auto caller = this->Open(0, "exact");
+  caller->Take();
+  this->vms[0].node->Shutdown();
+  ASSERT_TRUE(this->RunUntil([&] { return !caller->received.empty(); }));
+  caller->Send("write w1");
+  ASSERT_TRUE(this->RunUntil([&] { return caller->closed; }));
+  EXPECT_EQ(caller->Take(), "failure 0 retry_after_ms=0 the VM shuts down\nready 0 0 0\n");
+  EXPECT_TRUE(this->group.log.empty());
 }
 
 TEST_F(NodeTest, MetricsTellWhatTheVmBelieves) {
--- a/tests/proxy/relayed_session_test.cc
+++ b/tests/proxy/relayed_session_test.cc
@@ -125,6 +125,11 @@
     return reached;
   }
 
+  void RunFor(milliseconds time) {
+    const TimePoint end = BootClock::now() + time;
+    this->RunUntil([end] { return BootClock::now() >= end; });
+  }
+
   static std::optional<std::string> AnswerAll(const std::string&) { return "ready 0 0 0\n"; }
 
   boost::asio::io_context loop;
@@ -236,17 +241,57 @@
   ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\n"; }));
   this->Send("read r1\n");
   ASSERT_TRUE(this->RunUntil([this] { return this->first.received == "open g\nread r1\n"; }));
-  EXPECT_FALSE(this->session->CloseIfIdle());
+  EXPECT_FALSE(this->session->CloseIfIdle("the test says so"));
+  this->RunFor(kFarewellLimit);
+  EXPECT_FALSE(this->session->Closed());
+  EXPECT_EQ(this->received, "ready 0 0 0\n");
 }
 
-TEST_F(RelayedSessionTest, AnIdleSessionIsClosedAtOnce) {
+TEST_F(RelayedSessionTest, TheCallerOfAnIdleSessionIsToldOfItsEnd) {
   this->first.answer = [](const std::string& bytes) {
     return bytes.rfind("open", 0) == 0 ? AnswerAll(bytes) : std::nullopt;
   };
   this->Start({this->first.Address()});
   ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\n"; }));
-  EXPECT_TRUE(this->session->CloseIfIdle());
-  EXPECT_TRUE(this->RunUntil([this] { return this->caller_closed; }));
+  EXPECT_FALSE(this->session->CloseIfIdle("the VM shuts down"));
+  ASSERT_TRUE(this->RunUntil([this] { return this->received.size() > std::string("ready 0 0 0\n").size(); }));
+  EXPECT_EQ(this->received, "ready 0 0 0\nfailure 0 retry_after_ms=0 the VM shuts down\n");
+  const TimePoint told_at = BootClock::now();
+  ASSERT_TRUE(this->RunUntil([this] { return this->caller_closed; }));
+  EXPECT_LT(BootClock::now(), told_at + kFarewellLimit * 2);
+  EXPECT_EQ(this->first.received, "open g\n");
+}
+
+// The statement reaches the VM after the session's end was told.
+TEST_F(RelayedSessionTest, AStatementThatCrossesTheEndIsAnsweredAndNotPassedOn) {
+  this->first.answer = [](const std::string& bytes) {
+    return bytes.rfind("open", 0) == 0 ? AnswerAll(bytes) : std::optional<std::string>("");
+  };
+  this->Start({this->first.Address()});
+  ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\n"; }));
+  this->Send("write w1");
+  this->RunFor(milliseconds(20));
+  EXPECT_FALSE(this->session->CloseIfIdle("the VM shuts down"));
+  this->Send("\n");
+  ASSERT_TRUE(this->RunUntil([this] { return this->caller_closed; }));
+  EXPECT_EQ(this->received, "ready 0 0 0\nfailure 0 retry_after_ms=0 the VM shuts down\nready 0 0 0\n");
+  EXPECT_EQ(this->first.received, "open g\nwrite w1");
+  ASSERT_EQ(this->context.ends.size(), 1U);
+  EXPECT_EQ(this->context.ends.front().id, "w1");
+}
+
+// Its farewell is the only one that the caller may get.
+TEST_F(RelayedSessionTest, ACarrierThatSaysFarewellIsLeftToEndTheSession) {
+  this->first.answer = [](const std::string& bytes) {
+    return bytes.rfind("open", 0) == 0 ? std::optional<std::string>("ready 0 0 0\nfailure 0 farewell\n")
+                                       : AnswerAll(bytes);
+  };
+  this->Start({this->first.Address()});
+  ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\nfailure 0 farewell\n"; }));
+  EXPECT_FALSE(this->session->CloseIfIdle("the VM shuts down"));
+  this->Send("read r1\n");
+  ASSERT_TRUE(this->RunUntil([this] { return this->received.size() > 40; }));
+  EXPECT_EQ(this->received, "ready 0 0 0\nfailure 0 farewell\nready 0 0 0\n");
 }
 
 }  // namespace
