Tell suspicions also while a primary is being changed

Cause: a VM named neither suspects nor reached primaries for a group that was changing. So once a change had begun because many VMs couldn't reach the primary, the holder heard no suspicion any more, found that the primary answered itself, and ended the change with the same primary; the suspicions came back and the next change began. The fleet tests didn't show it, as their VMs go on reporting.

Ruled out: beats or notices that came late (the loop has a period of 30 ms, two ticks and a write); the store.

Change: a VM reports whether it reaches the primary in any state of the group.

Conclusion: holds for one primary out of reach of many.

--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -84,6 +84,11 @@
   // node_coordination.cc
   void TickCoordination(TimePoint now);
   coordination::LocalReport MakeReport(TimePoint now);
+  // True while statements of this VM are under way at the primary of a group that is changing. Ends them when they have
+  // taken long enough.
+  bool OwesRelease(const GroupName& group, EndpointPool& pool, TimePoint now);
+  // Notes whether the primary answers this VM.
+  void ReportReach(const GroupName& group, const EndpointName& primary, coordination::LocalReport& report) const;
   void Perform(coordination::Actions& actions);
   void PerformBeat(const coordination::SendBeat& action);
   void PerformNotice(const coordination::SendNotice& action);
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -106,36 +106,46 @@
   if (record == nullptr) {
     return report;
   }
-  for (const auto& entry : record->groups) {
-    const GroupName& group = entry.first;
-    const coordination::GroupState& state = entry.second;
+  for (const auto& [group, state] : record->groups) {
     EndpointPool* pool = this->FindPool(state.primary);
-    if (state.changing) {
-      const TimePoint since = this->changing_since.try_emplace(group, now).first->second;
-      const bool wait = pool != nullptr && pool->Reachable() && now < since + kReleaseLimit;
-      if (pool != nullptr && pool->InUse() > 0 && wait) {
-        report.busy.push_back(group);
-      } else if (pool != nullptr && pool->InUse() > 0) {
-        pool->CloseAll();
-      }
-      continue;
-    }
-    this->changing_since.erase(group);
-    const bool others = std::any_of(this->endpoints.begin(), this->endpoints.end(), [&](const auto& known) {
-      return known.second.entry.group == group && known.first != state.primary && known.second.pool->Reachable();
-    });
-    if (pool != nullptr && pool->Passive()) {
-      continue;
-    }
-    if (others && pool != nullptr && !pool->Reachable()) {
-      report.suspects.push_back(group);
-    } else if (pool != nullptr && pool->Reachable()) {
-      report.reaches.push_back(group);
+    if (!state.changing) {
+      this->changing_since.erase(group);
+    } else if (pool != nullptr && this->OwesRelease(group, *pool, now)) {
+      report.busy.push_back(group);
     }
+    // Also while the group is changing: the change ends with the former primary only if the VMs reach it again.
+    this->ReportReach(group, state.primary, report);
   }
   return report;
 }
 
+bool Node::OwesRelease(const GroupName& group, EndpointPool& pool, TimePoint now) {
+  const TimePoint since = this->changing_since.try_emplace(group, now).first->second;
+  if (pool.InUse() == 0) {
+    return false;
+  }
+  if (pool.Reachable() && now < since + kReleaseLimit) {
+    return true;
+  }
+  pool.CloseAll();
+  return false;
+}
+
+void Node::ReportReach(const GroupName& group, const EndpointName& primary, coordination::LocalReport& report) const {
+  const EndpointPool* pool = this->FindPool(primary);
+  if (pool == nullptr || pool->Passive()) {
+    return;
+  }
+  const bool others = std::any_of(this->endpoints.begin(), this->endpoints.end(), [&](const auto& known) {
+    return known.second.entry.group == group && known.first != primary && known.second.pool->Reachable();
+  });
+  if (pool->Reachable()) {
+    report.reaches.push_back(group);
+  } else if (others) {
+    report.suspects.push_back(group);
+  }
+}
+
 void Node::Perform(coordination::Actions& actions) {
   const Overloaded perform = {
       [this](const coordination::SendBeat& action) { this->PerformBeat(action); },
--- a/tests/proxy/node_test.cc
+++ b/tests/proxy/node_test.cc
@@ -142,6 +142,21 @@
   EXPECT_EQ(this->group.log.back(), "w2");
 }
 
+// The holder of the duty reaches it all the while.
+TEST_F(NodeTest, APrimaryThatMostVmsCannotReachIsReplacedAtTheFirstTry) {
+  for (const Vm& vm : this->vms) {
+    if (vm.settings.vm != this->store.record->Holder()->vm) {
+      this->endpoints[0]->silent_to.insert(vm.settings.vm);
+    }
+  }
+  const std::uint64_t version = this->store.record->version;
+  const auto caller = this->Open(1, "exact");
+  EXPECT_TRUE(this->RunUntil([&] { return this->Ask(*caller, "write w1").rfind("row", 0) == 0; }));
+  EXPECT_NE(this->group.primary, "e1");
+  // One update begins the change, one ends it.
+  EXPECT_EQ(this->store.record->version, version + 2);
+}
+
 TEST_F(NodeTest, ADrainingPrimaryIsReplacedWithoutALostWrite) {
   const auto caller = this->Open(1, "exact");
   this->endpoints[0]->draining = true;
--- a/tests/proxy/stand_in_endpoint.cc
+++ b/tests/proxy/stand_in_endpoint.cc
@@ -16,6 +16,8 @@
 
   boost::asio::ip::tcp::socket socket;
   std::uint64_t number = 0;
+  // The VM that opened it.
+  std::string who;
   std::array<char, 4096> chunk{};
   std::string received;
   bool in_transaction = false;
@@ -88,7 +90,7 @@
           connection->received.erase(0, length);
           answers += this->Answer(*connection, line);
         }
-        if (this->silent) {
+        if (this->silent || this->silent_to.count(connection->who) > 0) {
           answers.clear();
         }
         boost::system::error_code failed;
@@ -107,6 +109,7 @@
   std::string word;
   words >> word;
   if (word == "connect") {
+    words >> word >> connection.who;
     if (this->connections.size() > this->connection_limit) {
       ++this->refused_connections;
       connection.number = 0;
--- a/tests/proxy/stand_in_endpoint.h
+++ b/tests/proxy/stand_in_endpoint.h
@@ -47,6 +47,8 @@
 
   // Takes messages and answers none.
   bool silent = false;
+  // The same for these VMs only.
+  std::set<std::string> silent_to;
   // Runs the next write, then breaks its connection without an answer.
   bool lose_next_answer = false;
   // Connections beyond this are refused.
