Replace a primary only where more VMs reach the next one, and choose the one that most reach

Cause: the holder counted the VMs that couldn't reach the primary, but not those that couldn't reach the replica that it chose.

Ruled out: a pause between two changes, which would delay the answer to a second fault as well; requiring half as many suspicions, which would keep a dead primary where the replicas are badly reached too.

Change: a VM names the endpoints that don't answer it, not the groups. A suspicion begins a change only if a replica that the holder reaches is reached by so many more VMs as the threshold says, or if nobody reaches the primary. Among replicas that are equally advanced, the one that most VMs reach leads; one that is reached better and is behind, or hasn't answered yet, is awaited for 0.3 s. A kept primary is logged with the reason.

--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -283,7 +283,6 @@
     if (before != nullptr && *before == group) {
       continue;
     }
-    std::erase(this->report.suspects, name);
     std::erase(this->report.busy, name);
     if (group.changing) {
       this->report.busy.push_back(name);
@@ -393,21 +392,35 @@
 }
 
 double CoordinationSystem::SuspectShare(const GroupName& group, TimePoint now) const {
-  const std::vector<GroupName>& own = this->report.suspects;
-  double suspects = std::find(own.begin(), own.end(), group) != own.end() ? 1 : 0;
-  const std::vector<GroupName>& reached = this->report.reaches;
-  double all = suspects + (std::find(reached.begin(), reached.end(), group) != reached.end() ? 1 : 0);
-  // Suspicions of earlier versions concern another primary.
   const auto state = this->record->groups.find(group);
-  const std::uint64_t since = state == this->record->groups.end() ? 0 : state->second.changed_at;
+  if (state == this->record->groups.end()) {
+    return 0;
+  }
+  const std::vector<GroupName>& own = this->report.reaches;
+  std::size_t reaching = std::find(own.begin(), own.end(), group) != own.end() ? 1 : 0;
   for (const auto& [vm, entry] : this->ledger.Entries()) {
-    if (vm != this->self.vm && entry.last_beat + this->settings.beat * kFleetBeats >= now) {
-      const double suspected = entry.version >= since && entry.suspects.count(group) > 0 ? 1 : 0;
-      suspects += suspected;
-      all += suspected + (entry.reaches.count(group) > 0 ? 1 : 0);
-    }
+    reaching += this->HeardLately(vm, entry, now) && entry.reaches.count(group) > 0 ? 1 : 0;
+  }
+  const std::size_t suspecting = this->SuspectedBy(state->second.primary, now);
+  const std::size_t all = suspecting + reaching;
+  return all > 0 ? static_cast<double>(suspecting) / static_cast<double>(all) : 0;
+}
+
+std::size_t CoordinationSystem::SuspectedBy(const EndpointName& endpoint, TimePoint now) const {
+  std::size_t suspecting = this->Suspects(endpoint) ? 1 : 0;
+  for (const auto& [vm, entry] : this->ledger.Entries()) {
+    suspecting += this->HeardLately(vm, entry, now) && entry.suspects.count(endpoint) > 0 ? 1 : 0;
   }
-  return all > 0 ? suspects / all : 0;
+  return suspecting;
+}
+
+bool CoordinationSystem::Suspects(const EndpointName& endpoint) const {
+  const std::vector<EndpointName>& own = this->report.suspects;
+  return std::find(own.begin(), own.end(), endpoint) != own.end();
+}
+
+bool CoordinationSystem::HeardLately(const VmName& vm, const LedgerEntry& entry, TimePoint now) const {
+  return vm != this->self.vm && entry.last_beat + this->settings.beat * kFleetBeats >= now;
 }
 
 bool CoordinationSystem::WritePending() const { return this->pending.has_value(); }
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -58,7 +58,7 @@
 // What this VM tells in its beats beside the record's version.
 struct LocalReport {
   std::vector<GroupName> busy;
-  std::vector<GroupName> suspects;
+  std::vector<EndpointName> suspects;
   std::vector<GroupName> reaches;
   bool leaving = false;
   std::string fleet_digest;
@@ -130,6 +130,10 @@
   std::vector<VmName> Holdouts(const GroupName& group, TimePoint now) const;
   // Of the VMs heard from lately that have connections to the group, the share that can't reach its primary.
   double SuspectShare(const GroupName& group, TimePoint now) const;
+  // How many VMs heard from lately, this one included, can't reach the endpoint.
+  std::size_t SuspectedBy(const EndpointName& endpoint, TimePoint now) const;
+  // True when this VM itself can't.
+  bool Suspects(const EndpointName& endpoint) const;
   bool WritePending() const;
   // True when the store hasn't settled a write for long.
   bool WriteStuck(TimePoint now) const;
@@ -192,6 +196,8 @@
   void Propose(CoordinationRecord record, TimePoint now, Actions& actions);
   void FinishWrite(ObjectVersion revision, TimePoint now, Actions& actions);
   bool Silent(const VmName& member, Duration limit, TimePoint now) const;
+  // True for another VM whose beats still come.
+  bool HeardLately(const VmName& vm, const LedgerEntry& entry, TimePoint now) const;
 
   Self self;
   CoordinationSettings settings;
--- a/source/core/coordination/ledger.h
+++ b/source/core/coordination/ledger.h
@@ -24,7 +24,7 @@
   // The version of the record that it acts on.
   std::uint64_t version = 0;
   std::set<GroupName> busy;
-  std::set<GroupName> suspects;
+  std::set<EndpointName> suspects;
   std::set<GroupName> reaches;
   // The groups that it has declared released, and for which version.
   std::map<GroupName, std::uint64_t> released;
--- a/source/core/coordination/messages.h
+++ b/source/core/coordination/messages.h
@@ -47,9 +47,9 @@
   std::optional<CoordinationRecord> record;
   // Groups whose former primary still owes this VM an answer.
   std::vector<GroupName> busy;
-  // Groups whose primary doesn't answer this VM, while other endpoints of the group do.
-  std::vector<GroupName> suspects;
-  // Groups whose primary answers it. A VM that has no connections to a group names it in neither list.
+  // Endpoints that don't answer this VM, while others of their group do.
+  std::vector<EndpointName> suspects;
+  // Groups whose primary answers it. A VM that has no connections to a group names nothing of it in either list.
   std::vector<GroupName> reaches;
   // Groups that are changing and that no VM can use any more by this VM's promises, each with the record's version
   // for which that holds.
--- a/source/core/failover/primary_change_system.cc
+++ b/source/core/failover/primary_change_system.cc
@@ -167,12 +167,34 @@
     return "another endpoint says that it leads";
   }
   const double share = view.coordination.SuspectShare(group, view.now);
-  if (share >= this->settings.suspect_share) {
-    return state.primary + " is out of reach for a share of " + std::to_string(share) + " of the VMs";
+  if (share < this->settings.suspect_share) {
+    change.kept_logged = false;
+    return {};
+  }
+  const std::string reason = state.primary + " is out of reach for a share of " + std::to_string(share) + " of the VMs";
+  if (this->ReachedBetter(view, endpoints, state, share)) {
+    return reason;
+  }
+  if (!std::exchange(change.kept_logged, true)) {
+    view.Log(group, "no change of primary: no replica is reached by enough more VMs", reason);
   }
   return {};
 }
 
+bool PrimaryChangeSystem::ReachedBetter(const View& view, const std::vector<const EndpointEntry*>& endpoints,
+                                        const GroupState& state, double share) const {
+  const std::size_t suspecting = view.coordination.SuspectedBy(state.primary, view.now);
+  return std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointEntry* entry) {
+    // What this VM can't ask, it can't choose.
+    if (entry->name == state.primary || entry->draining || view.coordination.Suspects(entry->name)) {
+      return false;
+    }
+    const std::size_t left = view.coordination.SuspectedBy(entry->name, view.now);
+    const double gained = share * (1 - static_cast<double>(left) / static_cast<double>(suspecting));
+    return left < suspecting && (share >= 1 || gained >= this->settings.suspect_share);
+  });
+}
+
 // An order of a former holder can take effect after the record was settled.
 bool PrimaryChangeSystem::Disagrees(const View& view, const std::vector<const EndpointEntry*>& endpoints,
                                     const GroupState& state, GroupChange& change) const {
@@ -237,23 +259,33 @@
                                                                     const GroupState& state,
                                                                     const GroupChange& change) const {
   Candidates found;
+  std::size_t best_suspected = 0;
+  std::size_t least_suspected = SIZE_MAX;
   for (const EndpointEntry* entry : view.Endpoints(group)) {
     if (entry->name == state.primary) {
       continue;
     }
     ++found.replicas;
     const auto known = change.statuses.find(entry->name);
-    if (known == change.statuses.end() || known->second.sent_at < change.released_at) {
-      continue;
-    }
-    ++found.answered;
+    const bool answered = known != change.statuses.end() && known->second.sent_at >= change.released_at;
+    found.answered += answered ? 1 : 0;
     const auto excluded = change.excluded.find(entry->name);
     const bool usable = !entry->draining && (excluded == change.excluded.end() || excluded->second < view.now);
-    if (usable && (found.best.empty() || known->second.status.position > found.position)) {
+    const std::size_t suspected = view.coordination.SuspectedBy(entry->name, view.now);
+    if (usable && !view.coordination.Suspects(entry->name)) {
+      least_suspected = std::min(least_suspected, suspected);
+    }
+    if (!usable || !answered) {
+      continue;
+    }
+    const LogPosition position = known->second.status.position;
+    if (found.best.empty() || position > found.position || (position == found.position && suspected < best_suspected)) {
       found.best = entry->name;
-      found.position = known->second.status.position;
+      found.position = position;
+      best_suspected = suspected;
     }
   }
+  found.better_reached = !found.best.empty() && least_suspected < best_suspected;
   return found;
 }
 
@@ -279,9 +311,11 @@
   const bool all = found.answered == found.replicas;
   const bool enough = all || (!must_cover && waited > this->settings.choice_limit);
   const bool caught_up = !former_answers || waited > this->settings.catch_up_limit;
+  // A replica that has answered and is behind catches up only while the former primary lives.
+  const bool reach_waits = found.better_reached && (former_answers || !all) && waited <= this->settings.reach_limit;
   const std::string told = found.best + " at " + PositionText(found.position) + ", " + std::to_string(found.answered) +
                            " of " + std::to_string(found.replicas) + " replicas answered";
-  if (found.best.empty() || (!complete && (!enough || !caught_up))) {
+  if (found.best.empty() || reach_waits || (!complete && (!enough || !caught_up))) {
     if (waited > this->settings.choice_limit && !std::exchange(change.choosing_logged, true)) {
       const std::string primary =
           former_answers ? ", the former primary is at " + PositionText(former->second.status.position) : "";
--- a/source/core/failover/primary_change_system.h
+++ b/source/core/failover/primary_change_system.h
@@ -41,7 +41,8 @@
 using Actions = std::vector<Action>;
 
 struct FailoverSettings {
-  // The share of VMs that can't reach a primary from which it is replaced: a change stops the group's writes for all.
+  // The share of VMs that can't reach a primary from which it is replaced, if so many of them reach the next one: a
+  // change stops the group's writes for all.
   double suspect_share = 0.3;
   // How often endpoints are asked during a change.
   Duration query_interval = std::chrono::milliseconds(40);
@@ -49,6 +50,8 @@
   Duration choice_limit = std::chrono::milliseconds(250);
   // How long a planned change waits for a replica to have all that the old primary has.
   Duration catch_up_limit = std::chrono::milliseconds(1500);
+  // How long a change waits for a replica that more VMs reach than the most advanced one, to have what that one has.
+  Duration reach_limit = std::chrono::milliseconds(300);
   // How long an ordered promotion may take until it is ordered again.
   Duration promotion_limit = std::chrono::milliseconds(1500);
   // How long an order of a former holder may still take effect after that holder lost the duty.
@@ -124,6 +127,7 @@
     coordination::GroupState next;
     bool waiting_logged = false;
     bool choosing_logged = false;
+    bool kept_logged = false;
   };
   struct PendingStepDown {
     EndpointName endpoint;
@@ -137,6 +141,10 @@
   void Steady(const View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
   std::string ReasonToChange(const View& view, const GroupName& group, const coordination::GroupState& state,
                              GroupChange& change) const;
+  // True when a change pays: a replica that could lead reaches enough VMs that the primary doesn't, which is out of
+  // reach for this share of them.
+  bool ReachedBetter(const View& view, const std::vector<const EndpointEntry*>& endpoints,
+                     const coordination::GroupState& state, double share) const;
   bool Disagrees(const View& view, const std::vector<const EndpointEntry*>& endpoints,
                  const coordination::GroupState& state, GroupChange& change) const;
   void Release(const View& view, const GroupName& group, GroupChange& change);
@@ -145,9 +153,11 @@
   struct Candidates {
     std::size_t replicas = 0;
     std::size_t answered = 0;
-    // Empty: none.
+    // The most advanced one; of several, the one that most VMs reach. Empty: none.
     EndpointName best;
     LogPosition position;
+    // True when another one is reached by more VMs, which hasn't answered yet or is behind.
+    bool better_reached = false;
   };
   Candidates FindCandidates(const View& view, const GroupName& group, const coordination::GroupState& state,
                             const GroupChange& change) const;
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -132,17 +132,21 @@
 }
 
 void Node::ReportReach(const GroupName& group, const EndpointName& primary, coordination::LocalReport& report) const {
-  const EndpointPool* pool = this->FindPool(primary);
-  if (pool == nullptr || pool->Passive()) {
-    return;
+  bool any_answers = false;
+  std::vector<EndpointName> silent;
+  for (const auto& [name, known] : this->endpoints) {
+    if (known.entry.group != group || known.pool->Passive()) {
+      continue;
+    }
+    any_answers = any_answers || known.pool->Reachable();
+    if (!known.pool->Reachable()) {
+      silent.push_back(name);
+    } else if (name == primary) {
+      report.reaches.push_back(group);
+    }
   }
-  const bool others = std::any_of(this->endpoints.begin(), this->endpoints.end(), [&](const auto& known) {
-    return known.second.entry.group == group && known.first != primary && known.second.pool->Reachable();
-  });
-  if (pool->Reachable()) {
-    report.reaches.push_back(group);
-  } else if (others) {
-    report.suspects.push_back(group);
+  if (any_answers) {
+    report.suspects.insert(report.suspects.end(), silent.begin(), silent.end());
   }
 }
 
--- a/tests/core/coordination/coordination_system_test.cc
+++ b/tests/core/coordination/coordination_system_test.cc
@@ -180,7 +180,7 @@
 TEST_F(CoordinationSystemTest, AMemberAloneWithTheStoreBeginsNoChange) {
   const std::size_t alone = this->MemberAt(2);
   this->fleet.SetApart({alone});
-  this->fleet.without_primary.insert(alone);
+  this->fleet.silent_to["e1"].insert(alone);
   for (std::size_t vm = 0; vm < 6; ++vm) {
     if (vm != alone) {
       this->fleet.without_store.insert(vm);
@@ -189,11 +189,38 @@
   this->fleet.RunFor(seconds(7));
   this->fleet.SetApart({});
   this->fleet.without_store.clear();
-  this->fleet.without_primary.clear();
+  this->fleet.silent_to.clear();
   EXPECT_LT(this->LongestGap(seconds(8), 5), milliseconds(300));
   EXPECT_EQ(this->fleet.Users(), 6U);
 }
 
+// Two of the three endpoints are out of reach of half of the VMs, the holder of the duty is not among them.
+TEST(PrimaryChange, TheReplicaThatMostVmsReachLeads) {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    VmFleet fleet(6, seed);
+    fleet.RunFor(seconds(4));
+    for (std::size_t vm = 0; vm < 6 && fleet.silent_to["e1"].size() < 3; ++vm) {
+      if (vm != fleet.Holder()) {
+        fleet.silent_to["e1"].insert(vm);
+        fleet.silent_to["e2"].insert(vm);
+      }
+    }
+    fleet.RunFor(seconds(6));
+    EXPECT_EQ(fleet.primary, "e3") << seed;
+    EXPECT_EQ(fleet.promotions, 1U) << seed;
+    EXPECT_EQ(fleet.Users(), 6U) << seed;
+    EXPECT_EQ(fleet.violation, std::nullopt) << seed;
+  }
+}
+
+TEST_F(CoordinationSystemTest, APrimaryStaysWhereNoReplicaIsReachedByMoreVms) {
+  this->fleet.silent_to = {{"e1", {0, 1, 2}}, {"e2", {1, 2, 3}}, {"e3", {2, 3, 4}}};
+  this->fleet.RunFor(seconds(6));
+  EXPECT_EQ(this->fleet.primary, "e1");
+  EXPECT_EQ(this->fleet.promotions, 0U);
+  EXPECT_EQ(this->fleet.Users(), 6U);
+}
+
 // The successor of a change finds the former primary well and the replicas behind it.
 TEST_F(CoordinationSystemTest, AnInheritedChangeEndsAlthoughReplicasStayBehind) {
   this->fleet.replicas_behind = 2;
--- a/tests/core/coordination/vm_fleet.cc
+++ b/tests/core/coordination/vm_fleet.cc
@@ -1,6 +1,7 @@
 #include "core/coordination/vm_fleet.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 #include <variant>
 
@@ -13,6 +14,7 @@
 constexpr std::chrono::milliseconds kAnswerLimit{600};
 constexpr std::uint64_t kLogEnd = 5;
 const GroupName kGroup = "group-1";
+const std::array<EndpointName, 3> kEndpoints = {"e1", "e2", "e3"};
 
 template <class... Handlers>
 struct Overloaded : Handlers... {
@@ -23,7 +25,7 @@
 
 failover::EndpointDirectory Directory() {
   failover::EndpointDirectory directory;
-  for (const char* name : {"e1", "e2", "e3"}) {
+  for (const EndpointName& name : kEndpoints) {
     failover::EndpointEntry entry;
     entry.name = name;
     entry.group = kGroup;
@@ -95,15 +97,26 @@
   }
 }
 
+bool VmFleet::Answers(const EndpointName& endpoint, std::size_t vm) const {
+  const auto silent = this->silent_to.find(endpoint);
+  const bool dead = endpoint == this->primary && !this->primary_answers;
+  return !dead && (silent == this->silent_to.end() || silent->second.count(vm) == 0);
+}
+
 LocalReport VmFleet::ReportOf(std::size_t vm) const {
   LocalReport report;
   const CoordinationRecord* record = this->vms[vm].system->Record();
   if (record == nullptr || record->groups.count(kGroup) == 0) {
     return report;
   }
-  const bool gone = (!this->primary_answers || this->without_primary.count(vm) > 0) &&
-                    record->groups.at(kGroup).primary == this->primary;
-  (gone ? report.suspects : report.reaches).push_back(kGroup);
+  const EndpointName& recorded = record->groups.at(kGroup).primary;
+  for (const EndpointName& endpoint : kEndpoints) {
+    if (!this->Answers(endpoint, vm)) {
+      report.suspects.push_back(endpoint);
+    } else if (endpoint == recorded) {
+      report.reaches.push_back(kGroup);
+    }
+  }
   return report;
 }
 
@@ -238,10 +251,10 @@
 void VmFleet::PerformFailover(std::size_t vm, const failover::Actions& actions) {
   for (const failover::Action& action : actions) {
     if (const auto* query = std::get_if<failover::QueryStatus>(&action)) {
-      const bool leads = query->endpoint == this->primary;
-      if (leads && (!this->primary_answers || this->without_primary.count(vm) > 0)) {
+      if (!this->Answers(query->endpoint, vm)) {
         continue;
       }
+      const bool leads = query->endpoint == this->primary;
       const TimePoint sent_at = this->now;
       failover::EndpointStatus status;
       status.is_primary = leads;
--- a/tests/core/coordination/vm_fleet.h
+++ b/tests/core/coordination/vm_fleet.h
@@ -45,8 +45,8 @@
   bool lost_writes_are_late = false;
   // VMs that the store doesn't answer.
   std::set<std::size_t> without_store;
-  // VMs that the primary doesn't answer.
-  std::set<std::size_t> without_primary;
+  // For each endpoint, the VMs that it doesn't answer.
+  std::map<EndpointName, std::set<std::size_t>> silent_to;
 
   // The endpoint that leads, and whether it answers. Endpoints are e1 to e3.
   EndpointName primary = "e1";
@@ -93,6 +93,7 @@
   void Promote(std::size_t vm, const failover::OrderPromotion& order);
   void CheckUsers();
   std::optional<std::size_t> Find(const VmName& name) const;
+  bool Answers(const EndpointName& endpoint, std::size_t vm) const;
   LocalReport ReportOf(std::size_t vm) const;
 
   std::mt19937_64 random;
