Recognise a primary that was started again under a new name

Cause: a change of primary ended only when an endpoint led a newer term. When all instances of a group crash and start again, the former primary leads the same term under a new name. Ordered to lead, it answers "accepted", as nothing changes; the holder waited for a newer term for ever.

Ruled out: a stale status (asked after the release); two primaries of one term, which the platform doesn't allow.

Change: an endpoint that leads the same term under another name ends the change as well.

Figures: NodeTest.AGroupWhoseEndpointsAllHaveNewNamesServesAgain failed before (no write in 10 s), passes now.

--- a/source/core/failover/primary_change_system.cc
+++ b/source/core/failover/primary_change_system.cc
@@ -237,9 +237,11 @@
   const bool ordered =
       !change.candidate.empty() && !change.may_abort && view.now < change.ordered_at + this->settings.promotion_limit;
   for (const auto& [name, known] : change.statuses) {
-    const bool leads = known.sent_at >= change.released_at && known.status.is_primary && known.status.term > state.term;
+    // In the same term under another name it is the former primary's server, started again: a term has one primary.
+    const bool newer = known.status.term > state.term || (known.status.term == state.term && name != state.primary);
+    const bool leads = known.sent_at >= change.released_at && known.status.is_primary && newer;
     if (leads && (!ordered || name == change.candidate)) {
-      this->Finish(view, group, {known.status.term, name, false}, name + " leads a newer term", change);
+      this->Finish(view, group, {known.status.term, name, false}, name + " leads", change);
       return true;
     }
   }
--- a/tests/proxy/node_fixture.cc
+++ b/tests/proxy/node_fixture.cc
@@ -65,9 +65,7 @@
 
 NodeFixture::NodeFixture(std::size_t count) {
   this->group.primary = "e1";
-  for (const char* name : {"e1", "e2", "e3"}) {
-    this->endpoints.push_back(std::make_unique<StandInEndpoint>(this->loop, this->group, name));
-  }
+  this->StartEndpoints({"e1", "e2", "e3"});
   this->store.configuration.version = 1;
   this->store.configuration.groups["g"] = {kConnections, 0};
   for (const auto& [database, freshness] : std::map<std::string, ReadFreshness>{{"exact", ReadFreshness::kPrimary},
@@ -76,9 +74,11 @@
     this->store.configuration.routes[database] = MakeRoute(database, freshness);
   }
   this->store.promote = [this](const failover::OrderPromotion& order) {
-    this->group.primary = order.endpoint;
-    ++this->group.term;
-    this->PublishEndpoints();
+    if (this->group.primary != order.endpoint) {
+      this->group.primary = order.endpoint;
+      ++this->group.term;
+      this->PublishEndpoints();
+    }
   };
   this->PublishEndpoints();
   for (std::size_t vm = 0; vm < count; ++vm) {
@@ -130,6 +130,13 @@
   this->vms.push_back(std::move(vm));
 }
 
+void NodeFixture::StartEndpoints(const std::vector<EndpointName>& names) {
+  this->endpoints.clear();
+  for (const EndpointName& name : names) {
+    this->endpoints.push_back(std::make_unique<StandInEndpoint>(this->loop, this->group, name));
+  }
+}
+
 void NodeFixture::PublishEndpoints() {
   this->store.directory.endpoints.clear();
   for (const auto& endpoint : this->endpoints) {
--- a/tests/proxy/node_fixture.h
+++ b/tests/proxy/node_fixture.h
@@ -48,6 +48,8 @@
   bool RunUntil(const std::function<bool()>& done);
   void RunFor(std::chrono::milliseconds time);
   void AddVm();
+  // Puts new endpoints in place of all that there were.
+  void StartEndpoints(const std::vector<EndpointName>& names);
   void PublishEndpoints();
   std::unique_ptr<TestCaller> Open(std::size_t vm, const std::string& database);
   // Sends a line and waits for the whole answer.
--- a/tests/proxy/node_test.cc
+++ b/tests/proxy/node_test.cc
@@ -157,6 +157,20 @@
   EXPECT_EQ(this->store.record->version, version + 2);
 }
 
+// All crash and start again; the former primary leads the same term, with its log.
+TEST_F(NodeTest, AGroupWhoseEndpointsAllHaveNewNamesServesAgain) {
+  const auto caller = this->Open(0, "exact");
+  this->Ask(*caller, "write w1");
+  this->StartEndpoints({});
+  this->RunFor(milliseconds(800));
+  this->group.primary = "e4";
+  this->StartEndpoints({"e4", "e5", "e6"});
+  this->PublishEndpoints();
+  EXPECT_TRUE(this->RunUntil([&] { return this->Ask(*caller, "write w2").rfind("row", 0) == 0; }));
+  EXPECT_EQ(this->group.log, (std::vector<std::string>{"w1", "w2"}));
+  EXPECT_EQ(this->group.primary, "e4");
+}
+
 TEST_F(NodeTest, ADrainingPrimaryIsReplacedWithoutALostWrite) {
   const auto caller = this->Open(1, "exact");
   this->endpoints[0]->draining = true;
