Refuse at once where no endpoint answers or a change of primary takes long

Cause: work waited for its share of the time limit also when waiting couldn't help: every endpoint of the group out of reach, or its primary being changed for seconds already.

Ruled out: refusing while a change is young: most end within 0.5 s, and waiting serves the caller better.

Change: the dispatcher refuses at once, with when to come back, when no endpoint of the group answers this VM, and work for the primary when a change has lasted a second.

--- a/source/proxy/dispatcher.cc
+++ b/source/proxy/dispatcher.cc
@@ -48,14 +48,17 @@
   for (const auto& [key, waiting] : this->queue) {
     keys.push_back(key);
   }
+  const KnownPrimary known = this->primary(now);
+  const bool nobody_answers = this->NobodyAnswers();
+  const std::string unreachable = nobody_answers ? "no endpoint of the group answers this VM" : "";
   std::map<EndpointName, int> opened;
   for (const Key& key : keys) {
     const auto found = this->queue.find(key);
     if (found == this->queue.end()) {
       continue;
     }
-    const bool hopeless = found->second.work.needs_primary && this->primary(now).given_up;
-    const bool refuse = hopeless || now >= found->second.work.refuse_at;
+    const std::string& hopeless = nobody_answers || !found->second.work.needs_primary ? unreachable : known.hopeless;
+    const bool refuse = !hopeless.empty() || now >= found->second.work.refuse_at;
     const bool early = now < found->second.work.not_before;
     if (early && !refuse) {
       continue;
@@ -67,7 +70,7 @@
       continue;
     }
     if (refuse) {
-      const Refusal refusal = this->Explain(candidate, now);
+      const Refusal refusal = this->Explain(candidate, hopeless, now);
       candidate.placement(nullptr, &refusal);
     } else {
       this->queue.emplace(key, std::move(candidate));
@@ -141,11 +144,16 @@
   return true;
 }
 
-Refusal Dispatcher::Explain(const WaitingWork& waiting, TimePoint now) const {
-  const KnownPrimary known = this->primary(now);
-  if (known.given_up) {
-    return {"too few members promise: this VM is probably cut off", kRetryAfterNoPrimary};
+bool Dispatcher::NobodyAnswers() const {
+  return !this->pools.empty() && std::none_of(this->pools.begin(), this->pools.end(),
+                                              [](const auto& pool) { return pool.second->Reachable(); });
+}
+
+Refusal Dispatcher::Explain(const WaitingWork& waiting, const std::string& hopeless, TimePoint now) const {
+  if (!hopeless.empty()) {
+    return {hopeless, kRetryAfterNoPrimary};
   }
+  const KnownPrimary known = this->primary(now);
   if (!known.usable) {
     return {known.name.empty() ? "no primary is known" : "the primary may not be used now", kRetryAfterNoPrimary};
   }
--- a/source/proxy/dispatcher.h
+++ b/source/proxy/dispatcher.h
@@ -51,10 +51,10 @@
 struct KnownPrimary {
   // This VM may use it now.
   bool usable = false;
-  // This VM has been without promises for so long that it is probably cut off: nothing is gained by waiting here.
-  bool given_up = false;
   // Empty: unknown.
   EndpointName name;
+  // Why nothing is gained by waiting for it here; empty: it may be usable soon.
+  std::string hopeless;
 };
 
 // The work of one database group that waits for a connection, most urgent first, and the choice of endpoints. Used on
@@ -97,7 +97,9 @@
   std::optional<LogPosition> Owed(const Work& work, TimePoint now) const;
   double Cost(const EndpointPool& pool, bool primary, const Work& work, const std::optional<LogPosition>& owed,
               TimePoint now) const;
-  Refusal Explain(const WaitingWork& waiting, TimePoint now) const;
+  Refusal Explain(const WaitingWork& waiting, const std::string& hopeless, TimePoint now) const;
+  // True when all endpoints are out of reach.
+  bool NobodyAnswers() const;
 
   std::string data_centre;
   PrimaryView primary;
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -86,7 +86,7 @@
   coordination::LocalReport MakeReport(TimePoint now);
   // True while statements of this VM are under way at the primary of a group that is changing. Ends them when they have
   // taken long enough.
-  bool OwesRelease(const GroupName& group, EndpointPool& pool, TimePoint now);
+  static bool OwesRelease(TimePoint changing_from, EndpointPool* primary, TimePoint now);
   // Notes which of the group's endpoints answer this VM.
   void ReportReach(const GroupName& group, const EndpointName& primary, coordination::LocalReport& report) const;
   void Perform(coordination::Actions& actions);
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -110,7 +110,7 @@
     EndpointPool* pool = this->FindPool(state.primary);
     if (!state.changing) {
       this->changing_since.erase(group);
-    } else if (pool != nullptr && this->OwesRelease(group, *pool, now)) {
+    } else if (this->OwesRelease(this->changing_since.try_emplace(group, now).first->second, pool, now)) {
       report.busy.push_back(group);
     }
     // Also while the group is changing: the change ends with the former primary only if the VMs reach it again.
@@ -119,15 +119,14 @@
   return report;
 }
 
-bool Node::OwesRelease(const GroupName& group, EndpointPool& pool, TimePoint now) {
-  const TimePoint since = this->changing_since.try_emplace(group, now).first->second;
-  if (pool.InUse() == 0) {
+bool Node::OwesRelease(TimePoint changing_from, EndpointPool* primary, TimePoint now) {
+  if (primary == nullptr || primary->InUse() == 0) {
     return false;
   }
-  if (pool.Reachable() && now < since + kReleaseLimit) {
+  if (primary->Reachable() && now < changing_from + kReleaseLimit) {
     return true;
   }
-  pool.CloseAll();
+  primary->CloseAll();
   return false;
 }
 
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -225,8 +225,14 @@
   if (record == nullptr || record->groups.count(group) == 0) {
     return {};
   }
-  const bool given_up = this->without_promises_since && now > *this->without_promises_since + kGiveUpAfter;
-  return {this->coordination.MayUsePrimary(group, now), given_up, record->groups.at(group).primary};
+  const auto changing = this->changing_since.find(group);
+  std::string hopeless;
+  if (this->without_promises_since && now > *this->without_promises_since + kGiveUpAfter) {
+    hopeless = "too few members promise: this VM is probably cut off";
+  } else if (changing != this->changing_since.end() && now > changing->second + kGiveUpAfter) {
+    hopeless = "the change of primary takes long";
+  }
+  return {this->coordination.MayUsePrimary(group, now), record->groups.at(group).primary, hopeless};
 }
 
 }  // namespace amaranthlane::proxy
--- a/tests/proxy/dispatcher_test.cc
+++ b/tests/proxy/dispatcher_test.cc
@@ -18,7 +18,7 @@
         primary_pool(this->loop, this->codec, "vm", this->primary.Entry(), PoolSettings{}, {}),
         replica_pool(this->loop, this->codec, "vm", this->replica.Entry(), PoolSettings{}, {}),
         dispatcher("dc-0", [this](TimePoint) {
-          return KnownPrimary{this->usable, this->given_up, "p"};
+          return KnownPrimary{this->usable, "p", this->hopeless};
         }) {
     this->group.primary = "p";
     for (EndpointPool* pool : {&this->primary_pool, &this->replica_pool}) {
@@ -69,7 +69,7 @@
   EndpointPool replica_pool;
   Dispatcher dispatcher;
   bool usable = true;
-  bool given_up = false;
+  std::string hopeless;
   std::vector<std::string> order;
   std::map<std::string, std::string> outcome;
   std::vector<Grant> granted;
@@ -105,12 +105,29 @@
 // The caller may do better elsewhere, and learns it at once.
 TEST_F(DispatcherTest, WorkForThePrimaryIsRefusedAtOnceOnAVmThatIsCutOff) {
   this->usable = false;
-  this->given_up = true;
+  this->hopeless = "too few members promise";
   this->Submit(PrimaryWork(Rank::kUrgent), "write");
   this->Submit(BoundedRead(), "read");
   this->dispatcher.Pump(BootClock::now());
   EXPECT_EQ(this->order, (std::vector<std::string>{"write"}));
-  EXPECT_EQ(this->outcome["write"].rfind("too few members promise", 0), 0U);
+  EXPECT_EQ(this->outcome["write"], "too few members promise");
+}
+
+TEST_F(DispatcherTest, WorkIsRefusedAtOnceWhenNoEndpointAnswers) {
+  this->primary.Crash();
+  this->replica.Crash();
+  const TimePoint end = BootClock::now() + std::chrono::seconds(5);
+  while ((this->primary_pool.Reachable() || this->replica_pool.Reachable()) && BootClock::now() < end) {
+    this->primary_pool.Tick(BootClock::now(), milliseconds(20));
+    this->replica_pool.Tick(BootClock::now(), milliseconds(20));
+    this->loop.restart();
+    this->loop.run_for(milliseconds(5));
+  }
+  this->Submit(PrimaryWork(Rank::kUrgent), "write");
+  this->Submit(BoundedRead(), "read");
+  this->dispatcher.Pump(BootClock::now());
+  EXPECT_EQ(this->outcome["write"], "no endpoint of the group answers this VM");
+  EXPECT_EQ(this->outcome["read"], "no endpoint of the group answers this VM");
 }
 
 TEST_F(DispatcherTest, AReadNeedsAPositionToGoToAReplica) {
