Let what a VM does for groups not grow with the fleet and its groups

Found by reading, with trials of 30 VMs and 52 groups, 100 VMs and 172 groups beside: each tick planned the carriers of each endpoint's group anew over the whole fleet, ran all pools, copied the directory, and counted suspicions of all VMs for each group; each group had 14 carriers however many groups there were; members asked all primaries for positions and told all of them to everybody; each group found at the start was one write of the record, sent to all; each adoption logged all groups.

Change: with more than 16 groups a VM carries 2.5 on average, three carriers at the least, with up to 8 connections each; such carriers ask for positions themselves. Plans are made when what they depend on changes; pools without connections aren't run; reports name own groups only; proposals of one tick are one update; suspicions are counted once a tick; the log tells the groups that changed.

Conclusion: the start of many VMs with many groups is what is left: each VM fetches the whole directory with each change.

--- a/source/core/carriers/carrier_choice.cc
+++ b/source/core/carriers/carrier_choice.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <string_view>
+#include <utility>
 
 #include "core/rendezvous.h"
 
@@ -15,6 +17,12 @@
 // Fewer connections to each endpoint than this make sessions of one VM wait for each other's transactions.
 constexpr double kLeastOwnConnections = 1.9;
 constexpr double kCarrierConnections = 3;
+// The same where a group has few carriers because there are many groups.
+constexpr double kMostCarrierConnections = 8;
+// Up to so many groups, each VM may hold connections to all.
+constexpr std::size_t kGroupsServedEverywhere = 16;
+// With many groups, about so many for each VM to carry; more where each data centre needs a carrier.
+constexpr double kGroupsCarried = 2.5;
 
 }  // namespace
 
@@ -26,26 +34,32 @@
   return std::to_string(RendezvousHash("fleet", text));
 }
 
-CarrierPlan PlanCarriers(std::size_t connections, std::size_t fleet, std::size_t data_centres) {
+CarrierPlan PlanCarriers(std::size_t connections, const FleetShape& fleet) {
   const double divided = static_cast<double>(connections) * kDividedShare;
-  const double own = divided / static_cast<double>(std::max<std::size_t>(fleet, 1));
-  if (own >= kLeastOwnConnections || fleet <= 1) {
+  const double own = divided / static_cast<double>(std::max<std::size_t>(fleet.vms, 1));
+  const bool few_groups = fleet.groups <= kGroupsServedEverywhere;
+  if ((own >= kLeastOwnConnections && few_groups) || fleet.vms <= 1) {
     return {0, std::max<std::size_t>(1, static_cast<std::size_t>(own))};
   }
-  const double near_everyone = std::min(divided, static_cast<double>(data_centres));
-  const auto wanted = static_cast<std::size_t>(std::max({1.0, near_everyone, divided / kCarrierConnections}));
-  const std::size_t carriers = std::min(wanted, fleet);
-  const double each = std::clamp(divided / static_cast<double>(carriers), 1.0, kCarrierConnections);
+  const double near_everyone = std::min(divided, static_cast<double>(fleet.data_centres));
+  const double by_connections = divided / kCarrierConnections;
+  const double by_groups = std::ceil(kGroupsCarried * static_cast<double>(fleet.vms) /
+                                     static_cast<double>(std::max<std::size_t>(fleet.groups, 1)));
+  const auto wanted = static_cast<std::size_t>(std::max({1.0, near_everyone, std::min(by_connections, by_groups)}));
+  const std::size_t carriers = std::min(wanted, fleet.vms);
+  const double most = by_groups < by_connections ? kMostCarrierConnections : kCarrierConnections;
+  const double each = std::clamp(divided / static_cast<double>(carriers), 1.0, most);
   return {carriers, static_cast<std::size_t>(each)};
 }
 
 std::vector<FleetVm> ChooseCarriers(const GroupName& group, const std::vector<FleetVm>& fleet, std::size_t count) {
-  std::map<std::string, std::vector<FleetVm>> by_data_centre;
+  using Ranked = std::pair<std::uint64_t, const FleetVm*>;
+  std::map<std::string_view, std::vector<Ranked>> by_data_centre;
   for (const FleetVm& member : fleet) {
-    by_data_centre[member.data_centre].push_back(member);
+    by_data_centre[member.data_centre].emplace_back(RendezvousHash(group, member.vm), &member);
   }
   // By data centre, how many carriers; the largest ones give up what is too much.
-  std::map<std::string, std::size_t> wanted;
+  std::map<std::string_view, std::size_t> wanted;
   std::size_t all = 0;
   for (const auto& [data_centre, members] : by_data_centre) {
     const double share = static_cast<double>(members.size()) / static_cast<double>(fleet.size());
@@ -59,11 +73,10 @@
   }
   std::vector<FleetVm> chosen;
   for (auto& [data_centre, members] : by_data_centre) {
-    std::sort(members.begin(), members.end(), [&group](const FleetVm& left, const FleetVm& right) {
-      return RendezvousHash(group, left.vm) > RendezvousHash(group, right.vm);
-    });
-    members.resize(std::min(members.size(), wanted.at(data_centre)));
-    chosen.insert(chosen.end(), members.begin(), members.end());
+    const auto end = members.begin() + static_cast<std::ptrdiff_t>(std::min(members.size(), wanted.at(data_centre)));
+    std::partial_sort(members.begin(), end, members.end(),
+                      [](const Ranked& left, const Ranked& right) { return left.first > right.first; });
+    std::for_each(members.begin(), end, [&chosen](const Ranked& member) { chosen.push_back(*member.second); });
   }
   return chosen;
 }
--- a/source/core/carriers/carrier_choice.h
+++ b/source/core/carriers/carrier_choice.h
@@ -24,6 +24,15 @@
 // The same text for equal fleets.
 std::string FleetDigest(const std::vector<FleetVm>& fleet);
 
+// What a group's connections are divided among.
+struct FleetShape {
+  // VMs that are alive, and the data centres that they stand in.
+  std::size_t vms = 1;
+  std::size_t data_centres = 1;
+  // Database groups that they serve.
+  std::size_t groups = 1;
+};
+
 // What the connections of an endpoint allow.
 struct CarrierPlan {
   // 0: every VM holds connections of its own.
@@ -32,9 +41,10 @@
   std::size_t connections = 1;
 };
 
-// Divides `connections`, which an endpoint takes from all VMs together, among `fleet` VMs in so many data centres. Each
-// data centre gets a carrier if the connections suffice for that.
-CarrierPlan PlanCarriers(std::size_t connections, std::size_t fleet, std::size_t data_centres);
+// Divides `connections`, which an endpoint takes from all VMs together, among the fleet. Each data centre gets a
+// carrier if the connections suffice for that. With many groups a VM carries only some, so that what it holds for
+// endpoints doesn't grow with the fleet.
+CarrierPlan PlanCarriers(std::size_t connections, const FleetShape& fleet);
 
 // Chooses at most `count` carriers of the group, spread over the data centres by their share of the VMs, one in each if
 // `count` suffices. VMs that know the same fleet choose the same.
--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -391,27 +391,28 @@
   return holdouts;
 }
 
-double CoordinationSystem::SuspectShare(const GroupName& group, TimePoint now) const {
-  const auto state = this->record->groups.find(group);
-  if (state == this->record->groups.end()) {
-    return 0;
+std::map<EndpointName, std::size_t> CoordinationSystem::Suspicions(TimePoint now) const {
+  std::map<EndpointName, std::size_t> suspicions;
+  for (const EndpointName& endpoint : this->report.suspects) {
+    ++suspicions[endpoint];
   }
-  const std::vector<GroupName>& own = this->report.reaches;
-  std::size_t reaching = std::find(own.begin(), own.end(), group) != own.end() ? 1 : 0;
   for (const auto& [vm, entry] : this->ledger.Entries()) {
-    reaching += this->HeardLately(vm, entry, now) && entry.reaches.count(group) > 0 ? 1 : 0;
+    if (!entry.suspects.empty() && this->HeardLately(vm, entry, now)) {
+      for (const EndpointName& endpoint : entry.suspects) {
+        ++suspicions[endpoint];
+      }
+    }
   }
-  const std::size_t suspecting = this->SuspectedBy(state->second.primary, now);
-  const std::size_t all = suspecting + reaching;
-  return all > 0 ? static_cast<double>(suspecting) / static_cast<double>(all) : 0;
+  return suspicions;
 }
 
-std::size_t CoordinationSystem::SuspectedBy(const EndpointName& endpoint, TimePoint now) const {
-  std::size_t suspecting = this->Suspects(endpoint) ? 1 : 0;
+std::size_t CoordinationSystem::Reaching(const GroupName& group, TimePoint now) const {
+  const std::vector<GroupName>& own = this->report.reaches;
+  std::size_t reaching = std::find(own.begin(), own.end(), group) != own.end() ? 1 : 0;
   for (const auto& [vm, entry] : this->ledger.Entries()) {
-    suspecting += this->HeardLately(vm, entry, now) && entry.suspects.count(endpoint) > 0 ? 1 : 0;
+    reaching += this->HeardLately(vm, entry, now) && entry.reaches.count(group) > 0 ? 1 : 0;
   }
-  return suspecting;
+  return reaching;
 }
 
 bool CoordinationSystem::Suspects(const EndpointName& endpoint) const {
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -128,11 +128,11 @@
   bool Released(const GroupName& group, TimePoint now) const;
   // The VMs that Released() waits for: those that use the primary, or members that haven't declared it released.
   std::vector<VmName> Holdouts(const GroupName& group, TimePoint now) const;
-  // Of the VMs heard from lately that have connections to the group, the share that can't reach its primary.
-  double SuspectShare(const GroupName& group, TimePoint now) const;
-  // How many VMs heard from lately, this one included, can't reach the endpoint.
-  std::size_t SuspectedBy(const EndpointName& endpoint, TimePoint now) const;
-  // True when this VM itself can't.
+  // How many VMs heard from lately, this one included, can't reach an endpoint; endpoints that all reach are left out.
+  std::map<EndpointName, std::size_t> Suspicions(TimePoint now) const;
+  // How many of them reach the group's primary.
+  std::size_t Reaching(const GroupName& group, TimePoint now) const;
+  // True when this VM itself can't reach the endpoint.
   bool Suspects(const EndpointName& endpoint) const;
   bool WritePending() const;
   // True when the store hasn't settled a write for long.
--- a/source/core/failover/primary_change_system.cc
+++ b/source/core/failover/primary_change_system.cc
@@ -26,15 +26,33 @@
   TimePoint now;
   coordination::Actions& updates;
   Actions& actions;
+  // Filled on the holder of the duty only.
+  std::map<GroupName, std::vector<const EndpointEntry*>> by_group = {};
+  std::map<EndpointName, std::size_t> suspicions = {};
+  // What the record is to say; all of it goes into one update.
+  std::map<GroupName, GroupState> proposed = {};
+  std::string reasons = {};
 
   std::vector<const EndpointEntry*> Endpoints(const GroupName& group) const {
-    std::vector<const EndpointEntry*> found;
-    for (const auto& [name, entry] : this->directory) {
-      if (entry.group == group) {
-        found.push_back(&entry);
-      }
+    const auto found = this->by_group.find(group);
+    return found == this->by_group.end() ? std::vector<const EndpointEntry*>{} : found->second;
+  }
+  std::size_t SuspectedBy(const EndpointName& endpoint) const {
+    const auto found = this->suspicions.find(endpoint);
+    return found == this->suspicions.end() ? 0 : found->second;
+  }
+  // Of the VMs with connections to the group, the share that can't reach its primary.
+  double SuspectShare(const GroupName& group, const EndpointName& primary) const {
+    const std::size_t suspecting = this->SuspectedBy(primary);
+    if (suspecting == 0) {
+      return 0;
     }
-    return found;
+    const std::size_t all = suspecting + this->coordination.Reaching(group, this->now);
+    return static_cast<double>(suspecting) / static_cast<double>(all);
+  }
+  void Propose(const GroupName& group, const GroupState& state, const std::string& reason) {
+    this->proposed[group] = state;
+    this->reasons += (this->reasons.empty() ? "" : "; ") + reason;
   }
   void Log(const GroupName& group, const std::string& step, const std::string& why) const {
     this->actions.emplace_back(ChangeStep{group, step, why});
@@ -47,7 +65,7 @@
                                const std::map<GroupName, std::uint64_t>& synchronous_replicas,
                                coordination::CoordinationSystem& coordination, TimePoint now,
                                coordination::Actions& updates, Actions& actions) {
-  const View view{directory, synchronous_replicas, coordination, now, updates, actions};
+  View view{directory, synchronous_replicas, coordination, now, updates, actions};
   this->SendStepDowns(view);
   if (!coordination.IsHolder()) {
     this->changes.clear();
@@ -56,8 +74,10 @@
   }
   std::set<GroupName> groups;
   for (const auto& [name, entry] : directory) {
+    view.by_group[entry.group].push_back(&entry);
     groups.insert(entry.group);
   }
+  view.suspicions = coordination.Suspicions(now);
   for (const auto& [name, state] : coordination.Record()->groups) {
     groups.insert(name);
   }
@@ -100,9 +120,23 @@
     stuck = stuck || choosing || ordering;
   }
   coordination.WantRelief(stuck || coordination.WriteStuck(now));
+  this->Submit(view);
+}
+
+void PrimaryChangeSystem::Submit(View& view) {
+  if (view.proposed.empty() || !view.coordination.ProposeGroups(view.proposed, view.reasons, view.now, view.updates)) {
+    return;
+  }
+  for (const auto& [group, state] : view.proposed) {
+    GroupChange& change = this->changes[group];
+    if (state.changing && change.phase == Phase::kSteady) {
+      change.own = true;
+      view.Log(group, "change of primary begins", change.reason);
+    }
+  }
 }
 
-void PrimaryChangeSystem::Discover(const View& view, const GroupName& group, GroupChange& change) {
+void PrimaryChangeSystem::Discover(View& view, const GroupName& group, GroupChange& change) {
   const EndpointName* primary = nullptr;
   Term term = 0;
   for (const auto& [name, known] : change.statuses) {
@@ -115,13 +149,10 @@
     this->Query(view, group, change, this->settings.query_interval * 2);
     return;
   }
-  // All groups found so far go into one update.
-  std::map<GroupName, GroupState> found = {{group, {term, *primary, false}}};
-  view.coordination.ProposeGroups(found, group + " is led by " + *primary, view.now, view.updates);
+  view.Propose(group, {term, *primary, false}, group + " is led by " + *primary);
 }
 
-void PrimaryChangeSystem::Steady(const View& view, const GroupName& group, const GroupState& state,
-                                 GroupChange& change) {
+void PrimaryChangeSystem::Steady(View& view, const GroupName& group, const GroupState& state, GroupChange& change) {
   const std::string reason = this->ReasonToChange(view, group, state, change);
   if (reason.empty() || !view.coordination.MayPromote(view.now)) {
     change.waiting_logged = false;
@@ -135,12 +166,8 @@
     }
     return;
   }
-  const GroupState next = {state.term, state.primary, true};
-  if (view.coordination.ProposeGroups({{group, next}}, reason, view.now, view.updates)) {
-    change.reason = reason;
-    change.own = true;
-    view.Log(group, "change of primary begins", reason);
-  }
+  change.reason = reason;
+  view.Propose(group, {state.term, state.primary, true}, reason);
 }
 
 std::string PrimaryChangeSystem::ReasonToChange(const View& view, const GroupName& group, const GroupState& state,
@@ -166,7 +193,7 @@
   if (this->Disagrees(view, endpoints, state, change)) {
     return "another endpoint says that it leads";
   }
-  const double share = view.coordination.SuspectShare(group, view.now);
+  const double share = view.SuspectShare(group, state.primary);
   if (share < this->settings.suspect_share) {
     change.kept_logged = false;
     return {};
@@ -183,13 +210,13 @@
 
 bool PrimaryChangeSystem::ReachedBetter(const View& view, const std::vector<const EndpointEntry*>& endpoints,
                                         const GroupState& state, double share) const {
-  const std::size_t suspecting = view.coordination.SuspectedBy(state.primary, view.now);
+  const std::size_t suspecting = view.SuspectedBy(state.primary);
   return std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointEntry* entry) {
     // What this VM can't ask, it can't choose.
     if (entry->name == state.primary || entry->draining || view.coordination.Suspects(entry->name)) {
       return false;
     }
-    const std::size_t left = view.coordination.SuspectedBy(entry->name, view.now);
+    const std::size_t left = view.SuspectedBy(entry->name);
     const double gained = share * (1 - static_cast<double>(left) / static_cast<double>(suspecting));
     return left < suspecting && (share >= 1 || gained >= this->settings.suspect_share);
   });
@@ -250,7 +277,7 @@
   const bool leads = former != change.statuses.end() && former->second.sent_at >= change.released_at &&
                      former->second.status.is_primary && former->second.status.term == state.term;
   if (leads && change.may_abort && view.now >= change.abort_from && entry != view.directory.end() &&
-      !entry->second.draining && view.coordination.SuspectShare(group, view.now) < this->settings.suspect_share) {
+      !entry->second.draining && view.SuspectShare(group, state.primary) < this->settings.suspect_share) {
     this->Finish(view, group, {state.term, state.primary, false}, "the primary answers again", change);
     return true;
   }
@@ -273,7 +300,7 @@
     found.answered += answered ? 1 : 0;
     const auto excluded = change.excluded.find(entry->name);
     const bool usable = !entry->draining && (excluded == change.excluded.end() || excluded->second < view.now);
-    const std::size_t suspected = view.coordination.SuspectedBy(entry->name, view.now);
+    const std::size_t suspected = view.SuspectedBy(entry->name);
     if (usable && !view.coordination.Suspects(entry->name)) {
       least_suspected = std::min(least_suspected, suspected);
     }
@@ -382,9 +409,8 @@
   view.Log(group, "change of primary decided", next.primary + " in term " + std::to_string(next.term) + ": " + why);
 }
 
-void PrimaryChangeSystem::Record(const View& view, const GroupName& group, const GroupState& /*state*/,
-                                 GroupChange& change) {
-  view.coordination.ProposeGroups({{group, change.next}}, "change of primary ends", view.now, view.updates);
+void PrimaryChangeSystem::Record(View& view, const GroupName& group, const GroupState& /*state*/, GroupChange& change) {
+  view.Propose(group, change.next, "change of primary ends");
 }
 
 void PrimaryChangeSystem::Query(const View& view, const GroupName& group, GroupChange& change,
--- a/source/core/failover/primary_change_system.h
+++ b/source/core/failover/primary_change_system.h
@@ -137,8 +137,10 @@
   };
   struct View;
 
-  void Discover(const View& view, const GroupName& group, GroupChange& change);
-  void Steady(const View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
+  // Writes what the groups' systems propose.
+  void Submit(View& view);
+  void Discover(View& view, const GroupName& group, GroupChange& change);
+  void Steady(View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
   std::string ReasonToChange(const View& view, const GroupName& group, const coordination::GroupState& state,
                              GroupChange& change) const;
   // True when a change pays: a replica that could lead reaches enough VMs that the primary doesn't, which is out of
@@ -165,7 +167,7 @@
   void Promote(const View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
   void Finish(const View& view, const GroupName& group, const coordination::GroupState& next, const std::string& why,
               GroupChange& change);
-  void Record(const View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
+  void Record(View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
   void Query(const View& view, const GroupName& group, GroupChange& change, Duration interval) const;
   void SendStepDowns(const View& view);
 
--- a/source/proxy/dispatcher.cc
+++ b/source/proxy/dispatcher.cc
@@ -39,7 +39,7 @@
 }
 
 void Dispatcher::Pump(TimePoint now) {
-  if (this->pumping) {
+  if (this->pumping || this->queue.empty()) {
     return;
   }
   this->pumping = true;
@@ -173,6 +173,8 @@
   return found == this->pools.end() ? nullptr : found->second;
 }
 
+const std::map<EndpointName, EndpointPool*>& Dispatcher::Pools() const { return this->pools; }
+
 void Dispatcher::NotePosition(const EndpointName& endpoint, TimePoint sent_at, const LogPosition& position,
                               TimePoint now) {
   EndpointPool* pool = this->Pool(endpoint);
--- a/source/proxy/dispatcher.h
+++ b/source/proxy/dispatcher.h
@@ -75,6 +75,7 @@
   void AddPool(const EndpointName& name, EndpointPool* pool);
   void RemovePool(const EndpointName& name);
   EndpointPool* Pool(const EndpointName& name) const;
+  const std::map<EndpointName, EndpointPool*>& Pools() const;
 
   // A position that `endpoint` told; counts for the history if this VM may use it as the primary.
   void NotePosition(const EndpointName& endpoint, TimePoint sent_at, const LogPosition& position, TimePoint now);
--- a/source/proxy/endpoint_pool.cc
+++ b/source/proxy/endpoint_pool.cc
@@ -269,6 +269,8 @@
 
 bool EndpointPool::Passive() const { return this->most == 0; }
 
+bool EndpointPool::Asleep() const { return this->Passive() && this->connections.empty() && this->reachable; }
+
 bool EndpointPool::MayExecute(Rank rank) const {
   const auto executing = std::count_if(this->connections.begin(), this->connections.end(),
                                        [](const auto& connection) { return connection->Busy(); });
--- a/source/proxy/endpoint_pool.h
+++ b/source/proxy/endpoint_pool.h
@@ -78,6 +78,8 @@
   void SetLimits(std::size_t connections, std::size_t concurrency);
   // True when this VM leaves the endpoint to other VMs. Work that comes all the same gets connections for a moment.
   bool Passive() const;
+  // True when it needs no Tick(): nothing is open, and nothing is to be kept open.
+  bool Asleep() const;
   // True when one more statement of this rank may go to the endpoint now.
   bool MayExecute(Rank rank) const;
   void SetEndpoint(const failover::EndpointEntry& update, TimePoint now);
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -242,6 +242,10 @@
                   {"routes", update.routes.size()},
                   {"groups", update.groups.size()}});
   this->configuration = std::move(update);
+  this->synchronous_replicas.clear();
+  for (const auto& [group, limits] : this->configuration->groups) {
+    this->synchronous_replicas[group] = limits.synchronous_replicas;
+  }
 }
 
 const StatementCodec& Node::Codec() const { return this->codec; }
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -55,9 +55,30 @@
   struct KnownEndpoint {
     failover::EndpointEntry entry;
     std::unique_ptr<EndpointPool> pool;
+    Dispatcher* dispatcher = nullptr;
     // Since when its entry is missing from the directory.
     std::optional<TimePoint> missing_since;
   };
+  // Who holds connections to a group.
+  struct GroupPlan {
+    carriers::CarrierPlan plan;
+    // Empty: every VM.
+    std::vector<carriers::FleetVm> carriers;
+    // This VM does.
+    bool carried = true;
+    // The carriers are so few that each asks the primary for its position. Otherwise members do, and tell the others.
+    bool ask_themselves = false;
+  };
+  // What plans depend on.
+  struct PlanInputs {
+    std::string fleet_digest;
+    std::size_t fleet_size = 0;
+    std::uint64_t configuration_version = 0;
+    std::size_t groups = 0;
+    bool in_touch = false;
+
+    bool operator==(const PlanInputs&) const = default;
+  };
 
   // node.cc
   void Accept(boost::asio::ip::tcp::acceptor& door, bool may_relay);
@@ -74,10 +95,13 @@
   void TickEndpoints(TimePoint now);
   void AddEndpoint(const failover::EndpointEntry& entry, TimePoint now);
   PoolEvents EventsOf(const failover::EndpointEntry& entry);
-  carriers::CarrierPlan PlanFor(const GroupName& group) const;
+  GroupPlan PlanFor(const GroupName& group, const carriers::FleetShape& shape) const;
   bool Carries(const GroupName& group) const;
   void UpdateFleet(std::vector<carriers::FleetVm> update);
+  // Plans all groups anew when anything that plans depend on has changed.
   void ChooseCarriers();
+  // Gives each endpoint's connections the limits that the plans say.
+  void LimitPools();
   EndpointPool* FindPool(const EndpointName& endpoint) const;
   KnownPrimary PrimaryOf(const GroupName& group, TimePoint now) const;
 
@@ -87,6 +111,8 @@
   // True while statements of this VM are under way at the primary of a group that is changing. Ends them when they have
   // taken long enough.
   static bool OwesRelease(TimePoint changing_from, EndpointPool* primary, TimePoint now);
+  // Notes which groups the record says are changing, and since when.
+  void NoteChangingGroups(TimePoint now);
   // Notes which of the group's endpoints answer this VM.
   void ReportReach(const GroupName& group, const EndpointName& primary, coordination::LocalReport& report) const;
   void Perform(coordination::Actions& actions);
@@ -134,14 +160,23 @@
   coordination::CoordinationSystem coordination;
   failover::PrimaryChangeSystem failover;
   std::map<std::string, std::unique_ptr<net::HttpPool>> peer_pools;
+  // The version of the record that was adopted last, for the log.
+  std::uint64_t adopted_version = 0;
+  // Of each group of the configuration, how many replicas a commit waits for.
+  std::map<GroupName, std::uint64_t> synchronous_replicas;
   // Since when the groups are changing, as this VM sees it.
   std::map<GroupName, TimePoint> changing_since;
 
   std::vector<carriers::FleetVm> fleet;
   std::string fleet_digest;
   TimePoint next_fleet_update;
-  // The carriers of each group that has any.
-  std::map<GroupName, std::vector<carriers::FleetVm>> carriers_of;
+  std::map<GroupName, GroupPlan> plans;
+  PlanInputs planned_for;
+  // The groups whose positions a member tells each VM; those of groups that every VM serves stand in the second list.
+  std::map<VmName, std::vector<GroupName>> told_groups;
+  std::vector<GroupName> groups_told_to_all;
+  // The groups to whose endpoints this VM keeps connections.
+  std::vector<GroupName> own_groups;
   std::size_t relay_turn = 0;
   TimePoint next_carrier_choice;
 
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -76,22 +76,9 @@
     this->without_promises_since = now;
   }
   failover::Actions orders;
-  if (this->directory_known) {
-    failover::EndpointDirectory directory;
-    for (const auto& [name, known] : this->endpoints) {
-      if (!known.missing_since) {
-        directory.emplace(name, known.entry);
-      }
-    }
-    std::map<GroupName, std::uint64_t> synchronous;
-    if (this->configuration) {
-      for (const auto& [group, limits] : this->configuration->groups) {
-        synchronous[group] = limits.synchronous_replicas;
-      }
-    }
-    if (this->coordination.Record() != nullptr) {
-      this->failover.Tick(directory, synchronous, this->coordination, now, actions, orders);
-    }
+  if (this->directory_known && this->coordination.Record() != nullptr) {
+    this->failover.Tick(this->directory.endpoints, this->synchronous_replicas, this->coordination, now, actions,
+                        orders);
   }
   this->Perform(actions);
   this->PerformFailover(orders, now);
@@ -106,19 +93,32 @@
   if (record == nullptr) {
     return report;
   }
-  for (const auto& [group, state] : record->groups) {
-    EndpointPool* pool = this->FindPool(state.primary);
-    if (!state.changing) {
-      this->changing_since.erase(group);
-    } else if (this->OwesRelease(this->changing_since.try_emplace(group, now).first->second, pool, now)) {
+  for (const auto& [group, since] : this->changing_since) {
+    if (this->OwesRelease(since, this->FindPool(record->groups.at(group).primary), now)) {
       report.busy.push_back(group);
     }
-    // Also while the group is changing: the change ends with the former primary only if the VMs reach it again.
-    this->ReportReach(group, state.primary, report);
+  }
+  // Also while a group is changing: the change ends with the former primary only if the VMs reach it again.
+  for (const GroupName& group : this->own_groups) {
+    const auto state = record->groups.find(group);
+    if (state != record->groups.end()) {
+      this->ReportReach(group, state->second.primary, report);
+    }
   }
   return report;
 }
 
+void Node::NoteChangingGroups(TimePoint now) {
+  std::map<GroupName, TimePoint> changing;
+  for (const auto& [group, state] : this->coordination.Record()->groups) {
+    if (state.changing) {
+      const auto known = this->changing_since.find(group);
+      changing.emplace(group, known == this->changing_since.end() ? now : known->second);
+    }
+  }
+  this->changing_since = std::move(changing);
+}
+
 bool Node::OwesRelease(TimePoint changing_from, EndpointPool* primary, TimePoint now) {
   if (primary == nullptr || primary->InUse() == 0) {
     return false;
@@ -133,12 +133,12 @@
 void Node::ReportReach(const GroupName& group, const EndpointName& primary, coordination::LocalReport& report) const {
   bool any_answers = false;
   std::vector<EndpointName> silent;
-  for (const auto& [name, known] : this->endpoints) {
-    if (known.entry.group != group || known.pool->Passive()) {
+  for (const auto& [name, pool] : this->dispatchers.at(group)->Pools()) {
+    if (pool->Passive()) {
       continue;
     }
-    any_answers = any_answers || known.pool->Reachable();
-    if (!known.pool->Reachable()) {
+    any_answers = any_answers || pool->Reachable();
+    if (!pool->Reachable()) {
       silent.push_back(name);
     } else if (name == primary) {
       report.reaches.push_back(group);
@@ -212,10 +212,15 @@
   if (!this->TellsPositionsTo(beat.vm)) {
     return knowledge;
   }
-  for (const auto& [group, dispatcher] : this->dispatchers) {
-    const std::optional<LogPosition> newest = dispatcher->History().Newest();
-    if (newest) {
-      knowledge.positions.push_back({group, *newest, now - dispatcher->History().LastAsked()});
+  const auto told = this->told_groups.find(beat.vm);
+  for (const std::vector<GroupName>* groups :
+       {&this->groups_told_to_all, told == this->told_groups.end() ? nullptr : &told->second}) {
+    for (const GroupName& group : groups == nullptr ? std::vector<GroupName>{} : *groups) {
+      const statements::PositionHistory& history = this->dispatchers.at(group)->History();
+      const std::optional<LogPosition> newest = history.Newest();
+      if (newest) {
+        knowledge.positions.push_back({group, *newest, now - history.LastAsked()});
+      }
     }
   }
   return knowledge;
@@ -321,18 +326,22 @@
   for (const coordination::Member& member : record.members) {
     members += (members.empty() ? "" : " ") + member.vm;
   }
-  std::string groups;
+  std::string changed;
   for (const auto& [name, state] : record.groups) {
-    groups += (groups.empty() ? "" : " ") + name + "=" + state.primary + "@" + std::to_string(state.term) +
-              (state.changing ? " changing" : "");
+    if (state.changed_at > this->adopted_version) {
+      changed += (changed.empty() ? "" : " ") + name + "=" + state.primary + "@" + std::to_string(state.term) +
+                 (state.changing ? " changing" : "");
+    }
   }
   logging::Write(logging::Level::kInfo, "record adopted",
                  {{"source", source},
                   {"version", record.version},
+                  {"former_version", std::exchange(this->adopted_version, record.version)},
                   {"epoch", record.epoch},
                   {"token", record.fencing_token},
                   {"members", members},
-                  {"groups", groups}});
+                  {"changed_groups", changed}});
+  this->NoteChangingGroups(BootClock::now());
   if (this->last_member_reply == TimePoint()) {
     this->last_member_reply = BootClock::now();
   }
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds kForgetEndpointAfter{2600};
 
 constexpr std::size_t kCarriersTried = 3;
+// Up to so many carriers ask a primary for its position themselves.
+constexpr std::size_t kCarriersThatAsk = 5;
 // A VM that has had too few promises for so long refuses work for primaries at once. Members are replaced sooner.
 constexpr std::chrono::milliseconds kGiveUpAfter{1000};
 // So many members keep a connection to each endpoint in any case, to know positions and who leads.
@@ -50,7 +52,7 @@
     const bool moved = found != this->endpoints.end() &&
                        (found->second.entry.address != entry.address || found->second.entry.group != entry.group);
     if (moved) {
-      this->dispatchers.at(found->second.entry.group)->RemovePool(name);
+      found->second.dispatcher->RemovePool(name);
       this->endpoints.erase(found);
     }
     if (found == this->endpoints.end() || moved) {
@@ -71,6 +73,9 @@
       logging::Write(logging::Level::kInfo, "endpoint's entry is missing", {{"endpoint", name}});
     }
   }
+  // New endpoints have no limits yet.
+  this->ChooseCarriers();
+  this->LimitPools();
   this->PumpSoon();
 }
 
@@ -86,6 +91,7 @@
   known.entry = entry;
   known.pool = std::make_unique<EndpointPool>(this->loop, this->codec, this->settings.vm, entry, PoolSettings{},
                                               this->EventsOf(entry));
+  known.dispatcher = dispatcher.get();
   known.pool->SetEndpoint(entry, now);
   dispatcher->AddPool(entry.name, known.pool.get());
   this->endpoints.emplace(entry.name, std::move(known));
@@ -118,7 +124,6 @@
 void Node::TickEndpoints(TimePoint now) {
   const coordination::CoordinationRecord* record = this->coordination.Record();
   const bool member = record != nullptr && record->IsMember(this->settings.vm);
-  const bool in_touch = record != nullptr && record->Place(this->settings.vm) < kMembersInTouch;
   if (now >= this->next_carrier_choice) {
     this->next_carrier_choice = now + kCarrierChoiceInterval;
     this->ChooseCarriers();
@@ -127,45 +132,89 @@
     KnownEndpoint& known = found->second;
     if (known.missing_since && now > *known.missing_since + kForgetEndpointAfter) {
       logging::Write(logging::Level::kInfo, "endpoint removed", {{"endpoint", found->first}});
-      this->dispatchers.at(known.entry.group)->RemovePool(found->first);
+      known.dispatcher->RemovePool(found->first);
       found = this->endpoints.erase(found);
       continue;
     }
-    const carriers::CarrierPlan plan = this->PlanFor(known.entry.group);
-    const std::size_t holders = plan.carriers == 0 ? this->coordination.FleetSize() : plan.carriers;
-    const double concurrency =
-        static_cast<double>(known.entry.slots) * kWorkPerSlot / static_cast<double>(std::max<std::size_t>(holders, 1));
-    // Until the fleet is known this VM may be one of many.
-    const bool carries = !this->fleet.empty() && this->Carries(known.entry.group);
-    const std::size_t own = carries ? plan.connections : (in_touch ? 1 : 0);
-    known.pool->SetLimits(own, static_cast<std::size_t>(std::max(1.0, concurrency)));
-    const KnownPrimary primary = this->PrimaryOf(known.entry.group, now);
-    const bool is_primary = primary.name == found->first;
-    const TimePoint asked = this->dispatchers.at(known.entry.group)->History().LastAsked();
-    const bool ask = is_primary && primary.usable && now > asked + (member ? kPositionAge : kPositionAgeOfOthers);
-    known.pool->Tick(now, ask ? kPositionAge : (is_primary ? kPrimaryProbe : kReplicaProbe));
+    if (!known.pool->Asleep()) {
+      const KnownPrimary primary = this->PrimaryOf(known.entry.group, now);
+      const bool is_primary = primary.name == found->first;
+      const auto plan = this->plans.find(known.entry.group);
+      const bool asks = member || (plan != this->plans.end() && plan->second.ask_themselves);
+      const TimePoint asked = known.dispatcher->History().LastAsked();
+      const bool ask = is_primary && primary.usable && now > asked + (asks ? kPositionAge : kPositionAgeOfOthers);
+      known.pool->Tick(now, ask ? kPositionAge : (is_primary ? kPrimaryProbe : kReplicaProbe));
+    }
     ++found;
   }
 }
 
-carriers::CarrierPlan Node::PlanFor(const GroupName& group) const {
+Node::GroupPlan Node::PlanFor(const GroupName& group, const carriers::FleetShape& shape) const {
   std::size_t connections = 1;
   if (this->configuration && this->configuration->groups.count(group) > 0) {
     connections = this->configuration->groups.at(group).connections;
   }
+  GroupPlan plan;
+  plan.plan = carriers::PlanCarriers(connections, shape);
+  if (plan.plan.carriers > 0) {
+    plan.carriers = carriers::ChooseCarriers(group, this->fleet, plan.plan.carriers);
+    plan.carried = std::any_of(plan.carriers.begin(), plan.carriers.end(),
+                               [this](const carriers::FleetVm& carrier) { return carrier.vm == this->settings.vm; });
+    plan.ask_themselves = plan.plan.carriers <= kCarriersThatAsk;
+  }
+  return plan;
+}
+
+void Node::ChooseCarriers() {
+  const coordination::CoordinationRecord* record = this->coordination.Record();
+  const PlanInputs inputs{this->fleet_digest, std::max(this->coordination.FleetSize(), this->fleet.size()),
+                          this->configuration ? this->configuration->version : 0, this->dispatchers.size(),
+                          record != nullptr && record->Place(this->settings.vm) < kMembersInTouch};
+  if (inputs == this->planned_for) {
+    return;
+  }
+  this->planned_for = inputs;
   std::set<std::string> data_centres;
   for (const carriers::FleetVm& vm : this->fleet) {
     data_centres.insert(vm.data_centre);
   }
-  return carriers::PlanCarriers(connections, std::max(this->coordination.FleetSize(), this->fleet.size()),
-                                data_centres.size());
+  const carriers::FleetShape shape{inputs.fleet_size, data_centres.size(), this->dispatchers.size()};
+  this->plans.clear();
+  this->told_groups.clear();
+  this->groups_told_to_all.clear();
+  this->own_groups.clear();
+  for (const auto& [group, dispatcher] : this->dispatchers) {
+    const GroupPlan& plan = this->plans.emplace(group, this->PlanFor(group, shape)).first->second;
+    if (plan.plan.carriers == 0) {
+      this->groups_told_to_all.push_back(group);
+    } else if (!plan.ask_themselves) {
+      for (const carriers::FleetVm& carrier : plan.carriers) {
+        this->told_groups[carrier.vm].push_back(group);
+      }
+    }
+    if (plan.carried || (inputs.in_touch && !plan.ask_themselves)) {
+      this->own_groups.push_back(group);
+    }
+  }
+  this->LimitPools();
+}
+
+void Node::LimitPools() {
+  for (auto& [name, known] : this->endpoints) {
+    const GroupPlan& plan = this->plans.at(known.entry.group);
+    const std::size_t holders = plan.plan.carriers == 0 ? this->planned_for.fleet_size : plan.plan.carriers;
+    const double concurrency =
+        static_cast<double>(known.entry.slots) * kWorkPerSlot / static_cast<double>(std::max<std::size_t>(holders, 1));
+    const std::size_t in_touch = this->planned_for.in_touch && !plan.ask_themselves ? 1 : 0;
+    // Until the fleet is known this VM may be one of many.
+    const std::size_t own = !this->fleet.empty() && plan.carried ? plan.plan.connections : in_touch;
+    known.pool->SetLimits(own, static_cast<std::size_t>(std::max(1.0, concurrency)));
+  }
 }
 
 bool Node::Carries(const GroupName& group) const {
-  const auto found = this->carriers_of.find(group);
-  return found == this->carriers_of.end() ||
-         std::any_of(found->second.begin(), found->second.end(),
-                     [this](const carriers::FleetVm& carrier) { return carrier.vm == this->settings.vm; });
+  const auto found = this->plans.find(group);
+  return found == this->plans.end() || found->second.carried;
 }
 
 void Node::UpdateFleet(std::vector<carriers::FleetVm> update) {
@@ -179,24 +228,14 @@
   }
 }
 
-void Node::ChooseCarriers() {
-  this->carriers_of.clear();
-  for (const auto& [group, dispatcher] : this->dispatchers) {
-    const carriers::CarrierPlan plan = this->PlanFor(group);
-    if (plan.carriers > 0) {
-      this->carriers_of[group] = carriers::ChooseCarriers(group, this->fleet, plan.carriers);
-    }
-  }
-}
-
 std::vector<std::string> Node::CarriersOf(const GroupName& group) {
-  const auto found = this->carriers_of.find(group);
-  if (found == this->carriers_of.end() || this->Carries(group)) {
+  const auto found = this->plans.find(group);
+  if (found == this->plans.end() || found->second.carried) {
     return {};
   }
   std::vector<std::string> near;
   std::vector<std::string> far;
-  for (const carriers::FleetVm& carrier : found->second) {
+  for (const carriers::FleetVm& carrier : found->second.carriers) {
     if (!carrier.relay_address.empty()) {
       (carrier.data_centre == this->settings.data_centre ? near : far).push_back(carrier.relay_address);
     }
--- a/tests/core/carriers/carrier_choice_test.cc
+++ b/tests/core/carriers/carrier_choice_test.cc
@@ -17,25 +17,37 @@
 }
 
 TEST(CarrierPlan, EveryVmHoldsConnectionsWhereTheySuffice) {
-  EXPECT_EQ(PlanCarriers(34, 9, 3).carriers, 0U);
-  EXPECT_EQ(PlanCarriers(34, 9, 3).connections, 3U);
-  EXPECT_EQ(PlanCarriers(28, 10, 4).carriers, 0U);
+  EXPECT_EQ(PlanCarriers(34, {9, 3, 3}).carriers, 0U);
+  EXPECT_EQ(PlanCarriers(34, {9, 3, 3}).connections, 3U);
+  EXPECT_EQ(PlanCarriers(28, {10, 4, 3}).carriers, 0U);
 }
 
 TEST(CarrierPlan, CarriersNeverHoldMoreThanTheEndpointTakes) {
   for (const std::size_t limit : {1U, 2U, 5U, 6U, 10U, 47U, 151U}) {
     for (std::size_t fleet = 2; fleet <= 600; ++fleet) {
-      const CarrierPlan plan = PlanCarriers(limit, fleet, 3);
-      const std::size_t holders =
-          plan.carriers == 0 ? fleet : ChooseCarriers("group-1", MakeFleet(fleet), plan.carriers).size();
-      EXPECT_LE(holders * plan.connections, limit) << fleet << " VMs, " << limit << " connections";
+      for (const std::size_t groups : {3U, 8U, 40U, 950U}) {
+        const CarrierPlan plan = PlanCarriers(limit, {fleet, 3, groups});
+        const std::size_t holders =
+            plan.carriers == 0 ? fleet : ChooseCarriers("group-1", MakeFleet(fleet), plan.carriers).size();
+        EXPECT_LE(holders * plan.connections, limit) << fleet << " VMs, " << limit << " connections";
+      }
     }
   }
 }
 
+TEST(CarrierPlan, WhatAVmHoldsDoesNotGrowWithTheFleet) {
+  for (const std::size_t fleet : {30U, 100U, 300U, 550U}) {
+    const std::size_t groups = fleet * 950 / 550;
+    const CarrierPlan plan = PlanCarriers(47, {fleet, 3, groups});
+    EXPECT_EQ(plan.carriers, 3U) << fleet;
+    EXPECT_LE(plan.connections * plan.carriers, 47U);
+    EXPECT_LE(plan.carriers * groups / fleet, 6U) << fleet;
+  }
+}
+
 TEST(CarrierPlan, OfFewConnectionsEachDataCentreGetsOne) {
-  EXPECT_EQ(PlanCarriers(6, 9, 3).carriers, 3U);
-  EXPECT_EQ(PlanCarriers(6, 9, 3).connections, 1U);
+  EXPECT_EQ(PlanCarriers(6, {9, 3, 3}).carriers, 3U);
+  EXPECT_EQ(PlanCarriers(6, {9, 3, 3}).connections, 1U);
 }
 
 TEST(CarrierChoice, EveryDataCentreHasACarrier) {
