Tell peers what changed in the directory; discover and plan gently on a new member

Cause: at 100 VMs with 172 groups (trials) each VM fetched the whole directory with each change; a new holder asked all 516 endpoints at once and took them for out of reach; a new member that had heard few VMs planned as if it were nearly alone and connected everywhere (510 endpoints out of reach within a second, on each new member in turn); each VM wrote a line for each of 516 endpoints at its start.

Ruled out: a delta without a check.

Change: DirectoryChanges remembers when entries changed; peers are told what is new since their revision. 16 groups are discovered at a time, first by the endpoints that claim to lead. With more than 16 groups a new member hears the fleet for 1.4 s before it plans; large fleets are planned anew less often. Lines on added endpoints are bounded.

Conclusion: better, not enough: members on VMs of 0.12 cores don't answer beats in time while a fleet of 100 starts, and the duty goes round. Members should stand on the larger VMs; that isn't built yet.

--- a/fuzz/process_parse_functions.cc
+++ b/fuzz/process_parse_functions.cc
@@ -160,7 +160,7 @@
           "idle_transaction_limit_ms":7})"}},
       {"DirectoryMessage",
        ParseOnly<proxy::ParseDirectoryMessage>,
-       {R"({"revision":3,"endpoints":[{"name":"e","group":"g","address":"127.0.0.1:1","data_centre":"d",
+       {R"({"base":2,"revision":3,"removed":["f"],"digest":"1","endpoints":[{"name":"e","group":"g","address":"127.0.0.1:1","data_centre":"d",
           "draining":false,"claims_primary":true,"slots":5,"born":0}]})"}},
       {"StatusRow", ParseStatusRow, {"replica 3 3.1209 0 12 2 17"}},
       {"StoreObject", ParseStoreObject, {R"({"meta":{"name":"a","revision":4},"spec":{"x":1},"status":null})"}},
--- a/source/core/carriers/carrier_choice.cc
+++ b/source/core/carriers/carrier_choice.cc
@@ -19,8 +19,6 @@
 constexpr double kCarrierConnections = 3;
 // The same where a group has few carriers because there are many groups.
 constexpr double kMostCarrierConnections = 8;
-// Up to so many groups, each VM may hold connections to all.
-constexpr std::size_t kGroupsServedEverywhere = 16;
 // With many groups, about so many for each VM to carry; more where each data centre needs a carrier.
 constexpr double kGroupsCarried = 2.5;
 
--- a/source/core/carriers/carrier_choice.h
+++ b/source/core/carriers/carrier_choice.h
@@ -11,6 +11,9 @@
 // VMs carry the sessions of the others.
 namespace amaranthlane::carriers {
 
+// Up to so many groups, each VM may hold connections to all.
+inline constexpr std::size_t kGroupsServedEverywhere = 16;
+
 // A VM that is alive and stays.
 struct FleetVm {
   VmName vm;
--- a/source/core/failover/endpoint_status.cc
+++ b/source/core/failover/endpoint_status.cc
@@ -14,7 +14,8 @@
 std::string DirectoryDigest(const EndpointDirectory& directory) {
   std::string text;
   for (const auto& [name, entry] : directory) {
-    text += name + " " + entry.group + " " + entry.address + (entry.draining ? " draining\n" : "\n");
+    text += name + " " + entry.group + " " + entry.address + " " + std::to_string(entry.slots) +
+            (entry.draining ? " draining\n" : "\n");
   }
   const Sha256Digest hash = Sha256(text);
   std::uint64_t digest = 0;
--- a/source/core/failover/primary_change_system.cc
+++ b/source/core/failover/primary_change_system.cc
@@ -15,6 +15,12 @@
 
 // A candidate that the platform refused isn't tried again for so long.
 constexpr std::chrono::milliseconds kExclusion{1000};
+// Groups whose primary is looked for at a time: each needs new connections, and a new holder may have many groups.
+constexpr std::size_t kDiscoveriesAtOnce = 16;
+// How long a group is looked at until others have their turn, and how long only those endpoints are asked that say of
+// themselves that they lead.
+constexpr std::chrono::milliseconds kDiscoveryTurn{1000};
+constexpr std::chrono::milliseconds kClaimsOnly{300};
 
 }  // namespace
 
@@ -32,6 +38,7 @@
   // What the record is to say; all of it goes into one update.
   std::map<GroupName, GroupState> proposed = {};
   std::string reasons = {};
+  std::size_t discoveries = 0;
 
   std::vector<const EndpointEntry*> Endpoints(const GroupName& group) const {
     const auto found = this->by_group.find(group);
@@ -146,12 +153,39 @@
     }
   }
   if (primary == nullptr) {
-    this->Query(view, group, change, this->settings.query_interval * 2);
+    this->Search(view, group, change);
     return;
   }
   view.Propose(group, {term, *primary, false}, group + " is led by " + *primary);
 }
 
+void PrimaryChangeSystem::Search(View& view, const GroupName& group, GroupChange& change) const {
+  if (view.now < change.search_from || view.discoveries >= kDiscoveriesAtOnce) {
+    return;
+  }
+  ++view.discoveries;
+  if (!change.searched_since) {
+    change.searched_since = view.now;
+  } else if (view.now > *change.searched_since + kDiscoveryTurn) {
+    change.search_from = view.now + kDiscoveryTurn;
+    change.searched_since.reset();
+    return;
+  }
+  if (view.now < change.next_query) {
+    return;
+  }
+  change.next_query = view.now + this->settings.query_interval * 2;
+  const std::vector<const EndpointEntry*> endpoints = view.Endpoints(group);
+  const bool claimed =
+      std::any_of(endpoints.begin(), endpoints.end(), [](const EndpointEntry* entry) { return entry->claims_primary; });
+  const bool claims_only = claimed && view.now < *change.searched_since + kClaimsOnly;
+  for (const EndpointEntry* entry : endpoints) {
+    if (!claims_only || entry->claims_primary) {
+      view.actions.emplace_back(QueryStatus{entry->name});
+    }
+  }
+}
+
 void PrimaryChangeSystem::Steady(View& view, const GroupName& group, const GroupState& state, GroupChange& change) {
   const std::string reason = this->ReasonToChange(view, group, state, change);
   if (reason.empty() || !view.coordination.MayPromote(view.now)) {
--- a/source/core/failover/primary_change_system.h
+++ b/source/core/failover/primary_change_system.h
@@ -113,6 +113,9 @@
     // It has ordered nothing yet, so the old primary may stay, from the time on when no other VM's order is under way.
     bool may_abort = false;
     TimePoint abort_from = kNever;
+    // Since when the primary of a group without a record is looked for, and when the next turn begins.
+    std::optional<TimePoint> searched_since;
+    TimePoint search_from;
     // Since when no replica is known that could lead.
     std::optional<TimePoint> nobody_since;
     // Since when the directory disagrees with the record.
@@ -140,6 +143,8 @@
   // Writes what the groups' systems propose.
   void Submit(View& view);
   void Discover(View& view, const GroupName& group, GroupChange& change);
+  // Asks the endpoints of a group that the record doesn't have yet.
+  void Search(View& view, const GroupName& group, GroupChange& change) const;
   void Steady(View& view, const GroupName& group, const coordination::GroupState& state, GroupChange& change);
   std::string ReasonToChange(const View& view, const GroupName& group, const coordination::GroupState& state,
                              GroupChange& change) const;
--- a/source/proxy/knowledge_messages.cc
+++ b/source/proxy/knowledge_messages.cc
@@ -84,9 +84,9 @@
   return configuration;
 }
 
-nlohmann::json ToJson(const KnownDirectory& directory) {
+nlohmann::json ToJson(const DirectoryUpdate& update) {
   nlohmann::json entries = nlohmann::json::array();
-  for (const auto& [name, entry] : directory.endpoints) {
+  for (const auto& [name, entry] : update.endpoints) {
     entries.push_back({{"name", name},
                        {"group", entry.group},
                        {"address", entry.address},
@@ -96,13 +96,20 @@
                        {"slots", entry.slots},
                        {"born", entry.born}});
   }
-  return {{"revision", directory.revision}, {"endpoints", entries}};
+  return {{"base", update.base},
+          {"revision", update.revision},
+          {"endpoints", std::move(entries)},
+          {"removed", update.removed},
+          {"digest", update.digest}};
 }
 
-KnownDirectory ParseDirectoryMessage(const nlohmann::json& document) {
+DirectoryUpdate ParseDirectoryMessage(const nlohmann::json& document) {
   const json::ObjectReader reader(document, kDirectoryDocument);
-  KnownDirectory directory;
-  directory.revision = reader.Unsigned("revision");
+  DirectoryUpdate update;
+  update.base = reader.Unsigned("base");
+  update.revision = reader.Unsigned("revision");
+  update.removed = reader.Strings("removed");
+  update.digest = reader.String("digest");
   for (const nlohmann::json& item : reader.Array("endpoints")) {
     const json::ObjectReader member(item, kDirectoryDocument);
     failover::EndpointEntry entry;
@@ -114,9 +121,9 @@
     entry.claims_primary = member.Bool("claims_primary");
     entry.slots = member.Unsigned("slots");
     entry.born = member.Unsigned("born");
-    directory.endpoints.emplace(entry.name, entry);
+    update.endpoints.emplace(entry.name, entry);
   }
-  return directory;
+  return update;
 }
 
 }  // namespace amaranthlane::proxy
--- a/source/proxy/knowledge_messages.h
+++ b/source/proxy/knowledge_messages.h
@@ -3,24 +3,18 @@
 
 #include <nlohmann/json.hpp>
 
-#include "core/failover/endpoint_status.h"
 #include "proxy/configuration.h"
+#include "proxy/directory_changes.h"
 
 // The configuration and the directory of endpoints as VMs pass them to each other, so that one that the store turns
 // away keeps up. The parse functions throw ParseError.
 namespace amaranthlane::proxy {
 
-// A directory as the store had it at a revision.
-struct KnownDirectory {
-  ObjectVersion revision = 0;
-  failover::EndpointDirectory endpoints;
-};
-
 nlohmann::json ToJson(const Configuration& configuration);
 Configuration ParseConfigurationMessage(const nlohmann::json& document);
 
-nlohmann::json ToJson(const KnownDirectory& directory);
-KnownDirectory ParseDirectoryMessage(const nlohmann::json& document);
+nlohmann::json ToJson(const DirectoryUpdate& update);
+DirectoryUpdate ParseDirectoryMessage(const nlohmann::json& document);
 
 }  // namespace amaranthlane::proxy
 
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -18,6 +18,7 @@
 #include "net/http_pool.h"
 #include "net/http_server.h"
 #include "proxy/caller_session.h"
+#include "proxy/directory_changes.h"
 #include "proxy/dispatcher.h"
 #include "proxy/endpoint_pool.h"
 #include "proxy/relayed_session.h"
@@ -129,7 +130,7 @@
   void OnKnowledge(const coordination::MemberKnowledge& knowledge, TimePoint asked_at);
   // Fetches from a peer what it has newer than this VM.
   void CatchUpWith(const std::string& address, const coordination::StoreKnowledge& store, TimePoint now);
-  void Fetch(const std::string& address, const char* target, TimePoint now,
+  void Fetch(const std::string& address, const std::string& target, TimePoint now,
              std::function<void(const nlohmann::json&)> apply);
   coordination::StoreKnowledge OwnStoreKnowledge() const;
   void OnRecordAdopted(const std::string& source);
@@ -155,6 +156,9 @@
   bool directory_known = false;
   KnownDirectory directory;
   std::string directory_digest;
+  DirectoryChanges directory_changes;
+  // What a peer told of changes didn't fit.
+  bool whole_directory_wanted = false;
   std::map<GroupName, std::unique_ptr<Dispatcher>> dispatchers;
 
   coordination::CoordinationSystem coordination;
@@ -170,6 +174,8 @@
   std::vector<carriers::FleetVm> fleet;
   std::string fleet_digest;
   TimePoint next_fleet_update;
+  // Since when this VM is a member.
+  std::optional<TimePoint> member_since;
   std::map<GroupName, GroupPlan> plans;
   PlanInputs planned_for;
   // The groups whose positions a member tells each VM; those of groups that every VM serves stand in the second list.
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -1,7 +1,9 @@
 #include <algorithm>
+#include <charconv>
 #include <utility>
 #include <variant>
 
+#include "common/error.h"
 #include "common/json.h"
 #include "core/rendezvous.h"
 #include "proxy/node.h"
@@ -30,6 +32,9 @@
 constexpr std::size_t kMembersThatTellPositions = 2;
 // How often members look who is alive, and how recently a VM must have sent a beat for that.
 constexpr std::chrono::milliseconds kFleetInterval{300};
+// The same for each VM of a large fleet, as all plan anew when the fleet changes; at most the longest.
+constexpr std::chrono::milliseconds kFleetIntervalPerVm{6};
+constexpr std::chrono::milliseconds kLongestFleetInterval{1200};
 constexpr std::chrono::milliseconds kAliveWithin{1400};
 
 template <class... Handlers>
@@ -39,6 +44,16 @@
 template <class... Handlers>
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
+// Throws ParseError.
+ObjectVersion ParseRevision(const std::string& text) {
+  ObjectVersion revision = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), revision);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    throw ParseError("directory request", "since", "a revision");
+  }
+  return revision;
+}
+
 net::HttpRequest PostJson(const char* target, const nlohmann::json& body) {
   net::HttpRequest request;
   request.method = "POST";
@@ -52,8 +67,17 @@
 void Node::TickCoordination(TimePoint now) {
   coordination::Actions actions;
   const coordination::CoordinationRecord* record = this->coordination.Record();
-  if (record != nullptr && record->IsMember(this->settings.vm) && now >= this->next_fleet_update) {
-    this->next_fleet_update = now + kFleetInterval;
+  if (record == nullptr || !record->IsMember(this->settings.vm)) {
+    this->member_since.reset();
+  } else if (!this->member_since) {
+    this->member_since = now;
+  }
+  // A new member hears from the others one after the other; with many groups it would take all of them upon itself.
+  const bool heard_all = this->member_since && (this->dispatchers.size() <= carriers::kGroupsServedEverywhere ||
+                                                now > *this->member_since + kAliveWithin);
+  if (heard_all && now >= this->next_fleet_update) {
+    const std::chrono::milliseconds wanted = kFleetIntervalPerVm * this->fleet.size();
+    this->next_fleet_update = now + std::clamp(wanted, kFleetInterval, kLongestFleetInterval);
     std::vector<carriers::FleetVm> alive = this->coordination.Ledger().AliveSince(now - kAliveWithin);
     std::erase_if(alive, [this](const carriers::FleetVm& vm) { return vm.vm == this->settings.vm; });
     alive.push_back({this->settings.vm, this->settings.relay_address, this->settings.data_centre});
@@ -259,12 +283,19 @@
     logging::Write(
         logging::Level::kInfo, "a peer knows a newer directory",
         {{"peer", address}, {"own_revision", own.directory_revision}, {"peer_revision", store.directory_revision}});
-    this->Fetch(address, kDirectoryTarget, now,
-                [this](const nlohmann::json& document) { this->OnDirectory(ParseDirectoryMessage(document)); });
+    const ObjectVersion since = this->whole_directory_wanted ? 0 : own.directory_revision;
+    this->Fetch(address, std::string(kDirectoryTarget) + "?since=" + std::to_string(since), now,
+                [this](const nlohmann::json& document) {
+                  std::optional<KnownDirectory> update = Apply(ParseDirectoryMessage(document), this->directory);
+                  this->whole_directory_wanted = !update;
+                  if (update) {
+                    this->OnDirectory(std::move(*update));
+                  }
+                });
   }
 }
 
-void Node::Fetch(const std::string& address, const char* target, TimePoint now,
+void Node::Fetch(const std::string& address, const std::string& target, TimePoint now,
                  std::function<void(const nlohmann::json&)> apply) {
   net::HttpRequest request;
   request.method = "GET";
@@ -399,8 +430,9 @@
       response.body = ToJson(reply).dump();
     } else if (request.target == kConfigurationTarget && this->configuration) {
       response.body = ToJson(*this->configuration).dump();
-    } else if (request.target == kDirectoryTarget && this->directory_known) {
-      response.body = ToJson(this->directory).dump();
+    } else if (net::TargetPath(request.target) == kDirectoryTarget && this->directory_known) {
+      const ObjectVersion since = ParseRevision(net::QueryParameter(request.target, "since"));
+      response.body = ToJson(this->directory_changes.Since(since, this->directory)).dump();
     } else if (request.target == kNoticeTarget) {
       this->coordination.OnNotice(coordination::ParseCoordinationRecord(json::Parse(request.body, "notice")), now,
                                   actions);
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -39,6 +39,9 @@
     return;
   }
   const bool same = this->directory_known && newer.endpoints == this->directory.endpoints;
+  if (!same) {
+    this->directory_changes.Note(this->directory.endpoints, newer.endpoints, newer.revision);
+  }
   this->directory = std::move(newer);
   if (same) {
     return;
@@ -80,8 +83,13 @@
 }
 
 void Node::AddEndpoint(const failover::EndpointEntry& entry, TimePoint now) {
-  logging::Write(logging::Level::kInfo, "endpoint added",
-                 {{"endpoint", entry.name}, {"group", entry.group}, {"address", entry.address}});
+  if (this->belief_lines.Admit(now)) {
+    logging::Write(logging::Level::kInfo, "endpoint added",
+                   {{"endpoint", entry.name},
+                    {"group", entry.group},
+                    {"address", entry.address},
+                    {"lines_suppressed", this->belief_lines.TakeSuppressed()}});
+  }
   auto& dispatcher = this->dispatchers[entry.group];
   if (dispatcher == nullptr) {
     dispatcher = std::make_unique<Dispatcher>(
@@ -205,8 +213,8 @@
     const std::size_t holders = plan.plan.carriers == 0 ? this->planned_for.fleet_size : plan.plan.carriers;
     const double concurrency =
         static_cast<double>(known.entry.slots) * kWorkPerSlot / static_cast<double>(std::max<std::size_t>(holders, 1));
-    const std::size_t in_touch = this->planned_for.in_touch && !plan.ask_themselves ? 1 : 0;
     // Until the fleet is known this VM may be one of many.
+    const std::size_t in_touch = this->planned_for.in_touch && !this->fleet.empty() && !plan.ask_themselves ? 1 : 0;
     const std::size_t own = !this->fleet.empty() && plan.carried ? plan.plan.connections : in_touch;
     known.pool->SetLimits(own, static_cast<std::size_t>(std::max(1.0, concurrency)));
   }
--- a/tests/proxy/knowledge_messages_test.cc
+++ b/tests/proxy/knowledge_messages_test.cc
@@ -28,16 +28,22 @@
 }
 
 TEST(KnowledgeMessages, ADirectorySurvives) {
-  KnownDirectory directory;
+  DirectoryUpdate directory;
+  directory.base = 9;
   directory.revision = 12;
+  directory.removed = {"f"};
+  directory.digest = "17";
   failover::EndpointEntry entry;
   entry.name = "e";
   entry.group = "g";
   entry.address = "127.0.0.1:1";
   entry.draining = true;
   directory.endpoints["e"] = entry;
-  const KnownDirectory read = ParseDirectoryMessage(ToJson(directory));
+  const DirectoryUpdate read = ParseDirectoryMessage(ToJson(directory));
+  EXPECT_EQ(read.base, 9U);
   EXPECT_EQ(read.revision, 12U);
+  EXPECT_EQ(read.removed, directory.removed);
+  EXPECT_EQ(read.digest, directory.digest);
   EXPECT_EQ(read.endpoints, directory.endpoints);
 }
 
