--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -102,9 +102,7 @@
                                  boost::asio::async_write(self->carrier,
                                                           boost::asio::buffer(self->from_caller.chunk.data(), size),
                                                           [self](boost::system::error_code failed, std::size_t) {
-                                                            if (self->farewell) {
-                                                              self->PassFromCaller();
-                                                            } else if (failed || self->closed) {
+                                                            if (!self->farewell && (failed || self->closed)) {
                                                               self->OnCarrierEnded("the carrier broke the connection");
                                                             } else {
                                                               self->PassFromCaller();
