Pass over a carrier that doesn't know the database yet

Cause: a VM that passes sessions on sent the opening to a carrier whose configuration was older, and passed its "unknown database" on to the caller, although it knew the database itself and had served it before.

Change: an opening that a carrier answers with "unknown database" goes to the next carrier, at last to this VM itself.

--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -122,6 +122,10 @@
           self->OnCarrierEnded("the carrier ended the connection");
           return;
         }
+        if (self->RefusedAsUnknown(size)) {
+          self->OnCarrierEnded("the carrier doesn't know the database yet");
+          return;
+        }
         self->CountFromCarrier(size);
         self->writing_to_caller = true;
         boost::asio::async_write(self->caller, boost::asio::buffer(self->from_carrier.chunk.data(), size),
@@ -140,6 +144,20 @@
       });
 }
 
+// This VM knows the database, so a carrier that doesn't has an older configuration. Its answer would be a step back.
+bool RelayedSession::RefusedAsUnknown(std::size_t size) const {
+  if (this->opened || !this->from_carrier.partial.empty()) {
+    return false;
+  }
+  const std::string_view bytes(this->from_carrier.chunk.data(), size);
+  const std::size_t length = this->context.Codec().FrameLength(bytes);
+  if (length == 0) {
+    return false;
+  }
+  const EndpointMessage message = this->context.Codec().ParseEndpointMessage(bytes.substr(0, length));
+  return message.kind == EndpointMessage::Kind::kFailure && message.code == statements::FailureCode::kUnknownDatabase;
+}
+
 void RelayedSession::CountFromCaller(std::string_view bytes) {
   Direction& direction = this->from_caller;
   direction.partial.append(bytes);
--- a/source/proxy/relayed_session.h
+++ b/source/proxy/relayed_session.h
@@ -47,6 +47,8 @@
   void ServeHere();
   void PassFromCaller();
   void PassFromCarrier();
+  // True when the carrier answers the opening with bytes that say it doesn't know the database.
+  bool RefusedAsUnknown(std::size_t size) const;
   // Count the messages that became whole.
   void CountFromCaller(std::string_view bytes);
   void CountFromCarrier(std::size_t size);
