--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -12,6 +12,11 @@
 // A VM counts as part of the fleet if its last heartbeat is at most this many heartbeat intervals old.
 constexpr int kFleetHeartbeats = 4;
 
+// None if the time was never set.
+std::optional<Duration> AgeOf(TimePoint at, TimePoint now) {
+  return at == TimePoint() ? std::nullopt : std::optional<Duration>(now - at);
+}
+
 }  // namespace
 
 CoordinationSystem::CoordinationSystem(Self self, const CoordinationSettings& settings)
@@ -106,6 +111,8 @@
   reply.vm = this->self.vm;
   reply.incarnation = this->self.incarnation;
   reply.store = this->report.store;
+  reply.configuration_age = AgeOf(this->report.store_currency.configuration_at, now);
+  reply.directory_age = AgeOf(this->report.store_currency.directory_at, now);
   reply.fleet_size = this->FleetSize();
   reply.wants_handover = this->handover_requested;
   reply.store_contact_age = now - this->last_store_contact;
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -63,6 +63,7 @@
   bool leaving = false;
   std::string fleet_digest;
   StoreVersions store;
+  StoreCurrency store_currency;
 };
 
 // The outcome of a conditional write.
--- a/source/core/coordination/messages.cc
+++ b/source/core/coordination/messages.cc
@@ -24,6 +24,10 @@
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(bounded).count());
 }
 
+std::optional<Duration> ParseOptionalAge(const json::ObjectReader& reader, const char* key) {
+  return reader.Has(key) ? std::optional<Duration>(reader.Milliseconds(key)) : std::nullopt;
+}
+
 PrimaryPosition ParsePrimaryPosition(const nlohmann::json& document) {
   const json::ObjectReader reader(document, "primary position");
   PrimaryPosition known;
@@ -91,6 +95,12 @@
 }
 
 nlohmann::json ToJson(const HeartbeatReply& reply) {
+  // Rounded up, so that a copy never appears newer than it is.
+  const auto add_age = [](nlohmann::json& document, const char* key, const std::optional<Duration>& age) {
+    if (age) {
+      document[key] = Milliseconds(*age) + 1;
+    }
+  };
   nlohmann::json document = {{"vm", reply.vm},
                              {"incarnation", reply.incarnation},
                              {"promised", reply.granted},
@@ -100,6 +110,8 @@
                              {"fleet_size", reply.fleet_size},
                              {"store", ToJson(reply.store)},
                              {"positions", nlohmann::json::array()}};
+  add_age(document, "configuration_age_ms", reply.configuration_age);
+  add_age(document, "directory_age_ms", reply.directory_age);
   for (const PrimaryPosition& known : reply.fleet_view.positions) {
     // Rounded up, so that a position never appears newer than it is.
     document["positions"].push_back({{"group", known.group},
@@ -130,6 +142,8 @@
   reply.wants_handover = reader.Bool("wants_relief");
   reply.fleet_size = reader.Unsigned("fleet_size");
   reply.store = ParseStoreVersions(reader.Object("store"));
+  reply.configuration_age = ParseOptionalAge(reader, "configuration_age_ms");
+  reply.directory_age = ParseOptionalAge(reader, "directory_age_ms");
   for (const nlohmann::json& known : reader.Array("positions")) {
     reply.fleet_view.positions.push_back(ParsePrimaryPosition(known));
   }
--- a/source/core/coordination/messages.h
+++ b/source/core/coordination/messages.h
@@ -34,6 +34,13 @@
   bool operator==(const StoreVersions&) const = default;
 };
 
+// Up to when a VM's copies of the store's content are known to be complete: each contains every change that the store
+// acknowledged before this time on the VM's own clock.
+struct StoreCurrency {
+  TimePoint configuration_at;
+  TimePoint directory_at;
+};
+
 // Asks a member to renew its grant to the sender, and reports the sender's state.
 struct HeartbeatRequest {
   VmName vm;
@@ -86,6 +93,9 @@
   // The number of VMs in the fleet, as far as the member knows.
   std::uint64_t fleet_size = 0;
   StoreVersions store;
+  // The time, when the reply was made, since the member's copies were known to be complete; none: unknown.
+  std::optional<Duration> configuration_age;
+  std::optional<Duration> directory_age;
   FleetView fleet_view;
 };
 
--- /dev/null
+++ b/source/core/store_sync/settings.h
@@ -0,0 +1,32 @@
+#ifndef AMARANTHLANE_CORE_STORE_SYNC_SETTINGS_H_
+#define AMARANTHLANE_CORE_STORE_SYNC_SETTINGS_H_
+
+#include <chrono>
+
+#include "core/types.h"
+
+namespace amaranthlane::store_sync {
+
+// The intervals and time limits by which VMs keep their copies of the store's content up to date.
+struct StoreSyncSettings {
+  // The shortest time between two fetches of the configuration from peers, and between two of the directory.
+  Duration fetch_interval = std::chrono::milliseconds(250);
+  // After this time without a reply from any member, a VM reads the store itself, at the interval below.
+  Duration member_silence_timeout = std::chrono::milliseconds(1200);
+  Duration read_interval = std::chrono::milliseconds(2000);
+};
+
+// How members watch the store for changes.
+struct WatchSettings {
+  // The time that the store may hold a watch open without an event.
+  Duration wait = std::chrono::milliseconds(4000);
+  // A watch has failed when this much more than `wait` has passed without a response, so a silent connection delays
+  // changes by up to the sum.
+  Duration timeout_margin = std::chrono::milliseconds(1000);
+  // Before a request that failed is sent again.
+  Duration retry_delay = std::chrono::milliseconds(250);
+};
+
+}  // namespace amaranthlane::store_sync
+
+#endif  // AMARANTHLANE_CORE_STORE_SYNC_SETTINGS_H_
--- /dev/null
+++ b/source/core/store_sync/store_sync_system.cc
@@ -0,0 +1,67 @@
+#include "core/store_sync/store_sync_system.h"
+
+#include <algorithm>
+
+namespace amaranthlane::store_sync {
+
+StoreSyncSystem::StoreSyncSystem(const StoreSyncSettings& settings) : settings(settings) {}
+
+void StoreSyncSystem::SetConfigurationVersion(std::uint64_t version) {
+  this->versions.configuration_version = std::max(this->versions.configuration_version, version);
+}
+
+void StoreSyncSystem::SetDirectory(ObjectVersion revision, const std::string& digest) {
+  this->versions.directory_revision = std::max(this->versions.directory_revision, revision);
+  this->versions.directory_digest = digest;
+}
+
+void StoreSyncSystem::ConfirmConfiguration(TimePoint current_at) {
+  this->currency.configuration_at = std::max(this->currency.configuration_at, current_at);
+}
+
+void StoreSyncSystem::ConfirmDirectory(TimePoint current_at) {
+  this->currency.directory_at = std::max(this->currency.directory_at, current_at);
+}
+
+void StoreSyncSystem::OnPeerVersions(const std::string& address, const coordination::StoreVersions& peer, TimePoint now,
+                                     Actions& actions) {
+  if (peer.configuration_version > this->versions.configuration_version && now >= this->next_configuration_fetch) {
+    this->next_configuration_fetch = now + this->settings.fetch_interval;
+    actions.emplace_back(FetchConfiguration{address, peer.configuration_version});
+  }
+  const bool newer = peer.directory_revision > this->versions.directory_revision && !peer.directory_digest.empty();
+  if (newer && peer.directory_digest != this->versions.directory_digest && now >= this->next_directory_fetch) {
+    this->next_directory_fetch = now + this->settings.fetch_interval;
+    actions.emplace_back(FetchDirectory{address, peer.directory_revision});
+  }
+}
+
+void StoreSyncSystem::OnMemberReply(const std::string& address, const coordination::HeartbeatReply& reply,
+                                    TimePoint sent_at, TimePoint now, Actions& actions) {
+  this->last_member_reply = now;
+  this->OnPeerVersions(address, reply.store, now, actions);
+  if (reply.configuration_age && this->versions.configuration_version >= reply.store.configuration_version) {
+    this->ConfirmConfiguration(sent_at - *reply.configuration_age);
+  }
+  const bool same_directory = this->versions.directory_digest == reply.store.directory_digest;
+  if (reply.directory_age && (same_directory || this->versions.directory_revision >= reply.store.directory_revision)) {
+    this->ConfirmDirectory(sent_at - *reply.directory_age);
+  }
+}
+
+void StoreSyncSystem::Tick(bool member, TimePoint now, Actions& actions) {
+  if (this->last_member_reply == TimePoint()) {
+    this->last_member_reply = now;
+  }
+  if (member || now <= this->last_member_reply + this->settings.member_silence_timeout || now < this->next_read) {
+    return;
+  }
+  this->next_read = now + this->settings.read_interval;
+  actions.emplace_back(ReadStore{});
+}
+
+const coordination::StoreVersions& StoreSyncSystem::Versions() const { return this->versions; }
+
+const coordination::StoreCurrency& StoreSyncSystem::Currency() const { return this->currency; }
+
+}  // namespace amaranthlane::store_sync
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -24,6 +24,7 @@
 constexpr double kEndpointLogLinesPerSecond = 20;
 constexpr double kEndpointLogBurst = 200;
 constexpr unsigned kServiceUnavailable = 503;
+constexpr char kStoreSource[] = "store";
 constexpr char kShutdownReason[] = "the VM is shutting down";
 constexpr char kStatementsMetric[] = "amaranthlane_statements_total";
 
@@ -33,6 +34,14 @@
   return {settings.vm, incarnation, peers, settings.relay_address, settings.data_centre};
 }
 
+// -1 if the time was never set.
+std::int64_t AgeInMilliseconds(TimePoint at) {
+  if (at == TimePoint()) {
+    return -1;
+  }
+  return std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - at).count();
+}
+
 void Listen(boost::asio::ip::tcp::acceptor& acceptor, const std::string& text) {
   const net::Address address = net::ParseAddress(text);
   const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip), address.port);
@@ -67,6 +76,7 @@
       timer(loop),
       coordination(MakeSelf(settings, incarnation), {}),
       failover({}),
+      store_sync({}),
       statement_log_limiter(kStatementLogLinesPerSecond, kStatementLogBurst),
       endpoint_log_limiter(kEndpointLogLinesPerSecond, kEndpointLogBurst) {}
 
@@ -84,8 +94,14 @@
   }
   this->operators_server.Start();
   this->peers_server.Start();
-  this->platform.SubscribeToConfiguration([this](Configuration update) { this->OnConfiguration(std::move(update)); });
-  this->platform.SubscribeToDirectory([this](DirectorySnapshot update) { this->OnDirectory(std::move(update)); });
+  this->platform.SubscribeToConfiguration([this](const Configuration& update, TimePoint current_at) {
+    this->OnConfiguration(update, kStoreSource);
+    this->store_sync.ConfirmConfiguration(current_at);
+  });
+  this->platform.SubscribeToDirectory([this](DirectorySnapshot update, TimePoint current_at) {
+    this->OnDirectory(std::move(update));
+    this->store_sync.ConfirmDirectory(current_at);
+  });
   logging::Write(logging::Level::kInfo, "started",
                  {{"callers", this->settings.callers_address}, {"peers", this->settings.peers_address}});
   this->Accept(this->acceptor, true);
@@ -139,6 +155,13 @@
 }
 
 void Node::UpdateGauges(TimePoint now) {
+  const auto set_age = [this, now](const char* name, const char* help, TimePoint at) {
+    this->registry.GetGauge(name, help).value = std::chrono::duration<double>(now - at).count();
+  };
+  set_age("amaranthlane_configuration_age_seconds", "Time since this VM's configuration was known to be the newest.",
+          this->store_sync.Currency().configuration_at);
+  set_age("amaranthlane_directory_age_seconds", "Time since this VM's directory was known to be the newest.",
+          this->store_sync.Currency().directory_at);
   const auto set = [this](const char* name, const char* help, std::uint64_t value) {
     this->registry.GetGauge(name, help).value = static_cast<double>(value);
   };
@@ -234,16 +257,19 @@
   answer(std::move(response));
 }
 
-void Node::OnConfiguration(Configuration update) {
+void Node::OnConfiguration(const Configuration& update, const std::string& source) {
   if (this->configuration && update.version <= this->configuration->version) {
     return;
   }
   logging::Write(logging::Level::kInfo, "configuration applied",
-                 {{"version", update.version},
+                 {{"source", source},
+                  {"version", update.version},
                   {"former_version", this->configuration ? this->configuration->version : 0},
                   {"routes", update.routes.size()},
-                  {"groups", update.groups.size()}});
-  this->configuration = std::move(update);
+                  {"groups", update.groups.size()},
+                  {"former_current_ms_ago", AgeInMilliseconds(this->store_sync.Currency().configuration_at)}});
+  this->configuration = update;
+  this->store_sync.SetConfigurationVersion(update.version);
   this->synchronous_replicas.clear();
   for (const auto& [group, group_settings] : this->configuration->groups) {
     this->synchronous_replicas[group] = group_settings.synchronous_replicas;
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -13,6 +13,7 @@
 #include "common/settings.h"
 #include "core/coordination/coordination_system.h"
 #include "core/failover/primary_change_system.h"
+#include "core/store_sync/store_sync_system.h"
 #include "logging/log.h"
 #include "metrics/registry.h"
 #include "net/http_pool.h"
@@ -91,7 +92,8 @@
   void TickShutdown(TimePoint now);
   void AnswerOperatorRequest(const net::HttpRequest& request, const net::HttpServer::ResponseCallback& answer);
   bool Ready() const;
-  void OnConfiguration(Configuration update);
+  // `source`: the store, or the address of the VM that the configuration was fetched from.
+  void OnConfiguration(const Configuration& update, const std::string& source);
 
   // node_endpoints.cc
   void OnDirectory(DirectorySnapshot update);
@@ -131,11 +133,9 @@
   // of the traffic between VMs.
   bool ReportsPositionsTo(const VmName& requester) const;
   void OnFleetView(const coordination::FleetView& fleet_view, TimePoint sent_at);
-  // Fetches the configuration and the directory from a peer that has newer ones.
-  void FetchNewerFrom(const std::string& address, const coordination::StoreVersions& store, TimePoint now);
+  void PerformStoreSync(const store_sync::Actions& actions, TimePoint now);
   void FetchFromPeer(const std::string& address, const std::string& target, TimePoint now,
                      std::function<void(const nlohmann::json&)> apply);
-  coordination::StoreVersions LocalStoreVersions() const;
   void OnRecordAdopted(const std::string& source);
   net::HttpPool& PeerPool(const std::string& address);
 
@@ -158,7 +158,6 @@
   std::map<EndpointName, KnownEndpoint> endpoints;
   bool directory_known = false;
   DirectorySnapshot directory;
-  std::string directory_digest;
   DirectoryChangeLog directory_change_log;
   // True when a peer's changes could not be applied to this VM's directory.
   bool full_directory_needed = false;
@@ -166,6 +165,7 @@
 
   coordination::CoordinationSystem coordination;
   failover::PrimaryChangeSystem failover;
+  store_sync::StoreSyncSystem store_sync;
   std::map<std::string, std::unique_ptr<net::HttpPool>> peer_pools;
   // The version of the record that was adopted last. For the log.
   std::uint64_t adopted_version = 0;
@@ -191,12 +191,8 @@
 
   std::optional<TimePoint> shutdown_at;
   TimePoint next_session_tick;
-  TimePoint last_member_reply;
   // Since when this VM has had no lease; none: it has one.
   std::optional<TimePoint> without_lease_since;
-  TimePoint next_refresh;
-  TimePoint next_configuration_fetch;
-  TimePoint next_directory_fetch;
   logging::RateLimiter statement_log_limiter;
   logging::RateLimiter endpoint_log_limiter;
 };
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -17,17 +17,12 @@
 constexpr char kRecordNoticeTarget[] = "/peer/notice";
 constexpr char kConfigurationTarget[] = "/peer/configuration";
 constexpr char kDirectoryTarget[] = "/peer/directory";
-// The shortest time between two fetches of the configuration from peers, and between two of the directory.
-constexpr std::chrono::milliseconds kFetchInterval{250};
 constexpr std::size_t kConnectionsPerPeer = 2;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
 // How long statements may go on at a primary that is being replaced. At an unreachable one they are ended at once.
 constexpr std::chrono::milliseconds kReleaseTimeout{1500};
 
-// After this time without a reply from any member, this VM reads the store itself, at the interval below.
-constexpr std::chrono::milliseconds kMemberSilenceTimeout{1200};
-constexpr std::chrono::milliseconds kRefreshInterval{2000};
 // The number of members that report positions to each VM. A VM that gets reports from neither queries the primary
 // itself.
 constexpr std::size_t kMembersReportingPositions = 2;
@@ -87,14 +82,10 @@
     alive.push_back({this->settings.vm, this->settings.relay_address, this->settings.data_centre});
     this->UpdateFleet(std::move(alive));
   }
-  const bool isolated = record != nullptr && !record->IsMember(this->settings.vm) &&
-                        now > this->last_member_reply + kMemberSilenceTimeout && now >= this->next_refresh;
-  if (isolated) {
-    this->next_refresh = now + kRefreshInterval;
-    logging::Write(logging::Level::kInfo, "no member answers; reading the store",
-                   {{"configuration_version", this->LocalStoreVersions().configuration_version},
-                    {"directory_revision", this->directory.revision}});
-    this->platform.Refresh();
+  if (record != nullptr) {
+    store_sync::Actions sync_actions;
+    this->store_sync.Tick(record->IsMember(this->settings.vm), now, sync_actions);
+    this->PerformStoreSync(sync_actions, now);
   }
   this->coordination.Report(this->MakeReport(now), now, actions);
   this->coordination.Tick(now, actions);
@@ -116,7 +107,8 @@
   coordination::LocalReport report;
   report.leaving = this->shutdown_at.has_value();
   report.fleet_digest = this->fleet_digest;
-  report.store = this->LocalStoreVersions();
+  report.store = this->store_sync.Versions();
+  report.store_currency = this->store_sync.Currency();
   const coordination::CoordinationRecord* record = this->coordination.Record();
   if (record == nullptr) {
     return report;
@@ -209,10 +201,11 @@
                 }
                 const coordination::HeartbeatReply reply =
                     coordination::ParseHeartbeatReply(json::Parse(result.response.body, "heartbeat reply"));
-                this->last_member_reply = now;
                 this->coordination.OnHeartbeatReply(member, reply, sent_at, now, actions);
                 this->OnFleetView(reply.fleet_view, sent_at);
-                this->FetchNewerFrom(address, reply.store, now);
+                store_sync::Actions sync_actions;
+                this->store_sync.OnMemberReply(address, reply, sent_at, now, sync_actions);
+                this->PerformStoreSync(sync_actions, now);
               } catch (const ParseError& failure) {
                 logging::Write(logging::Level::kWarning, "malformed heartbeat reply from a member",
                                {{"vm", member}, {"why", failure.what()}});
@@ -269,37 +262,43 @@
   }
 }
 
-coordination::StoreVersions Node::LocalStoreVersions() const {
-  return {this->configuration ? this->configuration->version : 0, this->directory.revision, this->directory_digest};
-}
-
-void Node::FetchNewerFrom(const std::string& address, const coordination::StoreVersions& store, TimePoint now) {
-  const coordination::StoreVersions own = this->LocalStoreVersions();
-  if (store.configuration_version > own.configuration_version && now >= this->next_configuration_fetch) {
-    this->next_configuration_fetch = now + kFetchInterval;
-    logging::Write(
-        logging::Level::kInfo, "a peer has a newer configuration",
-        {{"peer", address}, {"own_version", own.configuration_version}, {"peer_version", store.configuration_version}});
-    this->FetchFromPeer(address, kConfigurationTarget, now, [this](const nlohmann::json& document) {
-      this->OnConfiguration(ParseConfigurationMessage(document));
-    });
-  }
-  const bool newer = store.directory_revision > own.directory_revision && !store.directory_digest.empty();
-  if (newer && store.directory_digest != own.directory_digest && now >= this->next_directory_fetch) {
-    this->next_directory_fetch = now + kFetchInterval;
-    logging::Write(
-        logging::Level::kInfo, "a peer has a newer directory",
-        {{"peer", address}, {"own_revision", own.directory_revision}, {"peer_revision", store.directory_revision}});
-    const ObjectVersion since = this->full_directory_needed ? 0 : own.directory_revision;
-    this->FetchFromPeer(address, std::string(kDirectoryTarget) + "?since=" + std::to_string(since), now,
-                        [this](const nlohmann::json& document) {
-                          std::optional<DirectorySnapshot> update =
-                              ApplyUpdate(ParseDirectoryMessage(document), this->directory);
-                          this->full_directory_needed = !update;
-                          if (update) {
-                            this->OnDirectory(std::move(*update));
-                          }
-                        });
+void Node::PerformStoreSync(const store_sync::Actions& actions, TimePoint now) {
+  const coordination::StoreVersions& own = this->store_sync.Versions();
+  const Overloaded perform = {
+      [&](const store_sync::FetchConfiguration& action) {
+        logging::Write(logging::Level::kInfo, "a peer has a newer configuration",
+                       {{"peer", action.address},
+                        {"own_version", own.configuration_version},
+                        {"peer_version", action.peer_version}});
+        this->FetchFromPeer(action.address, kConfigurationTarget, now,
+                            [this, address = action.address](const nlohmann::json& document) {
+                              this->OnConfiguration(ParseConfigurationMessage(document), address);
+                            });
+      },
+      [&](const store_sync::FetchDirectory& action) {
+        logging::Write(logging::Level::kInfo, "a peer has a newer directory",
+                       {{"peer", action.address},
+                        {"own_revision", own.directory_revision},
+                        {"peer_revision", action.peer_revision}});
+        const ObjectVersion since = this->full_directory_needed ? 0 : own.directory_revision;
+        this->FetchFromPeer(action.address, std::string(kDirectoryTarget) + "?since=" + std::to_string(since), now,
+                            [this](const nlohmann::json& document) {
+                              std::optional<DirectorySnapshot> update =
+                                  ApplyUpdate(ParseDirectoryMessage(document), this->directory);
+                              this->full_directory_needed = !update;
+                              if (update) {
+                                this->OnDirectory(std::move(*update));
+                              }
+                            });
+      },
+      [&](const store_sync::ReadStore&) {
+        logging::Write(
+            logging::Level::kInfo, "no member answers; reading the store",
+            {{"configuration_version", own.configuration_version}, {"directory_revision", own.directory_revision}});
+        this->platform.Refresh();
+      }};
+  for (const store_sync::Action& action : actions) {
+    std::visit(perform, action);
   }
 }
 
@@ -381,9 +380,6 @@
                   {"members", members},
                   {"changed_groups", changed}});
   this->UpdateChangingGroups(BootClock::now());
-  if (this->last_member_reply == TimePoint()) {
-    this->last_member_reply = BootClock::now();
-  }
   this->platform.SetWatching(record.IsMember(this->settings.vm));
   coordination::Actions actions;
   const TimePoint now = BootClock::now();
@@ -435,7 +431,9 @@
           coordination::ParseHeartbeatRequest(json::Parse(request.body, "beat"));
       coordination::HeartbeatReply reply = this->coordination.OnHeartbeat(heartbeat, now, actions);
       reply.fleet_view = this->MakeFleetView(heartbeat, now);
-      this->FetchNewerFrom(heartbeat.address, heartbeat.store, now);
+      store_sync::Actions sync_actions;
+      this->store_sync.OnPeerVersions(heartbeat.address, heartbeat.store, now, sync_actions);
+      this->PerformStoreSync(sync_actions, now);
       response.body = ToJson(reply).dump();
     } else if (request.target == kConfigurationTarget && this->configuration) {
       response.body = ToJson(*this->configuration).dump();
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -46,12 +46,13 @@
   }
   this->directory = std::move(newer);
   if (same) {
+    this->store_sync.SetDirectory(this->directory.revision, this->store_sync.Versions().directory_digest);
     return;
   }
   const TimePoint now = BootClock::now();
   const failover::EndpointDirectory& update = this->directory.endpoints;
   this->directory_known = true;
-  this->directory_digest = failover::DirectoryDigest(update);
+  this->store_sync.SetDirectory(this->directory.revision, failover::DirectoryDigest(update));
   for (const auto& [name, entry] : update) {
     const auto found = this->endpoints.find(name);
     const bool moved = found != this->endpoints.end() &&
--- a/source/proxy/platform_services.h
+++ b/source/proxy/platform_services.h
@@ -20,8 +20,9 @@
                                                 ObjectVersion revision)>;
   using WriteRecordCallback = std::function<void(coordination::WriteResult result, ObjectVersion revision)>;
   using PromoteCallback = std::function<void(failover::PromotionResult result)>;
-  using ConfigurationCallback = std::function<void(Configuration configuration)>;
-  using DirectoryCallback = std::function<void(DirectorySnapshot directory)>;
+  // `current_at`: the content includes every change that the store acknowledged before that time.
+  using ConfigurationCallback = std::function<void(const Configuration& configuration, TimePoint current_at)>;
+  using DirectoryCallback = std::function<void(DirectorySnapshot directory, TimePoint current_at)>;
 
   virtual ~PlatformServices() = default;
 
@@ -29,8 +30,8 @@
   virtual void WriteRecord(const coordination::CoordinationRecord& record, ObjectVersion expected_revision,
                            WriteRecordCallback callback) = 0;
   virtual void Promote(const failover::OrderPromotion& order, const VmName& coordinator, PromoteCallback callback) = 0;
-  // Subscribe to the configuration and to the directory of endpoints for the life of the process. The directory's
-  // callback runs for each answer of the store, also when only the revision has changed.
+  // Subscribe to the configuration and to the directory of endpoints for the life of the process. The callbacks run for
+  // each answer of the store, also when nothing has changed.
   virtual void SubscribeToConfiguration(ConfigurationCallback callback) = 0;
   virtual void SubscribeToDirectory(DirectoryCallback callback) = 0;
   // Reads the configuration and the directory once, without delay. For a VM that no peer informs of changes.
--- a/tests/platform/object_watcher_test.cc
+++ b/tests/platform/object_watcher_test.cc
@@ -30,9 +30,9 @@
                  this->Serve(request, std::move(answer));
                }),
         watcher(this->loop, this->address, "things",
-                [this](const std::map<std::string, StoredObject>& objects, ObjectVersion as_of_revision) {
-                  this->received = objects;
-                  this->as_of_revision = as_of_revision;
+                [this](const ObjectSnapshot& snapshot) {
+                  this->received = snapshot.objects;
+                  this->as_of_revision = snapshot.as_of_revision;
                 }) {
     this->server.Start();
   }
--- a/tests/proxy/in_memory_platform.cc
+++ b/tests/proxy/in_memory_platform.cc
@@ -76,12 +76,12 @@
   if (!this->reachable) {
     return;
   }
-  boost::asio::post(this->loop, [this] {
+  boost::asio::post(this->loop, [this, requested_at = BootClock::now()] {
     if (this->configuration_changed) {
-      this->configuration_changed(this->store.configuration);
+      this->configuration_changed(this->store.configuration, requested_at);
     }
     if (this->directory_changed) {
-      this->directory_changed(this->store.directory);
+      this->directory_changed(this->store.directory, requested_at);
     }
   });
 }
