--- a/tests/core/coordination/fleet_property_test.cc
+++ b/tests/core/coordination/fleet_property_test.cc
@@ -8,7 +8,7 @@
 
 // More than the number of members, so that some VMs aren't members.
 constexpr std::size_t kVms = 7;
-constexpr int kFaultKinds = 12;
+constexpr int kFaultKinds = 14;
 
 // Injects one fault, or ends it.
 void InjectFault(VmFleet& fleet, int kind, std::size_t vm) {
@@ -52,12 +52,19 @@
     case 11:
       fleet.SetPartition({});
       break;
+    case 12:
+      fleet.PublishConfiguration();
+      break;
+    case 13:
+      fleet.SilenceWatches();
+      break;
     default:
       break;
   }
 }
 
-// Whatever fails, singly or together: no VM may use a primary that is being replaced, and at most one VM may promote.
+// Whatever fails, singly or together: no VM may use a primary that is being replaced, at most one VM may promote, and
+// each VM that no fault affects has an acknowledged configuration in time.
 TEST(CoordinationProperty, NoVmUsesAReplacedPrimary) {
   const bool passed = rc::check("no VM uses a replaced primary", [] {
     VmFleet fleet(kVms, *rc::gen::arbitrary<std::uint64_t>());
--- a/tests/core/coordination/vm_fleet.cc
+++ b/tests/core/coordination/vm_fleet.cc
@@ -12,6 +12,10 @@
 constexpr std::chrono::milliseconds kStep{10};
 constexpr std::chrono::milliseconds kPromotionDuration{300};
 constexpr std::chrono::milliseconds kReplyTimeout{600};
+// The users' bounds at their smallest deployments.
+constexpr std::chrono::milliseconds kContactTime{4000};
+constexpr std::chrono::milliseconds kConfigurationTime{3000};
+constexpr store_sync::WatchSettings kWatch;
 constexpr std::uint64_t kLogEnd = 5;
 const GroupName kGroup = "group-1";
 const std::array<EndpointName, 3> kEndpoints = {"e1", "e2", "e3"};
@@ -36,7 +40,9 @@
 
 }  // namespace
 
-VmFleet::VmFleet(std::size_t count, std::uint64_t seed) : random(seed), now(std::chrono::seconds(100)) {
+VmFleet::VmFleet(std::size_t count, std::uint64_t seed)
+    : random(seed), store_sync_random(seed), now(std::chrono::seconds(100)) {
+  this->configurations.emplace(1, this->now);
   for (std::size_t index = 0; index < count; ++index) {
     this->vms.emplace_back();
     this->vms.back().name = "vm-" + std::to_string(index);
@@ -51,6 +57,11 @@
   vm.system = std::make_unique<CoordinationSystem>(
       Self{vm.name, vm.incarnation, vm.name, vm.name, "dc-" + std::to_string(index % 3)}, CoordinationSettings{});
   vm.failover = std::make_unique<failover::PrimaryChangeSystem>(failover::FailoverSettings{});
+  vm.store_sync = std::make_unique<store_sync::StoreSyncSystem>(store_sync::StoreSyncSettings{});
+  vm.watch = {};
+  vm.unread = true;
+  vm.next_first_read = this->now;
+  vm.disturbed_at = this->now;
 }
 
 void VmFleet::RunFor(std::chrono::milliseconds time) {
@@ -83,6 +94,131 @@
     }
   }
   this->CheckPrimaryUsers();
+  this->CheckConfigurations();
+}
+
+bool VmFleet::StoreAnswers(std::size_t vm) const {
+  return !this->store_down && !this->vms[vm].isolated && this->vms_without_store.count(vm) == 0;
+}
+
+void VmFleet::CheckConfigurations() {
+  for (std::size_t index = 0; index < this->vms.size(); ++index) {
+    Vm& vm = this->vms[index];
+    if (!vm.alive || vm.frozen || this->write_reply_loss > 0 || !this->StoreAnswers(index)) {
+      vm.disturbed_at = this->now;
+    }
+    const std::uint64_t known = this->ConfigurationVersion(index);
+    const auto missing = this->configurations.upper_bound(known);
+    if (this->now < vm.disturbed_at + kContactTime || missing == this->configurations.end() ||
+        this->now <= missing->second + kConfigurationTime || this->violation) {
+      continue;
+    }
+    this->violation = vm.name + " has configuration " + std::to_string(known) + " and lacks " +
+                      std::to_string(missing->first) + ", acknowledged more than " +
+                      std::to_string(kConfigurationTime.count()) + " ms ago";
+  }
+}
+
+std::uint64_t VmFleet::ConfigurationVersion(std::size_t vm) const {
+  return this->vms[vm].store_sync->Versions().configuration_version;
+}
+
+bool VmFleet::IsMember(std::size_t vm) const {
+  const CoordinationRecord* record = this->vms[vm].system->Record();
+  return record != nullptr && record->IsMember(this->vms[vm].name);
+}
+
+void VmFleet::PublishConfiguration() {
+  if (!this->store_down) {
+    this->configurations.emplace(this->configurations.rbegin()->first + 1 + this->store_sync_random() % 3, this->now);
+  }
+}
+
+void VmFleet::SilenceWatches() {
+  for (Vm& vm : this->vms) {
+    vm.watch.silent = vm.watch.open;
+    vm.disturbed_at = this->now;
+  }
+}
+
+void VmFleet::TickStoreSync(std::size_t index) {
+  Vm& vm = this->vms[index];
+  if (vm.unread && this->now >= vm.next_first_read) {
+    vm.next_first_read = this->now + kWatch.retry_delay;
+    this->ReadConfiguration(index);
+  }
+  if (vm.system->Record() != nullptr) {
+    store_sync::Actions actions;
+    vm.store_sync->Tick(this->IsMember(index), this->now, actions);
+    this->PerformStoreSync(index, actions);
+  }
+  this->TickWatch(index);
+}
+
+void VmFleet::TickWatch(std::size_t index) {
+  Vm& vm = this->vms[index];
+  Watch& watch = vm.watch;
+  if (!this->IsMember(index) || vm.unread) {
+    watch.open = false;
+    return;
+  }
+  if (!watch.open && this->now >= watch.next) {
+    watch = {true, false, this->now, this->now, watch.known_version};
+  }
+  if (!watch.open) {
+    return;
+  }
+  // What the store sends while it can't reach the VM is lost with the connection.
+  watch.silent = watch.silent || !this->StoreAnswers(index);
+  const std::uint64_t stored = this->configurations.rbegin()->first;
+  const bool answered = !watch.silent && (stored > watch.known_version || this->now >= watch.sent_at + kWatch.wait);
+  if (answered) {
+    watch.known_version = stored;
+    vm.store_sync->SetConfigurationVersion(stored);
+    vm.store_sync->ConfirmConfiguration(watch.sent_at);
+    vm.store_sync->ConfirmDirectory(watch.sent_at);
+    watch.open = false;
+  } else if (this->now >= watch.sent_at + kWatch.wait + kWatch.timeout_margin) {
+    watch.open = false;
+    watch.next = this->now + kWatch.retry_delay;
+  }
+}
+
+void VmFleet::PerformStoreSync(std::size_t vm, const store_sync::Actions& actions) {
+  const Overloaded perform = {
+      [&](const store_sync::FetchConfiguration& action) { this->FetchConfiguration(vm, action); },
+      [](const store_sync::FetchDirectory&) {}, [&](const store_sync::ReadStore&) { this->ReadConfiguration(vm); }};
+  for (const store_sync::Action& action : actions) {
+    std::visit(perform, action);
+  }
+}
+
+void VmFleet::FetchConfiguration(std::size_t vm, const store_sync::FetchConfiguration& action) {
+  const std::size_t peer = this->Find(action.address).value();
+  if (!this->CanDeliver(vm, peer) || !this->vms[peer].alive) {
+    return;
+  }
+  const Incarnation incarnation = this->vms[vm].incarnation;
+  this->Schedule(peer, this->RandomStoreSyncDelay(), [this, vm, peer, incarnation] {
+    const std::uint64_t version = this->ConfigurationVersion(peer);
+    if (this->vms[vm].alive && this->vms[vm].incarnation == incarnation) {
+      this->Schedule(vm, this->RandomStoreSyncDelay(),
+                     [this, vm, version] { this->vms[vm].store_sync->SetConfigurationVersion(version); });
+    }
+  });
+}
+
+void VmFleet::ReadConfiguration(std::size_t vm) {
+  if (!this->StoreAnswers(vm)) {
+    return;
+  }
+  this->Schedule(vm, this->RandomStoreSyncDelay(),
+                 [this, vm, stored = this->configurations.rbegin()->first, at = this->now] {
+                   this->vms[vm].unread = false;
+                   this->vms[vm].store_sync->SetConfigurationVersion(stored);
+                   this->vms[vm].store_sync->ConfirmConfiguration(at);
+                   this->vms[vm].store_sync->ConfirmDirectory(at);
+                 });
 }
 
 // At no time may a VM use a primary that was replaced.
@@ -105,6 +241,8 @@
 
 LocalReport VmFleet::MakeReport(std::size_t vm) const {
   LocalReport report;
+  report.store = this->vms[vm].store_sync->Versions();
+  report.store_currency = this->vms[vm].store_sync->Currency();
   const CoordinationRecord* record = this->vms[vm].system->Record();
   if (record == nullptr || record->groups.count(kGroup) == 0) {
     return report;
@@ -131,6 +269,7 @@
   }
   this->Perform(index, actions);
   this->PerformFailover(index, failover_actions);
+  this->TickStoreSync(index);
 }
 
 void VmFleet::Schedule(std::size_t vm, Duration delay, std::function<void()> run) {
@@ -139,6 +278,8 @@
 
 Duration VmFleet::RandomDelay() { return std::chrono::milliseconds(1 + this->random() % 30); }
 
+Duration VmFleet::RandomStoreSyncDelay() { return std::chrono::milliseconds(1 + this->store_sync_random() % 30); }
+
 bool VmFleet::Chance(double share) { return std::uniform_real_distribution<double>(0, 1)(this->random) < share; }
 
 std::optional<std::size_t> VmFleet::Find(const VmName& name) const {
@@ -190,6 +331,9 @@
         Actions resulting_actions;
         const HeartbeatReply reply = this->vms[to].system->OnHeartbeat(heartbeat, this->now, resulting_actions);
         this->Perform(to, resulting_actions);
+        store_sync::Actions sync_actions;
+        this->vms[to].store_sync->OnPeerVersions(heartbeat.address, heartbeat.store, this->now, sync_actions);
+        this->PerformStoreSync(to, sync_actions);
         this->Schedule(from, this->RandomDelay(), [this, from, to, sender_incarnation, reply, sent_at, completed] {
           if (std::exchange(*completed, true) || this->vms[from].incarnation != sender_incarnation) {
             return;
@@ -197,6 +341,9 @@
           Actions after;
           this->vms[from].system->OnHeartbeatReply(this->vms[to].name, reply, sent_at, this->now, after);
           this->Perform(from, after);
+          store_sync::Actions sync_after;
+          this->vms[from].store_sync->OnMemberReply(this->vms[to].name, reply, sent_at, this->now, sync_after);
+          this->PerformStoreSync(from, sync_after);
         });
       });
 }
--- a/tests/core/coordination/vm_fleet.h
+++ b/tests/core/coordination/vm_fleet.h
@@ -13,12 +13,14 @@
 
 #include "core/coordination/coordination_system.h"
 #include "core/failover/primary_change_system.h"
+#include "core/store_sync/store_sync_system.h"
 
 namespace amaranthlane::coordination {
 
-// Simulates the coordination and failover systems of several VMs, one database group, the store and the endpoints,
-// driven by a seed. It checks throughout that no VM may use a replaced primary, and that while a promotion is ordered
-// no VM may use the former primary and no second VM may promote.
+// Simulates the coordination, failover and store sync systems of several VMs, one database group, the store and the
+// endpoints, driven by a seed. It checks throughout that no VM may use a replaced primary, that while a promotion is
+// ordered no VM may use the former primary and no second VM may promote, and that each VM that has been undisturbed for
+// kContactTime has every configuration that was acknowledged kConfigurationTime ago.
 class VmFleet {
  public:
   VmFleet(std::size_t vms, std::uint64_t seed);
@@ -33,7 +35,14 @@
   void SetIsolated(std::size_t vm, bool isolated);
   // Separates these VMs from the others. The store stays reachable from both sides.
   void SetPartition(std::set<std::size_t> side);
+  // The store acknowledges a new version of the configuration, if it is up.
+  void PublishConfiguration();
+  // The store's connections that carry a watch never deliver anything again; new ones work.
+  void SilenceWatches();
 
+  // The version of the configuration that the VM has.
+  std::uint64_t ConfigurationVersion(std::size_t vm) const;
+  bool IsMember(std::size_t vm) const;
   // The number of VMs that may use the group's primary now.
   std::size_t PrimaryUsers() const;
   // The live VM that is the coordinator by its own record; none if there are several or none.
@@ -60,6 +69,14 @@
 
  private:
   static constexpr std::size_t kNoVm = SIZE_MAX;
+  // A member's watch of the store.
+  struct Watch {
+    bool open = false;
+    bool silent = false;
+    TimePoint sent_at;
+    TimePoint next;
+    std::uint64_t known_version = 0;
+  };
   struct Vm {
     VmName name;
     Incarnation incarnation = 0;
@@ -68,6 +85,13 @@
     bool isolated = false;
     std::unique_ptr<CoordinationSystem> system;
     std::unique_ptr<failover::PrimaryChangeSystem> failover;
+    std::unique_ptr<store_sync::StoreSyncSystem> store_sync;
+    Watch watch;
+    // No list of the store has succeeded since the start.
+    bool unread = true;
+    TimePoint next_first_read;
+    // When a fault last affected this VM, its connections or the store as a whole.
+    TimePoint disturbed_at;
   };
   struct Event {
     TimePoint due;
@@ -85,6 +109,7 @@
   bool CanDeliver(std::size_t from, std::size_t to) const;
   void Schedule(std::size_t vm, Duration delay, std::function<void()> run);
   Duration RandomDelay();
+  Duration RandomStoreSyncDelay();
   bool Chance(double share);
   void Perform(std::size_t vm, Actions& actions);
   void DeliverHeartbeat(std::size_t from, const SendHeartbeat& action);
@@ -94,17 +119,29 @@
   void PerformFailover(std::size_t vm, const failover::Actions& actions);
   void Promote(std::size_t vm, const failover::OrderPromotion& order);
   void CheckPrimaryUsers();
+  void CheckConfigurations();
+  // True while the store answers this VM.
+  bool StoreAnswers(std::size_t vm) const;
+  void TickStoreSync(std::size_t vm);
+  void TickWatch(std::size_t vm);
+  void PerformStoreSync(std::size_t vm, const store_sync::Actions& actions);
+  void FetchConfiguration(std::size_t vm, const store_sync::FetchConfiguration& action);
+  void ReadConfiguration(std::size_t vm);
   std::optional<std::size_t> Find(const VmName& name) const;
   bool Responds(const EndpointName& endpoint, std::size_t vm) const;
   LocalReport MakeReport(std::size_t vm) const;
 
   std::mt19937_64 random;
+  // For the messages of store sync, so that they don't change the course of coordination under a seed.
+  std::mt19937_64 store_sync_random;
   TimePoint now;
   std::vector<Vm> vms;
   std::set<std::size_t> partition;
   std::vector<Event> events;
   std::optional<CoordinationRecord> stored;
   ObjectVersion revision = 0;
+  // When each version of the configuration was acknowledged.
+  std::map<std::uint64_t, TimePoint> configurations;
   // Former primaries by term.
   std::map<Term, EndpointName> former_primaries = {{1, "e1"}};
 };
--- a/tests/platform/object_watcher_test.cc
+++ b/tests/platform/object_watcher_test.cc
@@ -29,11 +29,10 @@
                [this](const net::HttpRequest& request, net::HttpServer::ResponseCallback answer) {
                  this->Serve(request, std::move(answer));
                }),
-        watcher(this->loop, this->address, "things",
-                [this](const ObjectSnapshot& snapshot) {
-                  this->received = snapshot.objects;
-                  this->as_of_revision = snapshot.as_of_revision;
-                }) {
+        watcher(this->loop, this->address, "things", [this](const ObjectSnapshot& snapshot) {
+          this->received = snapshot.objects;
+          this->as_of_revision = snapshot.as_of_revision;
+        }) {
     this->server.Start();
   }
 
@@ -154,6 +153,15 @@
   EXPECT_TRUE(this->RunUntil([this] { return this->received.count("c") > 0; }));
 }
 
+// Guards against a watch that is waited for so long that a configuration can't be in force in time.
+TEST_F(ObjectWatcherTest, SeesAChangeWithinTwoSecondsThoughTheWatchIsSilent) {
+  this->watcher.Refresh();
+  ASSERT_TRUE(this->RunUntil([this] { return this->watches == 1; }));
+  const net::HttpServer::ResponseCallback unanswered = std::exchange(this->pending_watch, nullptr);
+  this->Put("c");
+  EXPECT_TRUE(this->RunUntil([this] { return this->received.count("c") > 0; }, milliseconds(2000)));
+}
+
 TEST_F(ObjectWatcherTest, SendsNoWatchWhileWatchingIsDisabled) {
   this->watcher.SetWatching(false);
   this->watcher.Refresh();
