--- a/source/core/store_sync/settings.h
+++ b/source/core/store_sync/settings.h
@@ -18,11 +18,11 @@
 
 // How members watch the store for changes.
 struct WatchSettings {
-  // The time that the store may hold a watch open without an event.
-  Duration wait = std::chrono::milliseconds(4000);
-  // A watch has failed when this much more than `wait` has passed without a response, so a silent connection delays
-  // changes by up to the sum.
-  Duration timeout_margin = std::chrono::milliseconds(1000);
+  // The time that the store may hold a watch open without an event. With `timeout_margin` and `retry_delay` it bounds how
+  // long a silent connection delays a change, which must be well below the time in which a change is to be in force.
+  Duration wait = std::chrono::milliseconds(1000);
+  // A watch has failed when this much more than `wait` has passed without a response.
+  Duration timeout_margin = std::chrono::milliseconds(500);
   // Before a request that failed is sent again.
   Duration retry_delay = std::chrono::milliseconds(250);
 };
