--- a/source/core/store_sync/store_sync_system.cc
+++ b/source/core/store_sync/store_sync_system.cc
@@ -2,9 +2,14 @@
 
 #include <algorithm>
 
+#include "core/rendezvous.h"
+
 namespace amaranthlane::store_sync {
 
-StoreSyncSystem::StoreSyncSystem(const StoreSyncSettings& settings) : settings(settings) {}
+StoreSyncSystem::StoreSyncSystem(const VmName& vm, const StoreSyncSettings& settings)
+    : settings(settings),
+      read_delay(static_cast<Duration::rep>(RendezvousHash("store read", vm) %
+                                            static_cast<std::uint64_t>(settings.max_read_delay.count()))) {}
 
 void StoreSyncSystem::SetConfigurationVersion(std::uint64_t version) {
   this->versions.configuration_version = std::max(this->versions.configuration_version, version);
@@ -38,7 +43,6 @@
 
 void StoreSyncSystem::OnMemberReply(const std::string& address, const coordination::HeartbeatReply& reply,
                                     TimePoint sent_at, TimePoint now, Actions& actions) {
-  this->last_member_reply = now;
   this->OnPeerVersions(address, reply.store, now, actions);
   if (reply.configuration_age && this->versions.configuration_version >= reply.store.configuration_version) {
     this->ConfirmConfiguration(sent_at - *reply.configuration_age);
@@ -50,10 +54,12 @@
 }
 
 void StoreSyncSystem::Tick(bool member, TimePoint now, Actions& actions) {
-  if (this->last_member_reply == TimePoint()) {
-    this->last_member_reply = now;
+  if (this->next_read == TimePoint()) {
+    // Each VM reads the store when it starts.
+    this->next_read = now + this->settings.read_interval;
   }
-  if (member || now <= this->last_member_reply + this->settings.member_silence_timeout || now < this->next_read) {
+  const TimePoint current_at = std::min(this->currency.configuration_at, this->currency.directory_at);
+  if (member || now <= current_at + this->settings.max_copy_age + this->read_delay || now < this->next_read) {
     return;
   }
   this->next_read = now + this->settings.read_interval;
--- a/source/core/store_sync/store_sync_system.h
+++ b/source/core/store_sync/store_sync_system.h
@@ -12,6 +12,8 @@
 
 // How a VM keeps its copies of the configuration and of the directory of endpoints up to date. Members watch the store;
 // the other VMs learn from members' replies to their heartbeats that there is a newer version, and fetch it from them.
+// A reply also says how old the member's own knowledge is. A VM that hears of no knowledge young enough reads the store
+// itself, so that it depends on no member, and on none having the store.
 namespace amaranthlane::store_sync {
 
 // Fetch the configuration, or the directory, from the VM at this address, which has a newer one.
@@ -30,7 +32,7 @@
 
 class StoreSyncSystem {
  public:
-  explicit StoreSyncSystem(const StoreSyncSettings& settings);
+  StoreSyncSystem(const VmName& vm, const StoreSyncSettings& settings);
 
   // This VM's copies have changed. Versions never fall.
   void SetConfigurationVersion(std::uint64_t version);
@@ -53,9 +55,10 @@
 
  private:
   StoreSyncSettings settings;
+  // How much later than `max_copy_age` this VM reads the store.
+  Duration read_delay;
   coordination::StoreVersions versions;
   coordination::StoreCurrency currency;
-  TimePoint last_member_reply;
   TimePoint next_read;
   TimePoint next_configuration_fetch;
   TimePoint next_directory_fetch;
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -76,7 +76,7 @@
       timer(loop),
       coordination(MakeSelf(settings, incarnation), {}),
       failover({}),
-      store_sync({}),
+      store_sync(settings.vm, {}),
       statement_log_limiter(kStatementLogLinesPerSecond, kStatementLogBurst),
       endpoint_log_limiter(kEndpointLogLinesPerSecond, kEndpointLogBurst) {}
 
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -293,7 +293,7 @@
       },
       [&](const store_sync::ReadStore&) {
         logging::Write(
-            logging::Level::kInfo, "no member answers; reading the store",
+            logging::Level::kInfo, "no member confirms this VM's copies; reading the store",
             {{"configuration_version", own.configuration_version}, {"directory_revision", own.directory_revision}});
         this->platform.Refresh();
       }};
--- a/tests/core/coordination/vm_fleet.cc
+++ b/tests/core/coordination/vm_fleet.cc
@@ -57,7 +57,7 @@
   vm.system = std::make_unique<CoordinationSystem>(
       Self{vm.name, vm.incarnation, vm.name, vm.name, "dc-" + std::to_string(index % 3)}, CoordinationSettings{});
   vm.failover = std::make_unique<failover::PrimaryChangeSystem>(failover::FailoverSettings{});
-  vm.store_sync = std::make_unique<store_sync::StoreSyncSystem>(store_sync::StoreSyncSettings{});
+  vm.store_sync = std::make_unique<store_sync::StoreSyncSystem>(vm.name, store_sync::StoreSyncSettings{});
   vm.watch = {};
   vm.unread = true;
   vm.next_first_read = this->now;
--- a/tests/core/store_sync/store_sync_system_test.cc
+++ b/tests/core/store_sync/store_sync_system_test.cc
@@ -18,7 +18,7 @@
 }
 
 TEST(StoreSyncSystem, ANewerConfigurationIsFetchedFromThePeerThatHasIt) {
-  StoreSyncSystem system({});
+  StoreSyncSystem system("vm-1", {});
   Actions actions;
   system.OnMemberReply("member", MakeReply(2, milliseconds(0)), kStart, kStart, actions);
   ASSERT_EQ(actions.size(), 1U);
@@ -26,7 +26,7 @@
 }
 
 TEST(StoreSyncSystem, VersionsNeverFall) {
-  StoreSyncSystem system({});
+  StoreSyncSystem system("vm-1", {});
   system.SetConfigurationVersion(5);
   system.SetConfigurationVersion(3);
   EXPECT_EQ(system.Versions().configuration_version, 5U);
@@ -34,15 +34,52 @@
 
 // The age counts from the sending of the heartbeat, as the reply may have been made at any time after it.
 TEST(StoreSyncSystem, ACopyIsCurrentAsOfTheMembersAgeBeforeTheHeartbeatWasSent) {
-  StoreSyncSystem system({});
+  StoreSyncSystem system("vm-1", {});
   system.SetConfigurationVersion(2);
   Actions actions;
   system.OnMemberReply("member", MakeReply(2, milliseconds(700)), kStart, kStart + milliseconds(400), actions);
   EXPECT_EQ(system.Currency().configuration_at, kStart - milliseconds(700));
 }
 
+// Ticks for a second; returns whether the system wanted to read the store.
+bool ReadsTheStore(StoreSyncSystem& system, bool member, TimePoint from) {
+  Actions actions;
+  for (TimePoint now = from; now < from + milliseconds(1000); now += milliseconds(10)) {
+    system.Tick(member, now, actions);
+  }
+  return !actions.empty();
+}
+
+TEST(StoreSyncSystem, AVmThatNoMemberConfirmsReadsTheStore) {
+  StoreSyncSystem system("vm-1", {});
+  Actions actions;
+  system.OnMemberReply("member", MakeReply(0, milliseconds(0)), kStart, kStart, actions);
+  EXPECT_FALSE(ReadsTheStore(system, false, kStart));
+  system.OnMemberReply("member", MakeReply(0, milliseconds(1000)), kStart + milliseconds(1000),
+                       kStart + milliseconds(1000), actions);
+  EXPECT_TRUE(ReadsTheStore(system, false, kStart + milliseconds(1000)));
+}
+
+TEST(StoreSyncSystem, AVmThatMembersConfirmReadsNothing) {
+  StoreSyncSystem system("vm-1", {});
+  Actions actions;
+  for (int reply = 0; reply < 10; ++reply) {
+    const TimePoint now = kStart + milliseconds(400) * reply;
+    system.OnMemberReply("member", MakeReply(0, milliseconds(1000)), now, now, actions);
+    system.Tick(false, now, actions);
+    system.Tick(false, now + milliseconds(390), actions);
+  }
+  EXPECT_TRUE(actions.empty());
+}
+
+TEST(StoreSyncSystem, AMemberReadsByItsWatchAlone) {
+  StoreSyncSystem system("vm-1", {});
+  EXPECT_FALSE(ReadsTheStore(system, true, kStart));
+  EXPECT_FALSE(ReadsTheStore(system, true, kStart + std::chrono::seconds(5)));
+}
+
 TEST(StoreSyncSystem, AMemberWithANewerConfigurationConfirmsNothing) {
-  StoreSyncSystem system({});
+  StoreSyncSystem system("vm-1", {});
   system.SetConfigurationVersion(1);
   Actions actions;
   system.OnMemberReply("member", MakeReply(2, milliseconds(0)), kStart, kStart, actions);
--- a/tests/platform/object_watcher_test.cc
+++ b/tests/platform/object_watcher_test.cc
@@ -178,6 +178,20 @@
   EXPECT_EQ(this->received.count("d"), 0U);
 }
 
+TEST_F(ObjectWatcherTest, AFailedListIsNotRepeatedWhileWatchingIsDisabled) {
+  this->watcher.SetWatching(false);
+  this->watcher.Refresh();
+  ASSERT_TRUE(this->RunUntil([this] { return this->received.size() == 2; }));
+  this->unavailable = true;
+  this->watcher.Refresh();
+  this->RunUntil([] { return false; }, milliseconds(300));
+  this->unavailable = false;
+  this->RunUntil([] { return false; }, milliseconds(500));
+  EXPECT_EQ(this->lists, 1);
+  this->watcher.Refresh();
+  EXPECT_TRUE(this->RunUntil([this] { return this->lists == 2; }));
+}
+
 TEST_F(ObjectWatcherTest, FinishesAPendingListAfterWatchingIsDisabled) {
   this->unavailable = true;
   this->watcher.Refresh();
