--- a/fuzz/process_parse_functions.cc
+++ b/fuzz/process_parse_functions.cc
@@ -10,6 +10,7 @@
 #include "platform/line_codec.h"
 #include "platform/store_client.h"
 #include "proxy/peer_sync_messages.h"
+#include "proxy/relay_notice.h"
 #include "round_trip.h"
 #include "tracing/trace_context.h"
 
@@ -36,6 +37,12 @@
   daemon::ParseHeartbeatMessage(daemon::FormatHeartbeatMessage(daemon::ParseHeartbeatMessage(text)));
 }
 
+void RoundTripRelayNotice(std::string_view text) {
+  const proxy::KnownConfiguration known = proxy::ParseRelayNotice(text);
+  const proxy::KnownConfiguration reparsed = proxy::ParseRelayNotice(proxy::EncodeRelayNotice(known));
+  RequireUnchanged(reparsed.version == known.version && reparsed.address == known.address);
+}
+
 net::HttpResponse ResponseWith(unsigned status, std::string_view body) {
   net::HttpResponse response;
   response.status = status;
@@ -167,6 +174,7 @@
        ParseOnly<proxy::ParseDirectoryMessage>,
        {R"({"base":2,"revision":3,"removed":["f"],"digest":"1","endpoints":[{"name":"e","group":"g","address":"127.0.0.1:1","data_centre":"d",
           "draining":false,"claims_primary":true,"slots":5,"born":0}]})"}},
+      {"RelayNotice", RoundTripRelayNotice, {"\x02 17 127.0.0.1:7000\n"}},
       {"StatusRow", ParseStatusRow, {"replica 3 3.1209 0 12 2 17"}},
       {"StoreObject", ParseStoreObject, {R"({"meta":{"name":"a","revision":4},"spec":{"x":1},"status":null})"}},
       {"PlatformEntry",
--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -353,6 +353,8 @@
 
 void CoordinationSystem::RequestHandover(bool wanted) { this->handover_requested = wanted; }
 
+const std::string& CoordinationSystem::OwnAddress() const { return this->self.address; }
+
 const CoordinationRecord* CoordinationSystem::Record() const { return this->record ? &*this->record : nullptr; }
 
 bool CoordinationSystem::IsCoordinator() const {
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -120,6 +120,8 @@
   // Asks the other members to take over as coordinator, or withdraws the request.
   void RequestHandover(bool wanted);
 
+  // The address at which this VM serves its peers.
+  const std::string& OwnAddress() const;
   // Null until a record is known.
   const CoordinationRecord* Record() const;
   bool IsCoordinator() const;
--- a/source/core/coordination/grant_table.cc
+++ b/source/core/coordination/grant_table.cc
@@ -11,6 +11,7 @@
   entry.address = heartbeat.address;
   entry.relay_address = heartbeat.relay_address;
   entry.data_centre = heartbeat.data_centre;
+  entry.accepts_notices = heartbeat.accepts_notices;
   entry.last_heartbeat = now;
   entry.version = heartbeat.version;
   entry.groups_in_use = {heartbeat.groups_in_use.begin(), heartbeat.groups_in_use.end()};
@@ -41,7 +42,7 @@
   std::vector<gateways::FleetVm> alive;
   for (const auto& [vm, entry] : this->entries) {
     if (entry.last_heartbeat >= since && !entry.leaving) {
-      alive.push_back({vm, entry.relay_address, entry.data_centre});
+      alive.push_back({vm, entry.relay_address, entry.data_centre, entry.accepts_notices});
     }
   }
   return alive;
--- a/source/core/coordination/grant_table.h
+++ b/source/core/coordination/grant_table.h
@@ -18,6 +18,7 @@
   std::string address;
   std::string relay_address;
   std::string data_centre;
+  bool accepts_notices = false;
   // When the last grant to the VM expires.
   TimePoint granted_until;
   TimePoint last_heartbeat;
--- a/source/core/coordination/messages.cc
+++ b/source/core/coordination/messages.cc
@@ -57,6 +57,7 @@
                              {"address", heartbeat.address},
                              {"relay_address", heartbeat.relay_address},
                              {"data_centre", heartbeat.data_centre},
+                             {"accepts_notices", heartbeat.accepts_notices},
                              {"version", heartbeat.version},
                              {"busy", heartbeat.groups_in_use},
                              {"suspects", heartbeat.unreachable_endpoints},
@@ -79,6 +80,7 @@
   heartbeat.address = reader.String("address");
   heartbeat.relay_address = reader.String("relay_address");
   heartbeat.data_centre = reader.String("data_centre");
+  heartbeat.accepts_notices = reader.BoolOr("accepts_notices", false);
   heartbeat.version = reader.Unsigned("version");
   heartbeat.groups_in_use = reader.Strings("busy");
   heartbeat.unreachable_endpoints = reader.Strings("suspects");
@@ -121,8 +123,10 @@
   }
   if (!reply.fleet_view.fleet.empty()) {
     for (const gateways::FleetVm& known : reply.fleet_view.fleet) {
-      document["fleet"].push_back(
-          {{"vm", known.vm}, {"relay_address", known.relay_address}, {"data_centre", known.data_centre}});
+      document["fleet"].push_back({{"vm", known.vm},
+                                   {"relay_address", known.relay_address},
+                                   {"data_centre", known.data_centre},
+                                   {"accepts_notices", known.accepts_notices}});
     }
   }
   if (reply.record) {
@@ -150,7 +154,8 @@
   if (reader.Has("fleet")) {
     for (const nlohmann::json& known : reader.Array("fleet")) {
       const json::ObjectReader vm(known, "fleet");
-      reply.fleet_view.fleet.push_back({vm.String("vm"), vm.String("relay_address"), vm.String("data_centre")});
+      reply.fleet_view.fleet.push_back(
+          {vm.String("vm"), vm.String("relay_address"), vm.String("data_centre"), vm.BoolOr("accepts_notices", false)});
     }
   }
   reply.record = ParseOptionalRecord(reader);
--- a/source/core/coordination/messages.h
+++ b/source/core/coordination/messages.h
@@ -48,6 +48,8 @@
   std::string address;
   std::string relay_address;
   std::string data_centre;
+  // As in gateways::FleetVm. False for VMs of an earlier build.
+  bool accepts_notices = true;
   // The version of the record that the sender has adopted. The sender uses no primary of a group that is changing in
   // that version.
   std::uint64_t version = 0;
--- a/source/core/gateways/gateway_choice.h
+++ b/source/core/gateways/gateway_choice.h
@@ -21,6 +21,8 @@
   // The address, as ip:port, at which it accepts sessions that other VMs relay.
   std::string relay_address;
   std::string data_centre;
+  // It understands notices of newer configurations between the messages of a relayed session.
+  bool accepts_notices = false;
 
   bool operator==(const FleetVm&) const = default;
 };
--- a/source/core/store_sync/store_sync_system.cc
+++ b/source/core/store_sync/store_sync_system.cc
@@ -41,6 +41,16 @@
   }
 }
 
+void StoreSyncSystem::OnNewerConfiguration(const std::string& address, std::uint64_t version, TimePoint now,
+                                           Actions& actions) {
+  if (version <= std::max(this->versions.configuration_version, this->awaited.peer_version)) {
+    return;
+  }
+  this->awaited = {address, version};
+  this->next_configuration_fetch = now + this->settings.fetch_interval;
+  actions.emplace_back(this->awaited);
+}
+
 void StoreSyncSystem::OnMemberReply(const std::string& address, const coordination::HeartbeatReply& reply,
                                     TimePoint sent_at, TimePoint now, Actions& actions) {
   this->OnPeerVersions(address, reply.store, now, actions);
@@ -54,6 +64,10 @@
 }
 
 void StoreSyncSystem::Tick(bool member, TimePoint now, Actions& actions) {
+  if (this->awaited.peer_version > this->versions.configuration_version && now >= this->next_configuration_fetch) {
+    this->next_configuration_fetch = now + this->settings.fetch_interval;
+    actions.emplace_back(this->awaited);
+  }
   if (this->next_read == TimePoint()) {
     // Each VM reads the store when it starts.
     this->next_read = now + this->settings.read_interval;
--- a/source/core/store_sync/store_sync_system.h
+++ b/source/core/store_sync/store_sync_system.h
@@ -44,6 +44,8 @@
   // Another VM reported which versions it has.
   void OnPeerVersions(const std::string& address, const coordination::StoreVersions& peer, TimePoint now,
                       Actions& actions);
+  // Another VM uses a newer configuration, and requests wait until this VM has it.
+  void OnNewerConfiguration(const std::string& address, std::uint64_t version, TimePoint now, Actions& actions);
   // A member answered the heartbeat sent at `sent_at`.
   void OnMemberReply(const std::string& address, const coordination::HeartbeatReply& reply, TimePoint sent_at,
                      TimePoint now, Actions& actions);
@@ -59,6 +61,8 @@
   Duration read_delay;
   coordination::StoreVersions versions;
   coordination::StoreCurrency currency;
+  // The newest configuration that requests wait for, and where to fetch it.
+  FetchConfiguration awaited;
   TimePoint next_read;
   TimePoint next_configuration_fetch;
   TimePoint next_directory_fetch;
--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -3,6 +3,8 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "common/error.h"
+#include "logging/log.h"
 #include "proxy/socket_options.h"
 
 namespace amaranthlane::proxy {
@@ -15,13 +17,17 @@
 namespace {
 
 constexpr std::size_t kMaxFrameBytes = 1U << 20U;
-// How long a caller waits for its session to open while this VM has no configuration.
+// How long the opening of a session waits until this VM has the newest configuration. A relayed session waits for less
+// time, so that the relaying VM can try another gateway.
 constexpr std::chrono::milliseconds kOpenTimeout{1500};
+constexpr std::chrono::milliseconds kRelayedOpenTimeout{400};
+// The same for a statement of an open session.
+constexpr std::chrono::milliseconds kStatementHoldTimeout{400};
 
 }  // namespace
 
-CallerSession::CallerSession(boost::asio::ip::tcp::socket socket, SessionContext& context, bool may_relay)
-    : socket(std::move(socket)), context(context), may_relay(may_relay) {}
+CallerSession::CallerSession(boost::asio::ip::tcp::socket socket, SessionContext& context, SessionSource source)
+    : socket(std::move(socket)), context(context), source(source) {}
 
 void CallerSession::Start(std::string initial_bytes) {
   SetSocketOptions(this->socket);
@@ -53,7 +59,11 @@
     this->OnBytesWhileClosing();
     return;
   }
-  while (!this->closed && !this->operation && !this->pending_open && !this->close_after_write) {
+  while (!this->closed && !this->operation && !this->pending_open && !this->held_statement &&
+         !this->close_after_write) {
+    if (this->TakeRelayNotice()) {
+      continue;
+    }
     const std::size_t length = this->context.Codec().FrameLength(this->received);
     if (length == 0) {
       break;
@@ -70,8 +80,38 @@
     this->close_after_write = true;
     return;
   }
-  // Reading continues during an operation to detect a caller that disconnects.
-  this->Read();
+  // Reading continues during an operation to detect a caller that disconnects. A session that may still be relayed must
+  // not have a pending read.
+  if (!this->pending_open || this->source != SessionSource::kCaller) {
+    this->Read();
+  }
+}
+
+bool CallerSession::TakeRelayNotice() {
+  if (this->source != SessionSource::kRelay || !BeginsWithRelayNotice(this->received)) {
+    return false;
+  }
+  const std::size_t length = RelayNoticeLength(this->received);
+  if (length == 0) {
+    return false;
+  }
+  try {
+    const KnownConfiguration known = ParseRelayNotice(std::string_view(this->received).substr(0, length));
+    this->noticed_version = std::max(this->noticed_version.value_or(0), known.version);
+    this->context.LearnConfiguration(known);
+  } catch (const ParseError& failure) {
+    logging::Write(logging::Level::kWarning, "malformed notice on a relayed session", {{"why", failure.what()}});
+  }
+  this->received.erase(0, length);
+  return true;
+}
+
+void CallerSession::SendRelayNotice() {
+  const KnownConfiguration& newest = this->context.NewestConfiguration();
+  if (this->noticed_version && newest.version > *this->noticed_version) {
+    this->noticed_version = newest.version;
+    this->Send(EncodeRelayNotice(newest));
+  }
 }
 
 void CallerSession::OnBytesWhileClosing() {
@@ -120,19 +160,30 @@
 
 void CallerSession::OnOpenSession(const OpenSession& message) {
   this->pending_open = message;
-  this->open_deadline = BootClock::now() + kOpenTimeout;
+  this->open_deadline = BootClock::now() + (this->source == SessionSource::kRelay ? kRelayedOpenTimeout : kOpenTimeout);
   this->TryOpen();
 }
 
+void CallerSession::CheckOpenDeadline(TimePoint now) {
+  if (now < this->open_deadline) {
+    return;
+  }
+  this->pending_open.reset();
+  if (this->source == SessionSource::kRelay) {
+    // The relaying VM tries another gateway.
+    this->Close();
+    return;
+  }
+  this->Send(this->context.Codec().EncodeFailure(FailureCode::kNotRun,
+                                                 "retry_after_ms=500 this VM does not have the newest configuration"));
+  this->close_after_write = true;
+}
+
 void CallerSession::TryOpen() {
   const Configuration* configuration = this->context.CurrentConfiguration();
-  if (configuration == nullptr) {
-    if (BootClock::now() >= this->open_deadline) {
-      this->pending_open.reset();
-      this->Send(this->context.Codec().EncodeFailure(FailureCode::kNotRun,
-                                                     "retry_after_ms=500 this VM has no configuration yet"));
-      this->close_after_write = true;
-    }
+  this->SendRelayNotice();
+  if (!this->context.ConfigurationIsNewest()) {
+    this->CheckOpenDeadline(BootClock::now());
     return;
   }
   const OpenSession message = std::move(*this->pending_open);
@@ -160,19 +211,47 @@
 
 bool CallerSession::Relay(const Route& route) {
   // A socket with a pending read can't be handed over.
-  if (!this->may_relay || this->reading) {
+  if (this->source != SessionSource::kCaller || this->reading) {
     return false;
   }
-  std::vector<std::string> gateways = this->context.GatewaysFor(route.group);
+  std::vector<gateways::FleetVm> gateways = this->context.GatewaysFor(route.group);
   if (gateways.empty()) {
     return false;
   }
   this->closed = true;
-  this->context.Relay(std::move(this->socket), this->open_frame + this->received, std::move(gateways),
-                      route.statement_timeout);
+  this->context.Relay(std::move(this->socket), this->open_frame + this->received, std::move(gateways), route);
   return true;
 }
 
+bool CallerSession::DependsOnRoute(const Statement& statement) const {
+  const bool pinned = this->transaction && this->transaction->connection != nullptr;
+  switch (statement.kind) {
+    case StatementKind::kBegin:
+    case StatementKind::kBeginReadOnly:
+    case StatementKind::kRead:
+    case StatementKind::kWrite:
+    case StatementKind::kExecute:
+      return !pinned;
+    default:
+      return false;
+  }
+}
+
+void CallerSession::ServeHeldStatement(TimePoint now) {
+  if (this->context.ConfigurationIsNewest()) {
+    const Statement statement = std::move(*this->held_statement);
+    this->held_statement.reset();
+    this->OnStatement(statement);
+    this->OnBytes();
+  } else if (now >= this->hold_deadline) {
+    this->operation = Operation{};
+    this->operation->statement = std::move(*this->held_statement);
+    this->operation->received_at = this->hold_deadline - kStatementHoldTimeout;
+    this->held_statement.reset();
+    this->OnRefusal({"this VM does not have the newest configuration", kStatementHoldTimeout});
+  }
+}
+
 void CallerSession::OnStatement(const Statement& statement) {
   if (this->transaction && this->transaction->failed && statement.kind != StatementKind::kCommit &&
       statement.kind != StatementKind::kRollback) {
@@ -181,6 +260,14 @@
         this->context.Codec().EncodeReady(TransactionStatus::kFailedTransaction));
     return;
   }
+  if (this->DependsOnRoute(statement)) {
+    this->SendRelayNotice();
+    if (!this->context.ConfigurationIsNewest()) {
+      this->held_statement = statement;
+      this->hold_deadline = BootClock::now() + kStatementHoldTimeout;
+      return;
+    }
+  }
   switch (statement.kind) {
     case StatementKind::kBegin:
     case StatementKind::kBeginReadOnly:
@@ -407,11 +494,15 @@
   }
   if (this->pending_open) {
     this->TryOpen();
-    if (!this->pending_open) {
+    if (!this->pending_open && !this->closed) {
       this->OnBytes();
     }
     return;
   }
+  if (this->held_statement) {
+    this->ServeHeldStatement(now);
+    return;
+  }
   const Configuration* configuration = this->context.CurrentConfiguration();
   if (configuration != nullptr && !this->operation && this->transaction && this->transaction->connection != nullptr &&
       now > this->transaction->idle_since + configuration->idle_transaction_timeout) {
@@ -420,7 +511,8 @@
 }
 
 bool CallerSession::CloseIfIdle(const std::string& reason) {
-  const bool idle = !this->operation && !this->pending_open && !this->transaction && !this->write_in_progress;
+  const bool idle = !this->operation && !this->pending_open && !this->held_statement && !this->transaction &&
+                    !this->write_in_progress;
   if (!this->closed && !this->graceful_close && idle) {
     this->graceful_close.emplace(this->context, reason);
     this->graceful_close_deadline = BootClock::now() + kGracefulCloseTimeout;
--- a/source/proxy/caller_session.h
+++ b/source/proxy/caller_session.h
@@ -18,18 +18,27 @@
 
 namespace amaranthlane::proxy {
 
+// Where a session that this VM serves comes from.
+enum class SessionSource : std::uint8_t {
+  // A caller. The session may be relayed to a gateway.
+  kCaller,
+  // A caller. No gateway has accepted the session.
+  kCallerWithoutGateway,
+  // Another VM, which relays it to this one.
+  kRelay,
+};
+
 // A caller's session that this VM serves: its session values, prepared statements and transaction, and the statement
 // that is being executed. Used on one thread.
 class CallerSession : public Session, public std::enable_shared_from_this<CallerSession> {
  public:
-  // `may_relay`: the session may be relayed to another VM. False for sessions that have already been relayed.
-  CallerSession(boost::asio::ip::tcp::socket socket, SessionContext& context, bool may_relay);
+  CallerSession(boost::asio::ip::tcp::socket socket, SessionContext& context, SessionSource source);
 
   // `initial_bytes` are bytes that the caller has already sent.
   void Start(std::string initial_bytes = {});
 
-  // Limits the time to open the session while there is no configuration, the time that a transaction may be idle, and
-  // the time that the caller may take to react to the close notice.
+  // Limits the time that the session's opening or a statement may wait for the newest configuration, the time that a
+  // transaction may be idle, and the time that the caller may take to react to the close notice.
   void Tick(TimePoint now) override;
   bool CloseIfIdle(const std::string& reason) override;
   // The caller learns of it when it sends its next statement.
@@ -74,12 +83,21 @@
   void OnBytes();
   // Handles bytes that arrive after the close notice was sent.
   void OnBytesWhileClosing();
+  // Handles the notice of the relaying VM with which the received bytes begin, if they do.
+  bool TakeRelayNotice();
+  // Tells the relaying VM of a newer configuration than the one that either side has mentioned.
+  void SendRelayNotice();
   // Handles one frame. Returns false when no further frame may be handled.
   bool HandleFrame(const std::string& frame);
   void OnOpenSession(const OpenSession& message);
   void TryOpen();
   // Hands the session over to be relayed to a gateway. Returns false when this VM serves it.
   bool Relay(const Route& route);
+  // Limits how long the opening waits for the newest configuration.
+  void CheckOpenDeadline(TimePoint now);
+  // True when the route in force decides how the statement is served, so that it must be the newest one.
+  bool DependsOnRoute(const statements::Statement& statement) const;
+  void ServeHeldStatement(TimePoint now);
   void OnStatement(const statements::Statement& statement);
   void OnBegin(const statements::Statement& statement);
   void OnSessionChange(const statements::Statement& statement);
@@ -129,7 +147,7 @@
   bool close_after_write = false;
   bool reading = false;
   bool closed = false;
-  bool may_relay = false;
+  SessionSource source = SessionSource::kCaller;
 
   std::optional<OpenSession> pending_open;
   std::string open_frame;
@@ -141,6 +159,12 @@
   std::optional<LogPosition> last_commit_position;
   std::optional<Transaction> transaction;
   std::optional<Operation> operation;
+  // A statement that waits until this VM has the newest configuration.
+  std::optional<statements::Statement> held_statement;
+  TimePoint hold_deadline;
+  // The newest version of the configuration that the relaying VM or this VM has mentioned in a notice; none: the
+  // relaying VM sends no notices.
+  std::optional<std::uint64_t> noticed_version;
   std::optional<GracefulClose> graceful_close;
   TimePoint graceful_close_deadline;
   // Increased with each operation and attempt, so that callbacks of earlier ones are recognised and ignored.
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -90,7 +90,7 @@
   Listen(this->acceptor, this->settings.callers_address);
   if (!this->settings.relay_address.empty()) {
     Listen(this->relay_acceptor, this->settings.relay_address);
-    this->Accept(this->relay_acceptor, false);
+    this->Accept(this->relay_acceptor, SessionSource::kRelay);
   }
   this->operators_server.Start();
   this->peers_server.Start();
@@ -104,24 +104,24 @@
   });
   logging::Write(logging::Level::kInfo, "started",
                  {{"callers", this->settings.callers_address}, {"peers", this->settings.peers_address}});
-  this->Accept(this->acceptor, true);
+  this->Accept(this->acceptor, SessionSource::kCaller);
   this->Tick();
 }
 
-void Node::Accept(boost::asio::ip::tcp::acceptor& listener, bool may_relay) {
+void Node::Accept(boost::asio::ip::tcp::acceptor& listener, SessionSource source) {
   listener.async_accept(
-      [this, &listener, may_relay](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+      [this, &listener, source](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
         if (error == boost::asio::error::operation_aborted) {
           return;
         }
         if (!error) {
-          const auto session = std::make_shared<CallerSession>(std::move(socket), *this, may_relay);
+          const auto session = std::make_shared<CallerSession>(std::move(socket), *this, source);
           this->sessions.insert(session);
           session->Start();
         } else {
           logging::Write(logging::Level::kWarning, "accepting a connection failed", {{"why", error.message()}});
         }
-        this->Accept(listener, may_relay);
+        this->Accept(listener, source);
       });
 }
 
@@ -270,6 +270,11 @@
                   {"former_current_ms_ago", AgeInMilliseconds(this->store_sync.Currency().configuration_at)}});
   this->configuration = update;
   this->store_sync.SetConfigurationVersion(update.version);
+  if (update.version >= this->newest_configuration.version) {
+    this->newest_configuration = {update.version, this->coordination.OwnAddress()};
+  }
+  // Statements may have waited for it.
+  this->next_session_tick = TimePoint();
   this->synchronous_replicas.clear();
   for (const auto& [group, group_settings] : this->configuration->groups) {
     this->synchronous_replicas[group] = group_settings.synchronous_replicas;
@@ -282,6 +287,23 @@
   return this->configuration ? &*this->configuration : nullptr;
 }
 
+const KnownConfiguration& Node::NewestConfiguration() const { return this->newest_configuration; }
+
+void Node::LearnConfiguration(const KnownConfiguration& known) {
+  if (known.version <= this->newest_configuration.version) {
+    return;
+  }
+  logging::Write(logging::Level::kInfo, "a session's other VM uses a newer configuration",
+                 {{"peer", known.address},
+                  {"own_version", this->configuration ? this->configuration->version : 0},
+                  {"peer_version", known.version}});
+  this->newest_configuration = known;
+  store_sync::Actions actions;
+  const TimePoint now = BootClock::now();
+  this->store_sync.OnNewerConfiguration(known.address, known.version, now, actions);
+  this->PerformStoreSync(actions, now);
+}
+
 Dispatcher* Node::FindDispatcher(const GroupName& group) {
   const auto found = this->dispatchers.find(group);
   return found == this->dispatchers.end() ? nullptr : found->second.get();
@@ -300,16 +322,16 @@
   return this->coordination.Record() == nullptr ? 0 : this->coordination.Record()->version;
 }
 
-void Node::Relay(boost::asio::ip::tcp::socket socket, std::string initial_bytes, std::vector<std::string> gateways,
-                 Duration statement_timeout) {
-  const auto session = std::make_shared<RelayedSession>(std::move(socket), *this, std::move(initial_bytes),
-                                                        std::move(gateways), statement_timeout);
+void Node::Relay(boost::asio::ip::tcp::socket socket, std::string initial_bytes,
+                 std::vector<gateways::FleetVm> gateways, const Route& route) {
+  const auto session =
+      std::make_shared<RelayedSession>(std::move(socket), *this, std::move(initial_bytes), std::move(gateways), route);
   this->sessions.insert(session);
   session->Start();
 }
 
 void Node::ServeLocally(boost::asio::ip::tcp::socket socket, std::string initial_bytes) {
-  const auto session = std::make_shared<CallerSession>(std::move(socket), *this, false);
+  const auto session = std::make_shared<CallerSession>(std::move(socket), *this, SessionSource::kCallerWithoutGateway);
   this->sessions.insert(session);
   session->Start(std::move(initial_bytes));
 }
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -44,13 +44,15 @@
 
   const StatementCodec& Codec() const override;
   const Configuration* CurrentConfiguration() const override;
+  const KnownConfiguration& NewestConfiguration() const override;
+  void LearnConfiguration(const KnownConfiguration& known) override;
   Dispatcher* FindDispatcher(const GroupName& group) override;
   bool MayAcknowledgeCommit(const GroupName& group, const EndpointName& endpoint, TimePoint now) const override;
   std::uint64_t RecordVersion() const override;
   void ScheduleDispatch() override;
-  std::vector<std::string> GatewaysFor(const GroupName& group) override;
-  void Relay(boost::asio::ip::tcp::socket socket, std::string initial_bytes, std::vector<std::string> gateways,
-             Duration statement_timeout) override;
+  std::vector<gateways::FleetVm> GatewaysFor(const GroupName& group) override;
+  void Relay(boost::asio::ip::tcp::socket socket, std::string initial_bytes, std::vector<gateways::FleetVm> gateways,
+             const Route& route) override;
   void ServeLocally(boost::asio::ip::tcp::socket socket, std::string initial_bytes) override;
   void OnStatementFinished(const StatementReport& report) override;
 
@@ -85,7 +87,7 @@
   };
 
   // node.cc
-  void Accept(boost::asio::ip::tcp::acceptor& listener, bool may_relay);
+  void Accept(boost::asio::ip::tcp::acceptor& listener, SessionSource source);
   void Tick();
   void TickSessions(TimePoint now);
   void UpdateGauges(TimePoint now);
@@ -155,6 +157,7 @@
   bool dispatch_scheduled = false;
 
   std::optional<Configuration> configuration;
+  KnownConfiguration newest_configuration;
   std::map<EndpointName, KnownEndpoint> endpoints;
   bool directory_known = false;
   DirectorySnapshot directory;
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -246,25 +246,24 @@
   }
 }
 
-std::vector<std::string> Node::GatewaysFor(const GroupName& group) {
+std::vector<gateways::FleetVm> Node::GatewaysFor(const GroupName& group) {
   const auto found = this->plans.find(group);
   if (found == this->plans.end() || found->second.serves_group) {
     return {};
   }
-  std::vector<std::string> near;
-  std::vector<std::string> far;
+  std::vector<gateways::FleetVm> near;
+  std::vector<gateways::FleetVm> far;
   for (const gateways::FleetVm& gateway : found->second.gateways) {
     if (!gateway.relay_address.empty()) {
-      (gateway.data_centre == this->settings.data_centre ? near : far).push_back(gateway.relay_address);
+      (gateway.data_centre == this->settings.data_centre ? near : far).push_back(gateway);
     }
   }
   // Gateways are used in turn to spread the load. A session tries a few of them before it is served here.
   ++this->relay_rotation;
-  for (std::vector<std::string>* addresses : {&near, &far}) {
-    if (!addresses->empty()) {
-      std::rotate(addresses->begin(),
-                  addresses->begin() + static_cast<std::ptrdiff_t>(this->relay_rotation % addresses->size()),
-                  addresses->end());
+  for (std::vector<gateways::FleetVm>* vms : {&near, &far}) {
+    if (!vms->empty()) {
+      std::rotate(vms->begin(), vms->begin() + static_cast<std::ptrdiff_t>(this->relay_rotation % vms->size()),
+                  vms->end());
     }
   }
   near.insert(near.end(), far.begin(), far.end());
--- a/source/proxy/platform_services.h
+++ b/source/proxy/platform_services.h
@@ -34,8 +34,8 @@
   // each answer of the store, also when nothing has changed.
   virtual void SubscribeToConfiguration(ConfigurationCallback callback) = 0;
   virtual void SubscribeToDirectory(DirectoryCallback callback) = 0;
-  // Reads the configuration and the directory once, without delay. For a VM that no peer informs of changes. A read that
-  // fails is not repeated, unless none has succeeded yet.
+  // Reads the configuration and the directory once, without delay. For a VM that no peer informs of changes. A read
+  // that fails is not repeated, unless none has succeeded yet.
   virtual void Refresh() = 0;
   // Whether this VM watches the store for changes. If not, it learns of them from its peers.
   virtual void SetWatching(bool watching) = 0;
--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "common/error.h"
+#include "logging/log.h"
 #include "net/address.h"
 #include "net/source_address.h"
 #include "proxy/socket_options.h"
@@ -19,14 +21,15 @@
 }  // namespace
 
 RelayedSession::RelayedSession(boost::asio::ip::tcp::socket socket, SessionContext& context, std::string initial_bytes,
-                               std::vector<std::string> gateways, Duration statement_timeout)
+                               std::vector<gateways::FleetVm> gateways, const Route& route)
     : caller(std::move(socket)),
       gateway(this->caller.get_executor()),
       timer(this->caller.get_executor()),
       context(context),
       initial_bytes(std::move(initial_bytes)),
       gateways(std::move(gateways)),
-      statement_timeout(statement_timeout) {}
+      database(route.database),
+      statement_timeout(route.statement_timeout) {}
 
 void RelayedSession::Start() { this->TryNextGateway(); }
 
@@ -36,7 +39,8 @@
     return;
   }
   ++this->attempt;
-  const net::Address address = net::ParseAddress(this->gateways.front());
+  const net::Address address = net::ParseAddress(this->gateways.front().relay_address);
+  this->noticed_version = this->gateways.front().accepts_notices ? std::optional<std::uint64_t>(0) : std::nullopt;
   this->gateways.erase(this->gateways.begin());
   const boost::asio::ip::tcp::endpoint target(boost::asio::ip::make_address(address.ip), address.port);
   boost::system::error_code failure;
@@ -63,12 +67,13 @@
     self->from_caller.partial_message.clear();
     self->from_gateway.partial_message.clear();
     self->unanswered = 0;
+    self->opening_bytes = self->NextNotice() + self->initial_bytes;
     self->CountCallerMessages(self->initial_bytes);
     // If statements follow the opening, another gateway must not get the same bytes, and the caller's further bytes are
     // forwarded without waiting for the answer to the opening.
     self->opened = self->unanswered > 1;
     boost::asio::async_write(
-        self->gateway, boost::asio::buffer(self->initial_bytes),
+        self->gateway, boost::asio::buffer(self->opening_bytes),
         [self, current = self->attempt, forward_caller = self->opened](boost::system::error_code failed, std::size_t) {
           if (current != self->attempt) {
             return;
@@ -100,8 +105,10 @@
           self->OnBytesWhileClosing(std::string_view(self->from_caller.read_buffer.data(), size));
           return;
         }
-        self->CountCallerMessages(std::string_view(self->from_caller.read_buffer.data(), size));
-        boost::asio::async_write(self->gateway, boost::asio::buffer(self->from_caller.read_buffer.data(), size),
+        const std::string_view bytes(self->from_caller.read_buffer.data(), size);
+        self->gateway_write_buffer = self->NextNotice().append(bytes);
+        self->CountCallerMessages(bytes);
+        boost::asio::async_write(self->gateway, boost::asio::buffer(self->gateway_write_buffer),
                                  [self](boost::system::error_code failed, std::size_t) {
                                    if (!self->graceful_close && (failed || self->closed)) {
                                      self->OnGatewayFailed("the gateway closed the connection");
@@ -123,13 +130,19 @@
           self->OnGatewayFailed("the gateway closed the connection");
           return;
         }
-        if (self->RefusedAsUnknownDatabase(size)) {
-          self->OnGatewayFailed("the gateway does not know the database yet");
+        self->forwarded_messages =
+            self->TakeGatewayMessages(std::string_view(self->from_gateway.read_buffer.data(), size));
+        if (self->RefusedAsUnknownDatabase(self->forwarded_messages)) {
+          self->OnGatewayFailed("the gateway does not know the database");
           return;
         }
-        self->CountGatewayMessages(size);
+        if (self->forwarded_messages.empty()) {
+          self->ForwardFromGateway();
+          return;
+        }
+        self->CountGatewayMessages(self->forwarded_messages);
         self->writing_to_caller = true;
-        boost::asio::async_write(self->caller, boost::asio::buffer(self->from_gateway.read_buffer.data(), size),
+        boost::asio::async_write(self->caller, boost::asio::buffer(self->forwarded_messages),
                                  [self](boost::system::error_code failed, std::size_t) {
                                    self->writing_to_caller = false;
                                    if (failed || self->closed) {
@@ -145,17 +158,56 @@
       });
 }
 
-// This VM knows the database, so a gateway that doesn't has an older configuration, and its answer is not forwarded.
-bool RelayedSession::RefusedAsUnknownDatabase(std::size_t size) const {
-  if (this->opened || !this->from_gateway.partial_message.empty()) {
-    return false;
+std::string RelayedSession::NextNotice() {
+  const KnownConfiguration& newest = this->context.NewestConfiguration();
+  if (!this->noticed_version || newest.version <= *this->noticed_version ||
+      !this->from_caller.partial_message.empty()) {
+    return {};
   }
-  const std::string_view bytes(this->from_gateway.read_buffer.data(), size);
-  const std::size_t length = this->context.Codec().FrameLength(bytes);
-  if (length == 0) {
+  this->noticed_version = newest.version;
+  return EncodeRelayNotice(newest);
+}
+
+std::string RelayedSession::TakeGatewayMessages(std::string_view bytes) {
+  std::string& input = this->from_gateway.partial_message;
+  input.append(bytes);
+  std::string messages;
+  std::size_t length = 0;
+  while (!input.empty()) {
+    const bool notice = this->noticed_version && BeginsWithRelayNotice(input);
+    length = notice ? RelayNoticeLength(input) : this->context.Codec().FrameLength(input);
+    if (length == 0) {
+      break;
+    }
+    if (notice) {
+      this->OnNotice(std::string_view(input).substr(0, length));
+    } else {
+      messages.append(input, 0, length);
+    }
+    input.erase(0, length);
+  }
+  return messages;
+}
+
+void RelayedSession::OnNotice(std::string_view notice) {
+  try {
+    const KnownConfiguration known = ParseRelayNotice(notice);
+    this->noticed_version = std::max(*this->noticed_version, known.version);
+    this->context.LearnConfiguration(known);
+  } catch (const ParseError& failure) {
+    logging::Write(logging::Level::kWarning, "malformed notice from a gateway", {{"why", failure.what()}});
+  }
+}
+
+// A gateway that doesn't know the database has another configuration than the one by which this VM relays the session.
+// If it is older, another gateway may serve the session; if it is newer, this VM refuses the session itself once it has
+// that configuration.
+bool RelayedSession::RefusedAsUnknownDatabase(std::string_view messages) const {
+  const std::size_t length = this->context.Codec().FrameLength(messages);
+  if (this->opened || length == 0) {
     return false;
   }
-  const EndpointMessage message = this->context.Codec().ParseEndpointMessage(bytes.substr(0, length));
+  const EndpointMessage message = this->context.Codec().ParseEndpointMessage(messages.substr(0, length));
   return message.kind == EndpointMessage::Kind::kFailure && message.code == statements::FailureCode::kUnknownDatabase;
 }
 
@@ -171,14 +223,11 @@
   }
 }
 
-void RelayedSession::CountGatewayMessages(std::size_t size) {
-  Direction& direction = this->from_gateway;
-  direction.partial_message.append(direction.read_buffer.data(), size);
+void RelayedSession::CountGatewayMessages(std::string_view messages) {
   std::size_t length = 0;
-  while ((length = this->context.Codec().FrameLength(direction.partial_message)) > 0) {
-    const EndpointMessage message =
-        this->context.Codec().ParseEndpointMessage(direction.partial_message.substr(0, length));
-    direction.partial_message.erase(0, length);
+  while ((length = this->context.Codec().FrameLength(messages)) > 0) {
+    const EndpointMessage message = this->context.Codec().ParseEndpointMessage(messages.substr(0, length));
+    messages.remove_prefix(length);
     this->mid_answer = message.kind != EndpointMessage::Kind::kReady;
     if (message.kind == EndpointMessage::Kind::kReady) {
       this->transaction_status = message.state;
@@ -225,10 +274,22 @@
       [self = this->shared_from_this()](boost::system::error_code, std::size_t) { self->Close(); });
 }
 
+void RelayedSession::UpdateStatementTimeout() {
+  const Configuration* configuration = this->context.CurrentConfiguration();
+  if (configuration == nullptr) {
+    return;
+  }
+  const auto route = configuration->routes.find(this->database);
+  if (route != configuration->routes.end()) {
+    this->statement_timeout = route->second.statement_timeout;
+  }
+}
+
 void RelayedSession::Tick(TimePoint now) {
   if (this->closed) {
     return;
   }
+  this->UpdateStatementTimeout();
   if (this->graceful_close) {
     if (now >= this->graceful_close_deadline) {
       this->Close();
--- a/source/proxy/relayed_session.h
+++ b/source/proxy/relayed_session.h
@@ -17,8 +17,9 @@
 
 namespace amaranthlane::proxy {
 
-// A caller's session that is relayed to another VM, a gateway of its database group. Bytes are forwarded unchanged;
-// messages are counted, so that the session is closed only between them. If the gateway fails before the session is
+// A caller's session that is relayed to another VM, a gateway of its database group. Messages are forwarded unchanged
+// and counted, so that the session is closed only between them; between them, this VM and the gateway also notify each
+// other of newer configurations. If the gateway fails before the session is
 // open, the next one is tried. If it fails while a message is unanswered, the caller is told that the outcome is
 // unknown. Used on one thread.
 class RelayedSession : public Session, public std::enable_shared_from_this<RelayedSession> {
@@ -26,7 +27,7 @@
   // `initial_bytes` are the caller's bytes so far. The gateways are tried in order; if none accepts the session, this
   // VM serves it.
   RelayedSession(boost::asio::ip::tcp::socket socket, SessionContext& context, std::string initial_bytes,
-                 std::vector<std::string> gateways, Duration statement_timeout);
+                 std::vector<gateways::FleetVm> gateways, const Route& route);
 
   void Start();
 
@@ -39,7 +40,7 @@
  private:
   struct Direction {
     std::array<char, 8192> read_buffer{};
-    // Bytes of an incomplete message; used only to count messages.
+    // Bytes of an incomplete message. Those of the caller have been forwarded, those of the gateway haven't.
     std::string partial_message;
   };
 
@@ -47,11 +48,19 @@
   void ServeLocally();
   void ForwardFromCaller();
   void ForwardFromGateway();
-  // True when the gateway refuses the opening because it doesn't know the database.
-  bool RefusedAsUnknownDatabase(std::size_t size) const;
-  // Count the messages that these bytes complete.
+  // The notice to send to the gateway before the caller's next message; empty if there is nothing newer to tell, or the
+  // caller is in the middle of a message.
+  std::string NextNotice();
+  // Appends bytes from the gateway to `messages`, handles the notices between its messages, and returns the complete
+  // messages.
+  std::string TakeGatewayMessages(std::string_view bytes);
+  void OnNotice(std::string_view notice);
+  // True when the gateway's first message refuses the opening because it doesn't know the database.
+  bool RefusedAsUnknownDatabase(std::string_view messages) const;
+  // Count the caller's messages that these bytes complete, and these complete messages of the gateway.
   void CountCallerMessages(std::string_view bytes);
-  void CountGatewayMessages(std::size_t size);
+  void CountGatewayMessages(std::string_view messages);
+  void UpdateStatementTimeout();
   void OnGatewayFailed(const std::string& reason);
   void AnswerOutcomeUnknown(const std::string& reason);
   // Handles bytes that arrive after the close notice was sent.
@@ -63,8 +72,18 @@
   boost::asio::steady_timer timer;
   SessionContext& context;
   std::string initial_bytes;
-  std::vector<std::string> gateways;
+  std::vector<gateways::FleetVm> gateways;
+  // The database's name, and the timeout of its statements by the configuration in force.
+  std::string database;
   Duration statement_timeout;
+  // The newest version of the configuration that this VM or the gateway has mentioned in a notice; none: the gateway
+  // accepts no notices.
+  std::optional<std::uint64_t> noticed_version;
+  // What was written to the gateway first.
+  std::string opening_bytes;
+  // What is being written to the gateway and, of the gateway's messages, to the caller.
+  std::string gateway_write_buffer;
+  std::string forwarded_messages;
   // Bytes from this VM itself that are being written to the caller: a failure after the gateway failed, or those of the
   // graceful close.
   std::string caller_write_buffer;
--- a/source/proxy/session_context.h
+++ b/source/proxy/session_context.h
@@ -5,9 +5,11 @@
 #include <string>
 #include <vector>
 
+#include "core/gateways/gateway_choice.h"
 #include "core/statements/statement.h"
 #include "proxy/configuration.h"
 #include "proxy/dispatcher.h"
+#include "proxy/relay_notice.h"
 #include "proxy/statement_codec.h"
 
 namespace amaranthlane::proxy {
@@ -44,6 +46,16 @@
   virtual const StatementCodec& Codec() const = 0;
   // Null until the first configuration has been received.
   virtual const Configuration* CurrentConfiguration() const = 0;
+  // The newest configuration that this VM knows of, its own or one that another VM has already used.
+  virtual const KnownConfiguration& NewestConfiguration() const = 0;
+  // Another VM uses this configuration. If it is newer than any known one, this VM fetches it.
+  virtual void LearnConfiguration(const KnownConfiguration& known) = 0;
+  // False while this VM has no configuration, or knows of a newer one that it hasn't received yet. No request may be
+  // served by the configuration then.
+  bool ConfigurationIsNewest() const {
+    const Configuration* configuration = this->CurrentConfiguration();
+    return configuration != nullptr && configuration->version >= this->NewestConfiguration().version;
+  }
   // Null until an endpoint of the group is known.
   virtual Dispatcher* FindDispatcher(const GroupName& group) = 0;
   // True when a commit that `endpoint` has just answered may be acknowledged to the caller: `endpoint` is the group's
@@ -52,12 +64,12 @@
   virtual std::uint64_t RecordVersion() const = 0;
   // Schedules a run of all dispatchers on the event loop.
   virtual void ScheduleDispatch() = 0;
-  // Relay addresses of the gateways that serve sessions of the group, in the order to try. Empty: this VM serves them.
-  virtual std::vector<std::string> GatewaysFor(const GroupName& group) = 0;
+  // The gateways that serve sessions of the group, in the order to try. Empty: this VM serves them.
+  virtual std::vector<gateways::FleetVm> GatewaysFor(const GroupName& group) = 0;
   // Relay and ServeLocally take over the socket of a session: they create a new Session object that continues it.
   // `initial_bytes` are the bytes that the caller has sent so far.
-  virtual void Relay(boost::asio::ip::tcp::socket socket, std::string initial_bytes, std::vector<std::string> gateways,
-                     Duration statement_timeout) = 0;
+  virtual void Relay(boost::asio::ip::tcp::socket socket, std::string initial_bytes,
+                     std::vector<gateways::FleetVm> gateways, const Route& route) = 0;
   virtual void ServeLocally(boost::asio::ip::tcp::socket socket, std::string initial_bytes) = 0;
   virtual void OnStatementFinished(const StatementReport& report) = 0;
 };
--- a/tests/proxy/relayed_session_test.cc
+++ b/tests/proxy/relayed_session_test.cc
@@ -20,13 +20,15 @@
 class StubContext : public SessionContext {
  public:
   const StatementCodec& Codec() const override { return this->codec; }
-  const Configuration* CurrentConfiguration() const override { return nullptr; }
+  const Configuration* CurrentConfiguration() const override { return &this->configuration; }
   Dispatcher* FindDispatcher(const GroupName&) override { return nullptr; }
   bool MayAcknowledgeCommit(const GroupName&, const EndpointName&, TimePoint) const override { return false; }
   std::uint64_t RecordVersion() const override { return 0; }
   void ScheduleDispatch() override {}
-  std::vector<std::string> GatewaysFor(const GroupName&) override { return {}; }
-  void Relay(tcp::socket, std::string, std::vector<std::string>, Duration) override {}
+  const KnownConfiguration& NewestConfiguration() const override { return this->newest; }
+  void LearnConfiguration(const KnownConfiguration& known) override { this->newest = known; }
+  std::vector<gateways::FleetVm> GatewaysFor(const GroupName&) override { return {}; }
+  void Relay(tcp::socket, std::string, std::vector<gateways::FleetVm>, const Route&) override {}
   void ServeLocally(tcp::socket socket, std::string initial_bytes) override {
     this->served_locally = std::move(initial_bytes);
     socket.close();
@@ -34,6 +36,8 @@
   void OnStatementFinished(const StatementReport& report) override { this->reports.push_back(report); }
 
   TestCodec codec;
+  Configuration configuration;
+  KnownConfiguration newest;
   std::string served_locally;
   std::vector<StatementReport> reports;
 };
@@ -90,11 +94,18 @@
  protected:
   RelayedSessionTest() : caller(this->loop), first(this->loop), second(this->loop) {}
 
-  void Start(std::vector<std::string> gateways, const std::string& initial_bytes = "open g\n") {
+  void Start(const std::vector<std::string>& gateways, const std::string& initial_bytes = "open g\n") {
+    std::vector<gateways::FleetVm> targets;
+    for (const std::string& address : gateways) {
+      targets.push_back({address, address, "dc-1", this->gateways_accept_notices});
+    }
+    Route route;
+    route.database = "g";
+    route.statement_timeout = milliseconds(300);
     tcp::acceptor listener(this->loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
     this->caller.connect(listener.local_endpoint());
-    this->session = std::make_shared<RelayedSession>(listener.accept(), this->context, initial_bytes,
-                                                     std::move(gateways), milliseconds(300));
+    this->session =
+        std::make_shared<RelayedSession>(listener.accept(), this->context, initial_bytes, std::move(targets), route);
     this->session->Start();
     this->Read();
   }
@@ -137,6 +148,7 @@
   tcp::socket caller;
   FakeGateway first;
   FakeGateway second;
+  bool gateways_accept_notices = false;
   std::shared_ptr<RelayedSession> session;
   std::array<char, 4096> read_buffer{};
   std::string received;
@@ -211,6 +223,61 @@
   EXPECT_EQ(this->second.received, "open g\n");
 }
 
+TEST_F(RelayedSessionTest, TheGatewayIsNotifiedOfANewerConfigurationBeforeTheNextMessage) {
+  this->gateways_accept_notices = true;
+  this->context.newest = {4, "127.0.0.1:1"};
+  this->first.answer = AnswerReady;
+  this->Start({this->first.Address()});
+  ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\n"; }));
+  EXPECT_EQ(this->first.received, EncodeRelayNotice({4, "127.0.0.1:1"}) + "open g\n");
+  this->first.received.clear();
+  this->context.newest = {5, "127.0.0.1:2"};
+  this->Send("write w1 ");
+  ASSERT_TRUE(this->RunUntil([this] { return !this->first.received.empty(); }));
+  this->context.newest = {6, "127.0.0.1:3"};
+  this->Send("k\nread r1\n");
+  ASSERT_TRUE(this->RunUntil([this] { return this->first.received.find("r1") != std::string::npos; }));
+  EXPECT_EQ(this->first.received, EncodeRelayNotice({5, "127.0.0.1:2"}) + "write w1 k\nread r1\n");
+  this->first.received.clear();
+  this->Send("read r2\n");
+  ASSERT_TRUE(this->RunUntil([this] { return this->first.received.find("r2") != std::string::npos; }));
+  EXPECT_EQ(this->first.received, EncodeRelayNotice({6, "127.0.0.1:3"}) + "read r2\n");
+}
+
+TEST_F(RelayedSessionTest, ANoticeOfTheGatewayIsNotForwarded) {
+  this->gateways_accept_notices = true;
+  this->first.answer = [](const std::string&) {
+    return std::optional<std::string>(EncodeRelayNotice({9, "127.0.0.1:1"}) + "ready 0 0 0\n");
+  };
+  this->Start({this->first.Address()});
+  ASSERT_TRUE(this->RunUntil([this] { return !this->received.empty(); }));
+  EXPECT_EQ(this->received, "ready 0 0 0\n");
+  EXPECT_EQ(this->context.newest.version, 9U);
+}
+
+// A gateway of an earlier build would take a notice for a malformed message.
+TEST_F(RelayedSessionTest, AGatewayThatAcceptsNoNoticesGetsNone) {
+  this->context.newest = {4, "127.0.0.1:1"};
+  this->first.answer = AnswerReady;
+  this->Start({this->first.Address()});
+  ASSERT_TRUE(this->RunUntil([this] { return !this->received.empty(); }));
+  EXPECT_EQ(this->first.received, "open g\n");
+}
+
+// Guards against a gateway's answer that is given up by a timeout that is no longer in force.
+TEST_F(RelayedSessionTest, AChangedStatementTimeoutAppliesToOpenSessions) {
+  this->first.answer = [](const std::string& bytes) {
+    return bytes.rfind("open", 0) == 0 ? AnswerReady(bytes) : std::optional<std::string>("");
+  };
+  this->Start({this->first.Address()});
+  ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\n"; }));
+  this->context.configuration.routes["g"].statement_timeout = std::chrono::seconds(3);
+  this->Send("write w1\n");
+  this->RunFor(milliseconds(1500));
+  EXPECT_EQ(this->received, "ready 0 0 0\n");
+  EXPECT_FALSE(this->caller_closed);
+}
+
 TEST_F(RelayedSessionTest, ADatabaseThatNoGatewayKnowsIsServedLocally) {
   for (FakeGateway* gateway : {&this->first, &this->second}) {
     gateway->answer = [](const std::string&) { return std::optional<std::string>("failure 10 g\n"); };
