--- /dev/null
+++ b/soak/configuration.py
@@ -0,0 +1,128 @@
+"""Changes the configuration during a soak, and checks by which version VMs serve requests."""
+import asyncio
+import random
+import time
+
+# A VM that no fault has affected for CONTACT_S serves no request by an older configuration than the newest that was
+# acknowledged IN_FORCE_S before the request. These are the users' bounds at their smallest deployments.
+CONTACT_S, IN_FORCE_S = 4.0, 3.0
+# A request sent this long after an answer that showed a version isn't served by an older one, whatever fails.
+DOWNGRADE_S = 0.25
+
+
+class Version:
+    def __init__(self, number, databases):
+        self.number, self.databases, self.acknowledged_at = number, databases, time.monotonic()
+
+
+class ConfigurationChanges:
+    """Adds and removes databases, one with each version, and remembers what each version holds."""
+
+    def __init__(self, platform, groups, seed):
+        self.platform, self.groups, self.random = platform, groups, random.Random(seed + 3)
+        self.versions, self.violations, self.added = [], [], 0
+        # By VM and process: the newest versions that answers have shown, as (time, index in self.versions).
+        self.shown = {}
+
+    def publish(self, databases):
+        number = self.versions[-1].number + self.random.randint(1, 3) if self.versions else 1
+        routes = [(f"{host}-{group.name}", kind, group) for group in self.groups
+                  for host, kind in (("exact", "primary"), ("own", "read_your_writes"))]
+        routes += [(name, "read_your_writes", self.groups[0]) for name in sorted(databases)]
+        services = [{"name": group.name, "max_conns": group.connections, "sync_replicas": 0} for group in self.groups]
+        self.platform.put("config", "main", {
+            "version": number, "services": services, "limits": {"tx_idle_ms": 3000},
+            "routes": [{"name": f"r-{host}", "host": host, "route_type": kind, "timeout_ms": 1000,
+                        "target_latency_ms": 200, "priority": 1, "service": group.name, "max_staleness_ms": 1500}
+                       for host, kind, group in routes]})
+        self.versions.append(Version(number, frozenset(databases)))
+
+    async def run(self):
+        while True:
+            await asyncio.sleep(0.2 + self.random.random())
+            if self.platform.mode != "up":
+                continue
+            databases = set(self.versions[-1].databases)
+            if len(databases) < 3 or self.random.random() < 0.5:
+                self.added += 1
+                databases.add(f"probe{self.added}")
+            else:
+                databases.remove(self.random.choice(sorted(databases)))
+            self.publish(databases)
+
+    def candidate(self):
+        """A database that was added or removed lately."""
+        recent = set().union(*(version.databases for version in self.versions[-8:]))
+        return self.random.choice(sorted(recent) or ["never-added"])
+
+    def check(self, vm, process, database, served, sent_at, undisturbed_since):
+        """Checks an answer that shows whether the VM serves the database."""
+        if vm.process is not process:
+            return
+        possible = [i for i, version in enumerate(self.versions) if (database in version.databases) == served]
+        newest = possible[-1] if possible else -1
+        what = f"{vm.name} {'served' if served else 'refused'} {database}, as version " \
+               f"{self.versions[newest].number if possible else 'none'} or older says"
+        known = [i for at, i in self.shown.get((vm.name, process.pid), []) if sent_at > at + DOWNGRADE_S]
+        if known and newest < max(known):
+            self.violations.append(f"CONFIG: {what}, after it had shown version {self.versions[max(known)].number}")
+        due = [i for i, version in enumerate(self.versions) if version.acknowledged_at + IN_FORCE_S < sent_at]
+        if due and newest < due[-1] and sent_at > undisturbed_since + CONTACT_S:
+            self.violations.append(f"CONFIG: {what}; version {self.versions[due[-1]].number} was acknowledged more than "
+                                   f"{IN_FORCE_S:.0f} s before")
+        if possible:
+            # The oldest version since which the answer has been possible without a break.
+            oldest = newest
+            while oldest - 1 in possible:
+                oldest -= 1
+            self.shown.setdefault((vm.name, process.pid), []).append((time.monotonic(), oldest))
+
+
+class Probe:
+    """Opens sessions for databases that were added or removed lately, and reads from them a few times."""
+
+    def __init__(self, number, changes, soak):
+        self.name, self.changes, self.soak, self.count = f"p{number}", changes, soak, 0
+        self.random = random.Random(soak.seed * 100 + number)
+
+    async def run(self, deadline):
+        while time.monotonic() < deadline:
+            try:
+                await self.run_session()
+            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+                pass
+            await asyncio.sleep(0.05)
+
+    async def run_session(self):
+        vm, database = self.random.choice(self.soak.vms), self.changes.candidate()
+        process = vm.process
+        reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", vm.callers), 2)
+        try:
+            requests = [f"CONNECT {database} {self.name}"] + ["READ k1"] * self.random.randint(1, 4)
+            for text in requests:
+                self.count += 1
+                sent_at, undisturbed_since = time.monotonic(), self.soak.undisturbed_since(vm)
+                opening = text.startswith("CONNECT")
+                writer.write(f"{text if opening else f'QUERY {self.name}q{self.count} {text}'}\r\n".encode())
+                error, rows = await self.read_answer(reader)
+                if error == "NOSUCHDB" or (error is None and rows):
+                    self.changes.check(vm, process, database, error is None, sent_at, undisturbed_since)
+                if error is not None and (opening or error == "NOSUCHDB"):
+                    return
+                await asyncio.sleep(self.random.random() * 0.7)
+        finally:
+            writer.close()
+
+    async def read_answer(self, reader):
+        rows = 0
+        error = None
+        while True:
+            line = (await asyncio.wait_for(reader.readuntil(b"\r\n"), 4)).decode()
+            word, _, rest = line[:-2].partition(" ")
+            rows += word == "ROW"
+            if word == "ERROR":
+                error = rest.partition(" ")[0]
+                if error in ("NOSUCHDB", "RETRY"):
+                    return error, rows
+            elif word == "READY":
+                return error, rows
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -14,6 +14,7 @@
 import time
 
 from callers import Caller
+from configuration import ConfigurationChanges, Probe
 from links import Link
 from wire_platform import Connection, Group, Platform
 
@@ -43,6 +44,8 @@
         self.callers, self.peers, self.ready, self.relay = (free_port() for _ in range(4))
         self.store_link, self.peer_link = None, Link(f"peers of {self.name}", self.peers)
         self.log = folder / f"{self.name}.log"
+        # When a fault of the VM or of its links was last in effect.
+        self.disturbed_at = 0.0
         self.starting = asyncio.Lock()
 
     async def start(self):
@@ -61,6 +64,7 @@
         path = self.folder / f"{self.name}.yaml"
         path.write_text(json.dumps(settings))
         output = self.log.open("ab")
+        self.disturbed_at = time.monotonic()
         self.process = await asyncio.create_subprocess_exec(str(DAEMON), "--settings", str(path), stdout=output,
                                                             stderr=output)
 
@@ -83,6 +87,9 @@
         self.platform.random = random.Random(seed + 1)
         self.vms = [Vm(number, folder) for number in range(vms)]
         self.links, self.faults = [], []
+        self.changes = ConfigurationChanges(self.platform, self.groups, seed)
+        # When a fault of the store, or of a link that it doesn't share with one VM alone, was last in effect.
+        self.store_disturbed_at = 0.0
         self.endpoints = [(group, endpoint) for group in self.groups for endpoint in group.endpoints]
 
     async def start(self):
@@ -102,7 +109,8 @@
             self.links += [vm.store_link, vm.peer_link]
         self.tasks = [asyncio.create_task(group.run_replication()) for group in self.groups]
         self.tasks.append(asyncio.create_task(self.publish_endpoints()))
-        self.publish_configuration()
+        self.changes.publish(())
+        self.tasks.append(asyncio.create_task(self.changes.run()))
         await asyncio.gather(*(vm.start() for vm in self.vms))
 
     async def accept(self, group, endpoint, reader, writer):
@@ -130,14 +138,15 @@
                     self.platform.put("servers", e.name, entry)
             await asyncio.sleep(0.1)
 
-    def publish_configuration(self):
-        routes = [{"name": f"r-{host}-{group.name}", "host": f"{host}-{group.name}", "route_type": kind,
-                   "timeout_ms": 1000, "target_latency_ms": 200, "priority": 1, "service": group.name,
-                   "max_staleness_ms": 1500}
-                  for host, kind in (("exact", "primary"), ("own", "read_your_writes")) for group in self.groups]
-        services = [{"name": group.name, "max_conns": group.connections, "sync_replicas": 0} for group in self.groups]
-        self.platform.put("config", "main", {"version": 1, "routes": routes, "limits": {"tx_idle_ms": 3000},
-                                             "services": services})
+    def undisturbed_since(self, vm):
+        """The time since which no fault has affected the VM, its links or the store."""
+        return max(vm.disturbed_at, self.store_disturbed_at)
+
+    def disturb(self, link):
+        """Notes that a fault of this link is in effect."""
+        for vm in self.vms:
+            if link in (vm.store_link, vm.peer_link):
+                vm.disturbed_at = time.monotonic()
 
     # Returns a random fault: its name, and a coroutine that injects it, waits and ends it.
     def choose_fault(self):
@@ -169,6 +178,7 @@
 
     async def kill(self, vm, duration_s):
         vm.send_signal(signal.SIGKILL)
+        vm.disturbed_at = time.monotonic()
         await asyncio.sleep(duration_s)
         await vm.start()
 
@@ -180,37 +190,56 @@
 
     async def pause(self, vm, duration_s):
         vm.send_signal(signal.SIGSTOP)
+        vm.disturbed_at = time.monotonic() + duration_s
         await asyncio.sleep(duration_s)
         vm.send_signal(signal.SIGCONT)
+        vm.disturbed_at = time.monotonic()
 
     async def stop(self, vm):
         vm.send_signal(signal.SIGTERM)
+        vm.disturbed_at = time.monotonic() + 60
         if vm.process:
             await vm.process.wait()
         await vm.start()
 
     async def set_link_fault(self, link, fault, duration_s):
         setattr(link, fault, True)
-        await asyncio.sleep(duration_s)
+        await self.wait_disturbed(link, duration_s)
         setattr(link, fault, False)
+        self.disturb(link)
 
     async def delay(self, link, duration_s):
         link.delay_s = 0.2
-        await asyncio.sleep(duration_s)
+        await self.wait_disturbed(link, duration_s)
         link.delay_s = 0.0
+        self.disturb(link)
+
+    async def wait_disturbed(self, link, duration_s):
+        end = time.monotonic() + duration_s
+        while time.monotonic() < end:
+            self.disturb(link)
+            await asyncio.sleep(0.1)
 
     async def run_action(self, action):
+        self.disturb(action.__self__)
         action()
 
     async def set_store_mode(self, mode, duration_s):
         self.platform.mode = mode
-        await asyncio.sleep(duration_s)
+        await self.disturb_store(duration_s)
         self.platform.mode = "up"
+        self.store_disturbed_at = time.monotonic()
 
     async def lose_answers(self, duration_s):
         self.platform.lost_share = 0.5
-        await asyncio.sleep(duration_s)
+        await self.disturb_store(duration_s)
         self.platform.lost_share = 0.0
+        self.store_disturbed_at = time.monotonic()
+
+    async def disturb_store(self, duration_s):
+        # Faults of the store may overlap.
+        self.store_disturbed_at = max(self.store_disturbed_at, time.monotonic() + duration_s)
+        await asyncio.sleep(duration_s)
 
     async def crash_endpoint(self, endpoint, duration_s):
         endpoint.alive = False
@@ -233,6 +262,7 @@
         callers = [Caller(n, self.seed, [vm.callers for vm in self.vms], self.groups[n // 2 % len(self.groups)],
                           ("exact", "own")[n % 2]) for n in range(12)]
         running = [asyncio.create_task(caller.run(end + 6)) for caller in callers]
+        running += [asyncio.create_task(Probe(n, self.changes, self).run(end + 6)) for n in range(6)]
         active_faults = []
         while time.monotonic() < end:
             await asyncio.sleep(self.random.random() * 1.5)
@@ -245,6 +275,7 @@
         done_in_total = sum(caller.outcomes["done"] for caller in callers)
         if done_in_total == done_during_faults:
             self.groups[0].report_violation("RECOVER: no operation succeeded after the last fault")
+        self.groups[0].violations += self.changes.violations
         for group in self.groups:
             for attempt in group.reported_not_executed:
                 if attempt in group.commits and attempt not in group.rolled_back:
