--- a/tests/platform/object_watcher_test.cc
+++ b/tests/platform/object_watcher_test.cc
@@ -49,8 +49,15 @@
       for (const auto& [name, revision] : this->objects) {
         items.push_back(ObjectJson(name, revision));
       }
-      response.body = nlohmann::json({{"items", items}, {"has_more", false}, {"as_of_rev", this->revision}}).dump();
+      const bool has_more = this->two_pages && this->lists == 1;
+      if (this->two_pages) {
+        items = {items.at(has_more ? 0 : 1)};
+      }
+      response.body = nlohmann::json({{"items", items}, {"has_more", has_more}, {"as_of_rev", this->revision}}).dump();
       answer(response);
+      if (has_more) {
+        this->Put("a");
+      }
       return;
     }
     ++this->watches;
@@ -109,6 +116,8 @@
   bool unavailable = false;
   bool history_gone = false;
   int lists = 0;
+  // The first list has a page for each object, and "a" changes after its page was read.
+  bool two_pages = false;
   int watches = 0;
   std::map<std::string, StoredObject> received;
   ObjectVersion as_of_revision = 0;
@@ -192,6 +201,14 @@
   EXPECT_TRUE(this->RunUntil([this] { return this->lists == 2; }));
 }
 
+// Guards against a change of an object on an earlier page of a list that the watch then begins after.
+TEST_F(ObjectWatcherTest, WatchesFromTheRevisionOfTheFirstPage) {
+  this->two_pages = true;
+  this->watcher.Refresh();
+  ASSERT_TRUE(this->RunUntil([this] { return this->received.count("b") > 0; }));
+  EXPECT_TRUE(this->RunUntil([this] { return this->received.at("a").revision == 3; }, milliseconds(2000)));
+}
+
 TEST_F(ObjectWatcherTest, FinishesAPendingListAfterWatchingIsDisabled) {
   this->unavailable = true;
   this->watcher.Refresh();
