--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -40,15 +40,18 @@
     async def run(self):
         while True:
             await asyncio.sleep(0.2 + self.random.random())
-            if self.platform.mode != "up":
-                continue
-            databases = set(self.versions[-1].databases)
-            if len(databases) < 3 or self.random.random() < 0.5:
-                self.added += 1
-                databases.add(f"probe{self.added}")
-            else:
-                databases.remove(self.random.choice(sorted(databases)))
-            self.publish(databases)
+            self.change()
+
+    def change(self):
+        if self.platform.mode != "up":
+            return
+        databases = set(self.versions[-1].databases)
+        if len(databases) < 3 or self.random.random() < 0.5:
+            self.added += 1
+            databases.add(f"probe{self.added}")
+        else:
+            databases.remove(self.random.choice(sorted(databases)))
+        self.publish(databases)
 
     def candidate(self):
         """A database that was added or removed lately."""
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -14,7 +14,7 @@
 import time
 
 from callers import Caller
-from configuration import ConfigurationChanges, Probe
+from configuration import CONTACT_S, ConfigurationChanges, Probe
 from links import Link
 from wire_platform import Connection, Group, Platform
 
@@ -161,6 +161,8 @@
                    ("delay " + link.name, self.delay(link, duration_s)),
                    ("reset " + link.name, self.run_action(link.reset)),
                    ("silence " + link.name, self.run_action(link.silence)),
+                   ("silence all store links", self.silence_store()),
+                   ("cut most store links", self.cut_most_from_store(duration_s + CONTACT_S)),
                    ("store refuses", self.set_store_mode("refuse", duration_s)),
                    ("store silent", self.set_store_mode("silent", duration_s)),
                    ("answers lost", self.lose_answers(duration_s)),
@@ -224,6 +226,16 @@
         self.disturb(action.__self__)
         action()
 
+    async def silence_store(self):
+        for vm in self.vms:
+            vm.store_link.silence()
+            self.disturb(vm.store_link)
+        self.changes.change()
+
+    async def cut_most_from_store(self, duration_s):
+        cut = self.random.sample(self.vms, len(self.vms) - 2)
+        await asyncio.gather(*(self.set_link_fault(vm.store_link, "cut", duration_s) for vm in cut))
+
     async def set_store_mode(self, mode, duration_s):
         self.platform.mode = mode
         await self.disturb_store(duration_s)
