--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -96,7 +96,7 @@
     return false;
   }
   try {
-    const KnownConfiguration known = ParseRelayNotice(std::string_view(this->received).substr(0, length));
+    const KnownConfiguration known = ParseRelayNotice(std::string_view{this->received}.substr(0, length));
     this->noticed_version = std::max(this->noticed_version.value_or(0), known.version);
     this->context.LearnConfiguration(known);
   } catch (const ParseError& failure) {
--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -180,7 +180,7 @@
       break;
     }
     if (notice) {
-      this->OnNotice(std::string_view(input).substr(0, length));
+      this->OnNotice(std::string_view{input}.substr(0, length));
     } else {
       messages.append(input, 0, length);
     }
