--- a/source/proxy/graceful_close.cc
+++ b/source/proxy/graceful_close.cc
@@ -27,8 +27,16 @@
   this->received.append(bytes);
   std::string answer;
   std::size_t length = 0;
-  while ((length = this->context.Codec().FrameLength(this->received)) > 0) {
-    answer += this->OnMessage(this->context.Codec().ParseCallerMessage(this->received.substr(0, length)));
+  while (!this->received.empty()) {
+    // A relaying VM's notice is no message of the caller.
+    const bool notice = BeginsWithRelayNotice(this->received);
+    length = notice ? RelayNoticeLength(this->received) : this->context.Codec().FrameLength(this->received);
+    if (length == 0) {
+      break;
+    }
+    if (!notice) {
+      answer += this->OnMessage(this->context.Codec().ParseCallerMessage(this->received.substr(0, length)));
+    }
     this->received.erase(0, length);
   }
   return answer;
--- a/source/proxy/graceful_close.h
+++ b/source/proxy/graceful_close.h
@@ -19,7 +19,8 @@
 
   // The failure message to send at once.
   std::string CloseNotice() const;
-  // Handles bytes that the caller has sent since; returns the bytes to send in answer.
+  // Handles bytes that the caller, or the VM that relays its session, has sent since; returns the bytes to send in
+  // answer.
   std::string OnBytes(std::string_view bytes);
   // True once the caller has sent a message, which the notice answers or which closes the session. The connection can
   // be closed after the bytes that OnBytes returned have been sent.
--- a/tests/proxy/relayed_session_test.cc
+++ b/tests/proxy/relayed_session_test.cc
@@ -264,6 +264,15 @@
   EXPECT_EQ(this->first.received, "open g\n");
 }
 
+// Guards against a notice that a closing gateway answers as if it were the caller's statement.
+TEST_F(RelayedSessionTest, AClosingGatewayPassesOverANotice) {
+  GracefulClose closing(this->context, "the VM is shutting down");
+  EXPECT_EQ(closing.OnBytes(EncodeRelayNotice({7, "127.0.0.1:1"})), "");
+  EXPECT_FALSE(closing.Done());
+  EXPECT_EQ(closing.OnBytes("write w1\n"), "ready 0 0 0\n");
+  EXPECT_TRUE(closing.Done());
+}
+
 // Guards against a gateway's answer that is given up by a timeout that is no longer in force.
 TEST_F(RelayedSessionTest, AChangedStatementTimeoutAppliesToOpenSessions) {
   this->first.answer = [](const std::string& bytes) {
