--- a/soak/soak.py
+++ b/soak/soak.py
@@ -47,10 +47,15 @@
         # When a fault of the VM or of its links was last in effect.
         self.disturbed_at = 0.0
         self.starting = asyncio.Lock()
+        # The process that was sent SIGKILL last.
+        self.killed = None
 
     async def start(self):
         # Faults that end at the same time must not start the VM twice.
         async with self.starting:
+            if self.process and self.process is self.killed:
+                # A busy machine may take longer to end the process than the fault lasts.
+                await self.process.wait()
             if not self.process or self.process.returncode is not None:
                 await self.spawn()
 
@@ -69,6 +74,8 @@
                                                             stderr=output)
 
     def send_signal(self, number):
+        if number == signal.SIGKILL:
+            self.killed = self.process
         if self.process and self.process.returncode is None:
             self.process.send_signal(number)
 
