Follow the directory beside an entry that can't be read

Cause: an entry that another writer left among those of the instances was parsed whatever its depth, and copying a value that is nested 250,000 deep overflows the stack: each VM that lists or watches ended, again after each restart. One number beyond a double, or half of a surrogate pair, made the JSON library reject the whole page or watch response, so that no entry was followed. Ruled out: destroying such a value (the library does it without recursion). Change: json::Parse accepts 64 levels of nesting. ParseSharedDocument replaces the values that can't be read by null and parses again; other strings keep their bytes. The fuzz tests insert deep values and numbers out of range.

--- a/fuzz/mutator.cc
+++ b/fuzz/mutator.cc
@@ -14,15 +14,24 @@
 constexpr std::size_t kMaxSpanBytes = 16;
 constexpr std::size_t kByteValues = 256;
 
-constexpr std::array<std::string_view, 18> kTokens = {
-    "null", "-1", "1e999",       "18446744073709551616", "\"\"", "[]", "{}", "\xff",         "\\u0000",
-    ": ",   "\n", "&a [*a, *a]", "!!binary x",           "[[[[", "{{", "#",  "0.0000000001", "\t"};
+constexpr std::array<std::string_view, 22> kTokens = {"null",         "-1",       "1e999", "18446744073709551616",
+                                                      "\"\"",         "[]",       "{}",    "\xff",
+                                                      "\\u0000",      ": ",       "\n",    "&a [*a, *a]",
+                                                      "!!binary x",   "[[[[",     "{{",    "#",
+                                                      "0.0000000001", "\t",       "1e308", "-1e999",
+                                                      "\"\\ud800\"",  "-Infinity"};
+// Beyond and far beyond what parsers accept. The larger depth overflows the stack of code that recurses into a value.
+constexpr std::array<std::size_t, 2> kDepths = {65, 100 * 1000};
+constexpr std::size_t kInputsPerDeepInput = 1000;
 
 }  // namespace
 
 Mutator::Mutator(std::vector<std::string> samples, std::uint64_t seed) : samples(std::move(samples)), generator(seed) {}
 
 std::string Mutator::Next() {
+  if (this->RandomBelow(kInputsPerDeepInput) == 0) {
+    return this->InsertDeepValue(this->samples[this->RandomBelow(this->samples.size())]);
+  }
   const std::string& sample = this->samples[this->RandomBelow(this->samples.size())];
   nlohmann::json document = nlohmann::json::parse(sample, nullptr, /*allow_exceptions=*/false);
   if (!document.is_discarded() && document.is_structured() && this->RandomBelow(2) == 0) {
@@ -35,6 +44,21 @@
   return std::uniform_int_distribution<std::size_t>(0, count - 1)(this->generator);
 }
 
+std::string Mutator::InsertDeepValue(std::string text) {
+  const std::size_t depth = kDepths.at(this->RandomBelow(kDepths.size()));
+  const bool arrays = this->RandomBelow(2) == 0;
+  std::string value;
+  for (std::size_t i = 0; i < depth; ++i) {
+    value += arrays ? "[" : "{\"a\":";
+  }
+  value += "1" + std::string(depth, arrays ? ']' : '}');
+  // After a colon the value takes the place of a member's value or stands before it.
+  std::size_t position = text.find(':', this->RandomBelow(text.size() + 1));
+  position = position == std::string::npos ? 0 : position + 1;
+  const std::size_t end = text.find_first_of(",}]", position);
+  return text.replace(position, end == std::string::npos ? 0 : end - position, value);
+}
+
 std::string Mutator::MutateText(std::string text) {
   const std::size_t mutations = 1 + this->RandomBelow(kMaxMutations);
   for (std::size_t i = 0; i < mutations; ++i) {
--- a/fuzz/mutator.h
+++ b/fuzz/mutator.h
@@ -19,6 +19,7 @@
 
  private:
   std::size_t RandomBelow(std::size_t count);
+  std::string InsertDeepValue(std::string text);
   std::string MutateText(std::string text);
   // Replaces, removes or adds values at any depth; the result is still JSON.
   std::string MutateJson(nlohmann::json document);
--- a/fuzz/process_parse_functions.cc
+++ b/fuzz/process_parse_functions.cc
@@ -1,4 +1,5 @@
 #include "client/statement.h"
+#include "common/json.h"
 #include "daemon/caller_request.h"
 #include "daemon/endpoint_protocol.h"
 #include "daemon/heartbeat_message.h"
@@ -90,15 +91,15 @@
 void ParseStatusRow(std::string_view text) { platform::LineCodec().ParseStatus(text); }
 
 void ParseStoreObject(std::string_view text) {
-  platform::ParseStoredObject(platform::ParseResponseBody(std::string(text)));
+  platform::ParseStoredObject(json::ParseSharedDocument(text, "store response"));
 }
 
 void ParsePlatformEntry(std::string_view text) {
-  platform::ParseEndpointEntry("e", platform::ParseResponseBody(std::string(text)));
+  platform::ParseEndpointEntry("e", json::ParseSharedDocument(text, "store response"));
 }
 
 void ParsePlatformConfiguration(std::string_view text) {
-  platform::ParseConfiguration(platform::ParseResponseBody(std::string(text)));
+  platform::ParseConfiguration(json::ParseSharedDocument(text, "store response"));
 }
 
 std::string WorkSample() {
--- a/source/common/json.cc
+++ b/source/common/json.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "common/error.h"
+#include "common/ip_address.h"
+#include "common/json_text.h"
 
 namespace amaranthlane::json {
 
@@ -14,6 +16,9 @@
 }  // namespace
 
 nlohmann::json Parse(std::string_view text, std::string_view document) {
+  if (IsNestedTooDeeply(text)) {
+    throw ParseError(std::string(document), "", "arrays and objects nested less deeply");
+  }
   nlohmann::json parsed = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (parsed.is_discarded()) {
     throw ParseError(std::string(document), "", "a JSON document");
@@ -21,6 +26,14 @@
   return parsed;
 }
 
+nlohmann::json ParseSharedDocument(std::string_view text, std::string_view document) {
+  try {
+    return Parse(text, document);
+  } catch (const ParseError&) {
+    return Parse(ReplaceUnreadableValues(text), document);
+  }
+}
+
 ObjectReader::ObjectReader(const nlohmann::json& value, std::string document)
     : value(value), document(std::move(document)) {
   if (!this->value.is_object()) {
@@ -88,6 +101,18 @@
   return this->Has(key) ? this->Milliseconds(key) : fallback;
 }
 
+std::string ObjectReader::Address(const char* key) const {
+  std::string address = this->String(key);
+  if (!IsIpAndPort(address)) {
+    this->Fail(key, "an address as ip:port");
+  }
+  return address;
+}
+
+std::string ObjectReader::AddressOrEmpty(const char* key) const {
+  return this->String(key).empty() ? std::string() : this->Address(key);
+}
+
 std::vector<std::string> ObjectReader::Strings(const char* key) const {
   std::vector<std::string> strings;
   for (const nlohmann::json& element : this->Array(key)) {
--- a/source/common/json.h
+++ b/source/common/json.h
@@ -12,9 +12,14 @@
 // invalid input always results in a ParseError that names the document, the key and the expected value.
 namespace amaranthlane::json {
 
-// Parses `text`. Throws ParseError if it is not valid JSON. `document` names the kind of message in the error.
+// Parses `text`. Throws ParseError if it is not valid JSON or nested deeper than kMaxNesting. `document` names the kind
+// of message in the error.
 nlohmann::json Parse(std::string_view text, std::string_view document);
 
+// Parses text that holds the values of several writers. A value that can't be read is replaced as by
+// ReplaceUnreadableValues, so that it doesn't hide the others. Throws ParseError if the text still isn't valid JSON.
+nlohmann::json ParseSharedDocument(std::string_view text, std::string_view document);
+
 // Reads the members of one JSON object. The object must outlive the reader.
 class ObjectReader {
  public:
@@ -33,6 +38,10 @@
   // Reads a whole number of milliseconds, at most one day.
   std::chrono::milliseconds Milliseconds(const char* key) const;
   std::chrono::milliseconds MillisecondsOr(const char* key, std::chrono::milliseconds fallback) const;
+  // Reads an address as ip:port, the port from 1 to 65535.
+  std::string Address(const char* key) const;
+  // Reads an address that may be empty.
+  std::string AddressOrEmpty(const char* key) const;
   std::vector<std::string> Strings(const char* key) const;
   std::vector<std::string> StringsOr(const char* key, std::vector<std::string> fallback) const;
   // The member, of any type.
--- a/source/proxy/directory_change_log.cc
+++ b/source/proxy/directory_change_log.cc
@@ -63,7 +63,7 @@
 }
 
 std::optional<DirectorySnapshot> ApplyUpdate(const DirectoryUpdate& update, const DirectorySnapshot& own) {
-  DirectorySnapshot result{update.revision, {}};
+  DirectorySnapshot result{update.revision, {}, 0};
   if (update.base > 0) {
     result.endpoints = own.endpoints;
   }
--- a/source/proxy/directory_change_log.h
+++ b/source/proxy/directory_change_log.h
@@ -16,6 +16,8 @@
 struct DirectorySnapshot {
   ObjectVersion revision = 0;
   failover::EndpointDirectory endpoints;
+  // The number of entries in the store that are left out because they are invalid. 0 in a copy from a peer.
+  std::size_t invalid_entries = 0;
 };
 
 // The difference between the directories at two revisions, or a whole directory.
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -99,6 +99,10 @@
     this->store_sync.ConfirmConfiguration(current_at);
   });
   this->platform.SubscribeToDirectory([this](DirectorySnapshot update, TimePoint current_at) {
+    this->registry
+        .GetGauge("amaranthlane_directory_invalid_entries",
+                  "Entries of the store's directory that are left out because they are invalid, at the last read.")
+        .value = static_cast<double>(update.invalid_entries);
     this->OnDirectory(std::move(update));
     this->store_sync.ConfirmDirectory(current_at);
   });
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "common/error.h"
+#include "common/json.h"
 #include "platform/store_client.h"
 
 namespace amaranthlane::platform {
@@ -75,11 +76,12 @@
 
 // One entry with bytes that aren't UTF-8 must not hide the others.
 TEST(StoreResponse, ReplacesBytesThatAreNotUtf8) {
-  const nlohmann::json document = ParseResponseBody(
+  const nlohmann::json document = json::ParseSharedDocument(
       "{\"items\":[\"good\",\"b\xff\xfe"
-      "d\"]}");
+      "d\"]}",
+      "sample");
   EXPECT_EQ(document["items"][0], "good");
-  EXPECT_THROW(ParseResponseBody("{\"items\":"), ParseError);
+  EXPECT_THROW(json::ParseSharedDocument("{\"items\":", "sample"), ParseError);
 }
 
 TEST(StoreResponse, RequiresAnObjectsNameAndRevision) {
--- a/tests/platform/object_watcher_test.cc
+++ b/tests/platform/object_watcher_test.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "net/free_port.h"
 #include "net/http_server.h"
@@ -19,6 +20,29 @@
 
 constexpr unsigned kGone = 410;
 constexpr unsigned kServiceUnavailable = 503;
+// Stands in a response for the spec of an object that another writer left, followed by the object's name.
+constexpr char kForeignSpec[] = "foreign spec of ";
+
+std::string Repeated(const std::string& text, std::size_t count) {
+  std::string repeated;
+  for (std::size_t i = 0; i < count; ++i) {
+    repeated += text;
+  }
+  return repeated;
+}
+
+// What another writer may leave as a spec: each is one that a parser rejects or can't hold.
+std::vector<std::pair<std::string, std::string>> UnreadableSpecs() {
+  // Half a megabyte, as large as a value of the store may be.
+  constexpr std::size_t kDepth = 250000;
+  return {{"nested arrays", Repeated("[", kDepth) + Repeated("]", kDepth)},
+          {"nested objects", Repeated("{\"a\":", kDepth / 3) + "1" + Repeated("}", kDepth / 3)},
+          {"nested in a member", R"({"service":"g","extra":)" + Repeated("[", kDepth) + Repeated("]", kDepth) + "}"},
+          {"number beyond a double", R"({"slots":1e999})"},
+          {"infinity", R"({"slots":-Infinity})"},
+          {"lone surrogate", R"({"zone":"\ud800"})"},
+          {"bytes that are not UTF-8", "{\"zone\":\"\xc3\x28\"}"}};
+}
 
 // Runs a watcher against an HTTP server that answers lists and watches like the store, for one kind of object.
 class ObjectWatcherTest : public ::testing::Test {
@@ -48,12 +72,16 @@
       nlohmann::json items = nlohmann::json::array();
       for (const auto& [name, revision] : this->objects) {
         items.push_back(ObjectJson(name, revision));
+        if (this->foreign_specs.count(name) > 0) {
+          items.back()["spec"] = kForeignSpec + name;
+        }
       }
       const bool has_more = this->two_pages && this->lists == 1;
       if (this->two_pages) {
         items = {items.at(has_more ? 0 : 1)};
       }
-      response.body = nlohmann::json({{"items", items}, {"has_more", has_more}, {"as_of_rev", this->revision}}).dump();
+      response.body =
+          this->Text(nlohmann::json({{"items", items}, {"has_more", has_more}, {"as_of_rev", this->revision}}));
       answer(response);
       if (has_more) {
         this->Put("a");
@@ -71,6 +99,28 @@
     return {{"meta", {{"name", name}, {"revision", revision}}}, {"spec", {{"value", revision}}}};
   }
 
+  // The document's text, in which each spec that another writer left is spelled as that writer did.
+  std::string Text(const nlohmann::json& document) const {
+    std::string text = document.dump();
+    for (const auto& [name, spec] : this->foreign_specs) {
+      const std::string placeholder = "\"" + std::string(kForeignSpec) + name + "\"";
+      for (std::size_t at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder)) {
+        text.replace(at, placeholder.size(), spec);
+      }
+    }
+    return text;
+  }
+
+  // Changes an object in the store to one whose spec has this text, and answers the pending watch.
+  void PutForeign(const std::string& name, const std::string& spec) {
+    this->foreign_specs[name] = spec;
+    this->objects[name] = ++this->revision;
+    nlohmann::json object = ObjectJson(name, this->revision);
+    object["spec"] = kForeignSpec + name;
+    this->events.push_back({{"object", object}, {"deleted", false}});
+    this->AnswerWatch();
+  }
+
   // Changes an object in the store and answers the pending watch.
   void Put(const std::string& name) {
     this->objects[name] = ++this->revision;
@@ -91,7 +141,7 @@
       for (const nlohmann::json& event : this->events) {
         sent_events.push_back(event);
       }
-      response.body = nlohmann::json({{"events", sent_events}, {"as_of_rev", this->revision}}).dump();
+      response.body = this->Text(nlohmann::json({{"events", sent_events}, {"as_of_rev", this->revision}}));
     }
     std::exchange(this->pending_watch, nullptr)(response);
   }
@@ -112,6 +162,8 @@
   std::map<std::string, ObjectVersion> objects = {{"a", 1}, {"b", 2}};
   ObjectVersion revision = 2;
   std::deque<nlohmann::json> events;
+  // The text of the specs that another writer left, by the object's name.
+  std::map<std::string, std::string> foreign_specs;
   net::HttpServer::ResponseCallback pending_watch;
   bool unavailable = false;
   bool history_gone = false;
@@ -209,6 +261,32 @@
   EXPECT_TRUE(this->RunUntil([this] { return this->received.at("a").revision == 3; }, milliseconds(2000)));
 }
 
+// One entry that another writer left must neither end the process nor hide the other entries.
+TEST_F(ObjectWatcherTest, ListsTheOthersBesideAnUnreadableEntry) {
+  for (const auto& [description, spec] : UnreadableSpecs()) {
+    this->foreign_specs["odd"] = spec;
+    this->objects["odd"] = ++this->revision;
+    this->received.clear();
+    this->watcher.Refresh();
+    EXPECT_TRUE(this->RunUntil([this] { return this->received.count("b") > 0; }, milliseconds(2000))) << description;
+  }
+}
+
+TEST_F(ObjectWatcherTest, FollowsTheOthersAfterAnUnreadableEntry) {
+  this->watcher.Refresh();
+  ASSERT_TRUE(this->RunUntil([this] { return this->watches == 1; }));
+  for (const auto& [description, spec] : UnreadableSpecs()) {
+    this->PutForeign("odd", spec);
+    this->Put("c");
+    EXPECT_TRUE(this->RunUntil([this] { return this->as_of_revision == this->revision; }, milliseconds(2500)))
+        << description;
+  }
+  EXPECT_EQ(this->lists, 1);
+  this->foreign_specs.clear();
+  this->Put("odd");
+  EXPECT_TRUE(this->RunUntil([this] { return this->received.at("odd").spec.contains("value"); }));
+}
+
 TEST_F(ObjectWatcherTest, FinishesAPendingListAfterWatchingIsDisabled) {
   this->unavailable = true;
   this->watcher.Refresh();
