Check addresses where they are read

Cause: the check of directory entries accepts [::1]:1, which the parser of addresses rejects, and it threw in the event loop when the connection was opened: one such entry ended every VM. Addresses in heartbeats, in the coordination record and in what peers tell of the directory weren't checked at all until a connection was opened to them. Change: ObjectReader::Address checks an address where it is read; the parser accepts an IPv6 address in brackets. The round trip of a heartbeat in CoordinationMessages had an empty address, which no VM sends; it has a valid one now and compares it as well.

--- a/source/core/coordination/messages.cc
+++ b/source/core/coordination/messages.cc
@@ -77,8 +77,8 @@
   HeartbeatRequest heartbeat;
   heartbeat.vm = reader.String("vm");
   heartbeat.incarnation = reader.Unsigned("incarnation");
-  heartbeat.address = reader.String("address");
-  heartbeat.relay_address = reader.String("relay_address");
+  heartbeat.address = reader.Address("address");
+  heartbeat.relay_address = reader.AddressOrEmpty("relay_address");
   heartbeat.data_centre = reader.String("data_centre");
   heartbeat.accepts_notices = reader.BoolOr("accepts_notices", false);
   heartbeat.version = reader.Unsigned("version");
@@ -154,8 +154,8 @@
   if (reader.Has("fleet")) {
     for (const nlohmann::json& known : reader.Array("fleet")) {
       const json::ObjectReader vm(known, "fleet");
-      reply.fleet_view.fleet.push_back(
-          {vm.String("vm"), vm.String("relay_address"), vm.String("data_centre"), vm.BoolOr("accepts_notices", false)});
+      reply.fleet_view.fleet.push_back({vm.String("vm"), vm.AddressOrEmpty("relay_address"), vm.String("data_centre"),
+                                        vm.BoolOr("accepts_notices", false)});
     }
   }
   reply.record = ParseOptionalRecord(reader);
--- a/source/core/coordination/record.cc
+++ b/source/core/coordination/record.cc
@@ -12,7 +12,7 @@
 
 Member ParseMember(const nlohmann::json& document) {
   const json::ObjectReader reader(document, kDocument);
-  return {reader.String("vm"), reader.String("address")};
+  return {reader.String("vm"), reader.Address("address")};
 }
 
 GroupState ParseGroupState(const nlohmann::json& document) {
--- a/source/core/membership/heartbeat.cc
+++ b/source/core/membership/heartbeat.cc
@@ -36,10 +36,7 @@
   if (reader.Has("data_centre") || reader.Has("region") || reader.Has("address")) {
     entry.data_centre = reader.String("data_centre");
     entry.region = reader.String("region");
-    entry.address = reader.String("address");
-    if (entry.address.empty()) {
-      throw ParseError(kDocument, "address", "an address as ip:port");
-    }
+    entry.address = reader.Address("address");
   }
   return entry;
 }
--- a/source/net/address.cc
+++ b/source/net/address.cc
@@ -7,13 +7,23 @@
 
 namespace amaranthlane::net {
 
+namespace {
+
+// An IPv6 address stands in brackets where a port follows.
+std::string_view WithoutBrackets(std::string_view ip) {
+  const bool bracketed = ip.size() > 2 && ip.front() == '[' && ip.back() == ']';
+  return bracketed ? ip.substr(1, ip.size() - 2) : ip;
+}
+
+}  // namespace
+
 Address ParseAddress(std::string_view text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) {
     throw ParseError("address", std::string(text), "an IP address and a port from 1 to 65535, such as 127.0.0.1:7000");
   }
   Address address;
-  address.ip = std::string(text.substr(0, colon));
+  address.ip = std::string(WithoutBrackets(text.substr(0, colon)));
   boost::system::error_code failure;
   boost::asio::ip::make_address(address.ip, failure);
   const std::string_view digits = text.substr(colon + 1);
@@ -24,6 +34,9 @@
   return address;
 }
 
-std::string ToString(const Address& address) { return address.ip + ":" + std::to_string(address.port); }
+std::string ToString(const Address& address) {
+  const bool is_ipv6 = address.ip.find(':') != std::string::npos;
+  return (is_ipv6 ? "[" + address.ip + "]" : address.ip) + ":" + std::to_string(address.port);
+}
 
 }  // namespace amaranthlane::net
--- a/source/net/address.h
+++ b/source/net/address.h
@@ -15,7 +15,7 @@
   bool operator==(const Address&) const = default;
 };
 
-// Parses `ip:port`, with a port from 1 to 65535. Throws ParseError.
+// Parses `ip:port`, with a port from 1 to 65535; an IPv6 address may stand in brackets. Throws ParseError.
 Address ParseAddress(std::string_view text);
 
 std::string ToString(const Address& address);
--- a/source/proxy/peer_sync_messages.cc
+++ b/source/proxy/peer_sync_messages.cc
@@ -116,7 +116,7 @@
     failover::EndpointEntry entry;
     entry.name = member.String("name");
     entry.group = member.String("group");
-    entry.address = member.String("address");
+    entry.address = member.Address("address");
     entry.data_centre = member.String("data_centre");
     entry.draining = member.Bool("draining");
     entry.claims_primary = member.Bool("claims_primary");
--- a/tests/core/coordination/messages_test.cc
+++ b/tests/core/coordination/messages_test.cc
@@ -49,17 +49,36 @@
   HeartbeatRequest heartbeat;
   heartbeat.vm = "c";
   heartbeat.incarnation = 9;
+  heartbeat.address = "10.0.0.3:7000";
   heartbeat.groups_in_use = {"g"};
   heartbeat.unreachable_endpoints = {"h"};
   heartbeat.leaving = true;
   const HeartbeatRequest read = ParseHeartbeatRequest(ToJson(heartbeat));
   EXPECT_EQ(read.incarnation, 9U);
+  EXPECT_EQ(read.address, heartbeat.address);
+  EXPECT_EQ(read.relay_address, "");
   EXPECT_EQ(read.groups_in_use, heartbeat.groups_in_use);
   EXPECT_EQ(read.unreachable_endpoints, heartbeat.unreachable_endpoints);
   EXPECT_TRUE(read.leaving);
   EXPECT_EQ(read.record, std::nullopt);
 }
 
+// A VM connects to these addresses later, where an invalid one could no longer be rejected.
+TEST(CoordinationMessages, RejectsUnusableAddresses) {
+  HeartbeatRequest heartbeat;
+  heartbeat.vm = "c";
+  CoordinationRecord record;
+  for (const char* address : {"", "c:7000", "10.0.0.3:70000", "10.0.0.3:0", "10.0.0.3"}) {
+    heartbeat.address = address;
+    EXPECT_THROW(ParseHeartbeatRequest(ToJson(heartbeat)), ParseError) << address;
+    record.members = {{"a", address}};
+    EXPECT_THROW(ParseCoordinationRecord(ToJson(record)), ParseError) << address;
+  }
+  heartbeat.address = "10.0.0.3:7000";
+  heartbeat.relay_address = "10.0.0.3:70000";
+  EXPECT_THROW(ParseHeartbeatRequest(ToJson(heartbeat)), ParseError);
+}
+
 TEST(PrimaryLease, CountsFromTheOldestGrant) {
   const CoordinationSettings settings;
   PrimaryLease lease(settings);
--- a/tests/proxy/node_test.cc
+++ b/tests/proxy/node_test.cc
@@ -174,6 +174,21 @@
   EXPECT_EQ(this->group.primary, "e4");
 }
 
+// An entry of another writer may hold an address that no endpoint listens on, of either kind.
+TEST_F(NodeTest, AnEndpointThatCanNotBeConnectedToHidesNoOther) {
+  for (const char* address : {"[::1]:1", "127.0.0.1:1"}) {
+    failover::EndpointEntry entry = this->endpoints.front()->Entry();
+    entry.name = std::string("foreign ") + address;
+    entry.address = address;
+    entry.claims_primary = false;
+    this->store.directory.endpoints.emplace(entry.name, entry);
+  }
+  this->store.Publish();
+  this->RunFor(milliseconds(300));
+  const auto caller = this->Open(0, "exact");
+  EXPECT_EQ(this->SendAndWait(*caller, "write w1"), std::string("row e1 w1\n") + kDone);
+}
+
 TEST_F(NodeTest, ADrainingPrimaryIsReplacedWithoutALostWrite) {
   const auto caller = this->Open(1, "exact");
   this->endpoints[0]->draining = true;
