Reject directory entries with unusable names

Cause: a name or service with a blank or a line end was accepted, though it is sent to endpoints as a word of a line, and one of half a megabyte would have been passed on to every peer. A time of 1e300 ms in a route overflowed. Change: names have 1 to 255 bytes above the blank; times are bounded to 0 to 24 hours.

--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -57,6 +57,38 @@
   EXPECT_THROW(ParseEndpointEntry("i-1", nullptr), ParseError);
 }
 
+TEST(Decoders, RejectsAnEntryWithAnUnusableAddressOrName) {
+  nlohmann::json entry = EntryJson();
+  for (const char* address : {"10.128.0.9:70000", "10.128.0.9:0", "10.128.0.9:-1", "10.128.0.9", "host:80", ""}) {
+    entry["address"] = address;
+    EXPECT_THROW(ParseEndpointEntry("i-1", entry), ParseError) << address;
+  }
+  entry = EntryJson();
+  for (const std::string& word : {std::string(), std::string("a b"), std::string("a\r\nQUIT"), std::string(256, 'a')}) {
+    EXPECT_THROW(ParseEndpointEntry(word, entry), ParseError) << word;
+    entry["service"] = word;
+    EXPECT_THROW(ParseEndpointEntry("i-1", entry), ParseError) << word;
+    entry = EntryJson();
+  }
+}
+
+TEST(Decoders, RejectsNumbersThatAreNotWholeOrOutOfRange) {
+  for (const char* number : {"-1", "0.5", "1e300", "18446744073709551616"}) {
+    nlohmann::json entry = EntryJson();
+    entry["slots"] = nlohmann::json::parse(number);
+    EXPECT_THROW(ParseEndpointEntry("i-1", entry), ParseError) << number;
+  }
+}
+
+TEST(Decoders, BoundsTimesOfTheConfiguration) {
+  nlohmann::json document = ConfigurationJson();
+  document["routes"][1]["max_staleness_ms"] = 1e300;
+  document["routes"][1]["timeout_ms"] = -1e300;
+  const proxy::Route route = ParseConfiguration(document).routes.at("xapu221");
+  EXPECT_EQ(route.max_staleness, std::chrono::hours(24));
+  EXPECT_EQ(route.statement_timeout, Duration::zero());
+}
+
 TEST(Decoders, ReadsTheConfiguration) {
   const proxy::Configuration configuration = ParseConfiguration(ConfigurationJson());
   EXPECT_EQ(configuration.version, 7U);
