Use the valid entries of the platform's replies in amaranthlaned

Cause: one invalid VM or object dropped the whole reply, and a listed VM whose port is out of range was kept until a heartbeat to it threw in the event loop. Change: entries are judged one by one; invalid ones are left out, logged and counted.

--- a/source/daemon/platform_client.cc
+++ b/source/daemon/platform_client.cc
@@ -4,6 +4,7 @@
 
 #include "common/error.h"
 #include "common/json.h"
+#include "logging/log.h"
 
 namespace amaranthlane::daemon {
 
@@ -29,11 +30,29 @@
   vm.vm = reader.String("vm");
   vm.data_centre = reader.String("data_centre");
   vm.region = reader.String("region");
-  vm.address = reader.String("address");
+  vm.address = reader.Address("address");
   vm.leaving = reader.String("state") == "leaving";
   return vm;
 }
 
+// Appends what `parse` reads from each element. An element that it rejects is left out, so that one invalid entry
+// doesn't hide the others. `name_key` is the member that names an element in the log.
+template <typename Element>
+void ParseElements(const Json& elements, Element (*parse)(const Json&), const char* name_key,
+                   std::vector<Element>& parsed, PlatformReply& reply) {
+  for (const Json& element : elements) {
+    try {
+      parsed.push_back(parse(element));
+    } catch (const ParseError& failure) {
+      ++reply.invalid_entries;
+      const bool named = element.is_object() && element.contains(name_key) && element[name_key].is_string();
+      logging::Write(
+          logging::Level::kWarning, "ignoring an invalid entry of the platform's reply",
+          {{"entry", named ? element[name_key].get<std::string>() : std::string()}, {"why", failure.what()}});
+    }
+  }
+}
+
 void ParseSuccess(const Json& body, PlatformReply& reply) {
   const json::ObjectReader reader(body, kDocument);
   reply.status = PlatformStatus::kDone;
@@ -42,14 +61,10 @@
     reply.object = configuration::ParsePlatformObject(body);
   }
   if (reader.Has("objects")) {
-    for (const Json& object : reader.Array("objects")) {
-      reply.objects.push_back(configuration::ParsePlatformObject(object));
-    }
+    ParseElements(reader.Array("objects"), configuration::ParsePlatformObject, "name", reply.objects, reply);
   }
   if (reader.Has("vms")) {
-    for (const Json& vm : reader.Array("vms")) {
-      reply.vms.push_back(ParseListedVm(vm));
-    }
+    ParseElements(reader.Array("vms"), ParseListedVm, "vm", reply.vms, reply);
   }
 }
 
@@ -62,7 +77,7 @@
 
 PlatformReply ParseReply(const net::HttpResponse& response) {
   PlatformReply reply;
-  const Json body = json::Parse(response.body, kDocument);
+  const Json body = json::ParseSharedDocument(response.body, kDocument);
   if (response.status == kStatusOk) {
     ParseSuccess(body, reply);
   } else if (response.status == kStatusNotFound) {
@@ -99,7 +114,9 @@
       traffic(traffic),
       reads(metrics.GetCounter("amaranthlane_platform_calls_total", "Calls to the platform.", {{"kind", "read"}})),
       writes(metrics.GetCounter("amaranthlane_platform_calls_total", "Calls to the platform.", {{"kind", "write"}})),
-      watches(metrics.GetCounter("amaranthlane_platform_calls_total", "Calls to the platform.", {{"kind", "watch"}})) {}
+      watches(metrics.GetCounter("amaranthlane_platform_calls_total", "Calls to the platform.", {{"kind", "watch"}})),
+      invalid_entries(metrics.GetCounter("amaranthlane_platform_invalid_entries_total",
+                                         "Entries in the platform's replies that were ignored as invalid.")) {}
 
 void PlatformClient::Get(const std::string& kind, const std::string& name, Callback callback) {
   ++this->reads.value;
@@ -151,9 +168,9 @@
   const std::uint64_t watch_id = ++this->latest_watch_id;
   this->watch->Call(net::HttpRequest{"GET", target, {}, {}}, BootClock::now() + wait + kWatchTimeoutMargin,
                     [this, watch_id, callback = std::move(callback)](const net::CallResult& result) {
-                      this->traffic.CountCall(kPlatformTraffic, result);
+                      PlatformReply reply = this->ProcessResult(result);
                       if (watch_id == this->latest_watch_id) {
-                        callback(ToReply(result));
+                        callback(std::move(reply));
                       }
                     });
 }
@@ -167,11 +184,16 @@
 }
 
 void PlatformClient::Call(net::HttpRequest request, Callback callback) {
-  this->pool.Call(std::move(request), BootClock::now() + kCallTimeout,
-                  [this, callback = std::move(callback)](const net::CallResult& result) {
-                    this->traffic.CountCall(kPlatformTraffic, result);
-                    callback(ToReply(result));
-                  });
+  this->pool.Call(
+      std::move(request), BootClock::now() + kCallTimeout,
+      [this, callback = std::move(callback)](const net::CallResult& result) { callback(this->ProcessResult(result)); });
+}
+
+PlatformReply PlatformClient::ProcessResult(const net::CallResult& result) {
+  this->traffic.CountCall(kPlatformTraffic, result);
+  PlatformReply reply = ToReply(result);
+  this->invalid_entries.value += reply.invalid_entries;
+  return reply;
 }
 
 }  // namespace amaranthlane::daemon
--- a/source/daemon/platform_client.h
+++ b/source/daemon/platform_client.h
@@ -37,6 +37,8 @@
   configuration::PlatformObject object;
   std::vector<configuration::PlatformObject> objects;
   std::vector<membership::ListedVm> vms;
+  // The number of entries that could not be parsed and are missing from `objects` and `vms`.
+  std::uint64_t invalid_entries = 0;
 };
 
 // Calls the platform's object API. Each callback runs once, with the reply or after a timeout; only that of a watch
@@ -63,6 +65,8 @@
   void CloseWatch();
 
  private:
+  // Parses the result of a call and counts it.
+  PlatformReply ProcessResult(const net::CallResult& result);
   void Call(net::HttpRequest request, Callback callback);
 
   boost::asio::io_context& loop;
@@ -74,6 +78,7 @@
   metrics::Counter& reads;
   metrics::Counter& writes;
   metrics::Counter& watches;
+  metrics::Counter& invalid_entries;
 };
 
 }  // namespace amaranthlane::daemon
