Leave invalid directory entries in each run of the soak

Change: one entry is rewritten every 1.5 s with one of six specs; an exit code that no fault explains is a violation.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -49,6 +49,8 @@
         self.starting = asyncio.Lock()
         # The process that was sent SIGKILL last.
         self.killed = None
+        # The exit codes of processes that ended by themselves.
+        self.crashes = []
 
     async def start(self):
         # Faults that end at the same time must not start the VM twice.
@@ -68,11 +70,17 @@
                     "shutdown": {"grace_ms": 4000}}
         path = self.folder / f"{self.name}.yaml"
         path.write_text(json.dumps(settings))
+        self.note_end()
         output = self.log.open("ab")
         self.disturbed_at = time.monotonic()
         self.process = await asyncio.create_subprocess_exec(str(DAEMON), "--settings", str(path), stdout=output,
                                                             stderr=output)
 
+    def note_end(self):
+        """Notes the exit code of a process that ended by itself."""
+        if self.process and self.process.returncode not in (None, 0, -signal.SIGKILL):
+            self.crashes.append(self.process.returncode)
+
     def send_signal(self, number):
         if number == signal.SIGKILL:
             self.killed = self.process
@@ -116,6 +124,7 @@
             self.links += [vm.store_link, vm.peer_link]
         self.tasks = [asyncio.create_task(group.run_replication()) for group in self.groups]
         self.tasks.append(asyncio.create_task(self.publish_endpoints()))
+        self.tasks.append(asyncio.create_task(self.platform.leave_odd_entries()))
         self.changes.publish(())
         self.tasks.append(asyncio.create_task(self.changes.run()))
         await asyncio.gather(*(vm.start() for vm in self.vms))
@@ -295,6 +304,10 @@
         if done_in_total == done_during_faults:
             self.groups[0].report_violation("RECOVER: no operation succeeded after the last fault")
         self.groups[0].violations += self.changes.violations
+        for vm in self.vms:
+            vm.note_end()
+            if vm.crashes:
+                self.groups[0].report_violation(f"ENDED: {vm.name} ended by itself with {vm.crashes}")
         for group in self.groups:
             for attempt in group.reported_not_executed:
                 if attempt in group.commits and attempt not in group.rolled_back:
--- a/soak/wire_platform.py
+++ b/soak/wire_platform.py
@@ -241,6 +241,12 @@
         return f"{statement_id}.{self.endpoint.name}"
 
 
+# Specs that another writer may leave in the store, as text, since some of them are no JSON values.
+ODD_SPECS = ["[" * 250000 + "]" * 250000, '{"service":"g","slots":1e999}', '{"service":"g","zone":"\\ud800"}', "[null]",
+             '{"service":"g","address":"127.0.0.1:70000","slots":1,"state":"ready","db_role":"replica"}',
+             '{"service":"g","address":"[::1]:1","slots":18446744073709551615,"state":"ready","db_role":"replica"}']
+
+
 class Platform:
     """The object store and the promotion call, on one HTTP port."""
 
@@ -263,6 +269,12 @@
         self.changed = asyncio.Event()
         return self.objects[(kind, name)]
 
+    async def leave_odd_entries(self):
+        """Rewrites one entry of the directory again and again, as a faulty writer would."""
+        while True:
+            self.put("servers", "odd", f"odd spec {self.random.randrange(len(ODD_SPECS))}")
+            await asyncio.sleep(1.5)
+
     async def serve(self, reader, writer):
         try:
             while True:
@@ -276,7 +288,10 @@
                 status, answer = (503, {}) if self.mode == "refuse" else await self.handle(method, target, body)
                 if method in ("PUT", "POST") and self.random and self.random.random() < self.lost_share:
                     return
-                data = json.dumps(answer).encode()
+                text = json.dumps(answer)
+                for number, spec in enumerate(ODD_SPECS):
+                    text = text.replace(f'"odd spec {number}"', spec)
+                data = text.encode()
                 writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                              f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
                 await writer.drain()
