Choose members and gateways by their share of processors

Cause: members answer the heartbeats of the whole fleet, and were chosen in the order of names. Each member also walked over all VMs twice for each heartbeat that it answered, so that this work grew with the square of the fleet. Change: capacity.cores tells a VM's share of processors, heartbeats and the list of VMs carry it. The largest VM of each data centre is chosen first; a member is replaced when one twice its size is there, and a coordinator hands over to a first successor twice its size that reaches the store. Gateways are chosen by weighted rendezvous hashing. The fleet is counted once in a heartbeat interval, and candidates are sorted only when members are to be chosen.

--- a/source/common/settings.h
+++ b/source/common/settings.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "common/error.h"
+#include "common/millicores.h"
 
 namespace amaranthlane {
 
@@ -31,6 +32,7 @@
   // Empty: the system chooses the address.
   std::string source_ip;
   std::vector<std::string> seeds;
+  Millicores processor_share{};
 
   std::uint64_t max_caller_connections = 8192;
   std::uint64_t max_body_bytes = 1024UL * 1024;
--- a/source/common/settings_table.cc
+++ b/source/common/settings_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <type_traits>
 
 #include "common/ip_address.h"
@@ -16,6 +17,8 @@
 constexpr std::uint64_t kMaxRequestTimeoutMs = 10UL * 60 * 1000;
 constexpr std::uint64_t kMaxCallerConnections = 1000UL * 1000;
 constexpr std::uint64_t kMaxBodyBytes = 64ULL * 1024 * 1024;
+constexpr std::uint64_t kMillicoresPerCore = 1000;
+constexpr std::uint64_t kMaxMillicores = 1024 * kMillicoresPerCore;
 constexpr std::uint64_t kMaxTraceSpans = 1000UL * 1000;
 
 bool IsSchedulingPolicy(std::string_view text) {
@@ -89,6 +92,13 @@
                        .member = &Settings::seeds,
                        .rule = &kAddressRule,
                        .help = "Addresses of peers to learn from when the platform is unavailable at startup."},
+    SettingDeclaration{.key = "capacity.cores",
+                       .member = &Settings::processor_share,
+                       .minimum = 0,
+                       .maximum = kMaxMillicores,
+                       .help =
+                           "Processor cores that this VM may use, such as 0.25. VMs with more of them become members "
+                           "and gateways first. 0: unknown."},
     SettingDeclaration{.key = "limits.caller_connections",
                        .member = &Settings::max_caller_connections,
                        .minimum = 1,
@@ -166,26 +176,41 @@
   return error == std::errc() && end == text.data() + text.size();
 }
 
+// Parses a decimal number from 0 and converts it to thousandths.
+bool ParseThousandths(std::string_view text, std::uint64_t& thousandths) {
+  constexpr double kThousandthsPerUnit = 1000;
+  constexpr double kMaxUnits = 1e15;
+  double units = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), units);
+  const bool valid = error == std::errc() && end == text.data() + text.size() && units >= 0 && units <= kMaxUnits;
+  thousandths = valid ? static_cast<std::uint64_t>(std::round(units * kThousandthsPerUnit)) : 0;
+  return valid;
+}
+
 // Parses a whole number of milliseconds, or seconds such as "6s" or "1.5s".
 bool ParseDuration(std::string_view text, std::uint64_t& milliseconds) {
-  if (!text.ends_with('s')) {
-    return ParseUnsigned(text, milliseconds);
-  }
-  double seconds = 0;
-  const std::string_view number = text.substr(0, text.size() - 1);
-  const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), seconds);
-  if (error != std::errc() || end != number.data() + number.size() || seconds < 0) {
-    return false;
-  }
-  constexpr double kMillisecondsPerSecond = 1000;
-  milliseconds = static_cast<std::uint64_t>(seconds * kMillisecondsPerSecond);
-  return true;
+  return text.ends_with('s') ? ParseThousandths(text.substr(0, text.size() - 1), milliseconds)
+                             : ParseUnsigned(text, milliseconds);
+}
+
+bool HoldsTime(const SettingDeclaration& declaration) {
+  return std::holds_alternative<std::chrono::milliseconds Settings::*>(declaration.member);
+}
+
+bool HoldsCores(const SettingDeclaration& declaration) {
+  return std::holds_alternative<Millicores Settings::*>(declaration.member);
 }
 
 bool ParseInRange(const SettingDeclaration& declaration, std::string_view text, std::uint64_t& number) {
-  const bool is_time = std::holds_alternative<std::chrono::milliseconds Settings::*>(declaration.member);
-  return (is_time ? ParseDuration(text, number) : ParseUnsigned(text, number)) && number >= declaration.minimum &&
-         number <= declaration.maximum;
+  bool parsed = false;
+  if (HoldsTime(declaration)) {
+    parsed = ParseDuration(text, number);
+  } else if (HoldsCores(declaration)) {
+    parsed = ParseThousandths(text, number);
+  } else {
+    parsed = ParseUnsigned(text, number);
+  }
+  return parsed && number >= declaration.minimum && number <= declaration.maximum;
 }
 
 }  // namespace
@@ -216,8 +241,11 @@
     return IsListSetting(declaration) ? std::string("a list, each ") + declaration.rule->expected
                                       : declaration.rule->expected;
   }
-  const bool is_time = std::holds_alternative<std::chrono::milliseconds Settings::*>(declaration.member);
-  return "a whole number " + std::string(is_time ? "of milliseconds " : "") + "from " +
+  if (HoldsCores(declaration)) {
+    return "a number of cores from " + std::to_string(declaration.minimum / kMillicoresPerCore) + " to " +
+           std::to_string(declaration.maximum / kMillicoresPerCore);
+  }
+  return "a whole number " + std::string(HoldsTime(declaration) ? "of milliseconds " : "") + "from " +
          std::to_string(declaration.minimum) + " to " + std::to_string(declaration.maximum);
 }
 
@@ -238,7 +266,7 @@
       std::uint64_t number = 0;
       const bool in_range = ParseInRange(declaration, text, number);
       if (in_range) {
-        settings.*member = static_cast<Value>(number);
+        settings.*member = Value{number};
       }
       return in_range;
     }
@@ -261,6 +289,8 @@
       return std::to_string(settings.*member);
     } else if constexpr (std::is_same_v<Value, std::chrono::milliseconds>) {
       return std::to_string((settings.*member).count());
+    } else if constexpr (std::is_same_v<Value, Millicores>) {
+      return std::to_string((settings.*member).count / kMillicoresPerCore);
     } else {
       std::string joined;
       for (const std::string& element : settings.*member) {
--- a/source/common/settings_table.h
+++ b/source/common/settings_table.h
@@ -14,8 +14,9 @@
 namespace amaranthlane {
 
 // The member of Settings that holds a setting's value; the member's type is the setting's type.
-using SettingMember = std::variant<std::string Settings::*, std::vector<std::string> Settings::*,
-                                   std::uint64_t Settings::*, std::chrono::milliseconds Settings::*>;
+using SettingMember =
+    std::variant<std::string Settings::*, std::vector<std::string> Settings::*, std::uint64_t Settings::*,
+                 std::chrono::milliseconds Settings::*, Millicores Settings::*>;
 
 // The format of a text setting, or of each element of a list.
 struct TextRule {
@@ -30,7 +31,7 @@
   SettingMember member;
   // Only for text and lists.
   const TextRule* rule = nullptr;
-  // Only for numbers and durations (in milliseconds); both inclusive.
+  // Only for numbers, durations (in milliseconds) and shares of processors (in millicores); both inclusive.
   std::uint64_t minimum = 0;
   std::uint64_t maximum = 0;
   bool required = false;
--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -26,6 +26,7 @@
   if (this->started_at == kNever) {
     this->started_at = now;
   }
+  this->UpdateFleetSize(now);
   this->PollStore(now, actions);
   if (!this->record) {
     return;
@@ -88,6 +89,7 @@
   heartbeat.address = this->self.address;
   heartbeat.relay_address = this->self.relay_address;
   heartbeat.data_centre = this->self.data_centre;
+  heartbeat.processor_share = this->self.processor_share;
   heartbeat.reachable_groups = this->report.reachable_groups;
   heartbeat.fleet_digest = this->report.fleet_digest;
   heartbeat.version = this->record->version;
@@ -114,7 +116,7 @@
   reply.configuration_age = AgeOf(this->report.store_currency.configuration_at, now);
   reply.directory_age = AgeOf(this->report.store_currency.directory_at, now);
   reply.fleet_size = this->FleetSize();
-  reply.wants_handover = this->handover_requested;
+  reply.wants_handover = this->handover_requested || this->HasLargerSuccessor(now);
   reply.store_contact_age = now - this->last_store_contact;
   if (!this->record) {
     return reply;
@@ -141,6 +143,7 @@
   contact.handover_requested_since = reply.wants_handover ? std::min(contact.handover_requested_since, now) : kNever;
   contact.connection_refused = false;
   contact.fleet_size = reply.fleet_size;
+  contact.last_store_contact = sent_at - reply.store_contact_age;
   const std::uint64_t asked_version = this->record ? this->record->version : 0;
   if (reply.granted && this->record && reply.version == this->record->version) {
     this->primary_lease.AddGrant(member, this->record->epoch, sent_at, reply.store_contact_age);
@@ -448,20 +451,26 @@
   return this->pending_write && now > this->pending_write->proposed_at + this->settings.reply_timeout * 2;
 }
 
-std::size_t CoordinationSystem::FleetSize() const {
-  std::size_t size = 1;
-  if (this->record && this->record->IsMember(this->self.vm)) {
-    TimePoint newest;
-    for (const auto& [vm, entry] : this->grant_table.Entries()) {
-      newest = std::max(newest, entry.last_heartbeat);
-    }
-    for (const auto& [vm, entry] : this->grant_table.Entries()) {
-      size +=
-          vm != this->self.vm && entry.last_heartbeat + this->settings.heartbeat_interval * kFleetHeartbeats >= newest
-              ? 1
-              : 0;
-    }
+void CoordinationSystem::UpdateFleetSize(TimePoint now) {
+  if (now < this->next_fleet_size_update) {
+    return;
   }
+  this->next_fleet_size_update = now + this->settings.heartbeat_interval;
+  this->heard_vms = 1;
+  if (!this->record || !this->record->IsMember(this->self.vm)) {
+    return;
+  }
+  TimePoint newest;
+  for (const auto& [vm, entry] : this->grant_table.Entries()) {
+    newest = std::max(newest, entry.last_heartbeat);
+  }
+  for (const auto& [vm, entry] : this->grant_table.Entries()) {
+    this->heard_vms += this->HeardRecently(vm, entry, newest) ? 1 : 0;
+  }
+}
+
+std::size_t CoordinationSystem::FleetSize() const {
+  std::size_t size = this->heard_vms;
   for (const auto& [vm, contact] : this->contacts) {
     size = std::max<std::size_t>(size, contact.fleet_size);
   }
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -53,6 +53,7 @@
   std::string address;
   std::string relay_address;
   std::string data_centre;
+  Millicores processor_share = {};
 };
 
 // What this VM reports in its heartbeats, besides the version of its record.
@@ -149,6 +150,7 @@
   bool WritePending() const;
   // True when the outcome of a write has been unknown for longer than two reply timeouts.
   bool WriteOverdue(TimePoint now) const;
+  // As of the last Tick().
   std::size_t FleetSize() const;
   const GrantTable& Grants() const;
 
@@ -169,6 +171,8 @@
     TimePoint handover_requested_since = kNever;
     bool connection_refused = false;
     std::uint64_t fleet_size = 0;
+    // When the member last had an answer from the store, as far as this VM knows.
+    TimePoint last_store_contact;
   };
   // What this VM knows of a set of replaced members.
   struct Retirement {
@@ -206,7 +210,17 @@
   // true when at most two members remain, because then silence doesn't show which of them is isolated.
   bool HearsMajority(TimePoint now) const;
   bool StoreReachable(TimePoint now) const;
+  void UpdateFleetSize(TimePoint now);
   std::vector<Member> ChooseMembers(TimePoint now, const std::vector<Member>& preferred, bool keep_coordinator) const;
+  // The reason to replace a member other than this VM; empty if there is none.
+  std::string ReasonToReplaceMember(TimePoint now) const;
+  // Removes members whose place a larger VM of their data centre can take.
+  std::vector<Member> WithoutOutsizedMembers(const std::vector<Member>& members, TimePoint now) const;
+  // True when the VM sends heartbeats, isn't shutting down, and has at least kOutsizedFactor times this share of
+  // processors. False if one of them is unknown.
+  bool Outsizes(const VmName& vm, const Millicores& share, TimePoint now) const;
+  // True when the first successor is so much larger than this VM that it should be the coordinator.
+  bool HasLargerSuccessor(TimePoint now) const;
   void Propose(CoordinationRecord record, TimePoint now, Actions& actions);
   void FinishWrite(ObjectVersion revision, TimePoint now, Actions& actions);
   bool IsSilent(const VmName& member, Duration limit, TimePoint now) const;
@@ -237,7 +251,11 @@
   // Keyed by the epoch of the replaced members.
   std::map<std::uint64_t, Retirement> retirements;
   TimePoint next_replacement;
+  TimePoint next_size_check;
   bool handover_requested = false;
+  // The number of VMs that send heartbeats, this one included.
+  std::size_t heard_vms = 1;
+  TimePoint next_fleet_size_update;
 };
 
 }  // namespace amaranthlane::coordination
--- a/source/core/coordination/grant_table.cc
+++ b/source/core/coordination/grant_table.cc
@@ -12,6 +12,7 @@
   entry.relay_address = heartbeat.relay_address;
   entry.data_centre = heartbeat.data_centre;
   entry.accepts_notices = heartbeat.accepts_notices;
+  entry.processor_share = heartbeat.processor_share;
   entry.last_heartbeat = now;
   entry.version = heartbeat.version;
   entry.groups_in_use = {heartbeat.groups_in_use.begin(), heartbeat.groups_in_use.end()};
@@ -42,7 +43,7 @@
   std::vector<gateways::FleetVm> alive;
   for (const auto& [vm, entry] : this->entries) {
     if (entry.last_heartbeat >= since && !entry.leaving) {
-      alive.push_back({vm, entry.relay_address, entry.data_centre, entry.accepts_notices});
+      alive.push_back({vm, entry.relay_address, entry.data_centre, entry.accepts_notices, entry.processor_share});
     }
   }
   return alive;
--- a/source/core/coordination/grant_table.h
+++ b/source/core/coordination/grant_table.h
@@ -19,6 +19,7 @@
   std::string relay_address;
   std::string data_centre;
   bool accepts_notices = false;
+  Millicores processor_share = {};
   // When the last grant to the VM expires.
   TimePoint granted_until;
   TimePoint last_heartbeat;
--- a/source/core/coordination/messages.cc
+++ b/source/core/coordination/messages.cc
@@ -58,6 +58,7 @@
                              {"relay_address", heartbeat.relay_address},
                              {"data_centre", heartbeat.data_centre},
                              {"accepts_notices", heartbeat.accepts_notices},
+                             {"millicores", heartbeat.processor_share.count},
                              {"version", heartbeat.version},
                              {"busy", heartbeat.groups_in_use},
                              {"suspects", heartbeat.unreachable_endpoints},
@@ -81,6 +82,7 @@
   heartbeat.relay_address = reader.AddressOrEmpty("relay_address");
   heartbeat.data_centre = reader.String("data_centre");
   heartbeat.accepts_notices = reader.BoolOr("accepts_notices", false);
+  heartbeat.processor_share.count = reader.UnsignedOr("millicores", 0);
   heartbeat.version = reader.Unsigned("version");
   heartbeat.groups_in_use = reader.Strings("busy");
   heartbeat.unreachable_endpoints = reader.Strings("suspects");
@@ -126,7 +128,8 @@
       document["fleet"].push_back({{"vm", known.vm},
                                    {"relay_address", known.relay_address},
                                    {"data_centre", known.data_centre},
-                                   {"accepts_notices", known.accepts_notices}});
+                                   {"accepts_notices", known.accepts_notices},
+                                   {"millicores", known.processor_share.count}});
     }
   }
   if (reply.record) {
@@ -154,8 +157,11 @@
   if (reader.Has("fleet")) {
     for (const nlohmann::json& known : reader.Array("fleet")) {
       const json::ObjectReader vm(known, "fleet");
-      reply.fleet_view.fleet.push_back({vm.String("vm"), vm.AddressOrEmpty("relay_address"), vm.String("data_centre"),
-                                        vm.BoolOr("accepts_notices", false)});
+      reply.fleet_view.fleet.push_back({vm.String("vm"),
+                                        vm.AddressOrEmpty("relay_address"),
+                                        vm.String("data_centre"),
+                                        vm.BoolOr("accepts_notices", false),
+                                        {vm.UnsignedOr("millicores", 0)}});
     }
   }
   reply.record = ParseOptionalRecord(reader);
--- a/source/core/coordination/messages.h
+++ b/source/core/coordination/messages.h
@@ -50,6 +50,7 @@
   std::string data_centre;
   // As in gateways::FleetVm. False for VMs of an earlier build.
   bool accepts_notices = true;
+  Millicores processor_share = {};
   // The version of the record that the sender has adopted. The sender uses no primary of a group that is changing in
   // that version.
   std::uint64_t version = 0;
--- a/source/core/coordination/settings.h
+++ b/source/core/coordination/settings.h
@@ -38,6 +38,8 @@
   Duration store_contact_timeout = std::chrono::seconds(20);
   // Between two changes of the members by the coordinator.
   Duration member_replacement_interval = std::chrono::milliseconds(500);
+  // Between two checks whether larger VMs can take the place of members.
+  Duration size_check_interval = std::chrono::seconds(2);
   // How long a new coordinator waits for heartbeats before it chooses the other members.
   Duration initial_heartbeat_wait = std::chrono::milliseconds(700);
   // The maximum number of members besides the coordinator.
--- a/source/core/coordination/succession.cc
+++ b/source/core/coordination/succession.cc
@@ -12,6 +12,9 @@
 
 // With this number of members or fewer, a VM can't tell from the members that it hears whether it is isolated itself.
 constexpr std::size_t kSmallMemberSet = 2;
+// A VM takes the place of a member if it has this many times the member's share of processors. A smaller difference
+// isn't worth a change of members.
+constexpr std::uint64_t kOutsizedFactor = 2;
 
 bool Contains(const std::vector<Member>& members, const VmName& vm) {
   return std::any_of(members.begin(), members.end(), [&vm](const Member& member) { return member.vm == vm; });
@@ -39,25 +42,101 @@
       add(member.vm);
     }
   }
-  // First one VM of each further data centre, then any.
+  if (chosen.size() > this->settings.max_other_members) {
+    return chosen;
+  }
+  std::vector<std::pair<Millicores, const VmName*>> candidates;
+  for (const auto& [vm, entry] : this->grant_table.Entries()) {
+    candidates.emplace_back(entry.processor_share, &vm);
+  }
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const auto& left, const auto& right) { return left.first.count > right.first.count; });
+  // First the largest VM of each further data centre, then the largest of all.
   for (const bool new_data_centre_only : {true, false}) {
-    for (const auto& [vm, entry] : this->grant_table.Entries()) {
+    for (const auto& [share, vm] : candidates) {
+      const std::string& data_centre = this->grant_table.Entries().at(*vm).data_centre;
       const bool same_data_centre =
-          std::find(data_centres.begin(), data_centres.end(), entry.data_centre) != data_centres.end();
-      if (chosen.size() <= this->settings.max_other_members && usable(vm) &&
+          std::find(data_centres.begin(), data_centres.end(), data_centre) != data_centres.end();
+      if (chosen.size() <= this->settings.max_other_members && usable(*vm) &&
           !(new_data_centre_only && same_data_centre)) {
-        add(vm);
+        add(*vm);
       }
     }
   }
   return chosen;
 }
 
+bool CoordinationSystem::Outsizes(const VmName& vm, const Millicores& share, TimePoint now) const {
+  const auto found = this->grant_table.Entries().find(vm);
+  return found != this->grant_table.Entries().end() && !found->second.leaving && share.count > 0 &&
+         found->second.last_heartbeat + this->settings.failure_timeout > now &&
+         found->second.processor_share.count >= share.count * kOutsizedFactor;
+}
+
+std::vector<Member> CoordinationSystem::WithoutOutsizedMembers(const std::vector<Member>& members,
+                                                               TimePoint now) const {
+  const std::map<VmName, GrantEntry>& entries = this->grant_table.Entries();
+  std::vector<Member> kept;
+  for (const Member& member : members) {
+    const auto known = entries.find(member.vm);
+    const bool outsized = member.vm != this->self.vm && known != entries.end() &&
+                          std::any_of(entries.begin(), entries.end(), [&](const auto& other) {
+                            return other.second.data_centre == known->second.data_centre &&
+                                   !this->record->IsMember(other.first) &&
+                                   this->Outsizes(other.first, known->second.processor_share, now);
+                          });
+    if (!outsized) {
+      kept.push_back(member);
+    }
+  }
+  return kept;
+}
+
+bool CoordinationSystem::HasLargerSuccessor(TimePoint now) const {
+  if (!this->IsCoordinator() || this->record->members.size() <= 1 || now < this->next_replacement) {
+    return false;
+  }
+  const VmName& successor = this->record->members[1].vm;
+  const auto contact = this->contacts.find(successor);
+  const bool has_store = contact != this->contacts.end() &&
+                         now - contact->second.last_store_contact < this->settings.store_poll_interval * 2;
+  const bool changing = std::any_of(this->record->groups.begin(), this->record->groups.end(),
+                                    [](const auto& group) { return group.second.changing; });
+  return has_store && !changing && this->Outsizes(successor, this->self.processor_share, now);
+}
+
 void CoordinationSystem::ReplaceMembers(TimePoint now, Actions& actions) {
   if (!this->IsCoordinator() || this->pending_write || !this->revision || now < this->next_replacement ||
       this->report.leaving) {
     return;
   }
+  std::string reason = this->ReasonToReplaceMember(now);
+  std::vector<Member> preferred = this->record->members;
+  if (reason.empty() && now >= this->next_size_check && this->HearsMajority(now)) {
+    this->next_size_check = now + this->settings.size_check_interval;
+    preferred = this->WithoutOutsizedMembers(preferred, now);
+    reason = preferred.size() < this->record->members.size() ? "larger VMs can take the place of members" : "";
+  }
+  const bool too_few = this->record->members.size() <= this->settings.max_other_members;
+  if (reason.empty() && !too_few) {
+    return;
+  }
+  const std::vector<Member> chosen = this->ChooseMembers(now, preferred, true);
+  if (reason.empty() && chosen.size() > this->record->members.size()) {
+    reason = "fewer members than intended";
+  }
+  if (reason.empty() || chosen == this->record->members) {
+    return;
+  }
+  this->next_replacement = now + this->settings.member_replacement_interval;
+  CoordinationRecord next = *this->record;
+  next.members = chosen;
+  next.epoch += 1;
+  actions.emplace_back(Decision{"replacing members", reason});
+  this->Propose(std::move(next), now, actions);
+}
+
+std::string CoordinationSystem::ReasonToReplaceMember(TimePoint now) const {
   const Duration timeout = this->HearsMajority(now) ? this->settings.failure_timeout : this->settings.isolation_timeout;
   std::string reason;
   for (const Member& member : this->record->members) {
@@ -66,27 +145,16 @@
     }
     const auto found = this->grant_table.Entries().find(member.vm);
     const bool known = found != this->grant_table.Entries().end();
-    const TimePoint heard = known ? std::max(found->second.last_heartbeat, this->contacts[member.vm].last_reply)
-                                  : this->contacts[member.vm].last_reply;
+    const auto contact = this->contacts.find(member.vm);
+    const TimePoint replied = contact == this->contacts.end() ? TimePoint() : contact->second.last_reply;
+    const TimePoint heard = known ? std::max(found->second.last_heartbeat, replied) : replied;
     if (heard + timeout <= now) {
       reason = member.vm + " does not answer";
     } else if (known && found->second.leaving) {
       reason = member.vm + " is shutting down";
     }
   }
-  const std::vector<Member> chosen = this->ChooseMembers(now, this->record->members, true);
-  if (reason.empty() && chosen.size() > this->record->members.size()) {
-    reason = "fewer members than intended";
-  }
-  if (reason.empty() || chosen == this->record->members) {
-    return;
-  }
-  this->next_replacement = now + this->settings.member_replacement_interval;
-  CoordinationRecord next = *this->record;
-  next.members = chosen;
-  next.epoch += 1;
-  actions.emplace_back(Decision{"replacing members", reason});
-  this->Propose(std::move(next), now, actions);
+  return reason;
 }
 
 std::string CoordinationSystem::TakeoverReason(TimePoint now) const {
--- a/source/core/gateways/gateway_choice.cc
+++ b/source/core/gateways/gateway_choice.cc
@@ -23,13 +23,25 @@
 constexpr double kMaxConnectionsPerGateway = 8;
 // With many groups, each VM is the gateway of about this many, or of more where each data centre needs a gateway.
 constexpr double kTargetGroupsPerVm = 2.5;
+// What a VM that doesn't tell its share of processors counts as, in millicores.
+constexpr double kDefaultMillicores = 250;
+
+// The score of a VM in weighted rendezvous hashing: of several VMs, each has the highest one as often as its weight
+// says.
+double Score(const GroupName& group, const FleetVm& vm) {
+  constexpr double kHashValues = 18446744073709551616.0;  // 2^64
+  const double uniform = (static_cast<double>(RendezvousHash(group, vm.vm)) + 1) / (kHashValues + 2);
+  const double weight =
+      vm.processor_share.count == 0 ? kDefaultMillicores : static_cast<double>(vm.processor_share.count);
+  return -weight / std::log(uniform);
+}
 
 }  // namespace
 
 std::string FleetDigest(const std::vector<FleetVm>& fleet) {
   std::string text;
   for (const FleetVm& member : fleet) {
-    text += member.vm + " " + member.relay_address + "\n";
+    text += member.vm + " " + member.relay_address + " " + std::to_string(member.processor_share.count) + "\n";
   }
   return std::to_string(RendezvousHash("fleet", text));
 }
@@ -55,10 +67,10 @@
 }
 
 std::vector<FleetVm> ChooseGateways(const GroupName& group, const std::vector<FleetVm>& fleet, std::size_t count) {
-  using ScoredVm = std::pair<std::uint64_t, const FleetVm*>;
+  using ScoredVm = std::pair<double, const FleetVm*>;
   std::map<std::string_view, std::vector<ScoredVm>> by_data_centre;
   for (const FleetVm& member : fleet) {
-    by_data_centre[member.data_centre].emplace_back(RendezvousHash(group, member.vm), &member);
+    by_data_centre[member.data_centre].emplace_back(Score(group, member), &member);
   }
   // The number of gateways by data centre. If the total exceeds `count`, the data centres with the most gateways give
   // up the excess.
--- a/source/core/gateways/gateway_choice.h
+++ b/source/core/gateways/gateway_choice.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "common/millicores.h"
 #include "core/types.h"
 
 // Which VMs hold connections to a group's endpoints. Where the endpoints accept too few connections for every VM to
@@ -23,11 +24,12 @@
   std::string data_centre;
   // It understands notices of newer configurations between the messages of a relayed session.
   bool accepts_notices = false;
+  Millicores processor_share = {};
 
   bool operator==(const FleetVm&) const = default;
 };
 
-// A hash of the VMs' names and relay addresses.
+// A hash of the VMs' names, relay addresses and shares of processors.
 std::string FleetDigest(const std::vector<FleetVm>& fleet);
 
 // The counts that determine how connections are divided.
@@ -53,7 +55,8 @@
 GatewayPlan PlanGateways(std::size_t connections, const FleetCounts& fleet);
 
 // Chooses at most `count` gateways of the group, spread over the data centres in proportion to their VMs, with at least
-// one in each if `count` suffices. VMs that see the same fleet choose the same gateways.
+// one in each if `count` suffices. Within a data centre a VM is chosen as often as its share of processors says. VMs
+// that see the same fleet choose the same gateways.
 std::vector<FleetVm> ChooseGateways(const GroupName& group, const std::vector<FleetVm>& fleet, std::size_t count);
 
 }  // namespace amaranthlane::gateways
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -31,7 +31,7 @@
 coordination::Self MakeSelf(const Settings& settings, Incarnation incarnation) {
   const std::string& peers =
       settings.advertised_peers_address.empty() ? settings.peers_address : settings.advertised_peers_address;
-  return {settings.vm, incarnation, peers, settings.relay_address, settings.data_centre};
+  return {settings.vm, incarnation, peers, settings.relay_address, settings.data_centre, settings.processor_share};
 }
 
 // -1 if the time was never set.
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -79,7 +79,8 @@
     this->next_fleet_update = now + std::clamp(interval, kMinFleetUpdateInterval, kMaxFleetUpdateInterval);
     std::vector<gateways::FleetVm> alive = this->coordination.Grants().AliveSince(now - kAliveTimeout);
     std::erase_if(alive, [this](const gateways::FleetVm& vm) { return vm.vm == this->settings.vm; });
-    alive.push_back({this->settings.vm, this->settings.relay_address, this->settings.data_centre, true});
+    alive.push_back({this->settings.vm, this->settings.relay_address, this->settings.data_centre, true,
+                     this->settings.processor_share});
     this->UpdateFleet(std::move(alive));
   }
   if (record != nullptr) {
--- a/tests/common/settings_test.cc
+++ b/tests/common/settings_test.cc
@@ -29,6 +29,15 @@
   EXPECT_EQ(settings.seeds, (std::vector<std::string>{"[::1]:1", "1.2.3.4:5"}));
 }
 
+TEST(SettingsTest, ReadsAShareOfAProcessor) {
+  const std::string text = std::string(kRequiredSettings) + "capacity:\n  cores: ";
+  EXPECT_EQ(ParseSettings(text + "0.12", "vm.yaml").processor_share.count, 120U);
+  EXPECT_EQ(ParseSettings(text + "2", "vm.yaml").processor_share.count, 2000U);
+  for (const char* invalid : {"-1", "1025", "1e300", "nan", "many", "0.5 cores"}) {
+    EXPECT_EQ(ExpectSettingsError(text + invalid).expected, "a number of cores from 0 to 1024") << invalid;
+  }
+}
+
 TEST(SettingsTest, ErrorNamesFileLineKeyAndExpectedValue) {
   const SettingsError error = ExpectSettingsError(std::string(kRequiredSettings) + "limits:\n  body_bytes: -5\n");
   EXPECT_EQ(error.source, "vm.yaml");
--- a/tests/core/coordination/coordination_system_test.cc
+++ b/tests/core/coordination/coordination_system_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+#include <vector>
+
 #include "core/coordination/vm_fleet.h"
 
 namespace amaranthlane::coordination {
@@ -237,6 +240,84 @@
 }
 
 // A VM that hears none of its peers but reaches the store must not take over a healthy fleet.
+// The load of a member grows with the fleet, so that it must not fall on the smallest VMs.
+class SizedFleetTest : public testing::Test {
+ protected:
+  static constexpr std::size_t kVms = 30;
+
+  ~SizedFleetTest() override { EXPECT_EQ(this->fleet.violation, std::nullopt); }
+
+  // One large VM in each data centre, and two more.
+  static bool IsLarge(std::size_t vm) { return vm >= kVms - 5; }
+
+  static std::vector<Millicores> Shares() {
+    std::vector<Millicores> shares;
+    for (std::size_t vm = 0; vm < kVms; ++vm) {
+      shares.push_back({IsLarge(vm) ? 500U : 120U});
+    }
+    return shares;
+  }
+
+  void KillLargeVms() {
+    for (std::size_t vm = kVms - 5; vm < kVms; ++vm) {
+      this->fleet.Kill(vm);
+    }
+  }
+
+  void ExpectLargeMembers() {
+    for (std::size_t vm = 0; vm < kVms; ++vm) {
+      EXPECT_EQ(this->fleet.IsMember(vm), IsLarge(vm)) << vm;
+    }
+    ASSERT_NE(this->fleet.Coordinator(), std::nullopt);
+    EXPECT_TRUE(IsLarge(*this->fleet.Coordinator())) << *this->fleet.Coordinator();
+  }
+
+  VmFleet fleet{kVms, 7, Shares()};
+};
+
+TEST_F(SizedFleetTest, LargeVmsBecomeMembersAndCoordinator) {
+  this->fleet.RunFor(seconds(8));
+  this->ExpectLargeMembers();
+  EXPECT_EQ(this->fleet.PrimaryUsers(), kVms);
+}
+
+TEST_F(SizedFleetTest, LargeVmsThatReturnBecomeMembersAndInterruptNoVm) {
+  this->KillLargeVms();
+  this->fleet.RunFor(seconds(5));
+  EXPECT_EQ(this->fleet.PrimaryUsers(), kVms - 5);
+  for (std::size_t vm = kVms - 5; vm < kVms; ++vm) {
+    this->fleet.Restart(vm);
+  }
+  for (int step = 0; step < 800; ++step) {
+    this->fleet.RunFor(milliseconds(10));
+    ASSERT_GE(this->fleet.PrimaryUsers(), kVms - 5) << step;
+  }
+  this->ExpectLargeMembers();
+}
+
+TEST_F(SizedFleetTest, SmallVmsTakeOverWhenAllLargeOnesAreLost) {
+  this->fleet.RunFor(seconds(8));
+  this->KillLargeVms();
+  this->fleet.RunFor(seconds(8));
+  EXPECT_EQ(this->fleet.PrimaryUsers(), kVms - 5);
+}
+
+// A larger successor that can't reach the store must not make the role of coordinator go round.
+TEST_F(SizedFleetTest, ALargerSuccessorWithoutTheStoreIsNotAskedToTakeOver) {
+  this->KillLargeVms();
+  this->fleet.RunFor(seconds(5));
+  const std::optional<std::size_t> coordinator = this->fleet.Coordinator();
+  for (std::size_t vm = kVms - 5; vm < kVms; ++vm) {
+    this->fleet.Restart(vm);
+  }
+  this->fleet.RunFor(milliseconds(300));
+  for (std::size_t vm = kVms - 5; vm < kVms; ++vm) {
+    this->fleet.vms_without_store.insert(vm);
+  }
+  this->fleet.RunFor(seconds(8));
+  EXPECT_EQ(this->fleet.Coordinator(), coordinator);
+}
+
 TEST_F(CoordinationSystemTest, PartitionedVmInterruptsNoOtherVm) {
   for (std::size_t vm = 0; vm < 6; ++vm) {
     this->fleet.SetPartition({vm});
--- a/tests/core/coordination/fleet_property_test.cc
+++ b/tests/core/coordination/fleet_property_test.cc
@@ -10,6 +10,15 @@
 constexpr std::size_t kVms = 7;
 constexpr int kFaultKinds = 14;
 
+// A large or small share of processors for each VM, so that members and the coordinator are replaced by larger VMs.
+std::vector<Millicores> Shares(std::uint64_t seed) {
+  std::vector<Millicores> shares;
+  for (std::size_t vm = 0; vm < kVms; ++vm) {
+    shares.push_back({(seed >> vm) % 2 == 0 ? 120U : 500U});
+  }
+  return shares;
+}
+
 // Injects one fault, or ends it.
 void InjectFault(VmFleet& fleet, int kind, std::size_t vm) {
   switch (kind) {
@@ -67,7 +76,8 @@
 // each VM that no fault affects has an acknowledged configuration in time.
 TEST(CoordinationProperty, NoVmUsesAReplacedPrimary) {
   const bool passed = rc::check("no VM uses a replaced primary", [] {
-    VmFleet fleet(kVms, *rc::gen::arbitrary<std::uint64_t>());
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    VmFleet fleet(kVms, seed, Shares(seed));
     fleet.RunFor(std::chrono::seconds(3));
     const auto faults = *rc::gen::container<std::vector<std::tuple<int, std::size_t, int>>>(rc::gen::tuple(
         rc::gen::inRange(0, kFaultKinds), rc::gen::inRange<std::size_t>(0, kVms), rc::gen::inRange(0, 1500)));
@@ -83,7 +93,8 @@
 // Once every fault has ended, all VMs use one primary again.
 TEST(CoordinationProperty, ServiceReturnsWhenFaultsEnd) {
   const bool passed = rc::check("service returns when faults end", [] {
-    VmFleet fleet(kVms, *rc::gen::arbitrary<std::uint64_t>());
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    VmFleet fleet(kVms, seed, Shares(seed));
     fleet.RunFor(std::chrono::seconds(3));
     const auto faults = *rc::gen::container<std::vector<std::tuple<int, std::size_t, int>>>(rc::gen::tuple(
         rc::gen::inRange(0, kFaultKinds), rc::gen::inRange<std::size_t>(0, kVms), rc::gen::inRange(0, 800)));
--- a/tests/core/coordination/messages_test.cc
+++ b/tests/core/coordination/messages_test.cc
@@ -50,6 +50,7 @@
   heartbeat.vm = "c";
   heartbeat.incarnation = 9;
   heartbeat.address = "10.0.0.3:7000";
+  heartbeat.processor_share = {120};
   heartbeat.groups_in_use = {"g"};
   heartbeat.unreachable_endpoints = {"h"};
   heartbeat.leaving = true;
@@ -57,6 +58,7 @@
   EXPECT_EQ(read.incarnation, 9U);
   EXPECT_EQ(read.address, heartbeat.address);
   EXPECT_EQ(read.relay_address, "");
+  EXPECT_EQ(read.processor_share, heartbeat.processor_share);
   EXPECT_EQ(read.groups_in_use, heartbeat.groups_in_use);
   EXPECT_EQ(read.unreachable_endpoints, heartbeat.unreachable_endpoints);
   EXPECT_TRUE(read.leaving);
--- a/tests/core/coordination/vm_fleet.cc
+++ b/tests/core/coordination/vm_fleet.cc
@@ -40,8 +40,8 @@
 
 }  // namespace
 
-VmFleet::VmFleet(std::size_t count, std::uint64_t seed)
-    : random(seed), store_sync_random(seed), now(std::chrono::seconds(100)) {
+VmFleet::VmFleet(std::size_t count, std::uint64_t seed, std::vector<Millicores> shares)
+    : random(seed), store_sync_random(seed), now(std::chrono::seconds(100)), shares(std::move(shares)) {
   this->configurations.emplace(1, this->now);
   for (std::size_t index = 0; index < count; ++index) {
     this->vms.emplace_back();
@@ -55,7 +55,9 @@
   ++vm.incarnation;
   vm.alive = true;
   vm.system = std::make_unique<CoordinationSystem>(
-      Self{vm.name, vm.incarnation, vm.name, vm.name, "dc-" + std::to_string(index % 3)}, CoordinationSettings{});
+      Self{vm.name, vm.incarnation, vm.name, vm.name, "dc-" + std::to_string(index % 3),
+           this->shares.empty() ? Millicores{} : this->shares.at(index)},
+      CoordinationSettings{});
   vm.failover = std::make_unique<failover::PrimaryChangeSystem>(failover::FailoverSettings{});
   vm.store_sync = std::make_unique<store_sync::StoreSyncSystem>(vm.name, store_sync::StoreSyncSettings{});
   vm.watch = {};
--- a/tests/core/coordination/vm_fleet.h
+++ b/tests/core/coordination/vm_fleet.h
@@ -23,7 +23,8 @@
 // kContactTime has every configuration that was acknowledged kConfigurationTime ago.
 class VmFleet {
  public:
-  VmFleet(std::size_t vms, std::uint64_t seed);
+  // `shares` holds each VM's share of processors; empty: unknown.
+  VmFleet(std::size_t vms, std::uint64_t seed, std::vector<Millicores> shares = {});
 
   void RunFor(std::chrono::milliseconds time);
 
@@ -138,6 +139,7 @@
   std::mt19937_64 store_sync_random;
   TimePoint now;
   std::vector<Vm> vms;
+  std::vector<Millicores> shares;
   std::set<std::size_t> partition;
   std::vector<Event> events;
   std::optional<CoordinationRecord> stored;
--- a/tests/core/gateways/gateway_choice_test.cc
+++ b/tests/core/gateways/gateway_choice_test.cc
@@ -67,6 +67,25 @@
   EXPECT_EQ(ChooseGateways("group-1", fleet, 4).size(), 4U);
 }
 
+// Sessions of many VMs meet at gateways, so a VM with four times the processors is chosen about four times as often.
+TEST(GatewayChoice, LargerVmsServeMoreGroups) {
+  std::vector<FleetVm> fleet = MakeFleet(300);
+  for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
+    fleet[vm].processor_share = {vm < 15 ? 500U : 125U};
+  }
+  std::size_t large = 0;
+  std::size_t small = 0;
+  constexpr std::size_t kGroups = 400;
+  for (std::size_t group = 0; group < kGroups; ++group) {
+    for (const FleetVm& gateway : ChooseGateways("group-" + std::to_string(group), fleet, 6)) {
+      (gateway.processor_share.count == 500 ? large : small) += 1;
+    }
+  }
+  const double ratio = (static_cast<double>(large) / 15) / (static_cast<double>(small) / 285);
+  EXPECT_GT(ratio, 3);
+  EXPECT_LT(ratio, 5);
+}
+
 TEST(GatewayChoice, ALostVmChangesAtMostOneGateway) {
   std::vector<FleetVm> fleet = MakeFleet(57);
   const std::vector<FleetVm> before = ChooseGateways("group-1", fleet, 15);
