--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -31,7 +31,7 @@
 coordination::Self MakeSelf(const Settings& settings, Incarnation incarnation) {
   const std::string& peers =
       settings.advertised_peers_address.empty() ? settings.peers_address : settings.advertised_peers_address;
-  return {settings.vm, incarnation, peers, settings.relay_address, settings.data_centre};
+  return {settings.vm, incarnation, peers, settings.relay_address, settings.data_centre, settings.processor_share};
 }
 
 // -1 if the time was never set.
@@ -99,6 +99,10 @@
     this->store_sync.ConfirmConfiguration(current_at);
   });
   this->platform.SubscribeToDirectory([this](DirectorySnapshot update, TimePoint current_at) {
+    this->registry
+        .GetGauge("amaranthlane_directory_invalid_entries",
+                  "Entries of the store's directory that are left out because they are invalid, at the last read.")
+        .value = static_cast<double>(update.invalid_entries);
     this->OnDirectory(std::move(update));
     this->store_sync.ConfirmDirectory(current_at);
   });
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "common/error.h"
+#include "common/json.h"
 #include "platform/store_client.h"
 
 namespace amaranthlane::platform {
@@ -56,6 +57,38 @@
   EXPECT_THROW(ParseEndpointEntry("i-1", nullptr), ParseError);
 }
 
+TEST(Decoders, RejectsAnEntryWithAnUnusableAddressOrName) {
+  nlohmann::json entry = EntryJson();
+  for (const char* address : {"10.128.0.9:70000", "10.128.0.9:0", "10.128.0.9:-1", "10.128.0.9", "host:80", ""}) {
+    entry["address"] = address;
+    EXPECT_THROW(ParseEndpointEntry("i-1", entry), ParseError) << address;
+  }
+  entry = EntryJson();
+  for (const std::string& word : {std::string(), std::string("a b"), std::string("a\r\nQUIT"), std::string(256, 'a')}) {
+    EXPECT_THROW(ParseEndpointEntry(word, entry), ParseError) << word;
+    entry["service"] = word;
+    EXPECT_THROW(ParseEndpointEntry("i-1", entry), ParseError) << word;
+    entry = EntryJson();
+  }
+}
+
+TEST(Decoders, RejectsNumbersThatAreNotWholeOrOutOfRange) {
+  for (const char* number : {"-1", "0.5", "1e300", "18446744073709551615", "18446744073709551616"}) {
+    nlohmann::json entry = EntryJson();
+    entry["slots"] = nlohmann::json::parse(number);
+    EXPECT_THROW(ParseEndpointEntry("i-1", entry), ParseError) << number;
+  }
+}
+
+TEST(Decoders, BoundsTimesOfTheConfiguration) {
+  nlohmann::json document = ConfigurationJson();
+  document["routes"][1]["max_staleness_ms"] = 1e300;
+  document["routes"][1]["timeout_ms"] = -1e300;
+  const proxy::Route route = ParseConfiguration(document).routes.at("xapu221");
+  EXPECT_EQ(route.max_staleness, std::chrono::hours(24));
+  EXPECT_EQ(route.statement_timeout, Duration::zero());
+}
+
 TEST(Decoders, ReadsTheConfiguration) {
   const proxy::Configuration configuration = ParseConfiguration(ConfigurationJson());
   EXPECT_EQ(configuration.version, 7U);
@@ -75,11 +108,12 @@
 
 // One entry with bytes that aren't UTF-8 must not hide the others.
 TEST(StoreResponse, ReplacesBytesThatAreNotUtf8) {
-  const nlohmann::json document = ParseResponseBody(
+  const nlohmann::json document = json::ParseSharedDocument(
       "{\"items\":[\"good\",\"b\xff\xfe"
-      "d\"]}");
+      "d\"]}",
+      "sample");
   EXPECT_EQ(document["items"][0], "good");
-  EXPECT_THROW(ParseResponseBody("{\"items\":"), ParseError);
+  EXPECT_THROW(json::ParseSharedDocument("{\"items\":", "sample"), ParseError);
 }
 
 TEST(StoreResponse, RequiresAnObjectsNameAndRevision) {
