Write a share of processors with its fraction

Cause: a setting's value as text left out what is below a whole core; it is used for defaults only, where the value is 0. Change: the fraction is written; the comment on the fleet's size says how old it may be. Tests: SettingsTest.ReadsAShareOfAProcessor compares the text.

--- a/source/common/settings_table.cc
+++ b/source/common/settings_table.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <sstream>
 #include <type_traits>
 
 #include "common/ip_address.h"
@@ -290,7 +291,9 @@
     } else if constexpr (std::is_same_v<Value, std::chrono::milliseconds>) {
       return std::to_string((settings.*member).count());
     } else if constexpr (std::is_same_v<Value, Millicores>) {
-      return std::to_string((settings.*member).count / kMillicoresPerCore);
+      std::ostringstream cores;
+      cores << static_cast<double>((settings.*member).count) / static_cast<double>(kMillicoresPerCore);
+      return cores.str();
     } else {
       std::string joined;
       for (const std::string& element : settings.*member) {
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -150,7 +150,7 @@
   bool WritePending() const;
   // True when the outcome of a write has been unknown for longer than two reply timeouts.
   bool WriteOverdue(TimePoint now) const;
-  // As of the last Tick().
+  // The number of live VMs, counted anew at most once in a heartbeat interval.
   std::size_t FleetSize() const;
   const GrantTable& Grants() const;
 
--- a/tests/common/settings_test.cc
+++ b/tests/common/settings_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "common/settings_table.h"
+
 namespace amaranthlane {
 namespace {
 
@@ -33,6 +35,8 @@
   const std::string text = std::string(kRequiredSettings) + "capacity:\n  cores: ";
   EXPECT_EQ(ParseSettings(text + "0.12", "vm.yaml").processor_share.count, 120U);
   EXPECT_EQ(ParseSettings(text + "2", "vm.yaml").processor_share.count, 2000U);
+  const SettingDeclaration& declaration = *FindSetting("capacity.cores");
+  EXPECT_EQ(FormatSettingValue(declaration, ParseSettings(text + "0.12", "vm.yaml")), "0.12");
   for (const char* invalid : {"-1", "1025", "1e300", "nan", "many", "0.5 cores"}) {
     EXPECT_EQ(ExpectSettingsError(text + invalid).expected, "a number of cores from 0 to 1024") << invalid;
   }
