--- a/fuzz/mutator.cc
+++ b/fuzz/mutator.cc
@@ -21,7 +21,7 @@
                                                       "0.0000000001", "\t",       "1e308", "-1e999",
                                                       "\"\\ud800\"",  "-Infinity"};
 // Beyond and far beyond what parsers accept. The larger depth overflows the stack of code that recurses into a value.
-constexpr std::array<std::size_t, 2> kDepths = {65, 100 * 1000};
+constexpr std::array<std::size_t, 2> kDepths = {65, 100UL * 1000};
 constexpr std::size_t kInputsPerDeepInput = 1000;
 
 }  // namespace
