Judge recovery in the soak only after the last fault has ended

Cause: callers ended 6 s after the time for new faults, though a fault may last for 7.3 s more; "no operation succeeded after the last fault" was then certain. Change: callers and probes go on until 6 s after the last fault's end.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,14 +21,14 @@
         # This session's last acknowledged commit, as (attempt, position).
         self.last_commit = None
 
-    async def run(self, deadline):
-        while time.monotonic() < deadline:
+    async def run(self, stop):
+        while not stop.is_set():
             try:
-                await self.run_session(deadline)
+                await self.run_session(stop)
             except (ConnectionLost, OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
                 await asyncio.sleep(0.05)
 
-    async def run_session(self, deadline):
+    async def run_session(self, stop):
         port = self.random.choice(self.ports)
         self.reader, self.writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), 2)
         try:
@@ -36,7 +36,7 @@
             self.writer.write(f"CONNECT {self.route}-{self.group.name} {self.name}\r\n".encode())
             await self.read_answer()
             for _ in range(self.random.randint(1, 25)):
-                if time.monotonic() >= deadline:
+                if stop.is_set():
                     return
                 await self.run_operation()
                 await asyncio.sleep(self.random.random() * 0.05)
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -88,8 +88,8 @@
         self.name, self.changes, self.soak, self.count = f"p{number}", changes, soak, 0
         self.random = random.Random(soak.seed * 100 + number)
 
-    async def run(self, deadline):
-        while time.monotonic() < deadline:
+    async def run(self, stop):
+        while not stop.is_set():
             try:
                 await self.run_session()
             except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -20,6 +20,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DAEMON = ROOT / "build" / "platform" / "amaranthlane-platformd"
+# An operation must succeed within this time after the last fault has ended.
+RECOVERY_S = 6
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
 
 
@@ -289,8 +291,9 @@
         end = begin + self.seconds
         callers = [Caller(n, self.seed, [vm.callers for vm in self.vms], self.groups[n // 2 % len(self.groups)],
                           ("exact", "own")[n % 2]) for n in range(12)]
-        running = [asyncio.create_task(caller.run(end + 6)) for caller in callers]
-        running += [asyncio.create_task(Probe(n, self.changes, self).run(end + 6)) for n in range(6)]
+        stop = asyncio.Event()
+        running = [asyncio.create_task(caller.run(stop)) for caller in callers]
+        running += [asyncio.create_task(Probe(n, self.changes, self).run(stop)) for n in range(6)]
         active_faults = []
         while time.monotonic() < end:
             await asyncio.sleep(self.random.random() * 1.5)
@@ -299,6 +302,9 @@
             active_faults.append(asyncio.create_task(coroutine))
         await asyncio.gather(*active_faults)
         done_during_faults = sum(caller.outcomes["done"] for caller in callers)
+        # The last faults may end long after the last one began.
+        await asyncio.sleep(RECOVERY_S)
+        stop.set()
         await asyncio.gather(*running)
         done_in_total = sum(caller.outcomes["done"] for caller in callers)
         if done_in_total == done_during_faults:
