--- a/source/core/types.h
+++ b/source/core/types.h
@@ -25,6 +25,10 @@
 // The version that the platform assigns to each change of an object. It orders the changes of all objects.
 using ObjectVersion = std::uint64_t;
 
+// Counts how often the platform's store was restored from an older copy of itself. Within one era the store loses
+// nothing that it has acknowledged.
+using StoreEra = std::uint64_t;
+
 // Numbers the successive primaries of a database group. Rises with each change of primary.
 using Term = std::uint64_t;
 
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -38,6 +38,10 @@
 
 void Node::OnDirectory(DirectorySnapshot newer) {
   if (this->directory_known && newer.revision < this->directory.revision) {
+    if (this->endpoint_log_limiter.Admit(BootClock::now())) {
+      logging::Write(logging::Level::kInfo, "ignoring an older directory",
+                     {{"revision", newer.revision}, {"known_revision", this->directory.revision}});
+    }
     return;
   }
   const bool same = this->directory_known && newer.endpoints == this->directory.endpoints;
