Add failing tests of a store that is restored from an older copy

The stand-ins of three levels get a store that loses what it has acknowledged, gives revisions out again and raises its era: the seeded fleet (with writes that are executed late, across the restore), the nodes on one event loop, and an HTTP store for the adapter. The property of the fleet injects restores among its other faults.

--- a/tests/core/coordination/fleet_property_test.cc
+++ b/tests/core/coordination/fleet_property_test.cc
@@ -8,7 +8,7 @@
 
 // More than the number of members, so that some VMs aren't members.
 constexpr std::size_t kVms = 7;
-constexpr int kFaultKinds = 14;
+constexpr int kFaultKinds = 15;
 
 // A large or small share of processors for each VM, so that members and the coordinator are replaced by larger VMs.
 std::vector<Millicores> Shares(std::uint64_t seed) {
@@ -67,6 +67,9 @@
     case 13:
       fleet.SilenceWatches();
       break;
+    case 14:
+      fleet.RestoreStore(std::chrono::milliseconds(200) + std::chrono::milliseconds(1200) * vm);
+      break;
     default:
       break;
   }
--- /dev/null
+++ b/tests/core/coordination/restored_store_test.cc
@@ -0,0 +1,145 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cstdint>
+#include <tuple>
+#include <vector>
+
+#include "core/coordination/vm_fleet.h"
+
+// A fleet whose store comes back from an older copy: what it had acknowledged since is lost, and revisions are given
+// out again.
+namespace amaranthlane::coordination {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kVms = 7;
+
+class RestoredStoreFleet : public testing::Test {
+ protected:
+  RestoredStoreFleet() : fleet(kVms, 42) { this->fleet.RunFor(seconds(5)); }
+
+  ~RestoredStoreFleet() override { EXPECT_EQ(this->fleet.violation.value_or("none"), "none"); }
+
+  // Replaces a member, which changes the record.
+  void ChangeMembers() {
+    const VmName& name = this->fleet.System(this->fleet.Coordinator().value()).Record()->members.back().vm;
+    const std::size_t member = static_cast<std::size_t>(std::stoul(name.substr(3)));
+    this->fleet.Kill(member);
+    this->fleet.RunFor(seconds(3));
+    this->fleet.Restart(member);
+    this->fleet.RunFor(seconds(2));
+  }
+
+  // Has the primary replaced by a record that is newer than the copy which the store is restored from afterwards.
+  void ReplacePrimary() {
+    this->fleet.primary_responds = false;
+    this->fleet.RunFor(seconds(4));
+    ASSERT_EQ(this->fleet.term, 2U);
+  }
+
+  void RestartAll() {
+    for (std::size_t vm = 0; vm < kVms; ++vm) {
+      this->fleet.Kill(vm);
+    }
+    this->fleet.RunFor(milliseconds(300));
+    for (std::size_t vm = 0; vm < kVms; ++vm) {
+      this->fleet.Restart(vm);
+    }
+  }
+
+  VmFleet fleet;
+};
+
+// Guards against a fleet that can't write its record any more, so that a failed primary is never replaced.
+TEST_F(RestoredStoreFleet, APrimaryThatFailsAfterwardsIsReplaced) {
+  this->ChangeMembers();
+  this->fleet.RestoreStore(seconds(6));
+  this->fleet.RunFor(seconds(1));
+  this->fleet.primary_responds = false;
+  this->fleet.RunFor(seconds(6));
+  EXPECT_EQ(this->fleet.promotions, 1U);
+  EXPECT_EQ(this->fleet.PrimaryUsers(), kVms);
+}
+
+// Guards against a record that stays older in the store than on the VMs, which then forget it when they restart.
+TEST_F(RestoredStoreFleet, TheNewestRecordIsWrittenAgain) {
+  this->ChangeMembers();
+  const std::uint64_t lost = this->fleet.StoredVersion();
+  this->fleet.RestoreStore(seconds(6));
+  EXPECT_LT(this->fleet.StoredVersion(), lost);
+  this->fleet.RunFor(seconds(2));
+  EXPECT_GE(this->fleet.StoredVersion(), lost);
+}
+
+// Guards against commits at a primary that was replaced by a change which the store has lost: VMs that start afterwards
+// know only the older record.
+TEST_F(RestoredStoreFleet, VmsThatStartAfterwardsUseNoReplacedPrimary) {
+  this->ReplacePrimary();
+  this->fleet.RestoreStore(seconds(5));
+  this->RestartAll();
+  this->fleet.RunFor(seconds(10));
+  EXPECT_EQ(this->fleet.PrimaryUsers(), kVms);
+}
+
+// The same for VMs that start while the others keep running.
+TEST_F(RestoredStoreFleet, VmsThatStartAmongOthersUseNoReplacedPrimary) {
+  this->ReplacePrimary();
+  for (std::size_t vm = 0; vm < kVms; vm += 2) {
+    this->fleet.Kill(vm);
+  }
+  this->fleet.RestoreStore(seconds(6));
+  for (std::size_t vm = 0; vm < kVms; vm += 2) {
+    this->fleet.Restart(vm);
+  }
+  this->fleet.RunFor(seconds(12));
+  EXPECT_EQ(this->fleet.PrimaryUsers(), kVms);
+}
+
+// Guards against an interruption of a healthy fleet that callers of the most urgent work would notice.
+TEST_F(RestoredStoreFleet, AHealthyFleetIsInterruptedForLessThanTheMostUrgentWorkMayTake) {
+  this->ChangeMembers();
+  milliseconds gap{0};
+  milliseconds longest{0};
+  this->fleet.RestoreStore(seconds(6));
+  for (milliseconds passed{0}; passed < seconds(30); passed += milliseconds(10)) {
+    this->fleet.RunFor(milliseconds(10));
+    gap = this->fleet.PrimaryUsers() < kVms ? gap + milliseconds(10) : milliseconds(0);
+    longest = std::max(longest, gap);
+  }
+  EXPECT_LE(longest, milliseconds(200));
+  EXPECT_EQ(this->fleet.promotions, 0U);
+}
+
+// Guards against writes that take effect after the restore on a condition that was meant for a lost revision.
+TEST(RestoredStoreFleetProperty, NoLateWriteMakesVmsUseAReplacedPrimary) {
+  const bool passed = rc::check("late writes across restores do no harm", [] {
+    VmFleet fleet(kVms, *rc::gen::arbitrary<std::uint64_t>());
+    fleet.write_reply_loss = 0.5;
+    fleet.lost_writes_are_delayed = true;
+    fleet.RunFor(seconds(6));
+    const auto steps = *rc::gen::container<std::vector<std::tuple<int, std::size_t, int>>>(
+        rc::gen::tuple(rc::gen::inRange(0, 6), rc::gen::inRange<std::size_t>(0, kVms), rc::gen::inRange(0, 2500)));
+    for (const auto& [kind, vm, pause] : steps) {
+      if (kind < 2) {
+        fleet.RestoreStore(milliseconds(100) + milliseconds(700) * vm);
+      } else if (kind == 2) {
+        fleet.primary_responds = false;
+      } else if (kind == 3) {
+        fleet.Kill(vm);
+      } else if (kind == 4) {
+        fleet.Restart(vm);
+      } else {
+        fleet.SetIsolated(vm, pause % 2 == 0);
+      }
+      fleet.RunFor(milliseconds(pause));
+    }
+    RC_ASSERT(fleet.violation.value_or("none") == std::string("none"));
+  });
+  EXPECT_TRUE(passed);
+}
+
+}  // namespace
+}  // namespace amaranthlane::coordination
--- a/tests/core/coordination/vm_fleet.cc
+++ b/tests/core/coordination/vm_fleet.cc
@@ -15,6 +15,8 @@
 // The users' bounds at their smallest deployments.
 constexpr std::chrono::milliseconds kContactTime{4000};
 constexpr std::chrono::milliseconds kConfigurationTime{3000};
+// The longest time until the operator writes a configuration again that a restore of the store has lost.
+constexpr std::chrono::milliseconds kRewriteTime{1500};
 constexpr store_sync::WatchSettings kWatch;
 constexpr std::uint64_t kLogEnd = 5;
 const GroupName kGroup = "group-1";
@@ -43,6 +45,7 @@
 VmFleet::VmFleet(std::size_t count, std::uint64_t seed, std::vector<Millicores> shares)
     : random(seed), store_sync_random(seed), now(std::chrono::seconds(100)), shares(std::move(shares)) {
   this->configurations.emplace(1, this->now);
+  this->KeepCopy();
   for (std::size_t index = 0; index < count; ++index) {
     this->vms.emplace_back();
     this->vms.back().name = "vm-" + std::to_string(index);
@@ -132,10 +135,53 @@
 
 void VmFleet::PublishConfiguration() {
   if (!this->store_down) {
-    this->configurations.emplace(this->configurations.rbegin()->first + 1 + this->store_sync_random() % 3, this->now);
+    this->stored.configuration = this->configurations.rbegin()->first + 1 + this->store_sync_random() % 3;
+    this->configurations.emplace(this->stored.configuration, this->now);
+    this->KeepCopy();
   }
 }
 
+void VmFleet::KeepCopy() {
+  this->copies.push_back(this->stored);
+  this->copies.back().since = this->now;
+}
+
+void VmFleet::RestoreStore(std::chrono::milliseconds age) {
+  const TimePoint copied_at = this->now - age;
+  while (this->copies.size() > 1 && this->copies.back().since > copied_at) {
+    this->copies.pop_back();
+  }
+  this->stored = this->copies.back();
+  this->store_down = false;
+  for (auto lost = this->configurations.upper_bound(this->stored.configuration); lost != this->configurations.end();
+       ++lost) {
+    lost->second = TimePoint::max() - kConfigurationTime;
+  }
+  for (Vm& vm : this->vms) {
+    vm.disturbed_at = this->now;
+    // Watches are cut off.
+    vm.watch.silent = vm.watch.open;
+  }
+  this->RewriteConfiguration();
+}
+
+void VmFleet::RewriteConfiguration() {
+  const std::chrono::milliseconds delay{this->store_sync_random() % kRewriteTime.count()};
+  this->events.push_back({this->now + delay, kNoVm, 0, [this] {
+                            if (this->store_down) {
+                              this->RewriteConfiguration();
+                              return;
+                            }
+                            this->stored.configuration = this->configurations.rbegin()->first;
+                            for (auto& [version, acknowledged_at] : this->configurations) {
+                              acknowledged_at = std::min(acknowledged_at, this->now);
+                            }
+                            this->KeepCopy();
+                          }});
+}
+
+std::uint64_t VmFleet::StoredVersion() const { return this->stored.record ? this->stored.record->version : 0; }
+
 void VmFleet::SilenceWatches() {
   for (Vm& vm : this->vms) {
     vm.watch.silent = vm.watch.open;
@@ -172,7 +218,7 @@
   }
   // What the store sends while it can't reach the VM is lost with the connection.
   watch.silent = watch.silent || !this->StoreAnswers(index);
-  const std::uint64_t stored = this->configurations.rbegin()->first;
+  const std::uint64_t stored = this->stored.configuration;
   const bool answered = !watch.silent && (stored > watch.known_version || this->now >= watch.sent_at + kWatch.wait);
   if (answered) {
     const bool held = stored == watch.known_version;
@@ -221,7 +267,7 @@
     return;
   }
   this->Schedule(vm, this->RandomStoreSyncDelay(),
-                 [this, vm, stored = this->configurations.rbegin()->first, at = this->now] {
+                 [this, vm, stored = this->stored.configuration, at = this->now] {
                    this->vms[vm].unread = false;
                    this->vms[vm].store_sync->SetConfigurationVersion(stored);
                    this->vms[vm].store_sync->ConfirmConfiguration(at);
@@ -363,17 +409,18 @@
   }
   this->Schedule(vm, this->RandomDelay(), [this, vm] {
     Actions resulting_actions;
-    this->vms[vm].system->OnRecordRead(this->stored, this->revision, this->now, resulting_actions);
+    this->vms[vm].system->OnRecordRead(this->stored.record, this->stored.revision, this->now, resulting_actions);
     this->Perform(vm, resulting_actions);
   });
 }
 
 bool VmFleet::ApplyWrite(const WriteRecord& action) {
-  if (action.expected_revision != this->revision) {
+  if (action.expected_revision != this->stored.revision) {
     return false;
   }
-  this->stored = action.record;
-  ++this->revision;
+  this->stored.record = action.record;
+  ++this->stored.revision;
+  this->KeepCopy();
   return true;
 }
 
@@ -402,7 +449,7 @@
   }
   const bool written = this->ApplyWrite(action);
   this->Schedule(vm, this->RandomDelay(),
-                 complete_write(written ? WriteResult::kWritten : WriteResult::kConflict, this->revision));
+                 complete_write(written ? WriteResult::kWritten : WriteResult::kConflict, this->stored.revision));
 }
 
 void VmFleet::PerformFailover(std::size_t vm, const failover::Actions& actions) {
--- a/tests/core/coordination/vm_fleet.h
+++ b/tests/core/coordination/vm_fleet.h
@@ -38,6 +38,9 @@
   void SetPartition(std::set<std::size_t> side);
   // The store acknowledges a new version of the configuration, if it is up.
   void PublishConfiguration();
+  // The store comes back, if it was down, from a copy that is this old. It loses what it has acknowledged since, and
+  // gives revisions out again. The operator writes the newest configuration again within kRewriteTime.
+  void RestoreStore(std::chrono::milliseconds age);
   // The store's connections that carry a watch never deliver anything again; new ones work.
   void SilenceWatches();
 
@@ -46,6 +49,8 @@
   bool IsMember(std::size_t vm) const;
   // The number of VMs that may use the group's primary now.
   std::size_t PrimaryUsers() const;
+  // The version of the record that the store holds.
+  std::uint64_t StoredVersion() const;
   // The live VM that is the coordinator by its own record; none if there are several or none.
   std::optional<std::size_t> Coordinator() const;
   const CoordinationSystem& System(std::size_t vm) const;
@@ -72,6 +77,13 @@
 
  private:
   static constexpr std::size_t kNoVm = SIZE_MAX;
+  // What the store holds. A copy is kept of each state that it has had.
+  struct StoreContent {
+    TimePoint since;
+    std::optional<CoordinationRecord> record;
+    ObjectVersion revision = 0;
+    std::uint64_t configuration = 1;
+  };
   // A member's watch of the store.
   struct Watch {
     bool open = false;
@@ -119,6 +131,9 @@
   void ReadStore(std::size_t vm);
   void WriteStore(std::size_t vm, const WriteRecord& action);
   bool ApplyWrite(const WriteRecord& action);
+  void KeepCopy();
+  // Acknowledges the newest configuration again once the store is up.
+  void RewriteConfiguration();
   void PerformFailover(std::size_t vm, const failover::Actions& actions);
   void Promote(std::size_t vm, const failover::OrderPromotion& order);
   void CheckPrimaryUsers();
@@ -142,9 +157,9 @@
   std::vector<Millicores> shares;
   std::set<std::size_t> partition;
   std::vector<Event> events;
-  std::optional<CoordinationRecord> stored;
-  ObjectVersion revision = 0;
-  // When each version of the configuration was acknowledged.
+  StoreContent stored;
+  std::vector<StoreContent> copies;
+  // When each version of the configuration was acknowledged, or, if a restore lost it, acknowledged again.
   std::map<std::uint64_t, TimePoint> configurations;
   // Former primaries by term.
   std::map<Term, EndpointName> former_primaries = {{1, "e1"}};
--- a/tests/platform/object_watcher_test.cc
+++ b/tests/platform/object_watcher_test.cc
@@ -62,6 +62,7 @@
 
   void Serve(const net::HttpRequest& request, net::HttpServer::ResponseCallback answer) {
     net::HttpResponse response;
+    response.headers = this->EraHeader();
     if (this->unavailable) {
       response.status = kServiceUnavailable;
       answer(response);
@@ -76,25 +77,44 @@
           items.back()["spec"] = kForeignSpec + name;
         }
       }
-      const bool has_more = this->two_pages && this->lists == 1;
+      const bool has_more = this->two_pages && request.target.find("after=") == std::string::npos;
       if (this->two_pages) {
         items = {items.at(has_more ? 0 : 1)};
       }
       response.body =
           this->Text(nlohmann::json({{"items", items}, {"has_more", has_more}, {"as_of_rev", this->revision}}));
       answer(response);
-      if (has_more) {
+      if (has_more && std::exchange(this->restored_between_pages, false)) {
+        this->Restore({{"a", 1}, {"c", 2}}, 2);
+      } else if (has_more && this->lists == 1) {
         this->Put("a");
       }
       return;
     }
     ++this->watches;
     this->pending_watch = std::move(answer);
-    if (request.target.find("watch=" + std::to_string(this->revision)) == std::string::npos) {
+    this->watched_revision = std::stoull(net::QueryParameter(request.target, "watch"));
+    if (this->watched_revision != this->revision) {
       this->AnswerWatch();
     }
   }
 
+  std::vector<net::HttpHeader> EraHeader() const { return {{"Store-Era", std::to_string(this->era)}}; }
+
+  // The store comes back from an older copy with these objects, and forgets what came after. A watch that is waiting is
+  // cut off.
+  void Restore(const std::map<std::string, ObjectVersion>& copy, ObjectVersion copied_revision) {
+    ++this->era;
+    this->objects = copy;
+    this->revision = copied_revision;
+    this->events.clear();
+    if (this->pending_watch) {
+      net::HttpResponse response;
+      response.status = kServiceUnavailable;
+      std::exchange(this->pending_watch, nullptr)(response);
+    }
+  }
+
   static nlohmann::json ObjectJson(const std::string& name, ObjectVersion revision) {
     return {{"meta", {{"name", name}, {"revision", revision}}}, {"spec", {{"value", revision}}}};
   }
@@ -133,13 +153,16 @@
       return;
     }
     net::HttpResponse response;
-    if (this->history_gone) {
+    response.headers = this->EraHeader();
+    if (this->history_gone || this->watched_revision > this->revision) {
       this->history_gone = false;
       response.status = kGone;
     } else {
       nlohmann::json sent_events = nlohmann::json::array();
       for (const nlohmann::json& event : this->events) {
-        sent_events.push_back(event);
+        if (event.at("object").at("meta").at("revision") > this->watched_revision) {
+          sent_events.push_back(event);
+        }
       }
       response.body = this->Text(nlohmann::json({{"events", sent_events}, {"as_of_rev", this->revision}}));
     }
@@ -165,6 +188,9 @@
   // The text of the specs that another writer left, by the object's name.
   std::map<std::string, std::string> foreign_specs;
   net::HttpServer::ResponseCallback pending_watch;
+  ObjectVersion watched_revision = 0;
+  std::uint64_t era = 1;
+  bool restored_between_pages = false;
   bool unavailable = false;
   bool history_gone = false;
   int lists = 0;
@@ -261,6 +287,44 @@
   EXPECT_TRUE(this->RunUntil([this] { return this->received.at("a").revision == 3; }, milliseconds(2000)));
 }
 
+// Guards against a copy that misses changes whose revisions the restored store gave out again.
+TEST_F(ObjectWatcherTest, ListsAgainWhenTheStoreWasRestored) {
+  this->watcher.Refresh();
+  ASSERT_TRUE(this->RunUntil([this] { return this->watches == 1; }));
+  this->Put("lost");
+  ASSERT_TRUE(this->RunUntil([this] { return this->received.count("lost") > 0 && this->pending_watch; }));
+  this->Restore({{"a", 1}, {"b", 2}}, 2);
+  this->objects["c"] = ++this->revision;
+  this->Put("d");
+  EXPECT_TRUE(this->RunUntil([this] { return this->received.count("d") > 0; }, milliseconds(2000)));
+  EXPECT_EQ(this->received.count("c"), 1U);
+  EXPECT_EQ(this->received.count("lost"), 0U);
+}
+
+// The same when the restored store has reached just the revision that the watch begins at.
+TEST_F(ObjectWatcherTest, ListsAgainThoughTheRestoredStoreHasTheKnownRevision) {
+  this->watcher.Refresh();
+  ASSERT_TRUE(this->RunUntil([this] { return this->watches == 1; }));
+  this->Put("lost");
+  ASSERT_TRUE(this->RunUntil([this] { return this->received.count("lost") > 0 && this->pending_watch; }));
+  this->Restore({{"a", 1}, {"b", 2}}, 2);
+  this->objects["c"] = ++this->revision;
+  this->RunUntil([this] { return this->pending_watch != nullptr; }, milliseconds(1000));
+  this->AnswerWatch();
+  EXPECT_TRUE(this->RunUntil([this] { return this->received.count("c") > 0; }, milliseconds(2000)));
+  EXPECT_EQ(this->received.count("lost"), 0U);
+}
+
+// Guards against a copy that is put together from pages of two eras.
+TEST_F(ObjectWatcherTest, ListsFromTheFirstPageWhenTheStoreIsRestoredBetweenPages) {
+  this->two_pages = true;
+  this->restored_between_pages = true;
+  this->watcher.Refresh();
+  EXPECT_TRUE(this->RunUntil([this] { return this->lists == 4; }, milliseconds(2000)));
+  EXPECT_TRUE(this->RunUntil([this] { return this->received.size() == 2; }, milliseconds(2000)));
+  EXPECT_EQ(this->received.count("b"), 0U);
+}
+
 // One entry that another writer left must neither end the process nor hide the other entries.
 TEST_F(ObjectWatcherTest, ListsTheOthersBesideAnUnreadableEntry) {
   for (const auto& [description, spec] : UnreadableSpecs()) {
--- /dev/null
+++ b/tests/platform/platform_adapter_test.cc
@@ -0,0 +1,85 @@
+#include "platform/platform_adapter.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <string>
+#include <utility>
+
+#include "platform/store_stand_in.h"
+
+namespace amaranthlane::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+nlohmann::json ConfigurationSpec(std::uint64_t version) {
+  return {{"version", version}, {"routes", nlohmann::json::array()}, {"services", nlohmann::json::array()}};
+}
+
+nlohmann::json EndpointSpec(const std::string& state, unsigned slots) {
+  return {{"service", "g"}, {"address", "127.0.0.1:7000"}, {"state", state}, {"db_role", "replica"}, {"slots", slots}};
+}
+
+Settings MakeSettings(const net::Address& store) {
+  Settings settings;
+  settings.platform_address = store.ip + ":" + std::to_string(store.port);
+  return settings;
+}
+
+// The adapter before a store that can be restored from an older copy.
+class PlatformAdapterTest : public ::testing::Test {
+ protected:
+  PlatformAdapterTest() : store(this->loop), adapter(this->loop, MakeSettings(this->store.Address())) {
+    this->store.Put("config", "main", ConfigurationSpec(1));
+    this->store.Put("servers", "e1", EndpointSpec("ready", 2));
+    this->adapter.SubscribeToConfiguration(
+        [this](const proxy::Configuration& update, TimePoint) { this->configuration = update; });
+    this->adapter.SubscribeToDirectory(
+        [this](proxy::DirectorySnapshot update, TimePoint) { this->directory = std::move(update); });
+    EXPECT_TRUE(this->RunUntil(
+        [this] { return this->configuration.version == 1 && this->directory.endpoints.count("e1") > 0; }));
+  }
+
+  bool RunUntil(const std::function<bool()>& done, milliseconds timeout = milliseconds(4000)) {
+    const TimePoint end = BootClock::now() + timeout;
+    bool finished = done();
+    while (!finished && BootClock::now() < end) {
+      this->loop.restart();
+      this->loop.run_for(milliseconds(5));
+      finished = done();
+    }
+    return finished;
+  }
+
+  boost::asio::io_context loop;
+  StoreStandIn store;
+  PlatformAdapter adapter;
+  proxy::Configuration configuration;
+  proxy::DirectorySnapshot directory;
+};
+
+// Guards against a configuration that is taken for a known one because the restored store gave its revision out again.
+TEST_F(PlatformAdapterTest, ReadsAConfigurationWhoseRevisionWasGivenOutAgain) {
+  const StoreStandIn::Content copy = this->store.content;
+  this->store.Put("config", "main", ConfigurationSpec(2));
+  ASSERT_TRUE(this->RunUntil([this] { return this->configuration.version == 2; }));
+  this->store.Restore(copy);
+  this->store.Put("config", "main", ConfigurationSpec(5));
+  EXPECT_TRUE(this->RunUntil([this] { return this->configuration.version == 5; }));
+}
+
+// The same for an entry of the directory of endpoints.
+TEST_F(PlatformAdapterTest, ReadsAnEntryWhoseRevisionWasGivenOutAgain) {
+  const StoreStandIn::Content copy = this->store.content;
+  this->store.Put("servers", "e1", EndpointSpec("ready", 3));
+  ASSERT_TRUE(this->RunUntil([this] { return this->directory.endpoints.at("e1").slots == 3; }));
+  this->store.Restore(copy);
+  this->store.Put("servers", "e1", EndpointSpec("draining", 3));
+  EXPECT_TRUE(this->RunUntil([this] { return this->directory.endpoints.at("e1").draining; }));
+}
+
+}  // namespace
+}  // namespace amaranthlane::platform
--- a/tests/proxy/in_memory_platform.cc
+++ b/tests/proxy/in_memory_platform.cc
@@ -15,6 +15,15 @@
   }
 }
 
+void InMemoryStore::Restore(const InMemoryContent& copy) {
+  static_cast<InMemoryContent&>(*this) = copy;
+  for (InMemoryPlatform* platform : this->platforms) {
+    if (platform->watching) {
+      platform->Notify();
+    }
+  }
+}
+
 InMemoryPlatform::InMemoryPlatform(boost::asio::io_context& loop, InMemoryStore& store) : loop(loop), store(store) {
   store.platforms.push_back(this);
 }
--- a/tests/proxy/in_memory_platform.h
+++ b/tests/proxy/in_memory_platform.h
@@ -12,20 +12,27 @@
 
 class InMemoryPlatform;
 
-// The content of the platform's store, and the platforms that subscribe to it.
-struct InMemoryStore {
+// What a copy of the store holds.
+struct InMemoryContent {
   std::optional<coordination::CoordinationRecord> record;
   ObjectVersion record_revision = 0;
   // Increased by each change.
   ObjectVersion revision = 0;
   Configuration configuration;
   DirectorySnapshot directory;
+};
+
+// The content of the platform's store, and the platforms that subscribe to it.
+struct InMemoryStore : InMemoryContent {
   std::vector<InMemoryPlatform*> platforms;
   // Executes an order to promote an endpoint.
   std::function<void(const failover::OrderPromotion&)> promote;
 
   // Notifies subscribers that watch the store. To be called after a change of the configuration or the directory.
   void Publish();
+  // Replaces the content by an older copy of it, which loses what was acknowledged since. Revisions are given out again
+  // from there.
+  void Restore(const InMemoryContent& copy);
 };
 
 // One VM's access to the store, on the test's event loop.
