Compare revisions of the store by era first

Cause: a revision was taken to name one state of the store. After a restore revisions go back and are given out again, so that "newer wins" drops what is newer, a watch from a known revision misses what came below it, and a cache that is keyed by the revision returns what was lost.

Change: StoreRevision holds the era, which the store names in each answer, and is compared first. VMs of earlier builds send none, which counts as era 0. Configurations are still compared by the operators' version, which never falls.

--- a/source/core/coordination/messages.cc
+++ b/source/core/coordination/messages.cc
@@ -39,13 +39,16 @@
 
 nlohmann::json ToJson(const StoreVersions& store) {
   return {{"configuration_version", store.configuration_version},
-          {"directory_revision", store.directory_revision},
+          {"directory_revision", store.directory_revision.revision},
+          {"store_era", store.directory_revision.era},
           {"directory_digest", store.directory_digest}};
 }
 
 StoreVersions ParseStoreVersions(const nlohmann::json& document) {
   const json::ObjectReader reader(document, "store versions");
-  return {reader.Unsigned("configuration_version"), reader.Unsigned("directory_revision"),
+  // VMs of earlier builds send no era.
+  return {reader.Unsigned("configuration_version"),
+          {reader.UnsignedOr("store_era", 0), reader.Unsigned("directory_revision")},
           reader.String("directory_digest")};
 }
 
--- a/source/core/coordination/messages.h
+++ b/source/core/coordination/messages.h
@@ -28,7 +28,7 @@
   // The version of the configuration in use.
   std::uint64_t configuration_version = 0;
   // The store's revision at which the directory of endpoints was read, and a digest of that directory.
-  ObjectVersion directory_revision = 0;
+  StoreRevision directory_revision;
   std::string directory_digest;
 
   bool operator==(const StoreVersions&) const = default;
--- a/source/core/store_sync/store_sync_system.cc
+++ b/source/core/store_sync/store_sync_system.cc
@@ -15,7 +15,7 @@
   this->versions.configuration_version = std::max(this->versions.configuration_version, version);
 }
 
-void StoreSyncSystem::SetDirectory(ObjectVersion revision, const std::string& digest) {
+void StoreSyncSystem::SetDirectory(const StoreRevision& revision, const std::string& digest) {
   this->versions.directory_revision = std::max(this->versions.directory_revision, revision);
   this->versions.directory_digest = digest;
 }
--- a/source/core/store_sync/store_sync_system.h
+++ b/source/core/store_sync/store_sync_system.h
@@ -23,7 +23,7 @@
 };
 struct FetchDirectory {
   std::string address;
-  ObjectVersion peer_revision = 0;
+  StoreRevision peer_revision;
 };
 // Read the configuration and the directory from the store.
 struct ReadStore {};
@@ -34,9 +34,9 @@
  public:
   StoreSyncSystem(const VmName& vm, const StoreSyncSettings& settings);
 
-  // This VM's copies have changed. Versions never fall.
+  // This VM's copies have changed. Versions never fall; a revision of a later era of the store is the newer one.
   void SetConfigurationVersion(std::uint64_t version);
-  void SetDirectory(ObjectVersion revision, const std::string& digest);
+  void SetDirectory(const StoreRevision& revision, const std::string& digest);
   // This VM's copy contains every change that the store acknowledged before `current_at`.
   void ConfirmConfiguration(TimePoint current_at);
   void ConfirmDirectory(TimePoint current_at);
--- a/source/core/types.h
+++ b/source/core/types.h
@@ -29,6 +29,16 @@
 // nothing that it has acknowledged.
 using StoreEra = std::uint64_t;
 
+// A revision of the store. Revisions are given out again after a restore, so eras are compared first.
+struct StoreRevision {
+  StoreEra era = 0;
+  // 0: none.
+  ObjectVersion revision = 0;
+
+  // The linter mistakes the zero of a rewritten comparison for a null pointer.
+  auto operator<=>(const StoreRevision&) const = default;  // NOLINT(modernize-use-nullptr)
+};
+
 // Numbers the successive primaries of a database group. Rises with each change of primary.
 using Term = std::uint64_t;
 
--- a/source/proxy/directory_change_log.cc
+++ b/source/proxy/directory_change_log.cc
@@ -12,21 +12,23 @@
 }  // namespace
 
 void DirectoryChangeLog::Append(const failover::EndpointDirectory& before, const failover::EndpointDirectory& after,
-                                ObjectVersion revision) {
-  if (!this->first_complete_revision) {
-    this->first_complete_revision = revision;
+                                const StoreRevision& revision) {
+  if (!this->first_complete || this->first_complete->era != revision.era) {
+    this->first_complete = revision;
+    this->change_revisions.clear();
+    this->removal_revisions.clear();
     return;
   }
   for (const auto& [name, entry] : after) {
     const auto known = before.find(name);
     if (known == before.end() || known->second != entry) {
-      this->change_revisions[name] = revision;
+      this->change_revisions[name] = revision.revision;
       this->removal_revisions.erase(name);
     }
   }
   for (const auto& [name, entry] : before) {
     if (after.count(name) == 0) {
-      this->removal_revisions[name] = revision;
+      this->removal_revisions[name] = revision.revision;
       this->change_revisions.erase(name);
     }
   }
@@ -38,24 +40,26 @@
     const auto oldest =
         std::min_element(this->removal_revisions.begin(), this->removal_revisions.end(),
                          [](const auto& left, const auto& right) { return left.second < right.second; });
-    this->first_complete_revision = std::max(*this->first_complete_revision, oldest->second);
+    this->first_complete->revision = std::max(this->first_complete->revision, oldest->second);
     this->removal_revisions.erase(oldest);
   }
 }
 
-DirectoryUpdate DirectoryChangeLog::ChangesSince(ObjectVersion known, const DirectorySnapshot& now) const {
-  if (!this->first_complete_revision || known == 0 || known < *this->first_complete_revision || known > now.revision) {
+DirectoryUpdate DirectoryChangeLog::ChangesSince(const StoreRevision& known, const DirectorySnapshot& now) const {
+  const bool covered = this->first_complete && known.revision > 0 && known.era == now.revision.era &&
+                       known >= *this->first_complete && known <= now.revision;
+  if (!covered) {
     return {0, now.revision, now.endpoints, {}, failover::DirectoryDigest(now.endpoints)};
   }
-  DirectoryUpdate update{known, now.revision, {}, {}, failover::DirectoryDigest(now.endpoints)};
+  DirectoryUpdate update{known.revision, now.revision, {}, {}, failover::DirectoryDigest(now.endpoints)};
   for (const auto& [name, revision] : this->change_revisions) {
     const auto entry = now.endpoints.find(name);
-    if (revision > known && entry != now.endpoints.end()) {
+    if (revision > known.revision && entry != now.endpoints.end()) {
       update.endpoints.insert(*entry);
     }
   }
   for (const auto& [name, revision] : this->removal_revisions) {
-    if (revision > known) {
+    if (revision > known.revision) {
       update.removed.push_back(name);
     }
   }
--- a/source/proxy/directory_change_log.h
+++ b/source/proxy/directory_change_log.h
@@ -14,7 +14,7 @@
 
 // The directory of endpoints at a revision of the store.
 struct DirectorySnapshot {
-  ObjectVersion revision = 0;
+  StoreRevision revision;
   failover::EndpointDirectory endpoints;
   // The number of entries in the store that are left out because they are invalid. 0 in a copy from a peer.
   std::size_t invalid_entries = 0;
@@ -22,9 +22,10 @@
 
 // The difference between the directories at two revisions, or a whole directory.
 struct DirectoryUpdate {
-  // The update applies to the directory at this revision or a later one. 0: it holds the whole directory.
+  // The update applies to the directory at this revision of the same era or a later one. 0: it holds the whole
+  // directory.
   ObjectVersion base = 0;
-  ObjectVersion revision = 0;
+  StoreRevision revision;
   // New and changed entries.
   failover::EndpointDirectory endpoints;
   std::vector<EndpointName> removed;
@@ -36,20 +37,20 @@
 // are new to them.
 class DirectoryChangeLog {
  public:
-  // Records that the VM's directory has changed from `before` to `after`, which has this revision. The first call only
-  // sets the revision at which the log begins.
+  // Records that the VM's directory has changed from `before` to `after`, which has this revision. The first call in an
+  // era only sets the revision at which the log begins.
   void Append(const failover::EndpointDirectory& before, const failover::EndpointDirectory& after,
-              ObjectVersion revision);
+              const StoreRevision& revision);
 
   // The update from the directory at revision `known` to `now`; the whole directory if the log doesn't reach back to
   // `known`.
-  DirectoryUpdate ChangesSince(ObjectVersion known, const DirectorySnapshot& now) const;
+  DirectoryUpdate ChangesSince(const StoreRevision& known, const DirectorySnapshot& now) const;
 
  private:
   void TrimRemovals();
 
-  // The log is complete from this revision on; none: it is empty.
-  std::optional<ObjectVersion> first_complete_revision;
+  // The log is complete from this revision on; none: it is empty. All revisions in it are of the same era.
+  std::optional<StoreRevision> first_complete;
   std::map<EndpointName, ObjectVersion> change_revisions;
   std::map<EndpointName, ObjectVersion> removal_revisions;
 };
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -43,13 +43,19 @@
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
 // Throws ParseError.
-ObjectVersion ParseRevision(const std::string& text) {
-  ObjectVersion revision = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), revision);
+std::uint64_t ParseNumber(const char* parameter, const std::string& text) {
+  std::uint64_t number = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
   if (error != std::errc() || end != text.data() + text.size()) {
-    throw ParseError("directory request", "since", "a revision");
+    throw ParseError("directory request", parameter, "a whole number");
   }
-  return revision;
+  return number;
+}
+
+// VMs of earlier builds send no era. Throws ParseError.
+StoreRevision ParseRevision(const std::string& target) {
+  const std::string era = net::QueryParameter(target, "era");
+  return {era.empty() ? 0 : ParseNumber("era", era), ParseNumber("since", net::QueryParameter(target, "since"))};
 }
 
 net::HttpRequest PostJson(const char* target, const nlohmann::json& body) {
@@ -97,8 +103,7 @@
   }
   failover::Actions orders;
   if (this->directory_known && this->coordination.Record() != nullptr) {
-    this->failover.Tick(this->directory.endpoints, this->synchronous_replicas, this->coordination, now, actions,
-                        orders);
+    this->failover.Tick(this->directory.endpoints, this->synchronous_replicas, this->coordination, now, actions, orders);
   }
   this->Perform(actions);
   this->PerformFailover(orders, now);
@@ -279,23 +284,25 @@
       [&](const store_sync::FetchDirectory& action) {
         logging::Write(logging::Level::kInfo, "a peer has a newer directory",
                        {{"peer", action.address},
-                        {"own_revision", own.directory_revision},
-                        {"peer_revision", action.peer_revision}});
-        const ObjectVersion since = this->full_directory_needed ? 0 : own.directory_revision;
-        this->FetchFromPeer(action.address, std::string(kDirectoryTarget) + "?since=" + std::to_string(since), now,
-                            [this](const nlohmann::json& document) {
-                              std::optional<DirectorySnapshot> update =
-                                  ApplyUpdate(ParseDirectoryMessage(document), this->directory);
-                              this->full_directory_needed = !update;
-                              if (update) {
-                                this->OnDirectory(std::move(*update));
-                              }
-                            });
+                        {"own_revision", own.directory_revision.revision},
+                        {"own_era", own.directory_revision.era},
+                        {"peer_revision", action.peer_revision.revision},
+                        {"peer_era", action.peer_revision.era}});
+        const StoreRevision since = this->full_directory_needed ? StoreRevision{} : own.directory_revision;
+        const std::string target = std::string(kDirectoryTarget) + "?since=" + std::to_string(since.revision) +
+                                   "&era=" + std::to_string(since.era);
+        this->FetchFromPeer(action.address, target, now, [this](const nlohmann::json& document) {
+          std::optional<DirectorySnapshot> update = ApplyUpdate(ParseDirectoryMessage(document), this->directory);
+          this->full_directory_needed = !update;
+          if (update) {
+            this->OnDirectory(std::move(*update));
+          }
+        });
       },
       [&](const store_sync::ReadStore&) {
-        logging::Write(
-            logging::Level::kInfo, "no member confirms this VM's copies; reading the store",
-            {{"configuration_version", own.configuration_version}, {"directory_revision", own.directory_revision}});
+        logging::Write(logging::Level::kInfo, "no member confirms this VM's copies; reading the store",
+                       {{"configuration_version", own.configuration_version},
+                        {"directory_revision", own.directory_revision.revision}});
         this->platform.Refresh();
       }};
   for (const store_sync::Action& action : actions) {
@@ -439,7 +446,7 @@
     } else if (request.target == kConfigurationTarget && this->configuration) {
       response.body = ToJson(*this->configuration).dump();
     } else if (net::TargetPath(request.target) == kDirectoryTarget && this->directory_known) {
-      const ObjectVersion since = ParseRevision(net::QueryParameter(request.target, "since"));
+      const StoreRevision since = ParseRevision(request.target);
       response.body = ToJson(this->directory_change_log.ChangesSince(since, this->directory)).dump();
     } else if (request.target == kRecordNoticeTarget) {
       this->coordination.OnRecordNotice(coordination::ParseCoordinationRecord(json::Parse(request.body, "notice")), now,
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -40,23 +40,36 @@
   if (this->directory_known && newer.revision < this->directory.revision) {
     if (this->endpoint_log_limiter.Admit(BootClock::now())) {
       logging::Write(logging::Level::kInfo, "ignoring an older directory",
-                     {{"revision", newer.revision}, {"known_revision", this->directory.revision}});
+                     {{"revision", newer.revision.revision},
+                      {"era", newer.revision.era},
+                      {"known_revision", this->directory.revision.revision},
+                      {"known_era", this->directory.revision.era}});
     }
     return;
   }
-  const bool same = this->directory_known && newer.endpoints == this->directory.endpoints;
+  const bool restored = this->directory_known && newer.revision.era != this->directory.revision.era;
+  const bool same = this->directory_known && newer.endpoints == this->directory.endpoints && !restored;
   if (!same) {
     this->directory_change_log.Append(this->directory.endpoints, newer.endpoints, newer.revision);
   }
+  if (restored) {
+    logging::Write(logging::Level::kWarning, "using the directory of the restored store",
+                   {{"era", newer.revision.era},
+                    {"revision", newer.revision.revision},
+                    {"former_era", this->directory.revision.era},
+                    {"former_revision", this->directory.revision.revision},
+                    {"endpoints", newer.endpoints.size()},
+                    {"former_endpoints", this->directory.endpoints.size()}});
+  }
   this->directory = std::move(newer);
   if (same) {
     this->store_sync.SetDirectory(this->directory.revision, this->store_sync.Versions().directory_digest);
     return;
   }
   const TimePoint now = BootClock::now();
-  const failover::EndpointDirectory& update = this->directory.endpoints;
   this->directory_known = true;
-  this->store_sync.SetDirectory(this->directory.revision, failover::DirectoryDigest(update));
+  this->store_sync.SetDirectory(this->directory.revision, failover::DirectoryDigest(this->directory.endpoints));
+  const failover::EndpointDirectory& update = this->directory.endpoints;
   for (const auto& [name, entry] : update) {
     const auto found = this->endpoints.find(name);
     const bool moved = found != this->endpoints.end() &&
--- a/source/proxy/peer_sync_messages.cc
+++ b/source/proxy/peer_sync_messages.cc
@@ -98,7 +98,8 @@
                        {"born", entry.incarnation}});
   }
   return {{"base", update.base},
-          {"revision", update.revision},
+          {"revision", update.revision.revision},
+          {"store_era", update.revision.era},
           {"endpoints", std::move(entries)},
           {"removed", update.removed},
           {"digest", update.digest}};
@@ -108,7 +109,8 @@
   const json::ObjectReader reader(document, kDirectoryDocument);
   DirectoryUpdate update;
   update.base = reader.Unsigned("base");
-  update.revision = reader.Unsigned("revision");
+  // VMs of earlier builds send no era.
+  update.revision = {reader.UnsignedOr("store_era", 0), reader.Unsigned("revision")};
   update.removed = reader.Strings("removed");
   update.digest = reader.String("digest");
   for (const nlohmann::json& item : reader.Array("endpoints")) {
--- a/tests/core/store_sync/store_sync_system_test.cc
+++ b/tests/core/store_sync/store_sync_system_test.cc
@@ -86,5 +86,34 @@
   EXPECT_EQ(system.Currency().configuration_at, TimePoint());
 }
 
+coordination::HeartbeatReply MakeDirectoryReply(const StoreRevision& revision, const std::string& digest) {
+  coordination::HeartbeatReply reply = MakeReply(0, milliseconds(100));
+  reply.store.directory_revision = revision;
+  reply.store.directory_digest = digest;
+  return reply;
+}
+
+// Guards against a directory that is kept because a restore of the store gave lower revisions to what came after it.
+TEST(StoreSyncSystem, ADirectoryOfALaterEraIsFetchedThoughItsRevisionIsLower) {
+  StoreSyncSystem system("vm-1", {});
+  system.SetDirectory({1, 90}, "old");
+  Actions actions;
+  system.OnMemberReply("member", MakeDirectoryReply({2, 40}, "new"), kStart, kStart, actions);
+  ASSERT_EQ(actions.size(), 1U);
+  EXPECT_EQ(std::get<FetchDirectory>(actions.front()).peer_revision, (StoreRevision{2, 40}));
+  EXPECT_EQ(system.Currency().directory_at, TimePoint());
+  system.SetDirectory({2, 40}, "new");
+  EXPECT_EQ(system.Versions().directory_revision, (StoreRevision{2, 40}));
+}
+
+// Guards against the return of a directory from a VM that hasn't heard of the restore yet.
+TEST(StoreSyncSystem, ADirectoryOfAnEarlierEraIsNotFetched) {
+  StoreSyncSystem system("vm-1", {});
+  system.SetDirectory({2, 40}, "new");
+  Actions actions;
+  system.OnMemberReply("member", MakeDirectoryReply({1, 90}, "old"), kStart, kStart, actions);
+  EXPECT_TRUE(actions.empty());
+}
+
 }  // namespace
 }  // namespace amaranthlane::store_sync
--- a/tests/platform/object_watcher_test.cc
+++ b/tests/platform/object_watcher_test.cc
@@ -55,7 +55,7 @@
                }),
         watcher(this->loop, this->address, "things", [this](const ObjectSnapshot& snapshot) {
           this->received = snapshot.objects;
-          this->as_of_revision = snapshot.as_of_revision;
+          this->as_of_revision = snapshot.as_of.revision;
         }) {
     this->server.Start();
   }
--- a/tests/proxy/in_memory_platform.cc
+++ b/tests/proxy/in_memory_platform.cc
@@ -7,7 +7,7 @@
 
 void InMemoryStore::Publish() {
   ++this->revision;
-  this->directory.revision = this->revision;
+  this->directory.revision = {this->era, this->revision};
   for (InMemoryPlatform* platform : this->platforms) {
     if (platform->watching) {
       platform->Notify();
@@ -17,6 +17,7 @@
 
 void InMemoryStore::Restore(const InMemoryContent& copy) {
   static_cast<InMemoryContent&>(*this) = copy;
+  this->directory.revision.era = ++this->era;
   for (InMemoryPlatform* platform : this->platforms) {
     if (platform->watching) {
       platform->Notify();
--- a/tests/proxy/in_memory_platform.h
+++ b/tests/proxy/in_memory_platform.h
@@ -24,6 +24,7 @@
 
 // The content of the platform's store, and the platforms that subscribe to it.
 struct InMemoryStore : InMemoryContent {
+  StoreEra era = 1;
   std::vector<InMemoryPlatform*> platforms;
   // Executes an order to promote an endpoint.
   std::function<void(const failover::OrderPromotion&)> promote;
--- a/tests/proxy/peer_sync_messages_test.cc
+++ b/tests/proxy/peer_sync_messages_test.cc
@@ -30,7 +30,7 @@
 TEST(PeerSyncMessages, ADirectoryUpdateSurvivesARoundTrip) {
   DirectoryUpdate directory;
   directory.base = 9;
-  directory.revision = 12;
+  directory.revision = {3, 12};
   directory.removed = {"f"};
   directory.digest = "17";
   failover::EndpointEntry entry;
@@ -41,7 +41,7 @@
   directory.endpoints["e"] = entry;
   const DirectoryUpdate read = ParseDirectoryMessage(ToJson(directory));
   EXPECT_EQ(read.base, 9U);
-  EXPECT_EQ(read.revision, 12U);
+  EXPECT_EQ(read.revision, directory.revision);
   EXPECT_EQ(read.removed, directory.removed);
   EXPECT_EQ(read.digest, directory.digest);
   EXPECT_EQ(read.endpoints, directory.endpoints);
