Keep endpoints draining that a restore of the store shows as ready

Found by asking the restored store's question of what VMs keep: an endpoint announces that it leaves, the store acknowledges it and comes back from a copy in which the endpoint is ready. Until the endpoint writes its entry again, VMs would give it work, and the bound of its announcement runs.

A VM now remembers which endpoints had begun to drain when the era rose. Each counts as draining until its entry changes in the new era, it starts again or is gone. What peers are told stays what the store holds, so that digests agree.

--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -21,6 +21,7 @@
 #include "proxy/caller_session.h"
 #include "proxy/directory_change_log.h"
 #include "proxy/dispatcher.h"
+#include "proxy/draining_endpoints.h"
 #include "proxy/endpoint_pool.h"
 #include "proxy/platform_services.h"
 #include "proxy/relayed_session.h"
@@ -162,6 +163,9 @@
   bool directory_known = false;
   DirectorySnapshot directory;
   DirectoryChangeLog directory_change_log;
+  // The directory with what this VM knows besides: endpoints that had begun to drain before a restore of the store.
+  failover::EndpointDirectory known_directory;
+  DrainingEndpoints draining_endpoints;
   // True when a peer's changes could not be applied to this VM's directory.
   bool full_directory_needed = false;
   std::map<GroupName, std::unique_ptr<Dispatcher>> dispatchers;
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -103,7 +103,7 @@
   }
   failover::Actions orders;
   if (this->directory_known && this->coordination.Record() != nullptr) {
-    this->failover.Tick(this->directory.endpoints, this->synchronous_replicas, this->coordination, now, actions, orders);
+    this->failover.Tick(this->known_directory, this->synchronous_replicas, this->coordination, now, actions, orders);
   }
   this->Perform(actions);
   this->PerformFailover(orders, now);
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -60,6 +60,7 @@
                     {"former_revision", this->directory.revision.revision},
                     {"endpoints", newer.endpoints.size()},
                     {"former_endpoints", this->directory.endpoints.size()}});
+    this->draining_endpoints.OnRestore(this->known_directory, newer.endpoints);
   }
   this->directory = std::move(newer);
   if (same) {
@@ -69,7 +70,8 @@
   const TimePoint now = BootClock::now();
   this->directory_known = true;
   this->store_sync.SetDirectory(this->directory.revision, failover::DirectoryDigest(this->directory.endpoints));
-  const failover::EndpointDirectory& update = this->directory.endpoints;
+  this->known_directory = this->draining_endpoints.Apply(this->directory.endpoints);
+  const failover::EndpointDirectory& update = this->known_directory;
   for (const auto& [name, entry] : update) {
     const auto found = this->endpoints.find(name);
     const bool moved = found != this->endpoints.end() &&
