Keep one coordination record for each era of the store

What callers could see: after a restore a primary that fails is never replaced, because the record's writes name revisions that the store doesn't have; VMs that start use a primary which a lost change had replaced; a late write passes a condition that was meant for another record.

Cause: versions, epochs, fencing tokens and conditions of the record were unique only because the store lost nothing.

Change: each era has an object of its own (main, main-2, ...), so that no condition of one era can hold in another, however late a write is executed; a write that is answered in another era counts as a conflict. The numbers of an era are above all those of the eras before. The coordinator begins the record with the newest state that it knows; if it lacks the store or is isolated, a successor does, then any VM. All primaries count as unconfirmed then, and nobody uses them. A coordinator that begins an era forgets its steps before it. The store counts as reached for leases only when it shows the era's record.

Ruled out: one object with the era in its content (a late write overwrites it); no confirmation (the fleet's check finds a replaced primary in use); a confirmation beside the change of primary (found by the late writes: the confirmation's answer was lost, and a promotion was ordered before its outcome was known).

A healthy fleet is interrupted for less than 200 ms (RestoredStoreFleet).

--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -34,6 +34,7 @@
   this->UpdateRetirements(now);
   this->DeclareReleases(now, actions);
   this->SendHeartbeats(now, actions);
+  this->ConsiderNewEra(now, actions);
   this->ReplaceMembers(now, actions);
   this->ConsiderTakeover(now, actions);
 }
@@ -45,6 +46,7 @@
   const bool outcome_unknown = this->pending_write && !this->pending_write->in_flight;
   bool read_needed = !this->record || !this->store_confirmed || outcome_unknown;
   if (this->record) {
+    read_needed = read_needed || this->recorded_era < this->store_era;
     read_needed = read_needed || this->record->MemberIndex(this->self.vm) < this->settings.store_poller_count;
     for (const Member& member : this->record->members) {
       read_needed =
@@ -172,24 +174,22 @@
   contact.next_heartbeat = std::max(contact.next_heartbeat, now + this->settings.heartbeat_interval / 4);
 }
 
-void CoordinationSystem::OnRecordRead(const std::optional<CoordinationRecord>& read, ObjectVersion read_revision,
+void CoordinationSystem::OnRecordRead(const std::optional<CoordinationRecord>& read, const StoreRevision& read_revision,
                                       TimePoint now, Actions& actions) {
   this->read_in_flight = false;
-  this->last_store_contact = now;
-  if (!read) {
-    if (!this->record && !this->pending_write) {
-      CoordinationRecord first;
-      first.epoch = 1;
-      first.fencing_token = 1;
-      first.coordinator_since = 1;
-      first.members = {{this->self.vm, this->self.address}};
-      this->Propose(first, now, actions);
-    } else if (this->pending_write && !this->pending_write->in_flight) {
-      this->pending_write->in_flight = true;
-      actions.emplace_back(WriteRecord{this->pending_write->record, 0});
-    }
+  if (read_revision.era < this->store_era) {
+    // The store was restored after it answered.
+    this->next_read = now;
+    return;
+  }
+  this->last_store_answer = now;
+  this->OnStoreEra(read_revision.era, now);
+  if (read_revision.revision == 0) {
+    this->OnEraWithoutRecord(read, now, actions);
     return;
   }
+  this->recorded_era = read_revision.era;
+  this->last_store_contact = now;
   this->store_confirmed = true;
   if (this->pending_write && read->update_id == this->pending_write->record.update_id) {
     this->FinishWrite(read_revision, now, actions);
@@ -199,13 +199,18 @@
     this->revision = read_revision;
   }
   this->Adopt(*read, "store", now, actions);
+  this->RepeatWrite(now, actions);
+}
+
+void CoordinationSystem::RepeatWrite(TimePoint now, Actions& actions) {
   if (!this->pending_write || this->pending_write->in_flight) {
     return;
   }
-  const bool takeover = this->pending_write->record.Coordinator()->vm == this->self.vm && !this->IsCoordinator();
-  if (this->pending_write->expected_revision == read_revision && (!takeover || !this->TakeoverReason(now).empty())) {
+  const bool takeover =
+      this->record && this->pending_write->record.Coordinator()->vm == this->self.vm && !this->IsCoordinator();
+  if (this->pending_write->expected_revision == this->revision && (!takeover || !this->TakeoverReason(now).empty())) {
     this->pending_write->in_flight = true;
-    actions.emplace_back(WriteRecord{this->pending_write->record, read_revision});
+    actions.emplace_back(WriteRecord{this->pending_write->record, this->pending_write->expected_revision});
   } else {
     this->pending_write.reset();
   }
@@ -218,12 +223,13 @@
   this->next_read = now + pause;
 }
 
-void CoordinationSystem::OnRecordWritten(WriteResult result, ObjectVersion written_revision, TimePoint now,
+void CoordinationSystem::OnRecordWritten(WriteResult result, const StoreRevision& written_revision, TimePoint now,
                                          Actions& actions) {
   if (!this->pending_write) {
     return;
   }
   if (result == WriteResult::kWritten) {
+    this->last_store_answer = now;
     this->last_store_contact = now;
     this->FinishWrite(written_revision, now, actions);
     return;
@@ -233,11 +239,13 @@
   this->next_read = result == WriteResult::kConflict ? now : now + this->settings.heartbeat_interval / 6;
 }
 
-void CoordinationSystem::FinishWrite(ObjectVersion written_revision, TimePoint now, Actions& actions) {
+void CoordinationSystem::FinishWrite(const StoreRevision& written_revision, TimePoint now, Actions& actions) {
   const CoordinationRecord written = std::move(this->pending_write->record);
   this->pending_write.reset();
   this->store_confirmed = true;
-  this->revision = written_revision;
+  if (written_revision.era == this->store_era) {
+    this->revision = written_revision;
+  }
   std::map<VmName, std::string> recipients;
   for (const auto& [vm, entry] : this->grant_table.Entries()) {
     if (entry.last_heartbeat + this->settings.grant_duration > now) {
@@ -266,6 +274,16 @@
   if (source != "store" && source != "own update") {
     this->revision.reset();
   }
+  if (newer.store_era > this->store_era) {
+    this->OnStoreEra(newer.store_era, now);
+  }
+  this->recorded_era = std::max(this->recorded_era, newer.store_era);
+  if (this->recorded_era == this->store_era) {
+    this->era_missing_since = kNever;
+  }
+  if (!this->record || newer.store_era > this->record->store_era) {
+    this->era_adopted_at = now;
+  }
   this->MarkChangedGroupsInUse(newer);
   this->record = newer;
   for (const Member& member : newer.members) {
@@ -338,7 +356,13 @@
 }
 
 void CoordinationSystem::Propose(CoordinationRecord next, TimePoint now, Actions& actions) {
-  next.version = (this->record ? this->record->version : 0) + 1;
+  const StoreRevision expected = this->revision.value_or(StoreRevision{this->store_era, 0});
+  if (expected.revision == 0) {
+    this->BeginEra(expected.era, next);
+  } else {
+    next.version = this->record->version + 1;
+  }
+  next.store_era = expected.era;
   std::erase_if(next.former, [&](const FormerMembers& former) { return this->GrantsExpired(former, now); });
   if (this->record && next.epoch != this->record->epoch) {
     FormerMembers replaced{this->record->epoch, next.version, {}};
@@ -349,7 +373,6 @@
   }
   next.update_id =
       this->self.vm + "/" + std::to_string(this->self.incarnation) + "/" + std::to_string(++this->update_count);
-  const ObjectVersion expected = this->revision.value_or(0);
   this->pending_write = PendingWrite{next, expected, now, true};
   actions.emplace_back(WriteRecord{std::move(next), expected});
 }
@@ -398,7 +421,8 @@
 std::vector<VmName> CoordinationSystem::ReleaseBlockers(const GroupName& group, TimePoint now) const {
   std::vector<VmName> blockers;
   if (!this->HasDeclaredRelease(this->self.vm, group)) {
-    blockers = this->grant_table.ReleaseBlockers(group, this->record->ReleaseVersion(group), this->self.vm, now);
+    blockers = this->grant_table.ReleaseBlockers(group, this->record->ReleaseVersion(group), this->self.vm, now,
+                                                 this->PossibleLostRecordUse(group, now));
     blockers.push_back(this->self.vm);
   }
   for (const std::vector<VmName>& members : this->GrantingSets(now)) {
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -23,10 +24,11 @@
 };
 // Read the record from the store.
 struct ReadRecord {};
-// Write the record if the store still holds `expected_revision`; 0: if the store has no record.
+// Write the record of the expected revision's era if the store still holds that revision of it; 0: if the store has no
+// record of that era.
 struct WriteRecord {
   CoordinationRecord record;
-  ObjectVersion expected_revision = 0;
+  StoreRevision expected_revision;
 };
 // Send the newest record to a VM that isn't a member of it.
 struct SendRecordNotice {
@@ -70,7 +72,7 @@
 // The outcome of a conditional write.
 enum class WriteResult : std::uint8_t {
   kWritten,
-  // The store holds another revision.
+  // The store holds another revision, or was restored from an older copy meanwhile.
   kConflict,
   // The write was rejected and has no effect.
   kRefused,
@@ -85,6 +87,9 @@
 // it or its grant has expired. The coordinator changes the primary once so many members have declared the release that
 // the grants of the others can't make up a lease. Nothing is written to the store while nothing changes, so leases
 // outlast an outage of the store of up to `store_contact_timeout`.
+// A restore of the store may lose records that VMs have acted on. Each era of the store therefore has a record of its
+// own, which the coordinator, or whoever takes over from it, begins with the newest state that it knows. No primary may
+// be used by that state until it is confirmed.
 class CoordinationSystem {
  public:
   CoordinationSystem(Self self, const CoordinationSettings& settings);
@@ -102,12 +107,15 @@
   // The coordinator sent a record to this VM.
   void OnRecordNotice(const CoordinationRecord& received, TimePoint now, Actions& actions);
 
-  // The store answered a read. `record` is empty if the store has none.
-  void OnRecordRead(const std::optional<CoordinationRecord>& record, ObjectVersion revision, TimePoint now,
+  // The store was seen to be in this era.
+  void OnStoreEra(StoreEra era, TimePoint now);
+  // The store answered a read in the era of `revision`. If it has no record of that era, the revision's number is 0 and
+  // `record` is the newest of an earlier era; empty: there is none either.
+  void OnRecordRead(const std::optional<CoordinationRecord>& record, const StoreRevision& revision, TimePoint now,
                     Actions& actions);
   void OnReadFailed(TimePoint now);
   // A write ended. `revision` is the record's new revision after kWritten.
-  void OnRecordWritten(WriteResult result, ObjectVersion revision, TimePoint now, Actions& actions);
+  void OnRecordWritten(WriteResult result, const StoreRevision& revision, TimePoint now, Actions& actions);
 
   // Replaces what this VM reports in its heartbeats, and sends heartbeats at once if the groups in use, the unreachable
   // endpoints or `leaving` changed.
@@ -145,6 +153,11 @@
   std::map<EndpointName, std::size_t> UnreachableCounts(TimePoint now) const;
   // The number of VMs with recent heartbeats, this one included, that reach the group's primary.
   std::size_t ReachableCount(const GroupName& group, TimePoint now) const;
+  // True when this VM, the coordinator, has begun the record of the store's era, and the group's primary can't have
+  // been changed, nor can be, by a record of an earlier era that the store has lost.
+  bool OutlastedRestore(const GroupName& group, TimePoint now) const;
+  // The newest era of the store that this VM knows of.
+  StoreEra NewestStoreEra() const;
   // True when this VM itself can't reach the endpoint.
   bool IsUnreachable(const EndpointName& endpoint) const;
   bool WritePending() const;
@@ -157,7 +170,7 @@
  private:
   struct PendingWrite {
     CoordinationRecord record;
-    ObjectVersion expected_revision = 0;
+    StoreRevision expected_revision;
     TimePoint proposed_at;
     bool in_flight = true;
   };
@@ -174,6 +187,15 @@
     // When the member last had an answer from the store, as far as this VM knows.
     TimePoint last_store_contact;
   };
+  // What this VM knows of the record of an earlier era from which it began the current one.
+  struct EraStart {
+    std::uint64_t version = 0;
+    std::vector<VmName> former_members;
+    // The end of the lease that this VM held by that record.
+    TimePoint lease_expiry;
+    // The groups that weren't changing in that record.
+    std::set<GroupName> settled_groups;
+  };
   // What this VM knows of a set of replaced members.
   struct Retirement {
     TimePoint first_seen;
@@ -201,6 +223,9 @@
   void ConsiderTakeover(TimePoint now, Actions& actions);
   // The reason to take over as coordinator; empty if there is none.
   std::string TakeoverReason(TimePoint now) const;
+  // The same when the coordinator doesn't begin a record for the store's era, though this VM has waited for `timeout`.
+  // A VM without a lease waits longer, as it couldn't confirm the primaries.
+  std::string MissingEraReason(Duration timeout, TimePoint now) const;
   // The same for a member in line to succeed the coordinator.
   std::string SuccessionReason(TimePoint now) const;
   // The same for any VM when too few members answer to make up a lease.
@@ -222,7 +247,17 @@
   // True when the first successor is so much larger than this VM that it should be the coordinator.
   bool HasLargerSuccessor(TimePoint now) const;
   void Propose(CoordinationRecord record, TimePoint now, Actions& actions);
-  void FinishWrite(ObjectVersion revision, TimePoint now, Actions& actions);
+  void FinishWrite(const StoreRevision& revision, TimePoint now, Actions& actions);
+  // The store has no record of its current era. `earlier`: the newest one of an earlier era.
+  void OnEraWithoutRecord(const std::optional<CoordinationRecord>& earlier, TimePoint now, Actions& actions);
+  // Begins a record for the store's era if this VM is the coordinator and isn't isolated.
+  void ConsiderNewEra(TimePoint now, Actions& actions);
+  // Turns `next` into the first record of an era.
+  void BeginEra(StoreEra era, CoordinationRecord& next);
+  // The VMs that may use the group's primary by a record of an earlier era that the store has lost.
+  LostRecordUse PossibleLostRecordUse(const GroupName& group, TimePoint now) const;
+  // Sends a write whose outcome is unknown again if the store was read and still holds the revision that it expects.
+  void RepeatWrite(TimePoint now, Actions& actions);
   bool IsSilent(const VmName& member, Duration limit, TimePoint now) const;
   // True for another VM whose heartbeats still arrive.
   bool HeardRecently(const VmName& vm, const GrantEntry& entry, TimePoint now) const;
@@ -230,8 +265,16 @@
   Self self;
   CoordinationSettings settings;
   std::optional<CoordinationRecord> record;
-  // The store's revision of the record, if known.
-  std::optional<ObjectVersion> revision;
+  // The newest era of the store that this VM knows of, and the store's revision of that era's record, if known.
+  StoreEra store_era = 0;
+  std::optional<StoreRevision> revision;
+  // The newest era that is known to have a record.
+  StoreEra recorded_era = 0;
+  // Since when the store is known to have no record of its era; kNever: it has one, or isn't known to have none.
+  TimePoint era_missing_since = kNever;
+  // When this VM adopted its first record of the record's era.
+  TimePoint era_adopted_at;
+  std::optional<EraStart> era_start;
   // False until this process has read the record from the store or written it.
   bool store_confirmed = false;
   PrimaryLease primary_lease;
@@ -242,6 +285,8 @@
   std::uint64_t update_count = 0;
   bool read_in_flight = false;
   TimePoint next_read;
+  // When the store last answered, and when it last showed this VM the newest record.
+  TimePoint last_store_answer;
   TimePoint last_store_contact;
   // When this process started. Grants that an earlier process of this VM gave may still be valid then.
   TimePoint started_at = kNever;
--- a/source/core/coordination/record.cc
+++ b/source/core/coordination/record.cc
@@ -17,7 +17,8 @@
 
 GroupState ParseGroupState(const nlohmann::json& document) {
   const json::ObjectReader reader(document, kDocument);
-  return {reader.Unsigned("term"), reader.String("primary"), reader.Bool("changing"), reader.Unsigned("changed_at")};
+  return {reader.Unsigned("term"), reader.String("primary"), reader.Bool("changing"), reader.Unsigned("changed_at"),
+          reader.BoolOr("unconfirmed", false)};
 }
 
 FormerMembers ParseFormerMembers(const nlohmann::json& document) {
@@ -54,13 +55,15 @@
     groups[name] = {{"term", group.term},
                     {"primary", group.primary},
                     {"changing", group.changing},
-                    {"changed_at", group.changed_at}};
+                    {"changed_at", group.changed_at},
+                    {"unconfirmed", group.unconfirmed}};
   }
   nlohmann::json former = nlohmann::json::array();
   for (const FormerMembers& set : record.former) {
     former.push_back({{"epoch", set.epoch}, {"replaced_at", set.replaced_at}, {"vms", set.vms}});
   }
-  return {{"version", record.version},
+  return {{"store_era", record.store_era},
+          {"version", record.version},
           {"epoch", record.epoch},
           {"fencing_token", record.fencing_token},
           {"members", members},
@@ -73,6 +76,8 @@
 CoordinationRecord ParseCoordinationRecord(const nlohmann::json& document) {
   const json::ObjectReader reader(document, kDocument);
   CoordinationRecord record;
+  // Earlier builds wrote no era.
+  record.store_era = reader.UnsignedOr("store_era", 0);
   record.version = reader.Unsigned("version");
   record.epoch = reader.Unsigned("epoch");
   record.fencing_token = reader.Unsigned("fencing_token");
--- a/source/core/coordination/record.h
+++ b/source/core/coordination/record.h
@@ -32,6 +32,8 @@
   bool changing = false;
   // The version of the record in which this state was written.
   std::uint64_t changed_at = 0;
+  // The state comes from an earlier era of the store, which may have lost a later change. `changing` is true as well.
+  bool unconfirmed = false;
 
   bool operator==(const GroupState&) const = default;
 };
@@ -47,10 +49,19 @@
   bool operator==(const FormerMembers&) const = default;
 };
 
-// The state that is shared through the store, as a single object. Each update is conditional on the revision that it
-// was derived from.
+// The versions, epochs and fencing tokens of the records that are written in an era of the store are above this number.
+// They are above all those of earlier eras, and so unique, though a restore may have lost the newest record.
+constexpr std::uint64_t FirstNumberOfEra(StoreEra era) {
+  constexpr unsigned kUpdateBits = 32;
+  return era <= kFirstStoreEra ? 0 : (era - kFirstStoreEra) << kUpdateBits;
+}
+
+// The state that is shared through the store, as one object for each era of the store. Each update is conditional on
+// the revision that it was derived from.
 struct CoordinationRecord {
-  // Rises by one with each update.
+  // The era of the store in which this version was written.
+  StoreEra store_era = 0;
+  // Rises by one with each update of the same era.
   std::uint64_t version = 0;
   // Rises whenever `members` changes. A grant is valid for one epoch.
   std::uint64_t epoch = 0;
--- a/source/core/coordination/succession.cc
+++ b/source/core/coordination/succession.cc
@@ -177,6 +177,10 @@
   if (this->IsSilent(coordinator, timeout + stagger, now)) {
     return coordinator + " does not answer";
   }
+  const std::string missing_era = this->MissingEraReason(timeout + stagger, now);
+  if (!missing_era.empty()) {
+    return missing_era;
+  }
   const auto entry = this->grant_table.Entries().find(coordinator);
   if (entry != this->grant_table.Entries().end() && entry->second.leaving && stagger == Duration::zero()) {
     return coordinator + " is shutting down";
@@ -203,7 +207,9 @@
       names += member.vm + " ";
     }
   }
-  return silent < BlockingQuorum(members.size()) ? "" : names + "do not answer and have not been replaced";
+  return silent < BlockingQuorum(members.size())
+             ? this->MissingEraReason(this->settings.isolation_timeout + timeout, now)
+             : names + "do not answer and have not been replaced";
 }
 
 Duration CoordinationSystem::QuorumLossTimeout(TimePoint now) const {
@@ -237,7 +243,7 @@
 }
 
 bool CoordinationSystem::StoreReachable(TimePoint now) const {
-  return now - this->last_store_contact < this->settings.store_poll_interval * 2;
+  return now - this->last_store_answer < this->settings.store_poll_interval * 2;
 }
 
 void CoordinationSystem::ConsiderTakeover(TimePoint now, Actions& actions) {
--- a/source/core/failover/primary_change_system.cc
+++ b/source/core/failover/primary_change_system.cc
@@ -69,6 +69,22 @@
 
 PrimaryChangeSystem::PrimaryChangeSystem(const FailoverSettings& settings) : settings(settings) {}
 
+Term PrimaryChangeSystem::NewestTerm(const GroupChange& change) {
+  Term newest = 0;
+  for (const auto& [name, known] : change.statuses) {
+    newest = std::max(newest, known.status.term);
+  }
+  return newest;
+}
+
+bool PrimaryChangeSystem::AllAnswered(const TickContext& context, const GroupName& group, const GroupChange& change) {
+  const std::vector<const EndpointEntry*> endpoints = context.Endpoints(group);
+  return std::all_of(endpoints.begin(), endpoints.end(), [&change](const EndpointEntry* entry) {
+    const auto known = change.statuses.find(entry->name);
+    return known != change.statuses.end() && known->second.sent_at >= change.released_at;
+  });
+}
+
 void PrimaryChangeSystem::Tick(const EndpointDirectory& directory,
                                const std::map<GroupName, std::uint64_t>& synchronous_replicas,
                                coordination::CoordinationSystem& coordination, TimePoint now,
@@ -80,6 +96,11 @@
     coordination.RequestHandover(false);
     return;
   }
+  if (std::exchange(this->coordinator_since, coordination.Record()->coordinator_since) !=
+      coordination.Record()->coordinator_since) {
+    // What this VM did before it took over, or began a new era of the store, counts as done by another coordinator.
+    this->changes.clear();
+  }
   std::set<GroupName> groups;
   for (const auto& [name, entry] : directory) {
     context.endpoints_by_group[entry.group].push_back(&entry);
@@ -106,6 +127,11 @@
     if (!state.changing && change.phase != Phase::kIdle) {
       change = {};
     }
+    if (state.unconfirmed && change.may_abort && change.phase != Phase::kRecording &&
+        coordination.OutlastedRestore(group, now)) {
+      this->Finish(context, group, {state.term, state.primary, false}, "the lease outlasted the restore of the store",
+                   change);
+    }
     if (change.phase == Phase::kIdle) {
       this->CheckPrimary(context, group, state, change);
     }
@@ -154,7 +180,9 @@
       term = known.status.term;
     }
   }
-  if (primary == nullptr) {
+  // Otherwise the endpoint has been replaced and doesn't know it yet.
+  const bool newest = term == NewestTerm(change);
+  if (primary == nullptr || !newest) {
     this->QueryForPrimary(context, group, change);
     return;
   }
@@ -305,11 +333,15 @@
   // A promotion that this VM ordered may still take effect after that of another endpoint.
   const bool ordered = !change.candidate.empty() && !change.may_abort &&
                        context.now < change.ordered_at + this->settings.promotion_timeout;
+  const Term newest_term = NewestTerm(change);
   for (const auto& [name, known] : change.statuses) {
     // A term has only one primary, so the same term under another name means that the former primary's server was
-    // restarted.
+    // restarted. Where the recorded primary is unconfirmed, it may have been promoted once more.
     const bool newer = known.status.term > state.term || (known.status.term == state.term && name != state.primary);
-    const bool became_primary = known.sent_at >= change.released_at && known.status.is_primary && newer;
+    const bool promoted_again = state.unconfirmed && change.order_accepted && name == change.candidate &&
+                                known.sent_at >= change.ordered_at + this->settings.inherited_order_window;
+    const bool became_primary = known.sent_at >= change.released_at && known.status.is_primary &&
+                                known.status.term == newest_term && (newer || promoted_again);
     if (became_primary && (!ordered || name == change.candidate)) {
       this->Finish(context, group, {known.status.term, name, false}, name + " is primary", change);
       return true;
@@ -318,8 +350,10 @@
   const auto former = change.statuses.find(state.primary);
   const auto entry = context.directory.find(state.primary);
   const bool former_is_primary = former != change.statuses.end() && former->second.sent_at >= change.released_at &&
-                                 former->second.status.is_primary && former->second.status.term == state.term;
-  if (former_is_primary && change.may_abort && context.now >= change.abort_allowed_from &&
+                                 former->second.status.is_primary && former->second.status.term == state.term &&
+                                 newest_term == state.term;
+  const bool confirmed = !state.unconfirmed || AllAnswered(context, group, change);
+  if (former_is_primary && confirmed && change.may_abort && context.now >= change.abort_allowed_from &&
       entry != context.directory.end() && !entry->second.draining &&
       context.UnreachableShare(group, state.primary) < this->settings.unreachable_share) {
     this->Finish(context, group, {state.term, state.primary, false}, "the former primary answers again", change);
@@ -335,7 +369,8 @@
   std::size_t best_unreachable = 0;
   std::size_t min_unreachable = SIZE_MAX;
   for (const EndpointEntry* entry : context.Endpoints(group)) {
-    if (entry->name == state.primary) {
+    // An unconfirmed primary is promoted once more where nothing shows that it wasn't replaced.
+    if (entry->name == state.primary && !state.unconfirmed) {
       continue;
     }
     ++found.replicas;
@@ -352,8 +387,11 @@
       continue;
     }
     const LogPosition position = known->second.status.position;
-    if (found.best.empty() || position > found.position ||
-        (position == found.position && unreachable < best_unreachable)) {
+    const bool equal = position == found.position;
+    // To promote the present primary once more changes nothing.
+    const bool better_equal =
+        equal && (unreachable < best_unreachable || (unreachable == best_unreachable && entry->name == state.primary));
+    if (found.best.empty() || position > found.position || better_equal) {
       found.best = entry->name;
       found.position = position;
       best_unreachable = unreachable;
@@ -385,13 +423,14 @@
   const bool all_answered = found.answered == found.replicas;
   const bool enough_answered = all_answered || (!has_synchronous_replicas && waited > this->settings.choice_timeout);
   const bool caught_up = !former_answers || waited > this->settings.catch_up_timeout;
+  const bool choosable = complete ? !state.unconfirmed || enough_answered : enough_answered && caught_up;
   // A replica that has answered and lags behind catches up only while the former primary is alive.
   const bool waits_for_reachability =
       found.more_reachable_exists && (former_answers || !all_answered) && waited <= this->settings.reachability_timeout;
   const std::string summary = found.best + " at " + PositionText(found.position) + ", " +
                               std::to_string(found.answered) + " of " + std::to_string(found.replicas) +
                               " replicas answered";
-  if (found.best.empty() || waits_for_reachability || (!complete && (!enough_answered || !caught_up))) {
+  if (found.best.empty() || waits_for_reachability || !choosable) {
     if (waited > this->settings.choice_timeout && !std::exchange(change.no_candidate_logged, true)) {
       const std::string primary =
           former_answers ? ", the former primary is at " + PositionText(former->second.status.position) : "";
--- a/source/core/failover/primary_change_system.h
+++ b/source/core/failover/primary_change_system.h
@@ -146,6 +146,10 @@
   };
   struct TickContext;
 
+  // The newest term that an endpoint of the group has reported.
+  static Term NewestTerm(const GroupChange& change);
+  // True when all endpoints of the group have answered since its primary was released.
+  static bool AllAnswered(const TickContext& context, const GroupName& group, const GroupChange& change);
   // Writes the states that were proposed for the groups to the record.
   void Submit(TickContext& context);
   void Discover(TickContext& context, const GroupName& group, GroupChange& change);
@@ -188,6 +192,8 @@
   void SendStepDowns(const TickContext& context);
 
   FailoverSettings settings;
+  // The version in which this VM became the coordinator that makes `changes`.
+  std::uint64_t coordinator_since = 0;
   std::map<GroupName, GroupChange> changes;
   std::vector<PendingStepDown> pending_step_downs;
 };
--- a/source/core/types.h
+++ b/source/core/types.h
@@ -28,6 +28,8 @@
 // Counts how often the platform's store was restored from an older copy of itself. Within one era the store loses
 // nothing that it has acknowledged.
 using StoreEra = std::uint64_t;
+// The era of a store that was never restored.
+inline constexpr StoreEra kFirstStoreEra = 1;
 
 // A revision of the store. Revisions are given out again after a restore, so eras are compared first.
 struct StoreRevision {
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -191,6 +191,8 @@
   set("amaranthlane_endpoints_out_of_reach", "Endpoints that this VM can't reach.",
       static_cast<std::uint64_t>(unreachable));
   set("amaranthlane_record_version", "Version of the coordination record that this VM uses.", this->RecordVersion());
+  set("amaranthlane_store_era", "Era of the store, which rises when it is restored from an older copy.",
+      this->coordination.NewestStoreEra());
   set("amaranthlane_configuration_version", "Version of the configuration that this VM uses.",
       this->configuration ? this->configuration->version : 0);
 }
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -339,27 +339,29 @@
 }
 
 void Node::PerformRead() {
-  this->platform.ReadRecord(
-      [this](bool answered, std::optional<coordination::CoordinationRecord> record, ObjectVersion revision) {
-        const TimePoint now = BootClock::now();
-        if (!answered) {
-          this->coordination.OnReadFailed(now);
-          return;
-        }
-        coordination::Actions actions;
-        this->coordination.OnRecordRead(record, revision, now, actions);
-        this->Perform(actions);
-      });
+  this->platform.ReadRecord([this](bool answered, const std::optional<coordination::CoordinationRecord>& record,
+                                   const StoreRevision& revision) {
+    const TimePoint now = BootClock::now();
+    if (!answered) {
+      this->coordination.OnReadFailed(now);
+      return;
+    }
+    coordination::Actions actions;
+    this->coordination.OnRecordRead(record, revision, now, actions);
+    this->Perform(actions);
+  });
 }
 
 void Node::PerformWrite(const coordination::WriteRecord& action) {
   this->platform.WriteRecord(
       action.record, action.expected_revision,
-      [this, version = action.record.version](coordination::WriteResult result, ObjectVersion revision) {
+      [this, version = action.record.version](coordination::WriteResult result, const StoreRevision& revision) {
         static constexpr std::array<const char*, 4> kResults = {"written", "conflict", "refused", "unknown"};
-        logging::Write(
-            logging::Level::kInfo, "coordination record write finished",
-            {{"result", kResults.at(static_cast<std::size_t>(result))}, {"version", version}, {"revision", revision}});
+        logging::Write(logging::Level::kInfo, "coordination record write finished",
+                       {{"result", kResults.at(static_cast<std::size_t>(result))},
+                        {"version", version},
+                        {"era", revision.era},
+                        {"revision", revision.revision}});
         coordination::Actions actions;
         this->coordination.OnRecordWritten(result, revision, BootClock::now(), actions);
         this->Perform(actions);
@@ -376,13 +378,14 @@
   for (const auto& [name, state] : record.groups) {
     if (state.changed_at > this->adopted_version) {
       changed += (changed.empty() ? "" : " ") + name + "=" + state.primary + "@" + std::to_string(state.term) +
-                 (state.changing ? " changing" : "");
+                 (state.changing ? " changing" : "") + (state.unconfirmed ? " unconfirmed" : "");
     }
   }
   logging::Write(logging::Level::kInfo, "coordination record adopted",
                  {{"source", source},
                   {"version", record.version},
                   {"former_version", std::exchange(this->adopted_version, record.version)},
+                  {"store_era", record.store_era},
                   {"epoch", record.epoch},
                   {"token", record.fencing_token},
                   {"members", members},
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -37,6 +37,7 @@
 }  // namespace
 
 void Node::OnDirectory(DirectorySnapshot newer) {
+  this->coordination.OnStoreEra(newer.revision.era, BootClock::now());
   if (this->directory_known && newer.revision < this->directory.revision) {
     if (this->endpoint_log_limiter.Admit(BootClock::now())) {
       logging::Write(logging::Level::kInfo, "ignoring an older directory",
--- a/source/proxy/platform_services.h
+++ b/source/proxy/platform_services.h
@@ -16,9 +16,11 @@
 
 class PlatformServices {
  public:
+  // `revision`: the store's era, and the revision of that era's record. Without one the number is 0, and `record` is
+  // the newest record of an earlier era, if there is any.
   using ReadRecordCallback = std::function<void(bool answered, std::optional<coordination::CoordinationRecord> record,
-                                                ObjectVersion revision)>;
-  using WriteRecordCallback = std::function<void(coordination::WriteResult result, ObjectVersion revision)>;
+                                                const StoreRevision& revision)>;
+  using WriteRecordCallback = std::function<void(coordination::WriteResult result, const StoreRevision& revision)>;
   using PromoteCallback = std::function<void(failover::PromotionResult result)>;
   // `current_at`: the content includes every change that the store acknowledged before that time.
   using ConfigurationCallback = std::function<void(const Configuration& configuration, TimePoint current_at)>;
@@ -27,7 +29,8 @@
   virtual ~PlatformServices() = default;
 
   virtual void ReadRecord(ReadRecordCallback callback) = 0;
-  virtual void WriteRecord(const coordination::CoordinationRecord& record, ObjectVersion expected_revision,
+  // Writes the record of the expected revision's era.
+  virtual void WriteRecord(const coordination::CoordinationRecord& record, const StoreRevision& expected_revision,
                            WriteRecordCallback callback) = 0;
   virtual void Promote(const failover::OrderPromotion& order, const VmName& coordinator, PromoteCallback callback) = 0;
   // Subscribe to the configuration and to the directory of endpoints for the life of the process. The callbacks run for
--- a/tests/core/coordination/restored_store_test.cc
+++ b/tests/core/coordination/restored_store_test.cc
@@ -50,6 +50,18 @@
     }
   }
 
+  // The longest time in which fewer than `min_users` VMs could use the primary.
+  milliseconds LongestGap(milliseconds time, std::size_t min_users) {
+    milliseconds gap{0};
+    milliseconds longest{0};
+    for (milliseconds passed{0}; passed < time; passed += milliseconds(10)) {
+      this->fleet.RunFor(milliseconds(10));
+      gap = this->fleet.PrimaryUsers() < min_users ? gap + milliseconds(10) : milliseconds(0);
+      longest = std::max(longest, gap);
+    }
+    return longest;
+  }
+
   VmFleet fleet;
 };
 
@@ -98,18 +110,56 @@
   EXPECT_EQ(this->fleet.PrimaryUsers(), kVms);
 }
 
+// Guards against a VM that starts anew from a store which has lost all records, while others know them.
+TEST_F(RestoredStoreFleet, AVmThatStartsBeforeAnEmptyStoreForgetsNoPrimary) {
+  this->ReplacePrimary();
+  this->fleet.Kill(6);
+  this->fleet.RestoreStore(seconds(60));
+  this->fleet.Restart(6);
+  this->fleet.RunFor(seconds(6));
+  EXPECT_EQ(this->fleet.PrimaryUsers(), kVms);
+  EXPECT_EQ(this->fleet.promotions, 1U);
+}
+
+// Guards against leases that end because the coordinator alone would begin the new era, but can't reach the store.
+TEST_F(RestoredStoreFleet, AnotherVmBeginsTheEraWhenTheCoordinatorLacksTheStore) {
+  const std::size_t coordinator = this->fleet.Coordinator().value();
+  this->fleet.vms_without_store = {coordinator};
+  this->fleet.RestoreStore(seconds(1));
+  this->fleet.RunFor(seconds(25));
+  EXPECT_EQ(this->fleet.PrimaryUsers(), kVms);
+  EXPECT_NE(this->fleet.Coordinator(), coordinator);
+}
+
+// The same when no member can.
+TEST_F(RestoredStoreFleet, AnyVmBeginsTheEraWhenNoMemberHasTheStore) {
+  for (std::size_t vm = 0; vm < kVms; ++vm) {
+    if (this->fleet.IsMember(vm)) {
+      this->fleet.vms_without_store.insert(vm);
+    }
+  }
+  this->fleet.RestoreStore(seconds(1));
+  this->fleet.RunFor(seconds(25));
+  EXPECT_EQ(this->fleet.PrimaryUsers(), kVms);
+}
+
+// Guards against an isolated coordinator that begins the new era alone and so interrupts the others.
+TEST_F(RestoredStoreFleet, AnIsolatedCoordinatorWithTheStoreInterruptsNoOtherVm) {
+  const std::size_t coordinator = this->fleet.Coordinator().value();
+  this->fleet.SetPartition({coordinator});
+  this->fleet.RunFor(milliseconds(300));
+  this->fleet.RestoreStore(seconds(1));
+  EXPECT_LE(this->LongestGap(seconds(20), kVms - 1), milliseconds(200));
+  this->fleet.SetPartition({});
+  this->fleet.RunFor(seconds(3));
+  EXPECT_EQ(this->fleet.PrimaryUsers(), kVms);
+}
+
 // Guards against an interruption of a healthy fleet that callers of the most urgent work would notice.
 TEST_F(RestoredStoreFleet, AHealthyFleetIsInterruptedForLessThanTheMostUrgentWorkMayTake) {
   this->ChangeMembers();
-  milliseconds gap{0};
-  milliseconds longest{0};
   this->fleet.RestoreStore(seconds(6));
-  for (milliseconds passed{0}; passed < seconds(30); passed += milliseconds(10)) {
-    this->fleet.RunFor(milliseconds(10));
-    gap = this->fleet.PrimaryUsers() < kVms ? gap + milliseconds(10) : milliseconds(0);
-    longest = std::max(longest, gap);
-  }
-  EXPECT_LE(longest, milliseconds(200));
+  EXPECT_LE(this->LongestGap(seconds(30), kVms), milliseconds(200));
   EXPECT_EQ(this->fleet.promotions, 0U);
 }
 
--- a/tests/core/coordination/vm_fleet.cc
+++ b/tests/core/coordination/vm_fleet.cc
@@ -152,6 +152,7 @@
     this->copies.pop_back();
   }
   this->stored = this->copies.back();
+  ++this->store_era;
   this->store_down = false;
   for (auto lost = this->configurations.upper_bound(this->stored.configuration); lost != this->configurations.end();
        ++lost) {
@@ -180,7 +181,9 @@
                           }});
 }
 
-std::uint64_t VmFleet::StoredVersion() const { return this->stored.record ? this->stored.record->version : 0; }
+std::uint64_t VmFleet::StoredVersion() const {
+  return this->stored.records.empty() ? 0 : this->stored.records.rbegin()->second.first.version;
+}
 
 void VmFleet::SilenceWatches() {
   for (Vm& vm : this->vms) {
@@ -224,6 +227,7 @@
     const bool held = stored == watch.known_version;
     const TimePoint current_at = held ? watch.sent_at + kWatch.wait : watch.sent_at;
     watch.known_version = stored;
+    vm.system->OnStoreEra(this->store_era, this->now);
     vm.store_sync->SetConfigurationVersion(stored);
     vm.store_sync->ConfirmConfiguration(current_at);
     vm.store_sync->ConfirmDirectory(current_at);
@@ -267,8 +271,9 @@
     return;
   }
   this->Schedule(vm, this->RandomStoreSyncDelay(),
-                 [this, vm, stored = this->stored.configuration, at = this->now] {
+                 [this, vm, era = this->store_era, stored = this->stored.configuration, at = this->now] {
                    this->vms[vm].unread = false;
+                   this->vms[vm].system->OnStoreEra(era, this->now);
                    this->vms[vm].store_sync->SetConfigurationVersion(stored);
                    this->vms[vm].store_sync->ConfirmConfiguration(at);
                    this->vms[vm].store_sync->ConfirmDirectory(at);
@@ -409,23 +414,31 @@
   }
   this->Schedule(vm, this->RandomDelay(), [this, vm] {
     Actions resulting_actions;
-    this->vms[vm].system->OnRecordRead(this->stored.record, this->stored.revision, this->now, resulting_actions);
+    std::optional<CoordinationRecord> record;
+    StoreRevision revision{this->store_era, 0};
+    if (!this->stored.records.empty()) {
+      const auto& [era, newest] = *this->stored.records.rbegin();
+      record = newest.first;
+      revision.revision = era == this->store_era ? newest.second : 0;
+    }
+    this->vms[vm].system->OnRecordRead(record, revision, this->now, resulting_actions);
     this->Perform(vm, resulting_actions);
   });
 }
 
 bool VmFleet::ApplyWrite(const WriteRecord& action) {
-  if (action.expected_revision != this->stored.revision) {
+  const StoreRevision& expected = action.expected_revision;
+  const auto found = this->stored.records.find(expected.era);
+  if (expected.revision != (found == this->stored.records.end() ? 0 : found->second.second)) {
     return false;
   }
-  this->stored.record = action.record;
-  ++this->stored.revision;
+  this->stored.records[expected.era] = {action.record, ++this->stored.revision};
   this->KeepCopy();
-  return true;
+  return expected.era == this->store_era;
 }
 
 void VmFleet::WriteStore(std::size_t vm, const WriteRecord& action) {
-  const auto complete_write = [this, vm](WriteResult result, ObjectVersion written) {
+  const auto complete_write = [this, vm](WriteResult result, const StoreRevision& written) {
     return [this, vm, result, written] {
       Actions resulting_actions;
       this->vms[vm].system->OnRecordWritten(result, written, this->now, resulting_actions);
@@ -433,7 +446,7 @@
     };
   };
   if (this->store_down || this->vms[vm].isolated || this->vms_without_store.count(vm) > 0) {
-    this->Schedule(vm, kReplyTimeout, complete_write(WriteResult::kUnknown, 0));
+    this->Schedule(vm, kReplyTimeout, complete_write(WriteResult::kUnknown, {}));
     return;
   }
   if (this->Chance(this->write_reply_loss)) {
@@ -444,12 +457,13 @@
     } else {
       this->ApplyWrite(action);
     }
-    this->Schedule(vm, kReplyTimeout, complete_write(WriteResult::kUnknown, 0));
+    this->Schedule(vm, kReplyTimeout, complete_write(WriteResult::kUnknown, {}));
     return;
   }
   const bool written = this->ApplyWrite(action);
   this->Schedule(vm, this->RandomDelay(),
-                 complete_write(written ? WriteResult::kWritten : WriteResult::kConflict, this->stored.revision));
+                 complete_write(written ? WriteResult::kWritten : WriteResult::kConflict,
+                                {this->store_era, this->stored.revision}));
 }
 
 void VmFleet::PerformFailover(std::size_t vm, const failover::Actions& actions) {
--- a/tests/core/coordination/vm_fleet.h
+++ b/tests/core/coordination/vm_fleet.h
@@ -80,7 +80,8 @@
   // What the store holds. A copy is kept of each state that it has had.
   struct StoreContent {
     TimePoint since;
-    std::optional<CoordinationRecord> record;
+    // By era, with the revision of each.
+    std::map<StoreEra, std::pair<CoordinationRecord, ObjectVersion>> records;
     ObjectVersion revision = 0;
     std::uint64_t configuration = 1;
   };
@@ -158,6 +159,7 @@
   std::set<std::size_t> partition;
   std::vector<Event> events;
   StoreContent stored;
+  StoreEra store_era = 1;
   std::vector<StoreContent> copies;
   // When each version of the configuration was acknowledged, or, if a restore lost it, acknowledged again.
   std::map<std::uint64_t, TimePoint> configurations;
--- a/tests/platform/platform_adapter_test.cc
+++ b/tests/platform/platform_adapter_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -81,5 +82,84 @@
   EXPECT_TRUE(this->RunUntil([this] { return this->directory.endpoints.at("e1").draining; }));
 }
 
+coordination::CoordinationRecord MakeRecord(std::uint64_t version) {
+  coordination::CoordinationRecord record;
+  record.version = version;
+  record.members = {{"vm-1", "127.0.0.1:1"}};
+  return record;
+}
+
+// The answer to a read of the coordination record.
+struct ReadResult {
+  bool answered = false;
+  std::optional<coordination::CoordinationRecord> record;
+  StoreRevision revision;
+};
+
+class RecordStoreTest : public PlatformAdapterTest {
+ protected:
+  ReadResult Read() {
+    std::optional<ReadResult> result;
+    this->adapter.ReadRecord([&result](bool answered, const std::optional<coordination::CoordinationRecord>& record,
+                                       const StoreRevision& revision) {
+      result = {answered, record, revision};
+    });
+    EXPECT_TRUE(this->RunUntil([&result] { return result.has_value(); }));
+    return result.value_or(ReadResult{});
+  }
+
+  coordination::WriteResult Write(std::uint64_t version, const StoreRevision& expected) {
+    std::optional<coordination::WriteResult> result;
+    this->adapter.WriteRecord(MakeRecord(version), expected,
+                              [&result](coordination::WriteResult written, const StoreRevision&) { result = written; });
+    EXPECT_TRUE(this->RunUntil([&result] { return result.has_value(); }));
+    return result.value_or(coordination::WriteResult::kUnknown);
+  }
+};
+
+TEST_F(RecordStoreTest, WritesOnTheConditionOfTheKnownRevision) {
+  EXPECT_EQ(this->Read().revision, (StoreRevision{1, 0}));
+  EXPECT_EQ(this->Write(1, {1, 0}), coordination::WriteResult::kWritten);
+  const ReadResult read = this->Read();
+  EXPECT_EQ(read.record->version, 1U);
+  EXPECT_EQ(this->Write(2, {1, 0}), coordination::WriteResult::kConflict);
+  EXPECT_EQ(this->Write(2, read.revision), coordination::WriteResult::kWritten);
+  EXPECT_EQ(this->Read().record->version, 2U);
+}
+
+// Guards against a record of an earlier era that passes for the current one.
+TEST_F(RecordStoreTest, AnEraBeginsWithoutARecordOfItsOwn) {
+  this->Write(1, {1, 0});
+  this->Write(2, this->Read().revision);
+  this->store.Restore(this->store.content);
+  ReadResult read = this->Read();
+  EXPECT_EQ(read.revision, (StoreRevision{2, 0}));
+  EXPECT_EQ(read.record->version, 2U);
+  EXPECT_EQ(this->Write(3, {2, 0}), coordination::WriteResult::kWritten);
+  this->store.Restore(this->store.content);
+  read = this->Read();
+  EXPECT_EQ(read.revision, (StoreRevision{3, 0}));
+  EXPECT_EQ(read.record->version, 3U);
+}
+
+// Guards against a write whose condition holds because the restored store gave a revision out again.
+TEST_F(RecordStoreTest, AWriteOfAnEarlierEraChangesNoRecordOfALaterOne) {
+  this->Write(1, {1, 0});
+  const ReadResult before = this->Read();
+  const StoreStandIn::Content copy = this->store.content;
+  this->store.Restore(copy);
+  EXPECT_EQ(this->Write(7, {2, 0}), coordination::WriteResult::kWritten);
+  EXPECT_EQ(this->Write(2, before.revision), coordination::WriteResult::kConflict);
+  EXPECT_EQ(this->Read().record->version, 7U);
+}
+
+TEST_F(RecordStoreTest, AStoreThatNamesNoRecordBeginsAnew) {
+  this->store.Restore(this->store.content);
+  const ReadResult read = this->Read();
+  EXPECT_TRUE(read.answered);
+  EXPECT_FALSE(read.record.has_value());
+  EXPECT_EQ(read.revision, (StoreRevision{2, 0}));
+}
+
 }  // namespace
 }  // namespace amaranthlane::platform
--- a/tests/proxy/in_memory_platform.cc
+++ b/tests/proxy/in_memory_platform.cc
@@ -25,30 +25,39 @@
   }
 }
 
+const coordination::CoordinationRecord* InMemoryStore::Record() const {
+  return this->records.empty() ? nullptr : &this->records.rbegin()->second.first;
+}
+
 InMemoryPlatform::InMemoryPlatform(boost::asio::io_context& loop, InMemoryStore& store) : loop(loop), store(store) {
   store.platforms.push_back(this);
 }
 
 void InMemoryPlatform::ReadRecord(ReadRecordCallback callback) {
   boost::asio::post(this->loop, [this, callback = std::move(callback)] {
-    callback(this->reachable, this->reachable ? this->store.record : std::nullopt, this->store.record_revision);
+    const auto& records = this->store.records;
+    const bool known = this->reachable && !records.empty();
+    const bool current = known && records.rbegin()->first == this->store.era;
+    callback(this->reachable, known ? std::optional(records.rbegin()->second.first) : std::nullopt,
+             {this->store.era, current ? records.rbegin()->second.second : 0});
   });
 }
 
-void InMemoryPlatform::WriteRecord(const coordination::CoordinationRecord& record, ObjectVersion expected_revision,
-                                   WriteRecordCallback callback) {
+void InMemoryPlatform::WriteRecord(const coordination::CoordinationRecord& record,
+                                   const StoreRevision& expected_revision, WriteRecordCallback callback) {
   coordination::WriteResult result = coordination::WriteResult::kRefused;
+  const auto found = this->store.records.find(expected_revision.era);
+  const ObjectVersion current = found == this->store.records.end() ? 0 : found->second.second;
   if (this->reachable) {
-    result = expected_revision == this->store.record_revision ? coordination::WriteResult::kWritten
-                                                              : coordination::WriteResult::kConflict;
+    result = expected_revision.revision == current ? coordination::WriteResult::kWritten
+                                                   : coordination::WriteResult::kConflict;
   }
   if (result == coordination::WriteResult::kWritten) {
-    this->store.record = record;
-    this->store.record_revision = ++this->store.revision;
+    this->store.records[expected_revision.era] = {record, ++this->store.revision};
+    result = expected_revision.era == this->store.era ? result : coordination::WriteResult::kConflict;
   }
-  boost::asio::post(this->loop, [result, revision = this->store.record_revision, callback = std::move(callback)] {
-    callback(result, revision);
-  });
+  const StoreRevision written{this->store.era, this->store.revision};
+  boost::asio::post(this->loop, [result, written, callback = std::move(callback)] { callback(result, written); });
 }
 
 void InMemoryPlatform::Promote(const failover::OrderPromotion& order, const VmName& /*coordinator*/,
--- a/tests/proxy/in_memory_platform.h
+++ b/tests/proxy/in_memory_platform.h
@@ -3,7 +3,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "proxy/platform_services.h"
@@ -14,8 +16,8 @@
 
 // What a copy of the store holds.
 struct InMemoryContent {
-  std::optional<coordination::CoordinationRecord> record;
-  ObjectVersion record_revision = 0;
+  // By era, with the revision of each.
+  std::map<StoreEra, std::pair<coordination::CoordinationRecord, ObjectVersion>> records;
   // Increased by each change.
   ObjectVersion revision = 0;
   Configuration configuration;
@@ -31,6 +33,8 @@
 
   // Notifies subscribers that watch the store. To be called after a change of the configuration or the directory.
   void Publish();
+  // The newest record; null if there is none.
+  const coordination::CoordinationRecord* Record() const;
   // Replaces the content by an older copy of it, which loses what was acknowledged since. Revisions are given out again
   // from there.
   void Restore(const InMemoryContent& copy);
@@ -42,7 +46,7 @@
   InMemoryPlatform(boost::asio::io_context& loop, InMemoryStore& store);
 
   void ReadRecord(ReadRecordCallback callback) override;
-  void WriteRecord(const coordination::CoordinationRecord& record, ObjectVersion expected_revision,
+  void WriteRecord(const coordination::CoordinationRecord& record, const StoreRevision& expected_revision,
                    WriteRecordCallback callback) override;
   void Promote(const failover::OrderPromotion& order, const VmName& coordinator, PromoteCallback callback) override;
   void SubscribeToConfiguration(ConfigurationCallback callback) override;
--- a/tests/proxy/node_fixture.cc
+++ b/tests/proxy/node_fixture.cc
@@ -86,8 +86,8 @@
     this->AddVm();
   }
   const bool serving = this->RunUntil([this] {
-    return this->store.record && this->store.record->groups.count("g") > 0 &&
-           this->store.record->members.size() == std::min<std::size_t>(this->vms.size(), 5);
+    return this->store.Record() != nullptr && this->store.Record()->groups.count("g") > 0 &&
+           this->store.Record()->members.size() == std::min<std::size_t>(this->vms.size(), 5);
   });
   EXPECT_TRUE(serving);
   this->RunFor(std::chrono::milliseconds(400));
@@ -170,7 +170,7 @@
   throw std::logic_error("no endpoint is the primary");
 }
 
-bool NodeFixture::IsMember(std::size_t vm) const { return this->store.record->IsMember(this->vms[vm].settings.vm); }
+bool NodeFixture::IsMember(std::size_t vm) const { return this->store.Record()->IsMember(this->vms[vm].settings.vm); }
 
 std::size_t NodeFixture::NonMember() const {
   for (std::size_t vm = 0; vm < this->vms.size(); ++vm) {
--- a/tests/proxy/node_test.cc
+++ b/tests/proxy/node_test.cc
@@ -148,16 +148,16 @@
 // The coordinator itself reaches the primary all the time.
 TEST_F(NodeTest, APrimaryThatMostVmsCannotReachIsReplacedByOneChange) {
   for (const Vm& vm : this->vms) {
-    if (vm.settings.vm != this->store.record->Coordinator()->vm) {
+    if (vm.settings.vm != this->store.Record()->Coordinator()->vm) {
       this->endpoints[0]->silent_to_vms.insert(vm.settings.vm);
     }
   }
-  const std::uint64_t version = this->store.record->version;
+  const std::uint64_t version = this->store.Record()->version;
   const auto caller = this->Open(1, "exact");
   EXPECT_TRUE(this->RunUntil([&] { return this->SendAndWait(*caller, "write w1").rfind("row", 0) == 0; }));
   EXPECT_NE(this->group.primary, "e1");
   // One update of the record begins the change, and one ends it.
-  EXPECT_EQ(this->store.record->version, version + 2);
+  EXPECT_EQ(this->store.Record()->version, version + 2);
 }
 
 // All endpoints crash and restart under new names. The former primary is still primary of its term and has its log.
--- a/tests/proxy/restored_store_test.cc
+++ b/tests/proxy/restored_store_test.cc
@@ -52,9 +52,8 @@
   this->store.Restore(copy);
   this->endpoints.pop_back();
   this->PublishEndpoints();
-  EXPECT_TRUE(this->AllVms([this](std::size_t each) {
-    return this->vms[each].node->FindDispatcher("g")->Pool("e3") == nullptr;
-  }));
+  EXPECT_TRUE(this->AllVms(
+      [this](std::size_t each) { return this->vms[each].node->FindDispatcher("g")->Pool("e3") == nullptr; }));
 }
 
 // Guards against an older configuration that a VM takes from the restored store.
@@ -63,9 +62,8 @@
   const InMemoryContent copy = this->store;
   this->store.configuration.version = 4;
   this->store.Publish();
-  ASSERT_TRUE(this->AllVms([this](std::size_t each) {
-    return this->vms[each].node->CurrentConfiguration()->version == 4;
-  }));
+  ASSERT_TRUE(
+      this->AllVms([this](std::size_t each) { return this->vms[each].node->CurrentConfiguration()->version == 4; }));
   this->store.Restore(copy);
   this->RunFor(milliseconds(300));
   this->AddVm();
@@ -98,15 +96,15 @@
   this->PublishEndpoints();
   this->RunFor(milliseconds(500));
   const EndpointName primary = this->group.primary;
-  const std::optional<coordination::CoordinationRecord> lost = this->store.record;
+  const std::uint64_t lost = this->store.Record()->version;
   this->store.Restore(copy);
   this->PublishEndpoints();
   this->AddVm();
   const auto caller = this->Open(this->vms.size() - 1, "exact");
   EXPECT_TRUE(this->RunUntil([&] { return this->SendAndWait(*caller, "write w1").rfind("row", 0) == 0; }));
   EXPECT_EQ(this->group.primary, primary);
-  EXPECT_TRUE(this->RunUntil([&] { return this->store.record->version > lost->version; }));
-  EXPECT_EQ(this->store.record->groups.at("g").primary, primary);
+  EXPECT_TRUE(this->RunUntil([&] { return this->store.Record()->version > lost; }));
+  EXPECT_EQ(this->store.Record()->groups.at("g").primary, primary);
 }
 
 }  // namespace
