Restore the store from an older copy in the soak

The soak's store keeps copies of its states. In most runs it is restored once or twice from one that is up to 8 s old, after a moment in which it refuses calls; it loses what it has acknowledged, gives revisions out again, raises its era and cuts watches off; writes without an answer are executed up to 5 s late, also across the restore. Operator and endpoints write again what was lost within 2 s. In some runs an endpoint then drains for longer than it may get work, and a new check reports work that VMs in touch send it. Restores have random numbers of their own, so that kept seeds keep their other faults.

--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -21,11 +21,29 @@
     def __init__(self, platform, groups, seed):
         self.platform, self.groups, self.random = platform, groups, random.Random(seed + 3)
         self.versions, self.violations, self.added = [], [], 0
-        # By VM and process: the newest versions that answers have shown, as (time, index in self.versions).
+        # By VM and process: the least version that answers have shown, as (time, index in self.versions).
         self.shown = {}
 
     def publish(self, databases):
         number = self.versions[-1].number + self.random.randint(1, 3) if self.versions else 1
+        self.write(number, databases)
+        self.versions.append(Version(number, frozenset(databases)))
+
+    def write_again(self):
+        """Writes the newest version again after a restore of the store has lost it."""
+        newest = self.versions[-1]
+        self.write(newest.number, newest.databases)
+        for version in self.versions:
+            version.acknowledged_at = min(version.acknowledged_at, time.monotonic())
+
+    def lose(self):
+        """Notes which versions the store doesn't have any more."""
+        stored = self.platform.objects.get(("config", "main"), {"spec": {"version": 0}})["spec"]["version"]
+        for version in self.versions:
+            if version.number > stored:
+                version.acknowledged_at = float("inf")
+
+    def write(self, number, databases):
         routes = [(f"{host}-{group.name}", kind, group) for group in self.groups
                   for host, kind in (("exact", "primary"), ("own", "read_your_writes"))]
         routes += [(name, "read_your_writes", self.groups[0]) for name in sorted(databases)]
@@ -35,7 +53,6 @@
             "routes": [{"name": f"r-{host}", "host": host, "route_type": kind, "timeout_ms": 1000,
                         "target_latency_ms": 200, "priority": 1, "service": group.name, "max_staleness_ms": 1500}
                        for host, kind, group in routes]})
-        self.versions.append(Version(number, frozenset(databases)))
 
     async def run(self):
         while True:
@@ -43,7 +60,7 @@
             self.change()
 
     def change(self):
-        if self.platform.mode != "up":
+        if self.platform.mode != "up" or self.versions[-1].acknowledged_at == float("inf"):
             return
         databases = set(self.versions[-1].databases)
         if len(databases) < 3 or self.random.random() < 0.5:
@@ -73,12 +90,13 @@
         if due and newest < due[-1] and sent_at > undisturbed_since + CONTACT_S:
             self.violations.append(f"CONFIG: {what}; version {self.versions[due[-1]].number} was acknowledged more than "
                                    f"{IN_FORCE_S:.0f} s before")
-        if possible:
-            # The oldest version since which the answer has been possible without a break.
-            oldest = newest
-            while oldest - 1 in possible:
-                oldest -= 1
-            self.shown.setdefault((vm.name, process.pid), []).append((time.monotonic(), oldest))
+        # A refusal may come from before the database was added as well as from after it was removed, as a process that
+        # starts while the store is restored from an older copy may lack many versions. Only a process that has shown a
+        # version in between is known to refuse by the removal.
+        shown = self.shown.setdefault((vm.name, process.pid), [])
+        least = [i for i in possible if i >= max((index for _, index in shown), default=0)]
+        if least:
+            shown.append((time.monotonic(), least[0]))
 
 
 class Probe:
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -22,6 +22,9 @@
 DAEMON = ROOT / "build" / "platform" / "amaranthlane-platformd"
 # An operation must succeed within this time after the last fault has ended.
 RECOVERY_S = 6
+# A VM that no fault has affected for CONTACT_S sends no new work to an endpoint that has drained for this time. The
+# users' bound at their smallest deployments.
+DRAIN_S = 7
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
 
 
@@ -108,6 +111,12 @@
         # When a fault of the store, or of a link that it doesn't share with one VM alone, was last in effect.
         self.store_disturbed_at = 0.0
         self.endpoints = [(group, endpoint) for group in self.groups for endpoint in group.endpoints]
+        # Has its own random numbers, so that a seed keeps its other faults.
+        self.restore_random = random.Random(seed + 4)
+        # The directory entries that the endpoints have written, by name.
+        self.published = {}
+        for group in self.groups:
+            group.on_work = self.check_draining
 
     async def start(self):
         store = await asyncio.start_server(self.platform.serve, "127.0.0.1", 0)
@@ -145,15 +154,15 @@
             writer.close()
 
     async def publish_endpoints(self):
-        known = {}
         while True:
             for group, e in self.endpoints:
                 entry = {"service": group.name, "address": f"127.0.0.1:{e.link.port}", "zone": "dc-0", "version": "v1",
                          "slots": 5, "state": "draining" if e.draining else "ready",
                          "db_role": "primary" if e.is_primary else "replica"}
-                if e.alive and known.get(e.name) != entry:
-                    known[e.name] = entry
+                if e.alive and self.platform.mode == "up" and self.published.get(e.name) != entry:
+                    self.published[e.name] = entry
                     self.platform.put("servers", e.name, entry)
+                    e.draining_since = time.monotonic() if e.draining else None
             await asyncio.sleep(0.1)
 
     def undisturbed_since(self, vm):
@@ -271,6 +280,43 @@
         self.store_disturbed_at = max(self.store_disturbed_at, time.monotonic() + duration_s)
         await asyncio.sleep(duration_s)
 
+    async def restore_store(self):
+        """Restores the store from an older copy; operator and endpoints write again what was lost, a little later."""
+        draw = self.restore_random
+        age_s, down_s, rewrite_s = draw.random() * 8, draw.random() * 2, draw.random() * 2
+        self.faults.append(f"{time.monotonic() - self.begin:.2f} s store restored, {age_s:.1f} s lost")
+        self.platform.late_share = 0.3
+        await asyncio.sleep(0.5)
+        self.platform.late_share = 0.0
+        await self.set_store_mode("refuse", down_s)
+        self.platform.restore(age_s)
+        self.changes.lose()
+        self.store_disturbed_at = time.monotonic()
+        for _, endpoint in self.endpoints:
+            endpoint.draining_since = None
+        await asyncio.sleep(rewrite_s)
+        while self.platform.mode != "up":
+            await asyncio.sleep(0.05)
+        self.published.clear()
+        self.changes.write_again()
+
+    async def run_restores(self):
+        """In most runs the store is restored, once or twice; then an endpoint drains for longer than it may get work."""
+        draw = self.restore_random
+        for _ in range(draw.choice([0, 1, 1, 2])):
+            await asyncio.sleep(draw.random() * self.seconds / 2)
+            await self.restore_store()
+            if draw.random() < 0.4:
+                _, endpoint = draw.choice(self.endpoints)
+                await self.override_attribute(endpoint, "draining", True, DRAIN_S + CONTACT_S)
+
+    def check_draining(self, endpoint, vm_name):
+        since, now = endpoint.draining_since, time.monotonic()
+        vm = next(vm for vm in self.vms if vm.name == vm_name)
+        if since and now > since + DRAIN_S and now > self.undisturbed_since(vm) + CONTACT_S:
+            self.groups[0].report_violation(f"DRAIN: {vm_name} sent work to {endpoint.name}, which had been draining for "
+                                            f"{now - since:.1f} s")
+
     async def crash_endpoint(self, endpoint, duration_s):
         endpoint.alive = False
         for writer in list(endpoint.writers):
@@ -287,14 +333,14 @@
     async def run(self):
         await self.start()
         await asyncio.sleep(2.5)
-        begin = time.monotonic()
+        begin = self.begin = time.monotonic()
         end = begin + self.seconds
         callers = [Caller(n, self.seed, [vm.callers for vm in self.vms], self.groups[n // 2 % len(self.groups)],
                           ("exact", "own")[n % 2]) for n in range(12)]
         stop = asyncio.Event()
         running = [asyncio.create_task(caller.run(stop)) for caller in callers]
         running += [asyncio.create_task(Probe(n, self.changes, self).run(stop)) for n in range(6)]
-        active_faults = []
+        active_faults = [asyncio.create_task(self.run_restores())]
         while time.monotonic() < end:
             await asyncio.sleep(self.random.random() * 1.5)
             name, coroutine = self.choose_fault()
--- a/soak/wire_platform.py
+++ b/soak/wire_platform.py
@@ -1,5 +1,8 @@
 """A small stand-in for the users' platform: the object store, the promotion call and the endpoints of database groups.
 
+The store can be restored from an older copy of itself: it loses what it has acknowledged since, gives revisions out
+again, and raises its era, which each of its answers tells.
+
 It records what the checks need: the promotions, the log of each endpoint, and which attempts committed where.
 """
 import asyncio
@@ -8,6 +11,9 @@
 import time
 import urllib.parse
 
+# A write whose answer is lost may be executed up to this much later, if its condition still holds then.
+LATE_WRITE_S = 5
+
 
 class Endpoint:
     """One database instance. Its log is a list of (term, number, attempt, item, data, time appended)."""
@@ -15,6 +21,8 @@
     # Replication lag in seconds; time to run a statement in seconds; whether the endpoint is published as draining;
     # share of commits whose connection is closed instead of answered.
     lag_s, work_s, draining, lost_share = 0.01, 0.002, False, 0.0
+    # Since when the store has had it as draining; none: it hasn't.
+    draining_since = None
 
     def __init__(self, name, group):
         self.name, self.group = name, group
@@ -41,6 +49,8 @@
         self.endpoints = [Endpoint(f"i-{name}{number}", name) for number in range(1, count + 1)]
         self.endpoints[0].is_primary = True
         self.term, self.violations, self.commits, self.promotions = 1, [], {}, []
+        # Called with the endpoint and the name of the VM for each statement that begins work.
+        self.on_work = lambda endpoint, vm: None
         # Attempts that a promotion rolled back; acknowledged commits as (time, attempt, position).
         self.rolled_back, self.acknowledged = set(), []
 
@@ -102,7 +112,7 @@
     def __init__(self, group, endpoint, reader, writer):
         self.group, self.endpoint, self.reader, self.writer = group, endpoint, reader, writer
         self.state, self.session_values, self.prepared, self.buffer = "I", {}, {}, []
-        self.read_write, self.term, self.answer = False, 0, b""
+        self.read_write, self.term, self.answer, self.vm = False, 0, b"", ""
 
     def send(self, *lines):
         position = self.endpoint.position()
@@ -117,6 +127,7 @@
             word, _, rest = line[:-2].partition(" ")
             if word == "CONNECT":
                 fields = rest.split(" ")
+                self.vm = fields[1]
                 if fields[0] != self.group.name or (len(fields) > 2 and fields[2] != self.endpoint.name):
                     self.writer.write(b"ERROR WRONGNODE -\r\n")
                     return
@@ -145,6 +156,8 @@
             verb, _, rest = text.partition(" ")
             if not self.endpoint.has_position(position):
                 return self.send("ERROR LAGGING -")
+        if self.state == "I" and verb in ("BEGIN", "READ", "WRITE", "EXECUTE"):
+            self.group.on_work(self.endpoint, self.vm)
         handlers = {"STATUS": self.status, "RESET": self.reset, "SET": self.set_value, "PREPARE": self.prepare,
                   "STEPDOWN": self.step_down, "BEGIN": self.begin, "ROLLBACK": self.rollback}
         if verb in handlers:
@@ -257,6 +270,11 @@
         # POST calls whose answer is lost.
         self.mode, self.lost_share, self.random = "up", 0.0, None
         self.history = []
+        self.era = 1
+        # The share of writes without an answer that are executed late.
+        self.late_share = 0.0
+        # States that the store has had, as (time, objects, revision).
+        self.copies = [(time.monotonic(), {}, 1)]
 
     def put(self, kind, name, spec):
         self.revision += 1
@@ -265,9 +283,32 @@
                 "finalizers": [], "deletion_started": False}
         self.objects[(kind, name)] = {"meta": meta, "spec": spec, "status": None}
         self.history.append((self.revision, kind, {"object": self.objects[(kind, name)], "deleted": False}))
+        self.copies.append((time.monotonic(), dict(self.objects), self.revision))
+        self.notify()
+        return self.objects[(kind, name)]
+
+    def delete(self, kind, name):
+        self.revision += 1
+        removed = self.objects.pop((kind, name))
+        removed = {**removed, "meta": {**removed["meta"], "revision": self.revision}}
+        self.history.append((self.revision, kind, {"object": removed, "deleted": True}))
+        self.copies.append((time.monotonic(), dict(self.objects), self.revision))
+        self.notify()
+
+    def notify(self):
         self.changed.set()
         self.changed = asyncio.Event()
-        return self.objects[(kind, name)]
+
+    def restore(self, age_s):
+        """Replaces the content by a copy that is `age_s` old, and cuts waiting watches off."""
+        copied_at = time.monotonic() - age_s
+        while len(self.copies) > 1 and self.copies[-1][0] > copied_at:
+            self.copies.pop()
+        _, objects, self.revision = self.copies[-1]
+        self.objects = dict(objects)
+        self.history = [change for change in self.history if change[0] <= self.revision]
+        self.era += 1
+        self.notify()
 
     async def leave_odd_entries(self):
         """Rewrites one entry of the directory again and again, as a faulty writer would."""
@@ -285,6 +326,11 @@
                 method, target, _ = first.split(" ")
                 if self.mode == "silent":
                     await asyncio.sleep(3600)
+                if self.mode == "up" and method in ("PUT", "POST") and target.startswith("/objects") and \
+                        self.late_share and self.random.random() < self.late_share:
+                    asyncio.get_running_loop().call_later(self.random.random() * LATE_WRITE_S, self.write, method, target,
+                                                          body)
+                    return
                 status, answer = (503, {}) if self.mode == "refuse" else await self.handle(method, target, body)
                 if method in ("PUT", "POST") and self.random and self.random.random() < self.lost_share:
                     return
@@ -293,7 +339,7 @@
                     text = text.replace(f'"odd spec {number}"', spec)
                 data = text.encode()
                 writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                             f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
+                             f"Store-Era: {self.era}\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
@@ -316,8 +362,12 @@
         if method == "GET":
             items = [o for (k, _), o in sorted(self.objects.items()) if k == kind]
             return 200, {"items": items, "has_more": False, "as_of_rev": self.revision}
+        return self.write(method, target, body)
+
+    def write(self, method, target, body):
+        parts = urllib.parse.urlsplit(target).path.strip("/").split("/")
         document = json.loads(body)
-        name = name or document["meta"]["name"]
+        kind, name = parts[1], parts[2] if len(parts) > 2 else document["meta"]["name"]
         found = self.objects.get((kind, name))
         expected = document["meta"].get("revision")
         if method == "POST" and found or (expected and (not found or found["meta"]["revision"] != expected)):
@@ -325,8 +375,12 @@
         return 200, self.put(kind, name, document["spec"])
 
     async def watch(self, kind, since, wait_s):
-        end = time.monotonic() + wait_s
+        end, era = time.monotonic() + wait_s, self.era
         while True:
+            if self.era != era:
+                raise ConnectionError("the watch is cut off by the restore")
+            if since > self.revision:
+                return 410, {}
             events = [event for revision, k, event in self.history if revision > since and k == kind]
             if events or time.monotonic() >= end:
                 return 200, {"events": events, "as_of_rev": self.revision}
