Confirm no primary after a newer record of the earlier era was heard

The former coordinator counts it as having released the primary then, and may order a promotion, while the member confirms the primary. The era's start now forgets which groups were settled when that happens; they go through the change of primary.

EraSuccessorTest.ConfirmsNothingAfterItHeardOfANewerRecordOfTheEarlierEra fails without the change and passes with it; its twin shows that the confirmation works otherwise.

--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -277,6 +277,10 @@
   if (newer.store_era > this->store_era) {
     this->OnStoreEra(newer.store_era, now);
   }
+  if (this->era_start && newer.version < this->era_start->version) {
+    // The first record of the era was made without it, and its writer may go on now that this VM has adopted it.
+    this->era_start->settled_groups.clear();
+  }
   this->recorded_era = std::max(this->recorded_era, newer.store_era);
   if (this->recorded_era == this->store_era) {
     this->era_missing_since = kNever;
--- a/tests/core/coordination/restored_store_test.cc
+++ b/tests/core/coordination/restored_store_test.cc
@@ -163,6 +163,74 @@
   EXPECT_EQ(this->fleet.promotions, 0U);
 }
 
+// A member that succeeds the coordinator in beginning the record of a new era.
+class EraSuccessorTest : public testing::Test {
+ protected:
+  EraSuccessorTest() {
+    this->record.version = 1;
+    this->record.epoch = 1;
+    this->record.members = {{"a", "a"}, {"b", "b"}, {"c", "c"}};
+    this->record.groups["g"] = {1, "e1", false};
+    this->system.Tick(this->now, this->actions);
+    this->system.OnRecordRead(this->record, {1, 5}, this->now, this->actions);
+    this->Grant();
+    this->system.OnRecordRead(this->record, {2, 0}, this->now, this->actions);
+    for (int step = 0; step < 20; ++step) {
+      this->now += milliseconds(50);
+      this->Grant();
+      this->system.OnRecordRead(this->record, {2, 0}, this->now, this->actions);
+      this->system.Tick(this->now, this->actions);
+    }
+    EXPECT_TRUE(this->system.WritePending());
+  }
+
+  // The other members grant this VM a lease.
+  void Grant() {
+    for (const VmName member : {"a", "c"}) {
+      HeartbeatReply reply;
+      reply.granted = true;
+      reply.version = this->record.version;
+      this->system.OnHeartbeatReply(member, reply, this->now, this->now, this->actions);
+    }
+  }
+
+  // The era's first record is written, and the other members adopt it.
+  void FinishEraStart() {
+    this->system.OnRecordWritten(WriteResult::kWritten, {2, 9}, this->now, this->actions);
+    for (const VmName member : {"a", "c"}) {
+      HeartbeatRequest heartbeat;
+      heartbeat.vm = member;
+      heartbeat.version = this->system.Record()->version;
+      this->system.OnHeartbeat(heartbeat, this->now, this->actions);
+    }
+  }
+
+  CoordinationSystem system{Self{"b", 1, "b", "b", "dc", {}}, CoordinationSettings{}};
+  CoordinationRecord record;
+  TimePoint now = TimePoint(seconds(100));
+  Actions actions;
+};
+
+TEST_F(EraSuccessorTest, ConfirmsPrimariesWhileItsLeaseLasts) {
+  this->FinishEraStart();
+  EXPECT_TRUE(this->system.IsCoordinator());
+  EXPECT_FALSE(this->system.MayUsePrimary("g", this->now));
+  EXPECT_TRUE(this->system.OutlastedRestore("g", this->now));
+  EXPECT_FALSE(this->system.OutlastedRestore("g", this->now + seconds(3)));
+}
+
+// Guards against the confirmation of a primary that the former coordinator replaces by a record which this VM adopted
+// after it had made the era's first one.
+TEST_F(EraSuccessorTest, ConfirmsNothingAfterItHeardOfANewerRecordOfTheEarlierEra) {
+  CoordinationRecord newer = this->record;
+  newer.version = 2;
+  newer.groups["g"] = {1, "e1", true};
+  this->system.OnRecordNotice(newer, this->now, this->actions);
+  this->FinishEraStart();
+  EXPECT_TRUE(this->system.IsCoordinator());
+  EXPECT_FALSE(this->system.OutlastedRestore("g", this->now));
+}
+
 // Guards against writes that take effect after the restore on a condition that was meant for a lost revision.
 TEST(RestoredStoreFleetProperty, NoLateWriteMakesVmsUseAReplacedPrimary) {
   const bool passed = rc::check("late writes across restores do no harm", [] {
