Wait for VMs that may use a primary by a lost record in each change

Cause, from the trace: vm-3, partitioned off with the store, takes over alone and grants itself a lease; the store is restored to before that. The other side begins the new era with a lease that outlasted the restore and confirms the primary, rightly: vm-3 can't have a primary released. But it may go on using one, and after the confirmation a change of primary no longer waited for it, as only unconfirmed groups did.

--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -426,7 +426,7 @@
   std::vector<VmName> blockers;
   if (!this->HasDeclaredRelease(this->self.vm, group)) {
     blockers = this->grant_table.ReleaseBlockers(group, this->record->ReleaseVersion(group), this->self.vm, now,
-                                                 this->PossibleLostRecordUse(group, now));
+                                                 this->PossibleLostRecordUse(now));
     blockers.push_back(this->self.vm);
   }
   for (const std::vector<VmName>& members : this->GrantingSets(now)) {
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -254,8 +254,9 @@
   void ConsiderNewEra(TimePoint now, Actions& actions);
   // Turns `next` into the first record of an era.
   void BeginEra(StoreEra era, CoordinationRecord& next);
-  // The VMs that may use the group's primary by a record of an earlier era that the store has lost.
-  LostRecordUse PossibleLostRecordUse(const GroupName& group, TimePoint now) const;
+  // The VMs that may use primaries by a record of an earlier era that the store has lost. A confirmation shows that
+  // none of them can change a primary, not that none uses it.
+  LostRecordUse PossibleLostRecordUse(TimePoint now) const;
   // Sends a write whose outcome is unknown again if the store was read and still holds the revision that it expects.
   void RepeatWrite(TimePoint now, Actions& actions);
   bool IsSilent(const VmName& member, Duration limit, TimePoint now) const;
--- a/source/core/coordination/store_eras.cc
+++ b/source/core/coordination/store_eras.cc
@@ -102,10 +102,9 @@
          static_cast<std::size_t>(members_adopted) >= LeaseQuorum(start.former_members.size());
 }
 
-LostRecordUse CoordinationSystem::PossibleLostRecordUse(const GroupName& group, TimePoint now) const {
-  const auto found = this->record->groups.find(group);
+LostRecordUse CoordinationSystem::PossibleLostRecordUse(TimePoint now) const {
   const Duration max_use = this->settings.store_contact_timeout + this->settings.grant_duration;
-  if (found == this->record->groups.end() || !found->second.unconfirmed || now >= this->era_adopted_at + max_use) {
+  if (now >= this->era_adopted_at + max_use) {
     return {};
   }
   return {this->era_adopted_at - max_use, FirstNumberOfEra(this->record->store_era)};
--- a/tests/core/coordination/restored_store_test.cc
+++ b/tests/core/coordination/restored_store_test.cc
@@ -155,6 +155,23 @@
   EXPECT_EQ(this->fleet.PrimaryUsers(), kVms);
 }
 
+// Guards against a change of primary while a VM, by a takeover that the store has lost, grants itself a lease.
+TEST(RestoredStoreScenario, APrimaryIsNotReplacedWhileAVmUsesItByALostRecord) {
+  constexpr std::uint64_t kSeed = 50;
+  constexpr std::size_t kTaker = 3;
+  VmFleet fleet(kVms, kSeed, {{120}, {500}, {120}, {120}, {500}, {500}, {120}});
+  fleet.RunFor(seconds(3));
+  fleet.SetPartition({kTaker, 6});
+  fleet.RunFor(milliseconds(1200));
+  fleet.Kill(0);
+  fleet.RunFor(milliseconds(2050));
+  ASSERT_TRUE(fleet.System(kTaker).IsCoordinator());
+  fleet.RestoreStore(milliseconds(1400));
+  fleet.primary_responds = false;
+  fleet.RunFor(seconds(3));
+  EXPECT_EQ(fleet.violation.value_or("none"), "none");
+}
+
 // Guards against an interruption of a healthy fleet that callers of the most urgent work would notice.
 TEST_F(RestoredStoreFleet, AHealthyFleetIsInterruptedForLessThanTheMostUrgentWorkMayTake) {
   this->ChangeMembers();
