--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -546,6 +546,8 @@
         self.record, self.name, self.target_port = record, name, target_port
         self.open = asyncio.Event()
         self.open.set()
+        # Referenced here, as the event loop doesn't keep tasks alive.
+        self.tasks = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.accept, HOST, 0)
@@ -560,6 +562,7 @@
         self.record.say(self.name, "the partition ends")
 
     async def accept(self, reader, writer):
+        self.tasks.add(asyncio.current_task())
         if not self.open.is_set():
             await self.open.wait()
             writer.transport.abort()
@@ -576,6 +579,7 @@
     async def forward(self, reader, writer):
         held = asyncio.Queue()
         sender = asyncio.create_task(self.deliver(held, writer))
+        self.tasks.add(sender)
         try:
             while data := await reader.read(65536):
                 held.put_nowait(data)
