--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,9 @@
-"""The only replica that has the newest acknowledged commits is draining when the primary crashes."""
+"""The only replica that has the newest acknowledged commits is draining when the primary crashes.
+
+With CRASH=0 the primary doesn't crash: it reports that it is draining, too, and stays.
+"""
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -30,14 +34,18 @@
         other.deaf = True
         rig.record.say(other.name, "receives nothing")
     await asyncio.sleep(DEAF_S)
-    if rig.trouble:
+    crashes = os.environ.get("CRASH", "1") != "0"
+    if not crashes:
+        # Planned work: the primary is replaced as well.
+        primary.drain()
+    elif rig.trouble:
         primary.crash()
-    await asyncio.sleep(1)
+    await asyncio.sleep(1 if crashes else 2.5)
     other.deaf = False
-    await asyncio.sleep(4.5)
+    await asyncio.sleep(4.5 if crashes else 3)
     leaving.leave()
     await asyncio.sleep(DOWN_S - 5.5)
-    if rig.trouble:
+    if crashes and rig.trouble:
         primary.come_back()
     await asyncio.sleep(1)
     return judge(rig, group, writers)
