End promotion orders that their coordinator gives up on

The platform, which checks no fencing token, then promoted a second primary beside the one in use.

Cause: giving up on a call didn't end it. The connection was closed without a reset, so that the kernel went on sending; the successor assumed that such an order takes effect within 1 s or never, and nothing made that true. Ruled out as a remedy: a longer window, since nothing bounds a partition.

Now an order has a deadline, and its connection is reset then, when its coordinator learns of a successor, and by the kernel when the process is killed (zero linger time) or hangs (TCP_USER_TIMEOUT up to the deadline). A call whose deadline has passed while it connected isn't written. A coordinator orders nothing in the last second of its lease, and has one order a group in flight at most; its successor counts its window of 1 s from the last VM's adoption of its record. So every order has ended, and has taken effect if the platform received it, before the successor orders. Heartbeats, notices and calls to the store end in the same way.

The fleet tests can now cut a VM off from the promotion call and check tokens at each step.

--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -110,6 +110,7 @@
   if (heartbeat.record) {
     this->Adopt(*heartbeat.record, "heartbeat from " + heartbeat.vm, now, actions);
   }
+  this->NoteAdoptionOfOwnTerm(heartbeat, now);
   GrantEntry& entry = this->grant_table.RecordHeartbeat(heartbeat, now);
   HeartbeatReply reply;
   reply.vm = this->self.vm;
@@ -136,6 +137,21 @@
   return reply;
 }
 
+void CoordinationSystem::NoteAdoptionOfOwnTerm(const HeartbeatRequest& heartbeat, TimePoint now) {
+  if (!this->IsCoordinator() || heartbeat.version < this->record->coordinator_since) {
+    return;
+  }
+  const auto known = this->grant_table.Entries().find(heartbeat.vm);
+  const bool adopted_before = known != this->grant_table.Entries().end() &&
+                              known->second.incarnation == heartbeat.incarnation &&
+                              known->second.version >= this->record->coordinator_since;
+  if (!adopted_before) {
+    this->last_adoption_of_own_term = now;
+  }
+}
+
+TimePoint CoordinationSystem::LastAdoptionOfOwnTerm() const { return this->last_adoption_of_own_term; }
+
 void CoordinationSystem::OnHeartbeatReply(const VmName& member, const HeartbeatReply& reply, TimePoint sent_at,
                                           TimePoint now, Actions& actions) {
   MemberContact& contact = this->contacts[member];
@@ -402,7 +418,7 @@
 TimePoint CoordinationSystem::LeaseExpiry() const { return this->primary_lease.Expiry(); }
 
 bool CoordinationSystem::MayPromote(TimePoint now) const {
-  return this->IsCoordinator() && now < this->primary_lease.Expiry();
+  return this->IsCoordinator() && now + this->settings.promotion_window < this->primary_lease.Expiry();
 }
 
 bool CoordinationSystem::CanRelease(TimePoint now) const {
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -137,9 +137,12 @@
   // True when this VM may use the group's primary now.
   bool MayUsePrimary(const GroupName& group, TimePoint now) const;
   TimePoint LeaseExpiry() const;
-  // True while this VM is the coordinator and holds a lease. A successor orders nothing until this VM has adopted its
-  // record or this VM's lease has expired.
+  // True while this VM is the coordinator and its lease lasts for `promotion_window` at least. A successor orders
+  // nothing until this VM has adopted its record or this VM's lease has expired.
   bool MayPromote(TimePoint now) const;
+  // When another VM was last heard to have adopted the record in which this VM became the coordinator; the epoch of the
+  // clock if none was.
+  TimePoint LastAdoptionOfOwnTerm() const;
   // True when this VM receives heartbeats of enough members for a primary to be released soon. Counts the current
   // members and the former ones whose grants may still be valid.
   bool CanRelease(TimePoint now) const;
@@ -203,6 +206,7 @@
     TimePoint quorum_adopted_since = kNever;
   };
 
+  void NoteAdoptionOfOwnTerm(const HeartbeatRequest& heartbeat, TimePoint now);
   void Adopt(const CoordinationRecord& record, const std::string& source, TimePoint now, Actions& actions);
   void MarkChangedGroupsInUse(const CoordinationRecord& newer);
   // Declares those changing groups released whose former primary no VM can use any more on the strength of this VM's
@@ -280,6 +284,7 @@
   bool store_confirmed = false;
   PrimaryLease primary_lease;
   GrantTable grant_table;
+  TimePoint last_adoption_of_own_term;
   std::map<VmName, MemberContact> contacts;
   LocalReport report;
   std::optional<PendingWrite> pending_write;
--- a/source/core/coordination/settings.h
+++ b/source/core/coordination/settings.h
@@ -14,6 +14,9 @@
   Duration heartbeat_interval = std::chrono::milliseconds(300);
   // How long a grant lasts. It bounds how long a change of primary waits for an isolated VM.
   Duration grant_duration = std::chrono::milliseconds(2000);
+  // How long before the end of its lease a coordinator orders its last promotion. Until the lease ends, the order has
+  // ended, and has taken effect if the platform received it.
+  Duration promotion_window = std::chrono::milliseconds(1000);
   // How much earlier than its members a VM treats its lease as expired, to cover clock drift.
   Duration clock_drift_margin = std::chrono::milliseconds(100);
   // A member that has been silent for this long is replaced. Less than half of `grant_duration`, so that leases outlast
--- a/source/core/failover/primary_change_system.cc
+++ b/source/core/failover/primary_change_system.cc
@@ -309,8 +309,10 @@
 void PrimaryChangeSystem::AwaitRelease(const TickContext& context, const GroupName& group, GroupChange& change) {
   this->QueryEndpoints(context, group, change, this->settings.query_interval);
   const std::vector<VmName> blockers = context.coordination.ReleaseBlockers(group, context.now);
-  if (blockers.empty() && !change.started_here &&
-      context.now < change.started_at + this->settings.inherited_order_window) {
+  // Every VM has adopted the record of this coordinator, and has thereby ended its own orders, or has been without a
+  // lease for so long that its last order has taken effect. The former are waited for here.
+  const TimePoint orders_ended = std::max(change.started_at, context.coordination.LastAdoptionOfOwnTerm());
+  if (blockers.empty() && !change.started_here && context.now < orders_ended + this->settings.inherited_order_window) {
     return;
   }
   if (blockers.empty()) {
@@ -460,17 +462,21 @@
     change.released_at = context.now;
     return;
   }
-  if (change.order_accepted || context.now < change.next_order || !context.coordination.MayPromote(context.now)) {
+  if (change.order_accepted || context.now < change.next_order || this->orders_in_flight.count(group) > 0 ||
+      !context.coordination.MayPromote(context.now)) {
     return;
   }
   change.next_order = context.now + this->settings.order_interval;
   change.ordered_at = context.now;
   change.may_abort = false;
-  context.actions.emplace_back(OrderPromotion{group, change.candidate, context.coordination.Record()->fencing_token});
+  this->orders_in_flight.insert(group);
+  context.actions.emplace_back(OrderPromotion{group, change.candidate, context.coordination.Record()->fencing_token,
+                                              context.now + this->settings.order_timeout});
 }
 
 void PrimaryChangeSystem::OnPromotionResult(const GroupName& group, const EndpointName& endpoint,
                                             PromotionResult result, TimePoint now) {
+  this->orders_in_flight.erase(group);
   const auto found = this->changes.find(group);
   if (found == this->changes.end() || found->second.candidate != endpoint) {
     return;
@@ -484,6 +490,14 @@
   }
 }
 
+void PrimaryChangeSystem::OnRecordAdopted(const coordination::CoordinationSystem& coordination, Actions& actions) {
+  const bool same_term =
+      coordination.IsCoordinator() && coordination.Record()->coordinator_since == this->coordinator_since;
+  if (!same_term && !this->orders_in_flight.empty()) {
+    actions.emplace_back(CancelPromotions{});
+  }
+}
+
 void PrimaryChangeSystem::Finish(const TickContext& context, const GroupName& group, const GroupState& next,
                                  const std::string& reason, GroupChange& change) {
   change.phase = Phase::kRecording;
--- a/source/core/failover/primary_change_system.h
+++ b/source/core/failover/primary_change_system.h
@@ -20,12 +20,16 @@
 struct QueryStatus {
   EndpointName endpoint;
 };
-// Order the platform to make the endpoint the group's primary.
+// Order the platform to make the endpoint the group's primary. An order that the platform hasn't received by the
+// deadline must never reach it.
 struct OrderPromotion {
   GroupName group;
   EndpointName endpoint;
   std::uint64_t fencing_token = 0;
+  TimePoint deadline;
 };
+// End all promotion orders in flight at once, in the same way.
+struct CancelPromotions {};
 // Tell a former primary the term that replaced its own.
 struct StepDown {
   EndpointName endpoint;
@@ -37,7 +41,7 @@
   std::string step;
   std::string reason;
 };
-using Action = std::variant<QueryStatus, OrderPromotion, StepDown, ChangeStep>;
+using Action = std::variant<QueryStatus, OrderPromotion, CancelPromotions, StepDown, ChangeStep>;
 using Actions = std::vector<Action>;
 
 struct FailoverSettings {
@@ -57,7 +61,12 @@
   Duration reachability_timeout = std::chrono::milliseconds(300);
   // How long an accepted promotion order may take before a candidate is chosen again.
   Duration promotion_timeout = std::chrono::milliseconds(1500);
-  // How long an order of a former coordinator may still take effect after that VM lost the role.
+  // How long a promotion order may take until it is answered. It ends then, and is repeated. Together with the time in
+  // which an order that the platform has received takes effect, this is less than
+  // CoordinationSettings::promotion_window.
+  Duration order_timeout = std::chrono::milliseconds(700);
+  // How long an order that the platform received from a former coordinator may still take effect after that VM has
+  // adopted the record of its successor, and with it ended the orders that the platform hadn't received.
   Duration inherited_order_window = std::chrono::milliseconds(1000);
   // How long the directory may show another primary than the record before the primary is changed.
   Duration disagreement_timeout = std::chrono::milliseconds(1000);
@@ -94,7 +103,11 @@
 
   // The endpoint answered a query sent at `sent_at`.
   void OnStatus(const GroupName& group, const EndpointName& endpoint, const EndpointStatus& status, TimePoint sent_at);
+  // The order has ended, whatever its result: the platform receives nothing of it any more.
   void OnPromotionResult(const GroupName& group, const EndpointName& endpoint, PromotionResult result, TimePoint now);
+  // This VM has adopted a newer record. Must run before any other VM learns that it has: a successor relies on it that
+  // the orders of a coordinator that has adopted its record have ended.
+  void OnRecordAdopted(const coordination::CoordinationSystem& coordination, Actions& actions);
 
  private:
   enum class Phase : std::uint8_t { kIdle, kReleasing, kChoosing, kPromoting, kRecording };
@@ -195,6 +208,8 @@
   // The version in which this VM became the coordinator that makes `changes`.
   std::uint64_t coordinator_since = 0;
   std::map<GroupName, GroupChange> changes;
+  // The groups with a promotion order in flight. Each has one at most, so that no earlier order can follow a later one.
+  std::set<GroupName> orders_in_flight;
   std::vector<PendingStepDown> pending_step_downs;
 };
 
--- a/source/net/http_connection.cc
+++ b/source/net/http_connection.cc
@@ -1,5 +1,10 @@
 #include "net/http_connection.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <boost/asio/detail/socket_option.hpp>
 #include <string>
 #include <utility>
 
@@ -10,9 +15,12 @@
 namespace {
 
 namespace http = boost::beast::http;
+using UserTimeoutOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 constexpr unsigned kHttpVersion = 11;
 constexpr std::uint64_t kMaxBodyBytes = 16ULL << 20;
+// For calls with a later deadline, or none.
+constexpr std::chrono::milliseconds kMaxTransmissionTime{60'000};
 
 HttpResponse ToResponse(http::response<http::string_body> message) {
   HttpResponse response;
@@ -92,11 +100,30 @@
     self->connected = true;
     boost::system::error_code ignored;
     self->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    self->ResetOnClose();
     self->Write();
   });
 }
 
+void HttpConnection::ResetOnClose() {
+  boost::system::error_code ignored;
+  this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+}
+
+void HttpConnection::LimitTransmission() {
+  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(this->deadline - BootClock::now());
+  const auto limit = std::clamp(remaining, std::chrono::milliseconds(1), kMaxTransmissionTime);
+  boost::system::error_code ignored;
+  this->socket.set_option(UserTimeoutOption(static_cast<int>(limit.count())), ignored);
+}
+
 void HttpConnection::Write() {
+  // The timer may be late, for example after the process was suspended.
+  if (BootClock::now() >= this->deadline) {
+    this->Finish(CallStatus::kNotSent, {});
+    return;
+  }
+  this->LimitTransmission();
   this->write_started = true;
   http::async_write(this->socket, this->outgoing,
                     [self = this->shared_from_this()](boost::system::error_code error, std::size_t bytes) {
--- a/source/net/http_connection.h
+++ b/source/net/http_connection.h
@@ -44,6 +44,9 @@
 
 // A client connection that handles one request at a time. It connects on first use and never reconnects; its owner
 // replaces a failed connection. All methods must be called on the event loop's thread.
+// A call that has ended without an answer never reaches the peer later: no byte is written after the deadline, and the
+// connection is reset, which discards what the network holds up. The kernel does the same if the process is killed, and
+// at the deadline if it is suspended. What the peer had received before may still be executed.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
  public:
   using Callback = std::function<void(CallResult)>;
@@ -67,6 +70,10 @@
   void Connect();
   void Write();
   void Read();
+  // Makes the kernel discard what the peer hasn't received when the connection closes, for whatever reason.
+  void ResetOnClose();
+  // Makes the kernel give up, without this process, on bytes that the peer hasn't received by the deadline.
+  void LimitTransmission();
   void ArmTimer(TimePoint deadline);
   void OnTimer();
   void Finish(CallStatus status, HttpResponse response);
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -84,6 +84,7 @@
   for (const auto& session : this->sessions) {
     session->Close();
   }
+  this->platform.CancelPromotions();
 }
 
 void Node::Start() {
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -390,6 +390,9 @@
                   {"token", record.fencing_token},
                   {"members", members},
                   {"changed_groups", changed}});
+  failover::Actions failover_actions;
+  this->failover.OnRecordAdopted(this->coordination, failover_actions);
+  this->PerformFailover(failover_actions, BootClock::now());
   this->UpdateChangingGroups(BootClock::now());
   this->platform.SetWatching(record.IsMember(this->settings.vm));
   coordination::Actions actions;
@@ -424,6 +427,10 @@
           this->failover.OnPromotionResult(action.group, action.endpoint, result, BootClock::now());
         });
       },
+      [this](const failover::CancelPromotions&) {
+        logging::Write(logging::Level::kInfo, "ending the promotion orders in flight", {});
+        this->platform.CancelPromotions();
+      },
       [](const failover::ChangeStep& action) {
         logging::Write(logging::Level::kInfo, action.step, {{"group", action.group}, {"why", action.reason}});
       }};
--- a/source/proxy/platform_services.h
+++ b/source/proxy/platform_services.h
@@ -32,7 +32,10 @@
   // Writes the record of the expected revision's era.
   virtual void WriteRecord(const coordination::CoordinationRecord& record, const StoreRevision& expected_revision,
                            WriteRecordCallback callback) = 0;
+  // Ends the order by its deadline: what the platform hasn't received then never reaches it.
   virtual void Promote(const failover::OrderPromotion& order, const VmName& coordinator, PromoteCallback callback) = 0;
+  // Ends all orders in flight in the same way, at once. Their callbacks run with kFailed.
+  virtual void CancelPromotions() = 0;
   // Subscribe to the configuration and to the directory of endpoints for the life of the process. The callbacks run for
   // each answer of the store, also when nothing has changed.
   virtual void SubscribeToConfiguration(ConfigurationCallback callback) = 0;
--- a/tests/core/coordination/fleet_property_test.cc
+++ b/tests/core/coordination/fleet_property_test.cc
@@ -8,7 +8,7 @@
 
 // More than the number of members, so that some VMs aren't members.
 constexpr std::size_t kVms = 7;
-constexpr int kFaultKinds = 15;
+constexpr int kFaultKinds = 17;
 
 // A large or small share of processors for each VM, so that members and the coordinator are replaced by larger VMs.
 std::vector<Millicores> Shares(std::uint64_t seed) {
@@ -70,13 +70,20 @@
     case 14:
       fleet.RestoreStore(std::chrono::milliseconds(200) + std::chrono::milliseconds(1200) * vm);
       break;
+    case 15:
+      fleet.SetCutFromPromotions(vm, true);
+      break;
+    case 16:
+      fleet.SetCutFromPromotions(vm, false);
+      break;
     default:
       break;
   }
 }
 
-// Whatever fails, singly or together: no VM may use a primary that is being replaced, at most one VM may promote, and
-// each VM that no fault affects has an acknowledged configuration in time.
+// Whatever fails, singly or together: no VM may use a primary that is being replaced, at most one VM may promote, no
+// order of a former coordinator follows that of its successor, and each VM that no fault affects has an acknowledged
+// configuration in time.
 TEST(CoordinationProperty, NoVmUsesAReplacedPrimary) {
   const bool passed = rc::check("no VM uses a replaced primary", [] {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
@@ -112,6 +119,7 @@
     for (std::size_t vm = 0; vm < kVms; ++vm) {
       fleet.SetFrozen(vm, false);
       fleet.SetIsolated(vm, false);
+      fleet.SetCutFromPromotions(vm, false);
       fleet.Restart(vm);
     }
     fleet.RunFor(std::chrono::seconds(14));
--- a/tests/core/coordination/vm_fleet.cc
+++ b/tests/core/coordination/vm_fleet.cc
@@ -1,7 +1,6 @@
 #include "core/coordination/vm_fleet.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 #include <variant>
 
@@ -20,7 +19,6 @@
 constexpr store_sync::WatchSettings kWatch;
 constexpr std::uint64_t kLogEnd = 5;
 const GroupName kGroup = "group-1";
-const std::array<EndpointName, 3> kEndpoints = {"e1", "e2", "e3"};
 
 template <class... Handlers>
 struct Overloaded : Handlers... {
@@ -29,17 +27,6 @@
 template <class... Handlers>
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
-failover::EndpointDirectory Directory() {
-  failover::EndpointDirectory directory;
-  for (const EndpointName& name : kEndpoints) {
-    failover::EndpointEntry entry;
-    entry.name = name;
-    entry.group = kGroup;
-    directory.emplace(name, entry);
-  }
-  return directory;
-}
-
 }  // namespace
 
 VmFleet::VmFleet(std::size_t count, std::uint64_t seed, std::vector<Millicores> shares)
@@ -98,6 +85,10 @@
       this->Tick(vm);
     }
   }
+  for (std::size_t vm = 0; vm < this->vms.size(); ++vm) {
+    this->EndOrders(vm, false);
+  }
+  this->Replicate();
   this->CheckPrimaryUsers();
   this->CheckConfigurations();
 }
@@ -294,7 +285,7 @@
 
 bool VmFleet::Responds(const EndpointName& endpoint, std::size_t vm) const {
   const auto silent = this->unreachable_from.find(endpoint);
-  const bool dead = endpoint == this->primary && !this->primary_responds;
+  const bool dead = this->endpoints.count(endpoint) == 0 || (endpoint == this->primary && !this->primary_responds);
   return !dead && (silent == this->unreachable_from.end() || silent->second.count(vm) == 0);
 }
 
@@ -307,7 +298,7 @@
     return report;
   }
   const EndpointName& recorded = record->groups.at(kGroup).primary;
-  for (const EndpointName& endpoint : kEndpoints) {
+  for (const auto& [endpoint, state] : this->endpoints) {
     if (!this->Responds(endpoint, vm)) {
       report.unreachable_endpoints.push_back(endpoint);
     } else if (endpoint == recorded) {
@@ -323,8 +314,9 @@
   failover::Actions failover_actions;
   vm.system->Report(this->MakeReport(index), this->now, actions);
   vm.system->Tick(this->now, actions);
+  const std::map<GroupName, std::uint64_t> synchronous = {{kGroup, this->synchronous_replicas}};
   if (vm.system->Record() != nullptr) {
-    vm.failover->Tick(Directory(), {}, *vm.system, this->now, actions, failover_actions);
+    vm.failover->Tick(this->Directory(), synchronous, *vm.system, this->now, actions, failover_actions);
   }
   this->Perform(index, actions);
   this->PerformFailover(index, failover_actions);
@@ -364,7 +356,11 @@
                               },
                               [&](const ReadRecord&) { this->ReadStore(vm); },
                               [&](const WriteRecord& action) { this->WriteStore(vm, action); },
-                              [](const RecordAdopted&) {},
+                              [&](const RecordAdopted&) {
+                                failover::Actions resulting_actions;
+                                this->vms[vm].failover->OnRecordAdopted(*this->vms[vm].system, resulting_actions);
+                                this->PerformFailover(vm, resulting_actions);
+                              },
                               [](const Decision&) {}};
   for (const Action& action : std::exchange(actions, {})) {
     std::visit(perform, action);
@@ -477,12 +473,14 @@
       failover::EndpointStatus status;
       status.is_primary = is_queried_primary;
       status.term = this->term;
-      status.position = {this->term, kLogEnd - (is_queried_primary ? 0 : this->replica_lag)};
+      status.position = this->Position(query->endpoint);
       this->Schedule(vm, this->RandomDelay(), [this, vm, name = query->endpoint, status, sent_at] {
         this->vms[vm].failover->OnStatus(kGroup, name, status, sent_at);
       });
     } else if (const auto* order = std::get_if<failover::OrderPromotion>(&action)) {
       this->Promote(vm, *order);
+    } else if (std::holds_alternative<failover::CancelPromotions>(action)) {
+      this->EndOrders(vm, true);
     }
   }
 }
@@ -499,21 +497,133 @@
       this->violation = other.name + " may use the primary while " + this->vms[vm].name + " replaces it";
     }
   }
-  this->Schedule(vm, this->RandomDelay(), [this, vm, order] {
-    this->vms[vm].failover->OnPromotionResult(order.group, order.endpoint, failover::PromotionResult::kAccepted,
-                                              this->now);
-  });
+  if (this->cut_from_promotions.count(vm) > 0) {
+    this->held_orders.push_back({vm, this->vms[vm].incarnation, order});
+  } else {
+    this->ReceiveOrder(vm, order);
+  }
+}
+
+void VmFleet::ReceiveOrder(std::size_t vm, const failover::OrderPromotion& order) {
+  if (order.fencing_token < this->highest_token && !this->violation) {
+    this->violation = "the platform received an order with token " + std::to_string(order.fencing_token) + " after " +
+                      std::to_string(this->highest_token);
+  }
+  this->highest_token = std::max(this->highest_token, order.fencing_token);
+  const bool runs = this->endpoints.count(order.endpoint) > 0;
+  this->ReportPromotionResult(vm, order,
+                              runs ? failover::PromotionResult::kAccepted : failover::PromotionResult::kRefused,
+                              this->RandomDelay());
   // The platform carries out the order even if the VM dies.
-  if (order.endpoint != this->primary) {
-    this->events.push_back({this->now + kPromotionDuration, kNoVm, 0, [this, order] {
-                              this->primary = order.endpoint;
-                              this->primary_responds = true;
-                              ++this->term;
-                            }});
+  if (runs && order.endpoint != this->primary) {
+    this->events.push_back(
+        {this->now + kPromotionDuration, kNoVm, 0, [this, endpoint = order.endpoint] { this->TakeOver(endpoint); }});
+  }
+}
+
+void VmFleet::ReportPromotionResult(std::size_t vm, const failover::OrderPromotion& order,
+                                    failover::PromotionResult result, Duration delay) {
+  this->Schedule(vm, delay, [this, vm, order, result] {
+    this->vms[vm].failover->OnPromotionResult(order.group, order.endpoint, result, this->now);
+  });
+}
+
+void VmFleet::EndOrders(std::size_t vm, bool all) {
+  for (auto held = this->held_orders.begin(); held != this->held_orders.end();) {
+    if (held->vm != vm || (!all && this->now < held->order.deadline)) {
+      ++held;
+      continue;
+    }
+    if (held->incarnation == this->vms[vm].incarnation) {
+      this->ReportPromotionResult(vm, held->order, failover::PromotionResult::kFailed, Duration::zero());
+    }
+    held = this->held_orders.erase(held);
+  }
+}
+
+void VmFleet::TakeOver(const EndpointName& endpoint) {
+  if (this->endpoints.count(endpoint) == 0) {
+    return;
+  }
+  if (this->synchronous_replicas > 0 && this->endpoints.at(endpoint).position < this->acknowledged &&
+      !this->violation) {
+    this->violation = endpoint + " became primary without an acknowledged commit";
+  }
+  this->primary = endpoint;
+  this->primary_responds = true;
+  ++this->term;
+}
+
+void VmFleet::Replicate() {
+  const auto found = this->endpoints.find(this->primary);
+  if (this->synchronous_replicas == 0 || found == this->endpoints.end() || !this->primary_responds) {
+    return;
+  }
+  LogPosition& end = found->second.position;
+  if (this->PrimaryUsers() > 0) {
+    end = {this->term, end.offset + 1};
+  }
+  for (auto& [name, endpoint] : this->endpoints) {
+    if (name != this->primary && !endpoint.deaf) {
+      endpoint.position = end;
+      this->acknowledged = end;
+    }
+  }
+}
+
+LogPosition VmFleet::Position(const EndpointName& endpoint) const {
+  if (this->synchronous_replicas > 0) {
+    return this->endpoints.at(endpoint).position;
+  }
+  return {this->term, kLogEnd - (endpoint == this->primary ? 0 : this->replica_lag)};
+}
+
+failover::EndpointDirectory VmFleet::Directory() const {
+  failover::EndpointDirectory directory;
+  for (const auto& [name, endpoint] : this->endpoints) {
+    failover::EndpointEntry entry;
+    entry.name = name;
+    entry.group = kGroup;
+    entry.address = name;
+    entry.draining = endpoint.draining;
+    directory.emplace(name, entry);
+  }
+  return directory;
+}
+
+void VmFleet::SetCutFromPromotions(std::size_t vm, bool cut) {
+  if (cut) {
+    this->cut_from_promotions.insert(vm);
+    return;
+  }
+  this->cut_from_promotions.erase(vm);
+  for (auto held = this->held_orders.begin(); held != this->held_orders.end();) {
+    if (held->vm != vm) {
+      ++held;
+      continue;
+    }
+    this->ReceiveOrder(vm, held->order);
+    held = this->held_orders.erase(held);
   }
 }
 
-void VmFleet::Kill(std::size_t vm) { this->vms[vm].alive = false; }
+void VmFleet::SetDeaf(const EndpointName& endpoint, bool deaf) { this->endpoints.at(endpoint).deaf = deaf; }
+
+void VmFleet::SetDraining(const EndpointName& endpoint, bool draining) {
+  this->endpoints.at(endpoint).draining = draining;
+}
+
+void VmFleet::SetAbsent(const EndpointName& endpoint, bool absent) {
+  auto& from = absent ? this->endpoints : this->absent_endpoints;
+  auto& to = absent ? this->absent_endpoints : this->endpoints;
+  to.insert(from.extract(endpoint));
+}
+
+void VmFleet::Kill(std::size_t vm) {
+  this->vms[vm].alive = false;
+  // The kernel resets the connections of a process that was killed.
+  this->EndOrders(vm, true);
+}
 
 void VmFleet::Restart(std::size_t vm) {
   if (!this->vms[vm].alive) {
@@ -553,4 +663,6 @@
 
 const CoordinationSystem& VmFleet::System(std::size_t vm) const { return *this->vms[vm].system; }
 
+const failover::PrimaryChangeSystem& VmFleet::Failover(std::size_t vm) const { return *this->vms[vm].failover; }
+
 }  // namespace amaranthlane::coordination
--- a/tests/core/coordination/vm_fleet.h
+++ b/tests/core/coordination/vm_fleet.h
@@ -19,8 +19,10 @@
 
 // Simulates the coordination, failover and store sync systems of several VMs, one database group, the store and the
 // endpoints, driven by a seed. It checks throughout that no VM may use a replaced primary, that while a promotion is
-// ordered no VM may use the former primary and no second VM may promote, and that each VM that has been undisturbed for
-// kContactTime has every configuration that was acknowledged kConfigurationTime ago.
+// ordered no VM may use the former primary and no second VM may promote, that the platform receives no order with a
+// lower fencing token than it has seen, that no acknowledged commit is lost where commits wait for replicas, and that
+// each VM that has been undisturbed for kContactTime has every configuration that was acknowledged kConfigurationTime
+// ago.
 class VmFleet {
  public:
   // `shares` holds each VM's share of processors; empty: unknown.
@@ -34,6 +36,14 @@
   void SetFrozen(std::size_t vm, bool frozen);
   // Cuts the VM off from the other VMs and the store, but not from the endpoints.
   void SetIsolated(std::size_t vm, bool isolated);
+  // Cuts the VM off from the platform's promotion call. Orders under way arrive when the cut ends, unless they have
+  // ended before.
+  void SetCutFromPromotions(std::size_t vm, bool cut);
+  // A deaf replica receives nothing of the log.
+  void SetDeaf(const EndpointName& endpoint, bool deaf);
+  void SetDraining(const EndpointName& endpoint, bool draining);
+  // An absent endpoint has left with its log: it neither runs nor has a directory entry.
+  void SetAbsent(const EndpointName& endpoint, bool absent);
   // Separates these VMs from the others. The store stays reachable from both sides.
   void SetPartition(std::set<std::size_t> side);
   // The store acknowledges a new version of the configuration, if it is up.
@@ -54,6 +64,7 @@
   // The live VM that is the coordinator by its own record; none if there are several or none.
   std::optional<std::size_t> Coordinator() const;
   const CoordinationSystem& System(std::size_t vm) const;
+  const failover::PrimaryChangeSystem& Failover(std::size_t vm) const;
 
   // Faults of the store.
   bool store_down = false;
@@ -68,8 +79,11 @@
   EndpointName primary = "e1";
   Term term = 1;
   bool primary_responds = true;
-  // The number of log offsets by which the replicas are behind the primary.
+  // The number of log offsets by which the replicas are behind the primary, where commits don't wait for replicas.
   std::uint64_t replica_lag = 0;
+  // The number of replicas that must have a commit before it is acknowledged. Where it isn't 0, the primary commits in
+  // each step in which a VM may use it.
+  std::uint64_t synchronous_replicas = 0;
   std::size_t promotions = 0;
   // Reads of the store by VMs whose copies no member confirmed.
   std::size_t store_reads = 0;
@@ -109,6 +123,17 @@
     // When a fault last affected this VM, its connections or the store as a whole.
     TimePoint disturbed_at;
   };
+  struct Endpoint {
+    LogPosition position = {1, 1};
+    bool deaf = false;
+    bool draining = false;
+  };
+  // A promotion order that the platform hasn't received.
+  struct HeldOrder {
+    std::size_t vm = kNoVm;
+    Incarnation incarnation = 0;
+    failover::OrderPromotion order;
+  };
   struct Event {
     TimePoint due;
     // The VM where the event happens, and that VM's incarnation when it was scheduled; events of an earlier incarnation
@@ -137,6 +162,16 @@
   void RewriteConfiguration();
   void PerformFailover(std::size_t vm, const failover::Actions& actions);
   void Promote(std::size_t vm, const failover::OrderPromotion& order);
+  void ReceiveOrder(std::size_t vm, const failover::OrderPromotion& order);
+  // The orders of this VM that the platform hasn't received end: their deadline is over, or `all` of them end.
+  void EndOrders(std::size_t vm, bool all);
+  void ReportPromotionResult(std::size_t vm, const failover::OrderPromotion& order, failover::PromotionResult result,
+                             Duration delay);
+  void TakeOver(const EndpointName& endpoint);
+  // The primary commits, and replicas receive.
+  void Replicate();
+  LogPosition Position(const EndpointName& endpoint) const;
+  failover::EndpointDirectory Directory() const;
   void CheckPrimaryUsers();
   void CheckConfigurations();
   // True while the store answers this VM.
@@ -158,6 +193,12 @@
   std::vector<Millicores> shares;
   std::set<std::size_t> partition;
   std::vector<Event> events;
+  std::map<EndpointName, Endpoint> endpoints = {{"e1", {}}, {"e2", {}}, {"e3", {}}};
+  std::map<EndpointName, Endpoint> absent_endpoints;
+  LogPosition acknowledged;
+  std::set<std::size_t> cut_from_promotions;
+  std::vector<HeldOrder> held_orders;
+  std::uint64_t highest_token = 0;
   StoreContent stored;
   StoreEra store_era = 1;
   std::vector<StoreContent> copies;
--- a/tests/platform/platform_adapter_test.cc
+++ b/tests/platform/platform_adapter_test.cc
@@ -2,18 +2,22 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <functional>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "platform/store_stand_in.h"
 
 namespace amaranthlane::platform {
 namespace {
 
+using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
 
 nlohmann::json ConfigurationSpec(std::uint64_t version) {
@@ -82,6 +86,56 @@
   EXPECT_TRUE(this->RunUntil([this] { return this->directory.endpoints.at("e1").draining; }));
 }
 
+// The adapter before a platform that accepts connections and answers nothing.
+class PromotionTest : public ::testing::Test {
+ protected:
+  PromotionTest()
+      : acceptor(this->loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+        adapter(this->loop, MakeSettings({"127.0.0.1", this->acceptor.local_endpoint().port()})) {}
+
+  void Order(milliseconds timeout) {
+    this->adapter.Promote({"g", "e1", 1, BootClock::now() + timeout}, "vm-1",
+                          [this](failover::PromotionResult result) { this->results.push_back(result); });
+  }
+
+  // Returns how the platform's next connection ends.
+  boost::system::error_code EndOfConnection() {
+    tcp::socket platform = this->acceptor.accept();
+    std::array<char, 1024> buffer{};
+    boost::system::error_code end;
+    while (!end) {
+      platform.read_some(boost::asio::buffer(buffer), end);
+    }
+    return end;
+  }
+
+  boost::asio::io_context loop;
+  tcp::acceptor acceptor;
+  PlatformAdapter adapter;
+  std::vector<failover::PromotionResult> results;
+};
+
+// Guards against an order that a partition holds up and that reaches the platform after that of another coordinator.
+TEST_F(PromotionTest, AnOrderEndsAtItsDeadline) {
+  this->Order(milliseconds(100));
+  this->loop.run_for(milliseconds(300));
+  EXPECT_EQ(this->results, std::vector{failover::PromotionResult::kFailed});
+  EXPECT_EQ(this->EndOfConnection(), boost::asio::error::connection_reset);
+}
+
+// Guards against orders of a coordinator that has learned of its successor.
+TEST_F(PromotionTest, AllOrdersInFlightCanBeEnded) {
+  for (int order = 0; order < 3; ++order) {
+    this->Order(milliseconds(5000));
+  }
+  this->loop.run_for(milliseconds(100));
+  this->adapter.CancelPromotions();
+  EXPECT_EQ(this->results, std::vector(3, failover::PromotionResult::kFailed));
+  for (int order = 0; order < 3; ++order) {
+    EXPECT_EQ(this->EndOfConnection(), boost::asio::error::connection_reset);
+  }
+}
+
 coordination::CoordinationRecord MakeRecord(std::uint64_t version) {
   coordination::CoordinationRecord record;
   record.version = version;
--- a/tests/proxy/in_memory_platform.cc
+++ b/tests/proxy/in_memory_platform.cc
@@ -70,6 +70,9 @@
   });
 }
 
+// Orders are executed at once, so none is in flight.
+void InMemoryPlatform::CancelPromotions() {}
+
 void InMemoryPlatform::SubscribeToConfiguration(ConfigurationCallback callback) {
   this->configuration_changed = std::move(callback);
   this->Notify();
--- a/tests/proxy/in_memory_platform.h
+++ b/tests/proxy/in_memory_platform.h
@@ -49,6 +49,7 @@
   void WriteRecord(const coordination::CoordinationRecord& record, const StoreRevision& expected_revision,
                    WriteRecordCallback callback) override;
   void Promote(const failover::OrderPromotion& order, const VmName& coordinator, PromoteCallback callback) override;
+  void CancelPromotions() override;
   void SubscribeToConfiguration(ConfigurationCallback callback) override;
   void SubscribeToDirectory(DirectoryCallback callback) override;
   void Refresh() override;
