Count every log that may hold an acknowledged commit when a primary is chosen

Cause: "all replicas have answered" was taken for "the best candidate has everything". A draining replica counted as an answer and its position was compared with nothing; a former primary that was ahead was waited for no longer than 1.5 s; endpoints that had left the directory counted for nothing.

Where commits wait for k replicas, each is in k + 1 logs, so all logs but k show the newest one, whichever they are. A replica becomes primary only with the position of a former primary that answers, or with the newest of so many logs; draining and departed endpoints count. A draining replica is chosen if only it has that position. A draining primary is replaced while a replica keeps up with it, and stays otherwise. Groups with sync_replicas 0 choose as before. Ruled out: to go by the positions that VMs got with acknowledged commits, since they may include later commits that weren't acknowledged.

The fleet's endpoints now have logs, and each step checks promotions against what was acknowledged.

--- a/source/core/failover/primary_change_system.cc
+++ b/source/core/failover/primary_change_system.cc
@@ -3,16 +3,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/failover/tick_context.h"
+
 namespace amaranthlane::failover {
 
 using coordination::GroupState;
 
 namespace {
 
-std::string PositionText(const LogPosition& position) {
-  return std::to_string(position.term) + "." + std::to_string(position.offset);
-}
-
 // How long a candidate whose promotion the platform refused is excluded.
 constexpr std::chrono::milliseconds kCandidateExclusionTime{1000};
 // The number of groups whose primary is being discovered at the same time. Each needs new connections, and a new
@@ -25,48 +23,6 @@
 
 }  // namespace
 
-// The inputs and results of one Tick.
-struct PrimaryChangeSystem::TickContext {
-  const EndpointDirectory& directory;
-  const std::map<GroupName, std::uint64_t>& synchronous_replicas;
-  coordination::CoordinationSystem& coordination;
-  TimePoint now;
-  coordination::Actions& coordination_actions;
-  Actions& actions;
-  // Filled on the coordinator only.
-  std::map<GroupName, std::vector<const EndpointEntry*>> endpoints_by_group = {};
-  std::map<EndpointName, std::size_t> unreachable_counts = {};
-  // The states to record; all of them go into one update.
-  std::map<GroupName, GroupState> proposed = {};
-  std::string reasons = {};
-  std::size_t discoveries = 0;
-
-  std::vector<const EndpointEntry*> Endpoints(const GroupName& group) const {
-    const auto found = this->endpoints_by_group.find(group);
-    return found == this->endpoints_by_group.end() ? std::vector<const EndpointEntry*>{} : found->second;
-  }
-  std::size_t UnreachableCount(const EndpointName& endpoint) const {
-    const auto found = this->unreachable_counts.find(endpoint);
-    return found == this->unreachable_counts.end() ? 0 : found->second;
-  }
-  // The share of the VMs with connections to the group that can't reach its primary.
-  double UnreachableShare(const GroupName& group, const EndpointName& primary) const {
-    const std::size_t unreachable = this->UnreachableCount(primary);
-    if (unreachable == 0) {
-      return 0;
-    }
-    const std::size_t total = unreachable + this->coordination.ReachableCount(group, this->now);
-    return static_cast<double>(unreachable) / static_cast<double>(total);
-  }
-  void Propose(const GroupName& group, const GroupState& state, const std::string& reason) {
-    this->proposed[group] = state;
-    this->reasons += (this->reasons.empty() ? "" : "; ") + reason;
-  }
-  void Log(const GroupName& group, const std::string& step, const std::string& reason) const {
-    this->actions.emplace_back(ChangeStep{group, step, reason});
-  }
-};
-
 PrimaryChangeSystem::PrimaryChangeSystem(const FailoverSettings& settings) : settings(settings) {}
 
 Term PrimaryChangeSystem::NewestTerm(const GroupChange& change) {
@@ -218,6 +174,13 @@
 
 void PrimaryChangeSystem::CheckPrimary(TickContext& context, const GroupName& group, const GroupState& state,
                                        GroupChange& change) {
+  const auto entry = context.directory.find(state.primary);
+  const bool draining = entry != context.directory.end() && entry->second.draining;
+  if (context.SynchronousReplicas(group) > 0 && (draining || !this->departed_endpoints.Of(group).empty())) {
+    this->TrackReplicas(context, group, state, change);
+  } else {
+    change.tracked_since = kNever;
+  }
   const std::string reason = this->ReasonToChange(context, group, state, change);
   if (reason.empty() || !context.coordination.MayPromote(context.now)) {
     change.waiting_logged = false;
@@ -247,7 +210,7 @@
   const auto entry = context.directory.find(state.primary);
   if (entry != context.directory.end()) {
     change.missing_since.reset();
-    if (entry->second.draining) {
+    if (entry->second.draining && this->MayReplaceDraining(context, group, state, change)) {
       return state.primary + " is draining";
     }
   } else if (!change.missing_since) {
@@ -355,8 +318,12 @@
                                  former->second.status.is_primary && former->second.status.term == state.term &&
                                  newest_term == state.term;
   const bool confirmed = !state.unconfirmed || AllAnswered(context, group, change);
-  if (former_is_primary && confirmed && change.may_abort && context.now >= change.abort_allowed_from &&
-      entry != context.directory.end() && !entry->second.draining &&
+  // A draining primary stays if no replica could take its place without the loss of a commit.
+  const bool may_stay =
+      entry != context.directory.end() &&
+      (!entry->second.draining ||
+       (context.SynchronousReplicas(group) > 0 && context.now > change.released_at + this->settings.catch_up_timeout));
+  if (former_is_primary && confirmed && change.may_abort && context.now >= change.abort_allowed_from && may_stay &&
       context.UnreachableShare(group, state.primary) < this->settings.unreachable_share) {
     this->Finish(context, group, {state.term, state.primary, false}, "the former primary answers again", change);
     return true;
@@ -364,91 +331,6 @@
   return false;
 }
 
-PrimaryChangeSystem::Candidates PrimaryChangeSystem::FindCandidates(const TickContext& context, const GroupName& group,
-                                                                    const GroupState& state,
-                                                                    const GroupChange& change) const {
-  Candidates found;
-  std::size_t best_unreachable = 0;
-  std::size_t min_unreachable = SIZE_MAX;
-  for (const EndpointEntry* entry : context.Endpoints(group)) {
-    // An unconfirmed primary is promoted once more where nothing shows that it wasn't replaced.
-    if (entry->name == state.primary && !state.unconfirmed) {
-      continue;
-    }
-    ++found.replicas;
-    const auto known = change.statuses.find(entry->name);
-    const bool answered = known != change.statuses.end() && known->second.sent_at >= change.released_at;
-    found.answered += answered ? 1 : 0;
-    const auto excluded = change.excluded.find(entry->name);
-    const bool usable = !entry->draining && (excluded == change.excluded.end() || excluded->second < context.now);
-    const std::size_t unreachable = context.UnreachableCount(entry->name);
-    if (usable && !context.coordination.IsUnreachable(entry->name)) {
-      min_unreachable = std::min(min_unreachable, unreachable);
-    }
-    if (!usable || !answered) {
-      continue;
-    }
-    const LogPosition position = known->second.status.position;
-    const bool equal = position == found.position;
-    // To promote the present primary once more changes nothing.
-    const bool better_equal =
-        equal && (unreachable < best_unreachable || (unreachable == best_unreachable && entry->name == state.primary));
-    if (found.best.empty() || position > found.position || better_equal) {
-      found.best = entry->name;
-      found.position = position;
-      best_unreachable = unreachable;
-    }
-  }
-  found.more_reachable_exists = !found.best.empty() && min_unreachable < best_unreachable;
-  return found;
-}
-
-void PrimaryChangeSystem::ChooseCandidate(const TickContext& context, const GroupName& group, const GroupState& state,
-                                          GroupChange& change) {
-  this->QueryEndpoints(context, group, change, this->settings.query_interval);
-  if (this->FinishIfResolved(context, group, state, change)) {
-    return;
-  }
-  const Candidates found = this->FindCandidates(context, group, state, change);
-  if (!found.best.empty()) {
-    change.no_candidate_since.reset();
-  } else if (!change.no_candidate_since) {
-    change.no_candidate_since = context.now;
-  }
-  const auto former = change.statuses.find(state.primary);
-  const bool former_answers = former != change.statuses.end() && former->second.sent_at >= change.released_at &&
-                              former->second.status.is_primary;
-  const bool complete = !found.best.empty() && former_answers && found.position >= former->second.status.position;
-  const auto synchronous = context.synchronous_replicas.find(group);
-  const bool has_synchronous_replicas = synchronous != context.synchronous_replicas.end() && synchronous->second > 0;
-  const Duration waited = context.now - change.released_at;
-  const bool all_answered = found.answered == found.replicas;
-  const bool enough_answered = all_answered || (!has_synchronous_replicas && waited > this->settings.choice_timeout);
-  const bool caught_up = !former_answers || waited > this->settings.catch_up_timeout;
-  const bool choosable = complete ? !state.unconfirmed || enough_answered : enough_answered && caught_up;
-  // A replica that has answered and lags behind catches up only while the former primary is alive.
-  const bool waits_for_reachability =
-      found.more_reachable_exists && (former_answers || !all_answered) && waited <= this->settings.reachability_timeout;
-  const std::string summary = found.best + " at " + PositionText(found.position) + ", " +
-                              std::to_string(found.answered) + " of " + std::to_string(found.replicas) +
-                              " replicas answered";
-  if (found.best.empty() || waits_for_reachability || !choosable) {
-    if (waited > this->settings.choice_timeout && !std::exchange(change.no_candidate_logged, true)) {
-      const std::string primary =
-          former_answers ? ", the former primary is at " + PositionText(former->second.status.position) : "";
-      context.Log(group, "no candidate yet", (found.best.empty() ? "nobody" : summary) + primary);
-    }
-    return;
-  }
-  change.candidate = found.best;
-  change.phase = Phase::kPromoting;
-  change.next_order = context.now;
-  change.chosen_at = context.now;
-  change.ordered_at = context.now;
-  change.order_accepted = false;
-  context.Log(group, "candidate chosen", summary);
-}
-
 void PrimaryChangeSystem::PromoteCandidate(const TickContext& context, const GroupName& group, const GroupState& state,
                                            GroupChange& change) {
   if (this->FinishIfResolved(context, group, state, change)) {
@@ -490,6 +372,11 @@
   }
 }
 
+void PrimaryChangeSystem::OnDirectory(const EndpointDirectory& directory,
+                                      const std::map<GroupName, std::uint64_t>& synchronous_replicas, TimePoint now) {
+  this->departed_endpoints.Update(directory, synchronous_replicas, now);
+}
+
 void PrimaryChangeSystem::OnRecordAdopted(const coordination::CoordinationSystem& coordination, Actions& actions) {
   const bool same_term =
       coordination.IsCoordinator() && coordination.Record()->coordinator_since == this->coordinator_since;
--- a/source/core/failover/primary_change_system.h
+++ b/source/core/failover/primary_change_system.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/coordination/coordination_system.h"
+#include "core/failover/departed_endpoints.h"
 #include "core/failover/endpoint_status.h"
 #include "core/types.h"
 
@@ -52,11 +53,19 @@
   // Between two queries of an endpoint during a change.
   Duration query_interval = std::chrono::milliseconds(40);
   // How long a change waits for all replicas to answer before it chooses among those that did. In a group with
-  // synchronous replicas it waits for all of them without limit, unless the former primary answers and a replica has
-  // its position.
+  // synchronous replicas it waits without limit until the answers show each acknowledged commit, or the former primary
+  // answers and a replica has its position.
   Duration choice_timeout = std::chrono::milliseconds(250);
-  // How long a change waits for a replica to reach the position of a former primary that still answers.
+  // How long a change waits for a replica to reach the position of a former primary that still answers. In a group with
+  // synchronous replicas the former primary then stays for now, also if it is draining.
   Duration catch_up_timeout = std::chrono::milliseconds(1500);
+  // In a group with synchronous replicas, a primary that hasn't answered a query for this long isn't waited for.
+  Duration silence_timeout = std::chrono::milliseconds(600);
+  // In a group with synchronous replicas, a draining primary that answers is replaced while a replica is at most this
+  // far behind it.
+  Duration max_replica_lag = std::chrono::milliseconds(300);
+  // Between two queries of the endpoints by which that is known.
+  Duration tracking_interval = std::chrono::milliseconds(100);
   // How long a change waits for the most advanced replica to be matched by one that is reachable from more VMs.
   Duration reachability_timeout = std::chrono::milliseconds(300);
   // How long an accepted promotion order may take before a candidate is chosen again.
@@ -108,6 +117,12 @@
   // This VM has adopted a newer record. Must run before any other VM learns that it has: a successor relies on it that
   // the orders of a coordinator that has adopted its record have ended.
   void OnRecordAdopted(const coordination::CoordinationSystem& coordination, Actions& actions);
+  // The directory of endpoints or the numbers of synchronous replicas have changed.
+  void OnDirectory(const EndpointDirectory& directory, const std::map<GroupName, std::uint64_t>& synchronous_replicas,
+                   TimePoint now);
+  // The number of groups whose change waits for a log that may hold acknowledged commits which no replica that could
+  // become primary is known to have. Their writes wait with it, and the operator has to act if the log doesn't return.
+  std::size_t GroupsAwaitingLog() const;
 
  private:
   enum class Phase : std::uint8_t { kIdle, kReleasing, kChoosing, kPromoting, kRecording };
@@ -150,6 +165,15 @@
     bool waiting_logged = false;
     bool no_candidate_logged = false;
     bool no_better_replica_logged = false;
+    bool lag_logged = false;
+    bool awaits_log = false;
+    // Since when the replicas' positions have been compared with the primary's; kNever: they aren't.
+    TimePoint tracked_since = kNever;
+    // A position that the primary reported in answer to a query sent at `reference_at`.
+    LogPosition reference;
+    TimePoint reference_at;
+    // When a replica that could become primary last had the reference position.
+    TimePoint kept_up_at;
   };
   struct PendingStepDown {
     EndpointName endpoint;
@@ -181,16 +205,42 @@
   void AwaitRelease(const TickContext& context, const GroupName& group, GroupChange& change);
   void ChooseCandidate(const TickContext& context, const GroupName& group, const coordination::GroupState& state,
                        GroupChange& change);
+  // A replica that has answered and could become primary.
+  struct Replica {
+    // Empty: none.
+    EndpointName name;
+    LogPosition position;
+    // The number of VMs that can't reach it.
+    std::size_t unreachable_count = 0;
+    bool present_primary = false;
+  };
   // What the replicas of a group have answered.
   struct Candidates {
     std::size_t replicas = 0;
     std::size_t answered = 0;
-    // The most advanced replica that can become primary; among equals, the one that most VMs reach. Empty: none.
-    EndpointName best;
-    LogPosition position;
+    // The most advanced replica; among equals, the one that most VMs reach. Draining ones are kept apart.
+    Replica best;
+    Replica best_draining;
+    // The number of endpoints that have answered as replicas, whether they could become primary or not, and the newest
+    // position of any.
+    std::size_t logs_answered = 0;
+    LogPosition newest;
     // True when another replica, which hasn't answered yet or lags behind, is reachable from more VMs.
     bool more_reachable_exists = false;
+    // True when a replica that hasn't answered is unreachable from this VM only.
+    bool silent_only_here = false;
+
+    void Add(const Replica& replica, bool draining);
   };
+  // True when the answers show the newest commit that was acknowledged in a group with synchronous replicas.
+  bool ShowsAcknowledgedCommits(const TickContext& context, const GroupName& group,
+                                const coordination::GroupState& state, const Candidates& found) const;
+  // Compares the replicas' positions with the primary's, while the primary is used.
+  void TrackReplicas(const TickContext& context, const GroupName& group, const coordination::GroupState& state,
+                     GroupChange& change);
+  // True unless the draining primary still answers and no replica that could replace it has its log.
+  bool MayReplaceDraining(const TickContext& context, const GroupName& group, const coordination::GroupState& state,
+                          GroupChange& change) const;
   Candidates FindCandidates(const TickContext& context, const GroupName& group, const coordination::GroupState& state,
                             const GroupChange& change) const;
   bool FinishIfResolved(const TickContext& context, const GroupName& group, const coordination::GroupState& state,
@@ -210,6 +260,7 @@
   std::map<GroupName, GroupChange> changes;
   // The groups with a promotion order in flight. Each has one at most, so that no earlier order can follow a later one.
   std::set<GroupName> orders_in_flight;
+  DepartedEndpoints departed_endpoints;
   std::vector<PendingStepDown> pending_step_downs;
 };
 
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -191,6 +191,9 @@
   set("amaranthlane_groups_changing", "Groups whose primary is being changed.", changing);
   set("amaranthlane_endpoints_out_of_reach", "Endpoints that this VM can't reach.",
       static_cast<std::uint64_t>(unreachable));
+  set("amaranthlane_groups_awaiting_log",
+      "Groups without a primary because a log that may hold acknowledged commits is missing; on the coordinator.",
+      this->failover.GroupsAwaitingLog());
   set("amaranthlane_record_version", "Version of the coordination record that this VM uses.", this->RecordVersion());
   set("amaranthlane_store_era", "Era of the store, which rises when it is restored from an older copy.",
       this->coordination.NewestStoreEra());
@@ -286,6 +289,7 @@
   for (const auto& [group, group_settings] : this->configuration->groups) {
     this->synchronous_replicas[group] = group_settings.synchronous_replicas;
   }
+  this->failover.OnDirectory(this->known_directory, this->synchronous_replicas, BootClock::now());
 }
 
 const StatementCodec& Node::Codec() const { return this->codec; }
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -73,6 +73,7 @@
   this->store_sync.SetDirectory(this->directory.revision, failover::DirectoryDigest(this->directory.endpoints));
   this->known_directory = this->draining_endpoints.Apply(this->directory.endpoints);
   const failover::EndpointDirectory& update = this->known_directory;
+  this->failover.OnDirectory(update, this->synchronous_replicas, now);
   for (const auto& [name, entry] : update) {
     const auto found = this->endpoints.find(name);
     const bool moved = found != this->endpoints.end() &&
--- a/tests/core/coordination/fleet_property_test.cc
+++ b/tests/core/coordination/fleet_property_test.cc
@@ -8,7 +8,7 @@
 
 // More than the number of members, so that some VMs aren't members.
 constexpr std::size_t kVms = 7;
-constexpr int kFaultKinds = 17;
+constexpr int kFaultKinds = 19;
 
 // A large or small share of processors for each VM, so that members and the coordinator are replaced by larger VMs.
 std::vector<Millicores> Shares(std::uint64_t seed) {
@@ -19,6 +19,8 @@
   return shares;
 }
 
+EndpointName Endpoint(std::size_t vm) { return "e" + std::to_string(1 + vm % 3); }
+
 // Injects one fault, or ends it.
 void InjectFault(VmFleet& fleet, int kind, std::size_t vm) {
   switch (kind) {
@@ -76,18 +78,25 @@
     case 16:
       fleet.SetCutFromPromotions(vm, false);
       break;
+    case 17:
+      fleet.SetDeaf(Endpoint(vm), vm < 3);
+      break;
+    case 18:
+      fleet.SetDraining(Endpoint(vm), vm < 3);
+      break;
     default:
       break;
   }
 }
 
 // Whatever fails, singly or together: no VM may use a primary that is being replaced, at most one VM may promote, no
-// order of a former coordinator follows that of its successor, and each VM that no fault affects has an acknowledged
-// configuration in time.
+// order of a former coordinator follows that of its successor, no acknowledged commit is lost where commits wait for a
+// replica, and each VM that no fault affects has an acknowledged configuration in time.
 TEST(CoordinationProperty, NoVmUsesAReplacedPrimary) {
   const bool passed = rc::check("no VM uses a replaced primary", [] {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     VmFleet fleet(kVms, seed, Shares(seed));
+    fleet.synchronous_replicas = seed % 2;
     fleet.RunFor(std::chrono::seconds(3));
     const auto faults = *rc::gen::container<std::vector<std::tuple<int, std::size_t, int>>>(rc::gen::tuple(
         rc::gen::inRange(0, kFaultKinds), rc::gen::inRange<std::size_t>(0, kVms), rc::gen::inRange(0, 1500)));
@@ -105,6 +114,7 @@
   const bool passed = rc::check("service returns when faults end", [] {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     VmFleet fleet(kVms, seed, Shares(seed));
+    fleet.synchronous_replicas = seed % 2;
     fleet.RunFor(std::chrono::seconds(3));
     const auto faults = *rc::gen::container<std::vector<std::tuple<int, std::size_t, int>>>(rc::gen::tuple(
         rc::gen::inRange(0, kFaultKinds), rc::gen::inRange<std::size_t>(0, kVms), rc::gen::inRange(0, 800)));
@@ -120,6 +130,8 @@
       fleet.SetFrozen(vm, false);
       fleet.SetIsolated(vm, false);
       fleet.SetCutFromPromotions(vm, false);
+      fleet.SetDeaf(Endpoint(vm), false);
+      fleet.SetDraining(Endpoint(vm), false);
       fleet.Restart(vm);
     }
     fleet.RunFor(std::chrono::seconds(14));
--- a/tests/core/coordination/vm_fleet.cc
+++ b/tests/core/coordination/vm_fleet.cc
@@ -49,6 +49,7 @@
            this->shares.empty() ? Millicores{} : this->shares.at(index)},
       CoordinationSettings{});
   vm.failover = std::make_unique<failover::PrimaryChangeSystem>(failover::FailoverSettings{});
+  vm.known_endpoints = 0;
   vm.store_sync = std::make_unique<store_sync::StoreSyncSystem>(vm.name, store_sync::StoreSyncSettings{});
   vm.watch = {};
   vm.unread = true;
@@ -315,6 +316,9 @@
   vm.system->Report(this->MakeReport(index), this->now, actions);
   vm.system->Tick(this->now, actions);
   const std::map<GroupName, std::uint64_t> synchronous = {{kGroup, this->synchronous_replicas}};
+  if (std::exchange(vm.known_endpoints, this->endpoints.size()) != this->endpoints.size()) {
+    vm.failover->OnDirectory(this->Directory(), synchronous, this->now);
+  }
   if (vm.system->Record() != nullptr) {
     vm.failover->Tick(this->Directory(), synchronous, *vm.system, this->now, actions, failover_actions);
   }
--- a/tests/core/coordination/vm_fleet.h
+++ b/tests/core/coordination/vm_fleet.h
@@ -117,6 +117,8 @@
     std::unique_ptr<failover::PrimaryChangeSystem> failover;
     std::unique_ptr<store_sync::StoreSyncSystem> store_sync;
     Watch watch;
+    // The number of endpoints in the directory that it knows.
+    std::size_t known_endpoints = 0;
     // No list of the store has succeeded since the start.
     bool unread = true;
     TimePoint next_first_read;
