End sessions at the end of a statement during a shutdown

Cause: a session was closed when a timer that runs each 10 ms found it idle, which it seldom did between two statements of a busy session. Now the timer only asks (CloseWhenIdle), and the session ends itself at the end of its statement or transaction and begins no further one, pipelined or not; a transaction is aborted at the end of a statement, too. A relayed session holds bytes that would begin another statement until the running one is answered. The caller's time to react to the close notice counts from when it was written.

With the old logic BusySessionsTest.AShutdownBeginsNoPipelinedStatement and .AShutdownAbortsTheirTransactionsBetweenStatements and the two new cases of RelayedSessionTest fail; .AShutdownClosesThemAtTheEndOfAStatement passes with it, as the test's callers share the VM's event loop.

--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -61,6 +61,10 @@
   }
   while (!this->closed && !this->operation && !this->pending_open && !this->held_statement &&
          !this->close_after_write) {
+    if (this->EndBetweenMessages()) {
+      this->OnBytesWhileClosing();
+      return;
+    }
     if (this->TakeRelayNotice()) {
       continue;
     }
@@ -476,6 +480,7 @@
   boost::asio::async_write(this->socket, boost::asio::buffer(this->write_buffer),
                            [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
                              self->write_in_progress = false;
+                             self->graceful_close_deadline = BootClock::now() + kGracefulCloseTimeout;
                              const bool done = self->pending_output.empty();
                              if (error || (done && self->close_after_write)) {
                                self->Close();
@@ -487,7 +492,7 @@
 
 void CallerSession::Tick(TimePoint now) {
   if (this->graceful_close) {
-    if (now >= this->graceful_close_deadline) {
+    if (!this->write_in_progress && now >= this->graceful_close_deadline) {
       this->Close();
     }
     return;
@@ -506,24 +511,25 @@
   const Configuration* configuration = this->context.CurrentConfiguration();
   if (configuration != nullptr && !this->operation && this->transaction && this->transaction->connection != nullptr &&
       now > this->transaction->idle_since + configuration->idle_transaction_timeout) {
-    this->AbortTransaction("the transaction was idle for too long");
+    this->AbortOpenTransaction("the transaction was idle for too long");
   }
 }
 
-bool CallerSession::CloseIfIdle(const std::string& reason) {
-  const bool idle = !this->operation && !this->pending_open && !this->held_statement && !this->transaction &&
-                    !this->write_in_progress;
-  if (!this->closed && !this->graceful_close && idle) {
-    this->graceful_close.emplace(this->context, reason);
-    this->graceful_close_deadline = BootClock::now() + kGracefulCloseTimeout;
-    this->Send(this->graceful_close->CloseNotice());
+bool CallerSession::CloseWhenIdle(const std::string& reason) {
+  this->closing_reason = reason;
+  if (!this->graceful_close && this->EndBetweenMessages()) {
     this->OnBytesWhileClosing();
   }
   return this->closed;
 }
 
 void CallerSession::AbortTransaction(const std::string& reason) {
-  if (this->operation || !this->transaction || this->transaction->failed) {
+  this->abort_reason = reason;
+  this->AbortOpenTransaction(reason);
+}
+
+void CallerSession::AbortOpenTransaction(const std::string& reason) {
+  if (this->operation || this->held_statement || !this->transaction || this->transaction->failed) {
     return;
   }
   this->ReleaseTransactionConnection(false);
@@ -531,6 +537,21 @@
   this->transaction->failure_reason = reason;
 }
 
+bool CallerSession::EndBetweenMessages() {
+  if (this->closed || this->operation || this->pending_open || this->held_statement || this->close_after_write) {
+    return false;
+  }
+  if (!this->abort_reason.empty()) {
+    this->AbortOpenTransaction(this->abort_reason);
+  }
+  if (this->closing_reason.empty() || this->transaction) {
+    return false;
+  }
+  this->graceful_close.emplace(this->context, this->closing_reason);
+  this->Send(this->graceful_close->CloseNotice());
+  return true;
+}
+
 void CallerSession::Close() {
   if (this->closed) {
     return;
--- a/source/proxy/caller_session.h
+++ b/source/proxy/caller_session.h
@@ -40,7 +40,7 @@
   // Limits the time that the session's opening or a statement may wait for the newest configuration, the time that a
   // transaction may be idle, and the time that the caller may take to react to the close notice.
   void Tick(TimePoint now) override;
-  bool CloseIfIdle(const std::string& reason) override;
+  bool CloseWhenIdle(const std::string& reason) override;
   // The caller learns of it when it sends its next statement.
   void AbortTransaction(const std::string& reason) override;
   void Close() override;
@@ -81,6 +81,10 @@
 
   void Read();
   void OnBytes();
+  void AbortOpenTransaction(const std::string& reason);
+  // Between two messages: aborts the transaction and begins the graceful close if they were asked for. Returns true
+  // when no further message may be handled.
+  bool EndBetweenMessages();
   // Handles bytes that arrive after the close notice was sent.
   void OnBytesWhileClosing();
   // Handles the notice of the relaying VM with which the received bytes begin, if they do.
@@ -165,7 +169,11 @@
   // The newest version of the configuration that the relaying VM or this VM has mentioned in a notice; none: the
   // relaying VM sends no notices.
   std::optional<std::uint64_t> noticed_version;
+  // Why the session is to be closed when it is idle, and why its transaction is to be aborted; empty: it isn't.
+  std::string closing_reason;
+  std::string abort_reason;
   std::optional<GracefulClose> graceful_close;
+  // Counts from the end of the write that carried the close notice.
   TimePoint graceful_close_deadline;
   // Increased with each operation and attempt, so that callbacks of earlier ones are recognised and ignored.
   std::uint64_t generation = 0;
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -232,7 +232,7 @@
     if (abort_transactions) {
       session->AbortTransaction(kShutdownReason);
     }
-    if (session->CloseIfIdle(kShutdownReason) || elapsed > grace - kForcedCloseReserve) {
+    if (session->CloseWhenIdle(kShutdownReason) || elapsed > grace - kForcedCloseReserve) {
       session->Close();
       this->sessions.erase(session);
     }
--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -106,19 +106,40 @@
           return;
         }
         const std::string_view bytes(self->from_caller.read_buffer.data(), size);
-        self->gateway_write_buffer = self->NextNotice().append(bytes);
-        self->CountCallerMessages(bytes);
-        boost::asio::async_write(self->gateway, boost::asio::buffer(self->gateway_write_buffer),
-                                 [self](boost::system::error_code failed, std::size_t) {
-                                   if (!self->graceful_close && (failed || self->closed)) {
-                                     self->OnGatewayFailed("the gateway closed the connection");
-                                   } else {
-                                     self->ForwardFromCaller();
-                                   }
-                                 });
+        if (self->HoldsCallerMessages()) {
+          self->held_messages.append(bytes);
+          self->EndBetweenAnswers();
+          return;
+        }
+        self->ForwardToGateway(bytes);
       });
 }
 
+void RelayedSession::ForwardToGateway(std::string_view bytes) {
+  this->gateway_write_buffer = this->NextNotice().append(bytes);
+  this->CountCallerMessages(bytes);
+  boost::asio::async_write(this->gateway, boost::asio::buffer(this->gateway_write_buffer),
+                           [self = this->shared_from_this()](boost::system::error_code failed, std::size_t) {
+                             if (!self->graceful_close && (failed || self->closed)) {
+                               self->OnGatewayFailed("the gateway closed the connection");
+                             } else {
+                               self->ForwardFromCaller();
+                             }
+                           });
+}
+
+bool RelayedSession::HoldsCallerMessages() const {
+  const bool gateway_closes = this->mid_answer && this->unanswered == 0;
+  return !this->closing_reason.empty() && this->opened && !gateway_closes &&
+         this->from_caller.partial_message.empty() && this->transaction_status == statements::TransactionStatus::kIdle;
+}
+
+void RelayedSession::ReleaseHeldMessages() {
+  if (!this->held_messages.empty() && !this->HoldsCallerMessages()) {
+    this->ForwardToGateway(std::exchange(this->held_messages, {}));
+  }
+}
+
 void RelayedSession::ForwardFromGateway() {
   this->gateway.async_read_some(
       boost::asio::buffer(this->from_gateway.read_buffer),
@@ -149,10 +170,10 @@
                                      self->Close();
                                      return;
                                    }
-                                   if (self->abort_requested && self->unanswered == 0) {
-                                     self->Close();
+                                   if (self->EndBetweenAnswers()) {
                                      return;
                                    }
+                                   self->ReleaseHeldMessages();
                                    self->ForwardFromGateway();
                                  });
       });
@@ -291,7 +312,7 @@
   }
   this->UpdateStatementTimeout();
   if (this->graceful_close) {
-    if (now >= this->graceful_close_deadline) {
+    if (!this->writing_to_caller && now >= this->graceful_close_deadline) {
       this->Close();
     }
   } else if (this->connected && this->unanswered > 0 &&
@@ -300,24 +321,43 @@
   }
 }
 
-bool RelayedSession::CloseIfIdle(const std::string& reason) {
-  const bool idle =
-      this->connected && this->unanswered == 0 && this->transaction_status == statements::TransactionStatus::kIdle;
+bool RelayedSession::CloseWhenIdle(const std::string& reason) {
+  this->closing_reason = reason;
+  this->EndBetweenAnswers();
+  return this->closed;
+}
+
+bool RelayedSession::EndBetweenAnswers() {
   // The gateway may be closing the session gracefully itself.
   const bool between_answers =
       !this->mid_answer && !this->writing_to_caller && this->from_gateway.partial_message.empty();
-  if (!this->closed && !this->sending_last_answer && idle && between_answers) {
-    ++this->attempt;
-    this->sending_last_answer = true;
-    boost::system::error_code ignored;
-    this->gateway.close(ignored);
-    this->graceful_close.emplace(this->context, reason);
-    this->graceful_close_deadline = BootClock::now() + kGracefulCloseTimeout;
-    // The gateway has received at most a part of a message, which it can't run.
-    this->SendWhileClosing(this->graceful_close->CloseNotice() +
-                           this->graceful_close->OnBytes(this->from_caller.partial_message));
+  if (this->closed || this->sending_last_answer || !this->connected || this->unanswered > 0 || !between_answers) {
+    return this->closed || this->sending_last_answer;
   }
-  return this->closed;
+  if (this->transaction_status != statements::TransactionStatus::kIdle) {
+    if (this->abort_requested) {
+      // The gateway rolls back an open transaction when its connection ends.
+      this->Close();
+    }
+    return this->closed;
+  }
+  if (this->closing_reason.empty()) {
+    return false;
+  }
+  ++this->attempt;
+  this->sending_last_answer = true;
+  boost::system::error_code ignored;
+  this->gateway.close(ignored);
+  this->graceful_close.emplace(this->context, this->closing_reason);
+  // The gateway has received at most a part of a message, which it can't run.
+  const std::string held = std::exchange(this->held_messages, {});
+  this->SendWhileClosing(this->graceful_close->CloseNotice() +
+                         this->graceful_close->OnBytes(this->from_caller.partial_message + held));
+  if (!held.empty() && !this->graceful_close->Done()) {
+    // Nothing was read from the caller since.
+    this->ForwardFromCaller();
+  }
+  return true;
 }
 
 void RelayedSession::OnBytesWhileClosing(std::string_view bytes) {
@@ -337,6 +377,7 @@
   boost::asio::async_write(this->caller, boost::asio::buffer(this->caller_write_buffer),
                            [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
                              self->writing_to_caller = false;
+                             self->graceful_close_deadline = BootClock::now() + kGracefulCloseTimeout;
                              if (!error && !self->pending_output.empty()) {
                                self->SendWhileClosing({});
                              } else if (error || self->graceful_close->Done()) {
@@ -346,11 +387,8 @@
 }
 
 void RelayedSession::AbortTransaction(const std::string& /*reason*/) {
-  // The gateway rolls back an open transaction when its connection ends.
   this->abort_requested = true;
-  if (!this->closed && this->connected && this->unanswered == 0) {
-    this->Close();
-  }
+  this->EndBetweenAnswers();
 }
 
 void RelayedSession::Close() {
--- a/source/proxy/relayed_session.h
+++ b/source/proxy/relayed_session.h
@@ -32,7 +32,7 @@
   void Start();
 
   void Tick(TimePoint now) override;
-  bool CloseIfIdle(const std::string& reason) override;
+  bool CloseWhenIdle(const std::string& reason) override;
   void AbortTransaction(const std::string& reason) override;
   void Close() override;
   bool Closed() const override;
@@ -63,6 +63,15 @@
   void UpdateStatementTimeout();
   void OnGatewayFailed(const std::string& reason);
   void AnswerOutcomeUnknown(const std::string& reason);
+  // True when the session is to be closed, and the caller's next message begins a statement outside a transaction as
+  // far as the gateway's answers tell. False if the gateway closes the session itself: it answers the message then.
+  bool HoldsCallerMessages() const;
+  void ForwardToGateway(std::string_view bytes);
+  // Between two answers: closes the session, gracefully or with its transaction, if that was asked for. Returns true
+  // when nothing more is to be read from the gateway.
+  bool EndBetweenAnswers();
+  // Forwards the held messages if they aren't to be held any more, for example because a transaction has begun.
+  void ReleaseHeldMessages();
   // Handles bytes that arrive after the close notice was sent.
   void OnBytesWhileClosing(std::string_view bytes);
   void SendWhileClosing(const std::string& bytes);
@@ -89,6 +98,11 @@
   std::string caller_write_buffer;
   // Bytes to write next.
   std::string pending_output;
+  // Why the session is to be closed when it is idle; empty: it isn't.
+  std::string closing_reason;
+  // The caller's messages that wait for the answers to earlier ones, because the session may then be closed. While
+  // there are any, nothing is read from the caller.
+  std::string held_messages;
   std::optional<GracefulClose> graceful_close;
   TimePoint graceful_close_deadline;
   Direction from_caller;
--- a/source/proxy/session.h
+++ b/source/proxy/session.h
@@ -18,10 +18,12 @@
 
   // Enforces the session's timeouts.
   virtual void Tick(TimePoint now) = 0;
-  // If no statement is running and no transaction is open, notifies the caller that the session ends, and why. The
-  // session closes once the caller has reacted, or after kGracefulCloseTimeout. Returns true when it is closed.
-  virtual bool CloseIfIdle(const std::string& reason) = 0;
-  // Aborts an open transaction. A running statement is not interrupted; call again until none is running.
+  // Ends the session between two statements, outside a transaction: at once, or as soon as the running statement or the
+  // transaction has ended. No further statement is begun then, even if the caller has sent it already. The caller is
+  // notified of the end and its reason. The session closes once the caller has reacted, or after kGracefulCloseTimeout.
+  // Returns true when it is closed.
+  virtual bool CloseWhenIdle(const std::string& reason) = 0;
+  // Aborts an open transaction: at once, or as soon as the running statement has ended.
   virtual void AbortTransaction(const std::string& reason) = 0;
   // Closes at once; a running statement gets no answer.
   virtual void Close() = 0;
--- a/tests/proxy/fake_endpoint.cc
+++ b/tests/proxy/fake_endpoint.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -12,9 +13,11 @@
 using statements::TransactionStatus;
 
 struct FakeEndpoint::Connection {
-  explicit Connection(boost::asio::ip::tcp::socket socket) : socket(std::move(socket)) {}
+  explicit Connection(boost::asio::ip::tcp::socket socket)
+      : socket(std::move(socket)), timer(this->socket.get_executor()) {}
 
   boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer timer;
   std::uint64_t number = 0;
   // The VM that opened it.
   std::string vm;
@@ -52,6 +55,7 @@
   this->acceptor.cancel(ignored);
   this->acceptor.close(ignored);
   for (const auto& connection : this->connections) {
+    connection->timer.cancel();
     connection->socket.close(ignored);
   }
   this->connections.clear();
@@ -85,26 +89,41 @@
         }
         connection->received.append(connection->read_buffer.data(), size);
         std::string answers;
+        bool works = false;
         std::size_t length = 0;
         while ((length = this->codec.FrameLength(connection->received)) > 0) {
           const std::string line = connection->received.substr(0, length);
           connection->received.erase(0, length);
           answers += this->Answer(*connection, line);
+          works = works || line.rfind("forward", 0) == 0;
         }
         if (this->silent || this->silent_to_vms.count(connection->vm) > 0) {
           answers.clear();
         }
-        boost::system::error_code failed;
-        boost::asio::write(connection->socket, boost::asio::buffer(answers), failed);
-        if (failed || connection->number == 0) {
-          connection->socket.close(failed);
-          this->connections.erase(connection);
+        if (!works || this->work == std::chrono::milliseconds(0)) {
+          this->Send(connection, answers);
           return;
         }
-        this->Read(connection);
+        connection->timer.expires_after(this->work);
+        connection->timer.async_wait([this, connection, answers](boost::system::error_code cancelled) {
+          if (!cancelled && this->connections.count(connection) > 0) {
+            this->Send(connection, answers);
+          }
+        });
       });
 }
 
+void FakeEndpoint::Send(const std::shared_ptr<Connection>& connection, const std::string& answers) {
+  boost::system::error_code failed;
+  boost::asio::write(connection->socket, boost::asio::buffer(answers), failed);
+  if (failed || connection->number == 0) {
+    connection->socket.close(failed);
+    this->connections.erase(connection);
+    return;
+  }
+  this->Read(connection);
+}
+
 std::string FakeEndpoint::Answer(Connection& connection, const std::string& line) {
   std::istringstream fields(line);
   std::string field;
--- a/tests/proxy/fake_endpoint.h
+++ b/tests/proxy/fake_endpoint.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -56,6 +57,8 @@
   // The offset at which a replica stays; none: it has the whole log.
   std::optional<std::uint64_t> replication_stopped_at;
   bool draining = false;
+  // How long it works on each statement of a caller.
+  std::chrono::milliseconds work{0};
 
   std::vector<ExecutedStatement> executed;
   std::size_t rejected_reads = 0;
@@ -67,6 +70,7 @@
 
   void Accept();
   void Read(const std::shared_ptr<Connection>& connection);
+  void Send(const std::shared_ptr<Connection>& connection, const std::string& answers);
   std::string Answer(Connection& connection, const std::string& line);
   std::string Forward(Connection& connection, std::istringstream& fields);
   std::string Ready(const Connection& connection) const;
--- a/tests/proxy/node_fixture.cc
+++ b/tests/proxy/node_fixture.cc
@@ -42,6 +42,11 @@
   boost::asio::write(this->socket, boost::asio::buffer(line + "\n"), ignored);
 }
 
+void TestCaller::SendWithoutPause(const std::function<std::string()>& line) {
+  this->next_line = line;
+  this->Send(line());
+}
+
 std::string TestCaller::TakeReceived() { return std::exchange(this->received, {}); }
 
 void TestCaller::Read() {
@@ -58,6 +63,9 @@
         this->received += bytes;
         for (std::size_t at = bytes.find("ready"); at != std::string::npos; at = bytes.find("ready", at + 1)) {
           ++this->ready_count;
+          if (this->next_line) {
+            this->Send(this->next_line());
+          }
         }
         this->Read();
       });
--- a/tests/proxy/node_fixture.h
+++ b/tests/proxy/node_fixture.h
@@ -26,6 +26,9 @@
   // Everything that was received since the last call.
   std::string TakeReceived();
 
+  // Sends a statement as soon as the last one has been answered, until the session is closed.
+  void SendWithoutPause(const std::function<std::string()>& line);
+
   std::string received;
   std::size_t ready_count = 0;
   bool closed = false;
@@ -34,6 +37,7 @@
   void Read();
 
   boost::asio::ip::tcp::socket socket;
+  std::function<std::string()> next_line;
   std::array<char, 4096> read_buffer{};
 };
 
--- a/tests/proxy/node_test.cc
+++ b/tests/proxy/node_test.cc
@@ -251,6 +251,90 @@
   EXPECT_EQ(caller->TakeReceived(), "failure 0 retry_after_ms=0 the VM is shutting down\n");
 }
 
+// Callers that send the next statement as soon as they have the answer to the last one, so that no timer finds their
+// sessions idle. Each statement that an endpoint has taken on must be answered.
+class BusySessionsTest : public NodeTest {
+ protected:
+  BusySessionsTest() {
+    for (const auto& endpoint : this->endpoints) {
+      endpoint->work = milliseconds(20);
+    }
+    for (int number = 0; number < 8; ++number) {
+      this->callers.push_back(this->Open(0, "bounded"));
+    }
+  }
+
+  std::size_t Executed() const {
+    std::size_t executed = 0;
+    for (const auto& endpoint : this->endpoints) {
+      executed += endpoint->executed.size();
+    }
+    return executed;
+  }
+
+  bool AllClosed() const {
+    return std::all_of(this->callers.begin(), this->callers.end(), [](const auto& caller) { return caller->closed; });
+  }
+
+  std::size_t Completed() const {
+    std::size_t completed = 0;
+    for (const auto& caller : this->callers) {
+      for (std::size_t at = caller->received.find("complete\n"); at != std::string::npos;
+           at = caller->received.find("complete\n", at + 1)) {
+        ++completed;
+      }
+    }
+    return completed;
+  }
+
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  std::size_t sent = 0;
+};
+
+// Guards against sessions that a shutdown breaks off because they were busy whenever a timer looked at them.
+TEST_F(BusySessionsTest, AShutdownClosesThemAtTheEndOfAStatement) {
+  for (const auto& caller : this->callers) {
+    caller->SendWithoutPause([this] { return "read r" + std::to_string(++this->sent); });
+  }
+  this->RunFor(milliseconds(200));
+  const TimePoint stopped_at = BootClock::now();
+  this->vms[0].node->Shutdown();
+  ASSERT_TRUE(this->RunUntil([this] { return this->AllClosed(); }));
+  // Long before the end of the grace period, at which open sessions are closed whether busy or not.
+  EXPECT_LT(BootClock::now(), stopped_at + std::chrono::seconds(4));
+  EXPECT_EQ(this->Completed(), this->Executed());
+}
+
+// The same for statements that the caller has sent before the last one was answered.
+TEST_F(BusySessionsTest, AShutdownBeginsNoPipelinedStatement) {
+  for (const auto& caller : this->callers) {
+    caller->Send("read p1\nread p2\nread p3");
+    caller->SendWithoutPause([this] { return "read r" + std::to_string(++this->sent); });
+  }
+  this->RunFor(milliseconds(200));
+  const TimePoint stopped_at = BootClock::now();
+  this->vms[0].node->Shutdown();
+  ASSERT_TRUE(this->RunUntil([this] { return this->AllClosed(); }));
+  EXPECT_LT(BootClock::now(), stopped_at + std::chrono::seconds(4));
+  EXPECT_EQ(this->Completed(), this->Executed());
+}
+
+// Guards against transactions whose statements follow each other so closely that a timer never finds one to abort.
+TEST_F(BusySessionsTest, AShutdownAbortsTheirTransactionsBetweenStatements) {
+  for (const auto& caller : this->callers) {
+    this->SendAndWait(*caller, "begin_read b1");
+    caller->SendWithoutPause([this, &caller] {
+      const bool failed = caller->received.find("failure") != std::string::npos;
+      return (failed ? "rollback r" : "read r") + std::to_string(++this->sent);
+    });
+  }
+  this->RunFor(milliseconds(200));
+  const TimePoint stopped_at = BootClock::now();
+  this->vms[0].node->Shutdown();
+  ASSERT_TRUE(this->RunUntil([this] { return this->AllClosed(); }));
+  EXPECT_LT(BootClock::now(), stopped_at + std::chrono::seconds(4));
+}
+
 // The caller sends the statement before it has read the close notice.
 TEST_F(NodeTest, AStatementThatCrossesTheCloseNoticeIsAnsweredAndNotRun) {
   const auto caller = this->Open(0, "exact");
--- a/tests/proxy/relayed_session_test.cc
+++ b/tests/proxy/relayed_session_test.cc
@@ -61,6 +61,11 @@
     this->socket.close(ignored);
   }
 
+  void Send(const std::string& bytes) {
+    boost::system::error_code ignored;
+    boost::asio::write(this->socket, boost::asio::buffer(bytes), ignored);
+  }
+
   // Called with the bytes received; returns the answer, or none to close the connection.
   std::function<std::optional<std::string>(const std::string&)> answer;
   std::string received;
@@ -339,7 +344,7 @@
   ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\n"; }));
   this->Send("read r1\n");
   ASSERT_TRUE(this->RunUntil([this] { return this->first.received == "open g\nread r1\n"; }));
-  EXPECT_FALSE(this->session->CloseIfIdle("the VM is shutting down"));
+  EXPECT_FALSE(this->session->CloseWhenIdle("the VM is shutting down"));
   this->RunFor(kGracefulCloseTimeout);
   EXPECT_FALSE(this->session->Closed());
   EXPECT_EQ(this->received, "ready 0 0 0\n");
@@ -351,7 +356,7 @@
   };
   this->Start({this->first.Address()});
   ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\n"; }));
-  EXPECT_FALSE(this->session->CloseIfIdle("the VM is shutting down"));
+  EXPECT_FALSE(this->session->CloseWhenIdle("the VM is shutting down"));
   ASSERT_TRUE(this->RunUntil([this] { return this->received.size() > std::string("ready 0 0 0\n").size(); }));
   EXPECT_EQ(this->received, "ready 0 0 0\nfailure 0 retry_after_ms=0 the VM is shutting down\n");
   const TimePoint notified_at = BootClock::now();
@@ -369,7 +374,7 @@
   ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\n"; }));
   this->Send("write w1");
   this->RunFor(milliseconds(20));
-  EXPECT_FALSE(this->session->CloseIfIdle("the VM is shutting down"));
+  EXPECT_FALSE(this->session->CloseWhenIdle("the VM is shutting down"));
   this->Send("\n");
   ASSERT_TRUE(this->RunUntil([this] { return this->caller_closed; }));
   EXPECT_EQ(this->received, "ready 0 0 0\nfailure 0 retry_after_ms=0 the VM is shutting down\nready 0 0 0\n");
@@ -378,6 +383,46 @@
   EXPECT_EQ(this->context.reports.front().id, "w1");
 }
 
+// Guards against a busy session that is never closed: a statement runs, and the next one is sent already.
+TEST_F(RelayedSessionTest, IsClosedAtTheEndOfTheRunningStatement) {
+  this->first.answer = [](const std::string& bytes) {
+    return bytes.rfind("open", 0) == 0 ? AnswerReady(bytes) : std::optional<std::string>("");
+  };
+  this->Start({this->first.Address()});
+  ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\n"; }));
+  this->Send("read r1\n");
+  ASSERT_TRUE(this->RunUntil([this] { return this->first.received == "open g\nread r1\n"; }));
+  EXPECT_FALSE(this->session->CloseWhenIdle("the VM is shutting down"));
+  this->Send("read r2\n");
+  this->RunFor(milliseconds(20));
+  EXPECT_EQ(this->first.received, "open g\nread r1\n");
+  this->first.Send("row x\nready 0 0 0\n");
+  ASSERT_TRUE(this->RunUntil([this] { return this->caller_closed; }));
+  EXPECT_EQ(this->received,
+            "ready 0 0 0\nrow x\nready 0 0 0\nfailure 0 retry_after_ms=0 the VM is shutting down\nready 0 0 0\n");
+  EXPECT_EQ(this->first.received, "open g\nread r1\n");
+}
+
+// A transaction that the caller had begun when the session was to be closed goes on.
+TEST_F(RelayedSessionTest, IsNotClosedInATransactionThatItsCallerHasBegun) {
+  this->first.answer = [](const std::string& bytes) {
+    return bytes.rfind("open", 0) == 0 ? AnswerReady(bytes) : std::optional<std::string>("");
+  };
+  this->Start({this->first.Address()});
+  ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\n"; }));
+  this->Send("begin b1\n");
+  ASSERT_TRUE(this->RunUntil([this] { return this->first.received == "open g\nbegin b1\n"; }));
+  EXPECT_FALSE(this->session->CloseWhenIdle("the VM is shutting down"));
+  this->Send("commit c1\n");
+  this->RunFor(milliseconds(20));
+  this->first.Send("ready 1 0 0\n");
+  ASSERT_TRUE(this->RunUntil([this] { return this->first.received == "open g\nbegin b1\ncommit c1\n"; }));
+  this->first.Send("ready 0 0 0\n");
+  ASSERT_TRUE(this->RunUntil([this] { return this->received.find("failure 0") != std::string::npos; }));
+  EXPECT_EQ(this->received,
+            "ready 0 0 0\nready 1 0 0\nready 0 0 0\nfailure 0 retry_after_ms=0 the VM is shutting down\n");
+}
+
 // The caller must get the gateway's close notice only, and none from this VM.
 TEST_F(RelayedSessionTest, AGatewayThatClosesGracefullyEndsTheSessionItself) {
   this->first.answer = [](const std::string& bytes) {
@@ -386,7 +431,7 @@
   };
   this->Start({this->first.Address()});
   ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\nfailure 0 farewell\n"; }));
-  EXPECT_FALSE(this->session->CloseIfIdle("the VM is shutting down"));
+  EXPECT_FALSE(this->session->CloseWhenIdle("the VM is shutting down"));
   this->Send("read r1\n");
   ASSERT_TRUE(this->RunUntil([this] { return this->received.size() > 40; }));
   EXPECT_EQ(this->received, "ready 0 0 0\nfailure 0 farewell\nready 0 0 0\n");
