Soak: held-up promotion orders, synchronous replicas, callers without a pause

Its promotions went over the store's link and their tokens weren't read; its links delivered held bytes though their sender had reset the connection; no commit waited for a replica; all callers paused.

Now the promotion call has a link of its own for each VM, which is cut while a primary drains, and tokens are checked; a reset discards what a link holds; in half of the groups commits wait for a replica, and there one replica goes deaf and another one drains while the primary crashes or drains; each seed begins with a SIGTERM under 24 callers without a pause. These faults have random numbers of their own, so that a seed keeps its others.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -156,3 +156,43 @@
             return
         _, signature, error_code, _ = await self.send_query("COMMIT")
         self.record_outcome(attempt, error_code, signature)
+
+
+class BusyCaller:
+    """Reads in one session after another, each read as soon as the one before has been answered."""
+
+    # A read that was given up on after this time without having reached an endpoint counts as broken off, too.
+    LOST_S = 0.2
+
+    def __init__(self, number, port, group):
+        self.name, self.port, self.group, self.count = f"b{number}", port, group, 0
+
+    async def run(self):
+        while True:
+            try:
+                await self.run_session()
+            except (OSError, asyncio.IncompleteReadError):
+                await asyncio.sleep(0.05)
+
+    async def run_session(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        try:
+            writer.write(f"CONNECT own-{self.group.name} {self.name}\r\n".encode())
+            await self.read_answer(reader)
+            while True:
+                self.count += 1
+                statement_id, sent_at = f"{self.name}q{self.count}", time.monotonic()
+                writer.write(f"QUERY {statement_id} READ k1\r\n".encode())
+                try:
+                    await self.read_answer(reader)
+                except (OSError, asyncio.IncompleteReadError):
+                    if statement_id in self.group.arrived or time.monotonic() - sent_at > self.LOST_S:
+                        self.group.report_violation(f"LOST: {statement_id} was broken off by a shutdown "
+                                                    f"{time.monotonic() - sent_at:.3f} s after it was sent")
+                    raise
+        finally:
+            writer.close()
+
+    async def read_answer(self, reader):
+        while not (await reader.readuntil(b"\r\n")).startswith(b"READY"):
+            pass
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -47,7 +47,8 @@
         routes = [(f"{host}-{group.name}", kind, group) for group in self.groups
                   for host, kind in (("exact", "primary"), ("own", "read_your_writes"))]
         routes += [(name, "read_your_writes", self.groups[0]) for name in sorted(databases)]
-        services = [{"name": group.name, "max_conns": group.connections, "sync_replicas": 0} for group in self.groups]
+        services = [{"name": group.name, "max_conns": group.connections, "sync_replicas": group.sync_replicas}
+                    for group in self.groups]
         self.platform.put("config", "main", {
             "version": number, "services": services, "limits": {"tx_idle_ms": 3000},
             "routes": [{"name": f"r-{host}", "host": host, "route_type": kind, "timeout_ms": 1000,
--- a/soak/links.py
+++ b/soak/links.py
@@ -6,7 +6,7 @@
     """One listening port that forwards to a target.
 
     Faults: cut (existing and new connections hang until it ends), one_way (bytes towards the target are held back until
-    it ends), delay_s (each block of bytes is forwarded that many seconds later), silence (connections that are open at
+    it ends; they are lost if their sender resets the connection meanwhile), delay_s (each block of bytes is forwarded that many seconds later), silence (connections that are open at
     that moment hang permanently; new ones work), reset (connections that are open at that moment are aborted).
     """
 
@@ -39,20 +39,35 @@
                 open_writer.close()
 
     async def forward(self, state, reader, writer, to_target):
+        """Reads at once and delivers later, so that a reset by the sender is noticed and discards what is held back."""
+        held = asyncio.Queue()
+        delivery = asyncio.create_task(self.deliver(state, held, writer, to_target))
         try:
             while data := await reader.read(65536):
+                held.put_nowait(data)
+            held.put_nowait(b"")
+            await delivery
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            delivery.cancel()
+            if not state["silent"]:
+                for open_writer in state["writers"]:
+                    open_writer.close()
+
+    async def deliver(self, state, held, writer, to_target):
+        try:
+            while data := await held.get():
                 while self.cut or state["silent"] or (self.one_way and to_target):
                     await asyncio.sleep(0.02)
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 writer.write(data)
                 await writer.drain()
+            while self.cut or state["silent"] or (self.one_way and to_target):
+                await asyncio.sleep(0.02)
         except (ConnectionError, OSError):
             pass
-        finally:
-            if not state["silent"]:
-                for open_writer in state["writers"]:
-                    open_writer.close()
 
     def silence(self):
         for state in getattr(self, "states", {}).values():
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -13,7 +13,7 @@
 import tempfile
 import time
 
-from callers import Caller
+from callers import BusyCaller, Caller
 from configuration import CONTACT_S, ConfigurationChanges, Probe
 from links import Link
 from wire_platform import Connection, Group, Platform
@@ -48,6 +48,7 @@
         self.name, self.folder, self.process, self.paused = f"vm-{number}", folder, None, False
         self.callers, self.peers, self.ready, self.relay = (free_port() for _ in range(4))
         self.store_link, self.peer_link = None, Link(f"peers of {self.name}", self.peers)
+        self.promotion_link = None
         self.log = folder / f"{self.name}.log"
         # When a fault of the VM or of its links was last in effect.
         self.disturbed_at = 0.0
@@ -71,7 +72,8 @@
                     "addresses": {"callers": f"127.0.0.1:{self.callers}", "peers": f"127.0.0.1:{self.peers}",
                                   "advertised_peers": f"127.0.0.1:{self.peer_link.port}",
                                   "operators": f"127.0.0.1:{self.ready}", "relay": f"127.0.0.1:{self.relay}",
-                                  "platform": f"127.0.0.1:{self.store_link.port}"},
+                                  "platform": f"127.0.0.1:{self.store_link.port}",
+                                  "promotion": f"127.0.0.1:{self.promotion_link.port}"},
                     "shutdown": {"grace_ms": 4000}}
         path = self.folder / f"{self.name}.yaml"
         path.write_text(json.dumps(settings))
@@ -113,6 +115,10 @@
         self.endpoints = [(group, endpoint) for group in self.groups for endpoint in group.endpoints]
         # Has its own random numbers, so that a seed keeps its other faults.
         self.restore_random = random.Random(seed + 4)
+        # The same for the faults of promotion orders and of groups with synchronous replicas.
+        self.order_random, self.replica_random = random.Random(seed + 5), random.Random(seed + 6)
+        for group in self.groups:
+            group.sync_replicas = self.replica_random.randint(0, 1)
         # The directory entries that the endpoints have written, by name.
         self.published = {}
         for group in self.groups:
@@ -130,7 +136,9 @@
             self.links.append(link)
         for vm in self.vms:
             vm.store_link = Link(f"store of {vm.name}", self.store_port)
+            vm.promotion_link = Link(f"promotion call of {vm.name}", self.store_port)
             await vm.store_link.start()
+            await vm.promotion_link.start()
             await vm.peer_link.start()
             self.links += [vm.store_link, vm.peer_link]
         self.tasks = [asyncio.create_task(group.run_replication()) for group in self.groups]
@@ -310,6 +318,61 @@
                 _, endpoint = draw.choice(self.endpoints)
                 await self.override_attribute(endpoint, "draining", True, DRAIN_S + CONTACT_S)
 
+    def coordinator(self):
+        """The VM that orders promotions by the newest record in the store."""
+        records = [found["spec"] for (kind, _), found in self.platform.objects.items() if kind == "coordination"]
+        newest = max(records, key=lambda spec: spec["version"], default=None)
+        return next((vm for vm in self.vms if newest and vm.name == newest["members"][0]["vm"]), self.vms[0])
+
+    async def run_held_orders(self):
+        """Cuts the coordinator off from the promotion call while primaries drain, so that an order is held up."""
+        draw = self.order_random
+        for _ in range(draw.choice([0, 1, 2])):
+            await asyncio.sleep(draw.random() * self.seconds / 2)
+            vm, group, duration_s = self.coordinator(), draw.choice(self.groups), 2 + draw.random() * 3.5
+            self.faults.append(f"{time.monotonic() - self.begin:.2f} s {vm.promotion_link.name} cut, {group.name} drains")
+            vm.promotion_link.cut = True
+            draining = asyncio.create_task(
+                self.override_attribute(group.current_primary(), "draining", True, duration_s + 2))
+            await asyncio.sleep(duration_s)
+            vm.promotion_link.cut = False
+            await draining
+
+    async def run_deaf_replicas(self):
+        """Where commits wait for a replica: one replica receives nothing and another one drains, and the primary crashes or
+        drains meanwhile."""
+        draw = self.replica_random
+        for group in [group for group in self.groups if group.sync_replicas]:
+            await asyncio.sleep(draw.random() * self.seconds / 3)
+            primary = group.current_primary()
+            deaf, leaving = draw.sample([e for e in group.endpoints if e is not primary], 2)
+            crashes = draw.random() < 0.5
+            self.faults.append(f"{time.monotonic() - self.begin:.2f} s {deaf.name} deaf, {leaving.name} drains, "
+                               f"{primary.name} {'crashes' if crashes else 'drains'}")
+            others = [asyncio.create_task(self.override_attribute(leaving, "draining", True, 6))]
+            deaf.replication_paused = True
+            await asyncio.sleep(1 + draw.random() * 2)
+            others.append(asyncio.create_task(self.crash_endpoint(primary, 4) if crashes else
+                                              self.override_attribute(primary, "draining", True, 4)))
+            await asyncio.sleep(1 + draw.random() * 1.5)
+            deaf.replication_paused = False
+            await asyncio.gather(*others)
+
+    async def stop_under_busy_callers(self):
+        """Planned work alone: a VM is stopped while callers send one statement after the other, without a pause."""
+        vm = self.vms[self.seed % len(self.vms)]
+        for _, endpoint in self.endpoints:
+            endpoint.work_s = 0.02
+        callers = [BusyCaller(number, vm.callers, self.groups[0]) for number in range(24)]
+        running = [asyncio.create_task(caller.run()) for caller in callers]
+        await asyncio.sleep(0.5)
+        await self.stop(vm)
+        for task in running:
+            task.cancel()
+        for _, endpoint in self.endpoints:
+            endpoint.work_s = type(endpoint).work_s
+        vm.disturbed_at = time.monotonic()
+
     def check_draining(self, endpoint, vm_name):
         since, now = endpoint.draining_since, time.monotonic()
         vm = next(vm for vm in self.vms if vm.name == vm_name)
@@ -333,6 +396,8 @@
     async def run(self):
         await self.start()
         await asyncio.sleep(2.5)
+        await self.stop_under_busy_callers()
+        await asyncio.sleep(1)
         begin = self.begin = time.monotonic()
         end = begin + self.seconds
         callers = [Caller(n, self.seed, [vm.callers for vm in self.vms], self.groups[n // 2 % len(self.groups)],
@@ -340,7 +405,8 @@
         stop = asyncio.Event()
         running = [asyncio.create_task(caller.run(stop)) for caller in callers]
         running += [asyncio.create_task(Probe(n, self.changes, self).run(stop)) for n in range(6)]
-        active_faults = [asyncio.create_task(self.run_restores())]
+        active_faults = [asyncio.create_task(faults) for faults in
+                         (self.run_restores(), self.run_held_orders(), self.run_deaf_replicas())]
         while time.monotonic() < end:
             await asyncio.sleep(self.random.random() * 1.5)
             name, coroutine = self.choose_fault()
--- a/soak/wire_platform.py
+++ b/soak/wire_platform.py
@@ -49,6 +49,10 @@
         self.endpoints = [Endpoint(f"i-{name}{number}", name) for number in range(1, count + 1)]
         self.endpoints[0].is_primary = True
         self.term, self.violations, self.commits, self.promotions = 1, [], {}, []
+        # The number of replicas that must have a commit before it is acknowledged: 0 or 1.
+        self.sync_replicas = 0
+        # The ids of the reads, writes and commits that reached an endpoint, and the highest fencing token of an order.
+        self.arrived, self.highest_token = set(), 0
         # Called with the endpoint and the name of the VM for each statement that begins work.
         self.on_work = lambda endpoint, vm: None
         # Attempts that a promotion rolled back; acknowledged commits as (time, attempt, position).
@@ -85,7 +89,19 @@
             common_length += 1
         endpoint.log = endpoint.log[:common_length]
 
-    async def promote(self, name):
+    async def replicate(self, endpoint, entry):
+        """Returns when as many replicas have the entry as a commit waits for."""
+        while self.sync_replicas and not any(
+                e is not endpoint and e.alive and any(known[:3] == entry[:3] for known in e.log[-200:])
+                for e in self.endpoints):
+            if not endpoint.alive or not endpoint.is_primary:
+                raise ConnectionError("the primary was replaced before a replica had the commit")
+            await asyncio.sleep(0.002)
+
+    async def promote(self, name, holder, token):
+        if token < self.highest_token:
+            self.report_violation(f"ONE: {holder} sent token {token} for {self.name}, after {self.highest_token}")
+        self.highest_token = max(self.highest_token, token)
         candidate = next((e for e in self.endpoints if e.name == name and e.alive), None)
         if candidate is None:
             return 409
@@ -100,7 +116,12 @@
             return
         previous_primary = self.current_primary()
         kept = {entry[2] for entry in candidate.log}
-        self.rolled_back |= {entry[2] for entry in previous_primary.log if entry[2] not in kept}
+        rolled_back = {entry[2] for entry in previous_primary.log if entry[2] not in kept}
+        lost = [attempt for _, attempt, _ in self.acknowledged if attempt in rolled_back]
+        if self.sync_replicas and lost:
+            self.report_violation(f"LOST: {candidate.name} became primary without {len(lost)} acknowledged commits, "
+                                  f"{lost[0]} among them")
+        self.rolled_back |= rolled_back
         self.term += 1
         candidate.term, candidate.is_primary = self.term, True
         self.promotions.append((time.monotonic(), candidate.name, self.term))
@@ -162,10 +183,15 @@
                   "STEPDOWN": self.step_down, "BEGIN": self.begin, "ROLLBACK": self.rollback}
         if verb in handlers:
             return handlers[verb](rest)
+        self.group.arrived.add(statement_id)
         await asyncio.sleep(self.endpoint.work_s)
+        before = len(self.endpoint.log)
         if verb == "COMMIT":
-            return self.commit(statement_id)
-        return self.run(statement_id, verb, rest)
+            self.commit(statement_id)
+        else:
+            self.run(statement_id, verb, rest)
+        if len(self.endpoint.log) > before:
+            await self.group.replicate(self.endpoint, self.endpoint.log[-1])
 
     def status(self, _):
         e = self.endpoint
@@ -331,7 +357,7 @@
                     asyncio.get_running_loop().call_later(self.random.random() * LATE_WRITE_S, self.write, method, target,
                                                           body)
                     return
-                status, answer = (503, {}) if self.mode == "refuse" else await self.handle(method, target, body)
+                status, answer = (503, {}) if self.mode == "refuse" else await self.handle(method, target, body, headers)
                 if method in ("PUT", "POST") and self.random and self.random.random() < self.lost_share:
                     return
                 text = json.dumps(answer)
@@ -346,13 +372,15 @@
         finally:
             writer.close()
 
-    async def handle(self, method, target, body):
+    async def handle(self, method, target, body, headers):
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
         parts = url.path.strip("/").split("/")
         if parts == ["promotion"]:
             request = json.loads(body)
-            return await self.groups[request["service"]].promote(request["id"]), {}
+            return await self.groups[request["service"]].promote(
+                request["id"], headers.get("amaranthlane-duty-holder"),
+                int(headers.get("amaranthlane-fencing-token", 0))), {}
         kind, name = parts[1], parts[2] if len(parts) > 2 else None
         if method == "GET" and name:
             found = self.objects.get((kind, name))
