Match the answer to a write of the record with the write

The review suspected that a late answer to a write of the coordination record, which a read has confirmed already, is taken for the answer to the next one. It is: the VM then adopts a record that the store may never hold, and acts on it.

Cause: the answer carried no sign of which write it belongs to. It now carries the update's id, and one that isn't pending is ignored.

Evidence: RecordWrites.TheAnswerToAnEarlierWriteSaysNothingOfTheNextOne fails without the check and passes with it. Also gives a clearer name to the time at which a VM last adopted the record of a takeover.

--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -110,7 +110,7 @@
   if (heartbeat.record) {
     this->Adopt(*heartbeat.record, "heartbeat from " + heartbeat.vm, now, actions);
   }
-  this->NoteAdoptionOfOwnTerm(heartbeat, now);
+  this->NoteTakeoverAdoption(heartbeat, now);
   GrantEntry& entry = this->grant_table.RecordHeartbeat(heartbeat, now);
   HeartbeatReply reply;
   reply.vm = this->self.vm;
@@ -137,7 +137,7 @@
   return reply;
 }
 
-void CoordinationSystem::NoteAdoptionOfOwnTerm(const HeartbeatRequest& heartbeat, TimePoint now) {
+void CoordinationSystem::NoteTakeoverAdoption(const HeartbeatRequest& heartbeat, TimePoint now) {
   if (!this->IsCoordinator() || heartbeat.version < this->record->coordinator_since) {
     return;
   }
@@ -146,11 +146,11 @@
                               known->second.incarnation == heartbeat.incarnation &&
                               known->second.version >= this->record->coordinator_since;
   if (!adopted_before) {
-    this->last_adoption_of_own_term = now;
+    this->last_takeover_adoption = now;
   }
 }
 
-TimePoint CoordinationSystem::LastAdoptionOfOwnTerm() const { return this->last_adoption_of_own_term; }
+TimePoint CoordinationSystem::LastTakeoverAdoption() const { return this->last_takeover_adoption; }
 
 void CoordinationSystem::OnHeartbeatReply(const VmName& member, const HeartbeatReply& reply, TimePoint sent_at,
                                           TimePoint now, Actions& actions) {
@@ -239,9 +239,9 @@
   this->next_read = now + pause;
 }
 
-void CoordinationSystem::OnRecordWritten(WriteResult result, const StoreRevision& written_revision, TimePoint now,
-                                         Actions& actions) {
-  if (!this->pending_write) {
+void CoordinationSystem::OnRecordWritten(const std::string& update_id, WriteResult result,
+                                         const StoreRevision& written_revision, TimePoint now, Actions& actions) {
+  if (!this->pending_write || this->pending_write->record.update_id != update_id) {
     return;
   }
   if (result == WriteResult::kWritten) {
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -114,8 +114,10 @@
   void OnRecordRead(const std::optional<CoordinationRecord>& record, const StoreRevision& revision, TimePoint now,
                     Actions& actions);
   void OnReadFailed(TimePoint now);
-  // A write ended. `revision` is the record's new revision after kWritten.
-  void OnRecordWritten(WriteResult result, const StoreRevision& revision, TimePoint now, Actions& actions);
+  // The write of the record with this update id ended. `revision` is the record's new revision after kWritten. Does
+  // nothing if a read has confirmed that write already.
+  void OnRecordWritten(const std::string& update_id, WriteResult result, const StoreRevision& revision, TimePoint now,
+                       Actions& actions);
 
   // Replaces what this VM reports in its heartbeats, and sends heartbeats at once if the groups in use, the unreachable
   // endpoints or `leaving` changed.
@@ -142,7 +144,7 @@
   bool MayPromote(TimePoint now) const;
   // When another VM was last heard to have adopted the record in which this VM became the coordinator; the epoch of the
   // clock if none was.
-  TimePoint LastAdoptionOfOwnTerm() const;
+  TimePoint LastTakeoverAdoption() const;
   // True when this VM receives heartbeats of enough members for a primary to be released soon. Counts the current
   // members and the former ones whose grants may still be valid.
   bool CanRelease(TimePoint now) const;
@@ -206,7 +208,8 @@
     TimePoint quorum_adopted_since = kNever;
   };
 
-  void NoteAdoptionOfOwnTerm(const HeartbeatRequest& heartbeat, TimePoint now);
+  // Notes when the sender of a heartbeat is first heard to have adopted the record in which this VM became coordinator.
+  void NoteTakeoverAdoption(const HeartbeatRequest& heartbeat, TimePoint now);
   void Adopt(const CoordinationRecord& record, const std::string& source, TimePoint now, Actions& actions);
   void MarkChangedGroupsInUse(const CoordinationRecord& newer);
   // Declares those changing groups released whose former primary no VM can use any more on the strength of this VM's
@@ -284,7 +287,7 @@
   bool store_confirmed = false;
   PrimaryLease primary_lease;
   GrantTable grant_table;
-  TimePoint last_adoption_of_own_term;
+  TimePoint last_takeover_adoption;
   std::map<VmName, MemberContact> contacts;
   LocalReport report;
   std::optional<PendingWrite> pending_write;
--- a/source/core/failover/primary_change_system.cc
+++ b/source/core/failover/primary_change_system.cc
@@ -274,7 +274,7 @@
   const std::vector<VmName> blockers = context.coordination.ReleaseBlockers(group, context.now);
   // Every VM has adopted the record of this coordinator, and has thereby ended its own orders, or has been without a
   // lease for so long that its last order has taken effect. The former are waited for here.
-  const TimePoint orders_ended = std::max(change.started_at, context.coordination.LastAdoptionOfOwnTerm());
+  const TimePoint orders_ended = std::max(change.started_at, context.coordination.LastTakeoverAdoption());
   if (blockers.empty() && !change.started_here && context.now < orders_ended + this->settings.inherited_order_window) {
     return;
   }
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -355,7 +355,8 @@
 void Node::PerformWrite(const coordination::WriteRecord& action) {
   this->platform.WriteRecord(
       action.record, action.expected_revision,
-      [this, version = action.record.version](coordination::WriteResult result, const StoreRevision& revision) {
+      [this, version = action.record.version, update_id = action.record.update_id](coordination::WriteResult result,
+                                                                                   const StoreRevision& revision) {
         static constexpr std::array<const char*, 4> kResults = {"written", "conflict", "refused", "unknown"};
         logging::Write(logging::Level::kInfo, "coordination record write finished",
                        {{"result", kResults.at(static_cast<std::size_t>(result))},
@@ -363,7 +364,7 @@
                         {"era", revision.era},
                         {"revision", revision.revision}});
         coordination::Actions actions;
-        this->coordination.OnRecordWritten(result, revision, BootClock::now(), actions);
+        this->coordination.OnRecordWritten(update_id, result, revision, BootClock::now(), actions);
         this->Perform(actions);
       });
 }
--- a/tests/core/coordination/coordination_system_test.cc
+++ b/tests/core/coordination/coordination_system_test.cc
@@ -318,6 +318,23 @@
   EXPECT_EQ(this->fleet.Coordinator(), coordinator);
 }
 
+// Guards against a record that counts as written because the answer to an earlier write, which a read has confirmed,
+// came late.
+TEST(RecordWrites, TheAnswerToAnEarlierWriteSaysNothingOfTheNextOne) {
+  CoordinationSystem system(Self{"a", 1, "a", "a", "dc", {}}, CoordinationSettings{});
+  const TimePoint now(seconds(100));
+  Actions actions;
+  system.Tick(now, actions);
+  system.OnRecordRead(std::nullopt, {1, 0}, now, actions);
+  const CoordinationRecord first = std::get<WriteRecord>(actions.back()).record;
+  system.OnRecordRead(first, {1, 5}, now, actions);
+  ASSERT_FALSE(system.WritePending());
+  ASSERT_TRUE(system.ProposeGroups({{"g", {1, "e1", false}}}, "a primary was found", now, actions));
+  system.OnRecordWritten(first.update_id, WriteResult::kWritten, {1, 5}, now, actions);
+  EXPECT_TRUE(system.WritePending());
+  EXPECT_EQ(system.Record()->version, first.version);
+}
+
 TEST_F(CoordinationSystemTest, PartitionedVmInterruptsNoOtherVm) {
   for (std::size_t vm = 0; vm < 6; ++vm) {
     this->fleet.SetPartition({vm});
--- a/tests/core/coordination/restored_store_test.cc
+++ b/tests/core/coordination/restored_store_test.cc
@@ -201,6 +201,17 @@
     EXPECT_TRUE(this->system.WritePending());
   }
 
+  // The id of the update that was written last.
+  std::string PendingUpdate() const {
+    std::string update_id;
+    for (const Action& action : this->actions) {
+      if (const auto* write = std::get_if<WriteRecord>(&action)) {
+        update_id = write->record.update_id;
+      }
+    }
+    return update_id;
+  }
+
   // The other members grant this VM a lease.
   void Grant() {
     for (const VmName member : {"a", "c"}) {
@@ -213,7 +224,7 @@
 
   // The era's first record is written, and the other members adopt it.
   void FinishEraStart() {
-    this->system.OnRecordWritten(WriteResult::kWritten, {2, 9}, this->now, this->actions);
+    this->system.OnRecordWritten(this->PendingUpdate(), WriteResult::kWritten, {2, 9}, this->now, this->actions);
     for (const VmName member : {"a", "c"}) {
       HeartbeatRequest heartbeat;
       heartbeat.vm = member;
--- a/tests/core/coordination/vm_fleet.cc
+++ b/tests/core/coordination/vm_fleet.cc
@@ -438,10 +438,11 @@
 }
 
 void VmFleet::WriteStore(std::size_t vm, const WriteRecord& action) {
-  const auto complete_write = [this, vm](WriteResult result, const StoreRevision& written) {
-    return [this, vm, result, written] {
+  const auto complete_write = [this, vm, update_id = action.record.update_id](WriteResult result,
+                                                                              const StoreRevision& written) {
+    return [this, vm, update_id, result, written] {
       Actions resulting_actions;
-      this->vms[vm].system->OnRecordWritten(result, written, this->now, resulting_actions);
+      this->vms[vm].system->OnRecordWritten(update_id, result, written, this->now, resulting_actions);
       this->Perform(vm, resulting_actions);
     };
   };
