Let no bytes of a caller pass for a notice between VMs

Cause: a relaying VM forwarded its caller's bytes unchanged on the stream that carries its own notices, and the gateway takes what begins with 0x02 between two messages for a notice. The packet named a version of the configuration that nobody has, and all VMs waited for it.

The relaying VM follows the caller's messages by the rule that the gateway uses, and replaces the first byte of each that begins as a notice does; the message stays malformed and is refused in its turn. Ruled out: escaping on the stream, which gateways of an earlier build don't understand.

RelayedSessionTest.NoBytesOfACallerPassForANotice fails with the replacement switched off.

--- a/source/proxy/relay_notice.h
+++ b/source/proxy/relay_notice.h
@@ -19,7 +19,8 @@
 
 std::string EncodeRelayNotice(const KnownConfiguration& known);
 
-// True when the bytes begin with a notice or a part of one. No message of a session begins so.
+// True when the bytes begin with a notice or a part of one. No valid message of a session begins so, and a relaying VM
+// forwards no other one that does, so that no bytes of a caller pass for a notice.
 bool BeginsWithRelayNotice(std::string_view bytes);
 
 // The length of the notice with which the bytes begin, in bytes; 0 while it is incomplete.
--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kConnectTimeout{250};
+// Takes the place of the first byte of a caller's message that begins as a notice does. No valid message begins with
+// it.
+constexpr char kNoMessage = '?';
 // How long an answer is awaited beyond the statement's timeout, which the gateway enforces.
 constexpr std::chrono::milliseconds kAnswerGracePeriod{400};
 
@@ -67,8 +70,8 @@
     self->from_caller.partial_message.clear();
     self->from_gateway.partial_message.clear();
     self->unanswered = 0;
-    self->opening_bytes = self->NextNotice() + self->initial_bytes;
-    self->CountCallerMessages(self->initial_bytes);
+    const std::string notice = self->NextNotice();
+    self->opening_bytes = notice + self->CountCallerMessages(self->initial_bytes);
     // If statements follow the opening, another gateway must not get the same bytes, and the caller's further bytes are
     // forwarded without waiting for the answer to the opening.
     self->opened = self->unanswered > 1;
@@ -116,8 +119,8 @@
 }
 
 void RelayedSession::ForwardToGateway(std::string_view bytes) {
-  this->gateway_write_buffer = this->NextNotice().append(bytes);
-  this->CountCallerMessages(bytes);
+  const std::string notice = this->NextNotice();
+  this->gateway_write_buffer = notice + this->CountCallerMessages(bytes);
   boost::asio::async_write(this->gateway, boost::asio::buffer(this->gateway_write_buffer),
                            [self = this->shared_from_this()](boost::system::error_code failed, std::size_t) {
                              if (!self->graceful_close && (failed || self->closed)) {
@@ -232,16 +235,25 @@
   return message.kind == EndpointMessage::Kind::kFailure && message.code == statements::FailureCode::kUnknownDatabase;
 }
 
-void RelayedSession::CountCallerMessages(std::string_view bytes) {
-  Direction& direction = this->from_caller;
-  direction.partial_message.append(bytes);
+std::string RelayedSession::CountCallerMessages(std::string_view bytes) {
+  std::string forwarded(bytes);
+  std::string& message = this->from_caller.partial_message;
+  message.append(bytes);
   std::size_t length = 0;
-  while ((length = this->context.Codec().FrameLength(direction.partial_message)) > 0) {
-    direction.partial_message.erase(0, length);
-    if (this->unanswered++ == 0) {
+  do {
+    message.erase(0, length);
+    this->unanswered += length > 0 ? 1 : 0;
+    if (length > 0 && this->unanswered == 1) {
       this->unanswered_since = BootClock::now();
     }
-  }
+    if (BeginsWithRelayNotice(message)) {
+      // The gateway refuses the message as malformed, as it would without the relay.
+      message.front() = kNoMessage;
+      forwarded.at(forwarded.size() - message.size()) = kNoMessage;
+    }
+    length = this->context.Codec().FrameLength(message);
+  } while (length > 0);
+  return forwarded;
 }
 
 void RelayedSession::CountGatewayMessages(std::string_view messages) {
--- a/source/proxy/relayed_session.h
+++ b/source/proxy/relayed_session.h
@@ -58,7 +58,8 @@
   // True when the gateway's first message refuses the opening because it doesn't know the database.
   bool RefusedAsUnknownDatabase(std::string_view messages) const;
   // Count the caller's messages that these bytes complete, and these complete messages of the gateway.
-  void CountCallerMessages(std::string_view bytes);
+  // Returns the bytes to forward: those of the caller, of whose messages none begins as a notice does.
+  std::string CountCallerMessages(std::string_view bytes);
   void CountGatewayMessages(std::string_view messages);
   void UpdateStatementTimeout();
   void OnGatewayFailed(const std::string& reason);
--- a/tests/proxy/relayed_session_test.cc
+++ b/tests/proxy/relayed_session_test.cc
@@ -383,6 +383,22 @@
   EXPECT_EQ(this->context.reports.front().id, "w1");
 }
 
+// Guards against bytes of a caller that the gateway takes for a notice of this VM.
+TEST_F(RelayedSessionTest, NoBytesOfACallerPassForANotice) {
+  const std::string notice = EncodeRelayNotice({999, "127.0.0.1:9"});
+  const std::string harmless = "?" + notice.substr(1);
+  this->first.answer = [](const std::string&) { return std::optional<std::string>(""); };
+  this->Start({this->first.Address()}, "open g\nread r1\n" + notice);
+  ASSERT_TRUE(this->RunUntil([&] { return this->first.received == "open g\nread r1\n" + harmless; }));
+  this->Send(notice + "read r2\n" + notice.substr(0, 1));
+  ASSERT_TRUE(this->RunUntil([this] { return this->first.received.ends_with("?"); }));
+  this->Send(notice.substr(1) + "read " + notice);
+  EXPECT_TRUE(this->RunUntil([&] {
+    return this->first.received ==
+           "open g\nread r1\n" + harmless + harmless + "read r2\n" + harmless + "read " + notice;
+  }));
+}
+
 // Guards against a busy session that is never closed: a statement runs, and the next one is sent already.
 TEST_F(RelayedSessionTest, IsClosedAtTheEndOfTheRunningStatement) {
   this->first.answer = [](const std::string& bytes) {
