Count a drain from the last time at which it can't have begun

Cause: the 5 s for which such a primary gets statements were counted from the moment at which this VM first saw the drain, though the directory says only that an endpoint drains, not since when. The VM does know up to when its former copy of the directory was complete, and counts from then; without a former copy it sends nothing. The same holds for a VM that was cut off and learns late.

With the old count NodeTest.AVmThatStartsSendsNoWorkToAPrimaryThatIsDraining and .AVmThatLearnsLateOfADrainCountsFromItsLastCompleteDirectory fail.

--- a/source/proxy/dispatcher.cc
+++ b/source/proxy/dispatcher.cc
@@ -16,7 +16,8 @@
 constexpr double kPrimaryReadFactor = 1.6;
 constexpr double kBehindFactor = 2;
 constexpr double kAvoidedEndpointFactor = 16;
-// A draining primary gets new statements until it is replaced, but no longer than this.
+// A draining primary gets new statements until it is replaced, but no longer than this after it may have begun to
+// drain.
 constexpr std::chrono::seconds kDrainingPrimaryTimeout{5};
 // The delays suggested to a refused caller: without a usable primary, and when all connections are in use.
 constexpr std::chrono::milliseconds kRetryAfterNoPrimary{400};
--- a/source/proxy/endpoint_pool.cc
+++ b/source/proxy/endpoint_pool.cc
@@ -279,11 +279,11 @@
   return static_cast<std::size_t>(executing) < this->max_concurrency + extra;
 }
 
-void EndpointPool::SetEndpoint(const failover::EndpointEntry& update, TimePoint now) {
+void EndpointPool::SetEndpoint(const failover::EndpointEntry& update, TimePoint former_current_at) {
   if (!update.draining) {
     this->draining_since = kNever;
   } else if (this->draining_since == kNever) {
-    this->draining_since = now;
+    this->draining_since = former_current_at;
   }
   this->endpoint = update;
 }
--- a/source/proxy/endpoint_pool.h
+++ b/source/proxy/endpoint_pool.h
@@ -85,8 +85,10 @@
   bool Quiescent() const;
   // True when one more statement of this rank may go to the endpoint now.
   bool MayExecute(Rank rank) const;
-  void SetEndpoint(const failover::EndpointEntry& update, TimePoint now);
-  // True when the endpoint has been draining for longer than `duration`.
+  // Replaces the directory entry. `former_current_at`: up to when this VM's former copy of the directory is known to
+  // have been complete. If the endpoint is draining and wasn't in that copy, it may have been since then.
+  void SetEndpoint(const failover::EndpointEntry& update, TimePoint former_current_at);
+  // True when the endpoint may have been draining for longer than `duration`.
   bool DrainingLongerThan(Duration duration, TimePoint now) const;
   // Closes all connections; exchanges in progress end as broken.
   void CloseAll();
@@ -138,6 +140,7 @@
   TimePoint last_sent;
   TimePoint last_status_query;
   TimePoint refused_until;
+  // The earliest time at which the endpoint may have begun to drain; kNever: it isn't draining.
   TimePoint draining_since = kNever;
   TimePoint lagging_until;
   Duration lagging_backoff{};
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -101,7 +101,8 @@
   // node_endpoints.cc
   void OnDirectory(DirectorySnapshot update);
   void TickEndpoints(TimePoint now);
-  void AddEndpoint(const failover::EndpointEntry& entry, TimePoint now);
+  // `former_current_at` as for EndpointPool::SetEndpoint.
+  void AddEndpoint(const failover::EndpointEntry& entry, TimePoint former_current_at, TimePoint now);
   PoolEvents MakePoolEvents(const failover::EndpointEntry& entry);
   GroupPlan MakePlan(const GroupName& group, const gateways::FleetCounts& counts) const;
   bool ServesGroup(const GroupName& group) const;
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -69,6 +69,7 @@
     return;
   }
   const TimePoint now = BootClock::now();
+  const TimePoint former_current_at = this->store_sync.Currency().directory_at;
   this->directory_known = true;
   this->store_sync.SetDirectory(this->directory.revision, failover::DirectoryDigest(this->directory.endpoints));
   this->known_directory = this->draining_endpoints.Apply(this->directory.endpoints);
@@ -83,7 +84,7 @@
       this->endpoints.erase(found);
     }
     if (found == this->endpoints.end() || moved) {
-      this->AddEndpoint(entry, now);
+      this->AddEndpoint(entry, former_current_at, now);
       continue;
     }
     if (found->second.entry.draining != entry.draining || found->second.missing_since) {
@@ -92,7 +93,7 @@
     }
     found->second.entry = entry;
     found->second.missing_since.reset();
-    found->second.pool->SetEndpoint(entry, now);
+    found->second.pool->SetEndpoint(entry, former_current_at);
   }
   for (auto& [name, known] : this->endpoints) {
     if (update.count(name) == 0 && !known.missing_since) {
@@ -106,7 +107,7 @@
   this->ScheduleDispatch();
 }
 
-void Node::AddEndpoint(const failover::EndpointEntry& entry, TimePoint now) {
+void Node::AddEndpoint(const failover::EndpointEntry& entry, TimePoint former_current_at, TimePoint now) {
   if (this->endpoint_log_limiter.Admit(now)) {
     logging::Write(logging::Level::kInfo, "endpoint added",
                    {{"endpoint", entry.name},
@@ -124,7 +125,7 @@
   known.pool = std::make_unique<EndpointPool>(this->loop, this->codec, this->settings.vm, entry, PoolSettings{},
                                               this->MakePoolEvents(entry));
   known.dispatcher = dispatcher.get();
-  known.pool->SetEndpoint(entry, now);
+  known.pool->SetEndpoint(entry, former_current_at);
   dispatcher->AddPool(entry.name, known.pool.get());
   this->endpoints.emplace(entry.name, std::move(known));
 }
--- a/tests/proxy/node_test.cc
+++ b/tests/proxy/node_test.cc
@@ -202,6 +202,42 @@
   EXPECT_TRUE(this->RunUntil([&] { return this->SendAndWait(*caller, "write last").rfind("row", 0) == 0; }));
 }
 
+// Guards against a VM that counts the time for which a primary has been draining from its own start.
+TEST_F(NodeTest, AVmThatStartsSendsNoWorkToAPrimaryThatIsDraining) {
+  for (const auto& endpoint : this->endpoints) {
+    endpoint->draining = true;
+  }
+  this->PublishEndpoints();
+  this->RunFor(milliseconds(500));
+  this->AddVm();
+  this->RunFor(milliseconds(500));
+  const auto late_caller = this->Open(this->vms.size() - 1, "exact");
+  EXPECT_EQ(this->SendAndWait(*late_caller, "write w1").rfind("failure 0", 0), 0U);
+  // A VM that knows when the drain began goes on for a while.
+  const auto caller = this->Open(0, "exact");
+  EXPECT_EQ(this->SendAndWait(*caller, "write w2"), std::string("row e1 w2\n") + kDone);
+  EXPECT_EQ(this->group.log, std::vector<std::string>{"w2"});
+}
+
+// The same for a VM that learns late of the drain, because it had neither the store nor a member to tell it.
+TEST_F(NodeTest, AVmThatLearnsLateOfADrainCountsFromItsLastCompleteDirectory) {
+  EndpointPool& pool = *this->vms[0].node->FindDispatcher("g")->Pool("e1");
+  for (Vm& vm : this->vms) {
+    vm.platform->reachable = false;
+  }
+  this->RunFor(milliseconds(1000));
+  const TimePoint learned_at = BootClock::now();
+  for (Vm& vm : this->vms) {
+    vm.platform->reachable = true;
+  }
+  for (const auto& endpoint : this->endpoints) {
+    endpoint->draining = true;
+  }
+  this->PublishEndpoints();
+  ASSERT_TRUE(this->RunUntil([&pool] { return pool.Endpoint().draining; }));
+  EXPECT_TRUE(pool.DrainingLongerThan(milliseconds(900), learned_at));
+}
+
 TEST_F(NodeTest, WithoutAPrimaryAWriteIsRefusedWithARetryDelay) {
   for (const auto& endpoint : this->endpoints) {
     endpoint->Crash();
