Log and count messages that are refused, and why a connection to an endpoint is closed

Nothing of this fleet told of a message that it refused as malformed, nor of an endpoint that answered more statements than it was sent. So the record of a statement that stood inside a field can't tell whether this side read two messages where the caller sent one, whether the endpoint did, or whether two VMs disagreed.

A refused message is now counted (kind "message") and logged with its reason, which begins with "relayed:" on a gateway. A connection that is closed because of an endpoint's message names the endpoint, the length, and whether the message is malformed or unasked for.

--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -80,6 +80,7 @@
     }
   }
   if (this->received.size() > kMaxFrameBytes) {
+    this->ReportRejectedMessage(FailureCode::kTooLarge, "message exceeds 1 MiB");
     this->Send(this->context.Codec().EncodeFailure(FailureCode::kTooLarge, "message exceeds 1 MiB"));
     this->close_after_write = true;
     return;
@@ -148,6 +149,7 @@
     return false;
   }
   if (const auto* malformed = std::get_if<MalformedMessage>(&message)) {
+    this->ReportRejectedMessage(FailureCode::kMalformed, malformed->reason);
     this->Send(this->context.Codec().EncodeFailure(FailureCode::kMalformed, malformed->reason) +
                (this->database.empty() ? "" : this->context.Codec().EncodeReady(this->CurrentStatus())));
     this->close_after_write = this->database.empty();
@@ -162,6 +164,19 @@
   return true;
 }
 
+void CallerSession::ReportRejectedMessage(FailureCode code, const std::string& reason) {
+  StatementReport report;
+  report.database = this->database;
+  report.kind = "message";
+  report.outcome = statements::FailureCodeName(code);
+  report.reason = this->source == SessionSource::kRelay ? "relayed: " + reason : reason;
+  report.failed = true;
+  const Configuration* configuration = this->context.CurrentConfiguration();
+  report.configuration_version = configuration == nullptr ? 0 : configuration->version;
+  report.record_version = this->context.RecordVersion();
+  this->context.OnStatementFinished(report);
+}
+
 void CallerSession::OnOpenSession(const OpenSession& message) {
   this->pending_open = message;
   this->open_deadline = BootClock::now() + (this->source == SessionSource::kRelay ? kRelayedOpenTimeout : kOpenTimeout);
--- a/source/proxy/caller_session.h
+++ b/source/proxy/caller_session.h
@@ -93,6 +93,8 @@
   void SendRelayNotice();
   // Handles one frame. Returns false when no further frame may be handled.
   bool HandleFrame(const std::string& frame);
+  // Logs and counts a message that is no statement and was refused.
+  void ReportRejectedMessage(statements::FailureCode code, const std::string& reason);
   void OnOpenSession(const OpenSession& message);
   void TryOpen();
   // Hands the session over to be relayed to a gateway. Returns false when this VM serves it.
--- a/source/proxy/endpoint_connection.cc
+++ b/source/proxy/endpoint_connection.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "logging/log.h"
 #include "net/address.h"
 #include "net/source_address.h"
 #include "proxy/socket_options.h"
@@ -99,7 +100,12 @@
       break;
     }
     consumed += length;
+    const bool awaited = this->answers.size() < this->expected_answers;
     if (!this->HandleFrame(rest.substr(0, length))) {
+      logging::Write(logging::Level::kWarning, "closing a connection to an endpoint because of its message",
+                     {{"endpoint", this->endpoint.name},
+                      {"why", awaited ? "the message is malformed" : "no statement awaits an answer"},
+                      {"message_bytes", length}});
       this->Fail(ExchangeStatus::kBroken);
     }
   }
--- a/tests/proxy/node_test.cc
+++ b/tests/proxy/node_test.cc
@@ -13,7 +13,21 @@
 
 constexpr char kDone[] = "complete\nready 0 0 0\n";
 
-class NodeTest : public NodeFixture {};
+class NodeTest : public NodeFixture {
+ protected:
+  // What the first VM answers to a request for its metrics; empty if it doesn't.
+  std::string Metrics() {
+    net::HttpPool pool(this->loop, net::ParseAddress(this->vms[0].settings.operators_address), 1);
+    net::HttpRequest request;
+    request.method = "GET";
+    request.target = "/metrics";
+    std::string body;
+    pool.Call(std::move(request), BootClock::now() + std::chrono::seconds(5),
+              [&body](const net::CallResult& result) { body = result.response.body; });
+    this->RunUntil([&body] { return !body.empty(); });
+    return body;
+  }
+};
 
 TEST_F(NodeTest, EveryVmServesReadsAndWrites) {
   for (std::size_t vm = 0; vm < this->vms.size(); ++vm) {
@@ -387,14 +401,7 @@
   const auto caller = this->Open(0, "exact");
   this->SendAndWait(*caller, "write w1");
   this->RunFor(milliseconds(200));
-  net::HttpPool pool(this->loop, net::ParseAddress(this->vms[0].settings.operators_address), 1);
-  net::HttpRequest request;
-  request.method = "GET";
-  request.target = "/metrics";
-  std::string body;
-  pool.Call(std::move(request), BootClock::now() + std::chrono::seconds(5),
-            [&body](const net::CallResult& result) { body = result.response.body; });
-  ASSERT_TRUE(this->RunUntil([&body] { return !body.empty(); }));
+  const std::string body = this->Metrics();
   for (const char* line : {"amaranthlane_may_use_primaries 1\n", "amaranthlane_sessions 1\n",
                            "amaranthlane_groups_changing 0\n", "amaranthlane_configuration_version 1\n"}) {
     EXPECT_NE(body.find(line), std::string::npos) << line << body;
@@ -451,6 +458,15 @@
   Vm& late_vm = this->vms.back();
   late_vm.platform->reachable = false;
   this->RunFor(milliseconds(300));
+TEST_F(NodeTest, MetricsCountRefusedMessages) {
+  const auto caller = this->Open(0, "exact");
+  this->SendAndWait(*caller, "dance");
+  this->SendAndWait(*caller, "dance");
+  const std::string body = this->Metrics();
+  EXPECT_NE(body.find("amaranthlane_statements_total{kind=\"message\",outcome=\"malformed\"} 2\n"), std::string::npos)
+      << body;
+}
+
   for (const auto& endpoint : this->endpoints) {
     EXPECT_EQ(endpoint->refused_connections, 0U);
   }
