Reproduce statements inside fields in tests that fail

Callers saw two answers to one message, and an endpoint ran what stood inside its field.

Earlier tests fed the codec whole lines that ended with CR LF, or a line feed at the end of a line. The tests of the proxy speak a protocol of their own whose messages end with a line feed, so that none had a field with one in it.

--- a/tests/core/statements/session_restore_test.cc
+++ b/tests/core/statements/session_restore_test.cc
@@ -28,6 +28,21 @@
   EXPECT_EQ(EndpointStatementName({false, "a b"}).find(' '), std::string::npos);
 }
 
+// Guards against a prepared statement that fits into the caller's message, and whose name doesn't fit into the
+// endpoint's.
+TEST(SessionRestore, EndpointNamesAreShort) {
+  constexpr std::size_t kMaxNameBytes = 255;
+  const std::string text(500'000, '%');
+  EXPECT_LE(EndpointStatementName({false, text}).size(), kMaxNameBytes);
+  EXPECT_NE(EndpointStatementName({false, text}), EndpointStatementName({false, text + "%"}));
+  EXPECT_NE(EndpointStatementName({false, text}), EndpointStatementName({true, text}));
+  // A short statement can't have the name of a long one.
+  const std::string name = EndpointStatementName({false, text});
+  for (std::size_t prefix = 0; prefix < 4; ++prefix) {
+    EXPECT_NE(EndpointStatementName({false, name.substr(prefix)}), name);
+  }
+}
+
 // After the planned steps a connection holds exactly the session's values, whatever it held before.
 TEST(SessionRestore, ThePlanYieldsTheSessionsValues) {
   const bool passed = rc::check("the plan yields the session's values", [] {
--- a/tests/platform/line_codec_test.cc
+++ b/tests/platform/line_codec_test.cc
@@ -23,6 +23,50 @@
   EXPECT_EQ(kCodec.FrameLength("QUIT\r"), 0U);
 }
 
+// Guards against a line feed in a field that divides one message in two.
+TEST(LineCodec, OnlyCrLfEndsAMessage) {
+  for (const std::string& message : {std::string("QUERY a WRITE i x\nQUERY b WRITE i y\r\n"),
+                                     std::string("QUERY a WRITE i x\rQUERY b WRITE i y\r\n"),
+                                     std::string("QUERY a WRITE i x\n\rQUERY b WRITE i y\r\n")}) {
+    EXPECT_EQ(kCodec.FrameLength(message), message.size()) << message;
+    EXPECT_EQ(kCodec.FrameLength(message.substr(0, message.size() - 1)), 0U) << message;
+  }
+  EXPECT_EQ(kCodec.FrameLength("ROW a\nCOMPLETE 1\r\nREADY"), 18U);
+}
+
+// Guards against a field that a reader of the endpoint or of the caller takes for more than one message.
+TEST(LineCodec, NoMessageHoldsAControlCharacter) {
+  for (int byte = 0; byte < 0x20; ++byte) {
+    const std::string c(1, static_cast<char>(byte));
+    if (c == "\t") {
+      continue;
+    }
+    for (const std::string& message :
+         {"QUERY a WRITE i x" + c + "y", "QUERY a" + c + "b READ i", "QUERY a READ" + c + "i",
+          "QUERY a SET n" + c + " v", "QUERY a SET n v" + c, "QUERY a PREPARE s WRITE q" + c,
+          "QUERY a EXECUTE s i " + c, "QUERY a DEALLOC s" + c, "CONNECT db" + c + " who", "CONNECT db who" + c,
+          "QUIT" + c}) {
+      EXPECT_TRUE(std::holds_alternative<proxy::MalformedMessage>(kCodec.ParseCallerMessage(message + "\r\n")))
+          << byte << ": " << message;
+    }
+    EXPECT_EQ(kCodec.EncodeFailure(FailureCode::kFailed, "x" + c + "y"), "ERROR FAIL x?y\r\n");
+  }
+  EXPECT_EQ(ParseQuery("WRITE i a\tb \xd1\x8f \x85 \xe2\x80\xa8").text, "WRITE i a\tb \xd1\x8f \x85 \xe2\x80\xa8");
+}
+
+// Guards against a word that readers disagree on: one that skips blanks or divides at tabs finds other fields.
+TEST(LineCodec, RejectsEmptyWordsAndTabsInWords) {
+  for (const char* text :
+       {"SET  value", "SET a\tb value", "PREPARE  READ q", "PREPARE s\tREAD READ q", "EXECUTE  item",
+        "EXECUTE s item\tdata", "READ  item", "READ item\tdata", "WRITE  item data", "WRITE item\tother data"}) {
+    EXPECT_TRUE(std::holds_alternative<proxy::MalformedMessage>(
+        kCodec.ParseCallerMessage("QUERY a " + std::string(text) + "\r\n")))
+        << text;
+  }
+  EXPECT_TRUE(
+      std::holds_alternative<proxy::MalformedMessage>(kCodec.ParseCallerMessage("QUERY a\tWRITE READ item\r\n")));
+}
+
 TEST(LineCodec, ReadsEachStatement) {
   EXPECT_EQ(ParseQuery("BEGIN").kind, StatementKind::kBegin);
   EXPECT_EQ(ParseQuery("BEGIN READ").kind, StatementKind::kBeginReadOnly);
--- a/tests/proxy/node_test.cc
+++ b/tests/proxy/node_test.cc
@@ -397,6 +397,56 @@
   EXPECT_TRUE(this->group.log.empty());
 }
 
+// Guards against a caller's bytes that a closing session drops without an answer, as if another VM had sent a notice.
+TEST_F(NodeTest, AMalformedMessageThatCrossesTheCloseNoticeIsAnswered) {
+  const auto caller = this->Open(0, "exact");
+  caller->TakeReceived();
+  this->vms[0].node->Shutdown();
+  ASSERT_TRUE(this->RunUntil([&] { return !caller->received.empty(); }));
+  caller->Send("\x02 999 127.0.0.1:9");
+  ASSERT_TRUE(this->RunUntil([&] { return caller->closed; }));
+  EXPECT_EQ(caller->TakeReceived(), "failure 0 retry_after_ms=0 the VM is shutting down\nready 0 0 0\n");
+}
+
+TEST_F(NodeTest, AMessageBeyondTheLimitIsRefused) {
+  const auto caller = this->Open(0, "exact");
+  caller->TakeReceived();
+  constexpr std::size_t kLimit = 1U << 20U;
+  const std::string start = "write w1 ";
+  // One byte more than the limit, with the terminator.
+  caller->Send(start + std::string(kLimit - start.size(), 'x'));
+  ASSERT_TRUE(this->RunUntil([&] { return caller->closed; }));
+  EXPECT_EQ(caller->TakeReceived().rfind("failure 12 ", 0), 0U);
+  EXPECT_TRUE(this->group.log.empty());
+}
+
+TEST_F(NodeTest, AMessageOfTheLimitIsServed) {
+  const auto caller = this->Open(0, "exact");
+  caller->TakeReceived();
+  constexpr std::size_t kLimit = 1U << 20U;
+  const std::string start = "write w1 ";
+  const std::string answer = this->SendAndWait(*caller, start + std::string(kLimit - start.size() - 1, 'x'));
+  EXPECT_EQ(answer, std::string("row e1 w1\n") + kDone);
+}
+
+// Guards against a running statement that is answered as too large because of the messages sent after it.
+TEST_F(NodeTest, StatementsThatWaitForARunningOneHaveNoCommonLimit) {
+  constexpr std::size_t kStatements = 6;
+  this->Primary().work = milliseconds(100);
+  const auto caller = this->Open(0, "exact");
+  caller->TakeReceived();
+  const std::size_t before = caller->ready_count;
+  std::string messages;
+  for (std::size_t number = 0; number < kStatements; ++number) {
+    messages += "write w" + std::to_string(number) + " " + std::string(300'000, 'x') + "\n";
+  }
+  messages.pop_back();
+  caller->Send(messages);
+  this->RunUntil([&] { return caller->ready_count >= before + kStatements || caller->closed; });
+  EXPECT_EQ(this->group.log.size(), kStatements);
+  EXPECT_EQ(caller->received.find("failure"), std::string::npos) << caller->received;
+}
+
 TEST_F(NodeTest, MetricsExposeTheStateOfTheVm) {
   const auto caller = this->Open(0, "exact");
   this->SendAndWait(*caller, "write w1");
@@ -408,6 +458,15 @@
   }
 }
 
+TEST_F(NodeTest, MetricsCountRefusedMessages) {
+  const auto caller = this->Open(0, "exact");
+  this->SendAndWait(*caller, "dance");
+  this->SendAndWait(*caller, "dance");
+  const std::string body = this->Metrics();
+  EXPECT_NE(body.find("amaranthlane_statements_total{kind=\"message\",outcome=\"malformed\"} 2\n"), std::string::npos)
+      << body;
+}
+
 // What VMs learn from each other.
 
 TEST_F(LargeFleetTest, OnlyMembersWatchTheStore) {
@@ -458,15 +517,6 @@
   Vm& late_vm = this->vms.back();
   late_vm.platform->reachable = false;
   this->RunFor(milliseconds(300));
-TEST_F(NodeTest, MetricsCountRefusedMessages) {
-  const auto caller = this->Open(0, "exact");
-  this->SendAndWait(*caller, "dance");
-  this->SendAndWait(*caller, "dance");
-  const std::string body = this->Metrics();
-  EXPECT_NE(body.find("amaranthlane_statements_total{kind=\"message\",outcome=\"malformed\"} 2\n"), std::string::npos)
-      << body;
-}
-
   for (const auto& endpoint : this->endpoints) {
     EXPECT_EQ(endpoint->refused_connections, 0U);
   }
--- a/tests/proxy/peer_sync_messages_test.cc
+++ b/tests/proxy/peer_sync_messages_test.cc
@@ -47,6 +47,23 @@
   EXPECT_EQ(read.endpoints, directory.endpoints);
 }
 
+// Guards against a name from a peer that is sent to an endpoint as more than one word, or as a message.
+TEST(PeerSyncMessages, ADirectoryWithAnUnusableNameIsRefused) {
+  for (const std::string& name : {std::string("e\r\nQUERY a READ b"), std::string("e f"), std::string("e\tf"),
+                                  std::string(), std::string("e\0f", 3)}) {
+    for (const bool in_group : {false, true}) {
+      DirectoryUpdate directory;
+      directory.digest = "17";
+      failover::EndpointEntry entry;
+      entry.name = in_group ? "e" : name;
+      entry.group = in_group ? name : "g";
+      entry.address = "127.0.0.1:1";
+      directory.endpoints[entry.name] = entry;
+      EXPECT_THROW(ParseDirectoryMessage(ToJson(directory)), ParseError) << name;
+    }
+  }
+}
+
 TEST(PeerSyncMessages, AnUnknownEnumValueIsRefused) {
   EXPECT_THROW(ParseConfigurationMessage(json::Parse(
                    R"({"version":1,"routes":[{"name":"r","database":"d","group":"g","freshness":9,"greatest_age_ms":1,
--- a/tests/proxy/relayed_session_test.cc
+++ b/tests/proxy/relayed_session_test.cc
@@ -157,6 +157,8 @@
   std::shared_ptr<RelayedSession> session;
   std::array<char, 4096> read_buffer{};
   std::string received;
+  // What the caller is sending when the socket doesn't take it at once.
+  std::string oversized;
   bool caller_closed = false;
 };
 
@@ -399,6 +401,50 @@
   }));
 }
 
+// Guards against a part of a message that the gateway takes for a message, because it reads the stream in another way.
+TEST_F(RelayedSessionTest, NoPartOfAMessageReachesTheGateway) {
+  this->first.answer = AnswerReady;
+  this->Start({this->first.Address()});
+  ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\n"; }));
+  this->Send("read r1\nwrite w");
+  ASSERT_TRUE(this->RunUntil([this] { return this->first.received.find("r1\n") != std::string::npos; }));
+  this->RunFor(milliseconds(20));
+  EXPECT_EQ(this->first.received, "open g\nread r1\n");
+  this->Send("1\n");
+  EXPECT_TRUE(this->RunUntil([this] { return this->first.received == "open g\nread r1\nwrite w1\n"; }));
+}
+
+// Guards against a malformed message that a gateway of another build takes for a valid one, or for two.
+TEST_F(RelayedSessionTest, AMalformedMessageIsReplacedByOneThatEveryBuildRefuses) {
+  this->first.answer = AnswerReady;
+  this->Start({this->first.Address()});
+  ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\n"; }));
+  this->Send("dance x\nread r1\n");
+  EXPECT_TRUE(this->RunUntil([this] { return this->first.received == "open g\n?\nread r1\n"; }));
+}
+
+// Guards against a message beyond the limit that this VM keeps in memory without end.
+TEST_F(RelayedSessionTest, AMessageBeyondTheLimitIsRefusedAfterTheAnswersToEarlierOnes) {
+  this->first.answer = [](const std::string& bytes) {
+    return bytes.rfind("open", 0) == 0 ? AnswerReady(bytes) : std::optional<std::string>("");
+  };
+  this->Start({this->first.Address()});
+  ASSERT_TRUE(this->RunUntil([this] { return this->received == "ready 0 0 0\n"; }));
+  this->Send("read r1\n");
+  ASSERT_TRUE(this->RunUntil([this] { return this->first.received == "open g\nread r1\n"; }));
+  boost::asio::post(this->loop, [this] {
+    this->oversized = "write " + std::string(1U << 20U, 'x');
+    boost::asio::async_write(this->caller, boost::asio::buffer(this->oversized),
+                             [](boost::system::error_code, std::size_t) {});
+  });
+  this->RunFor(milliseconds(100));
+  EXPECT_EQ(this->received, "ready 0 0 0\n");
+  this->first.Send("row x\nready 0 0 0\n");
+  ASSERT_TRUE(this->RunUntil([this] { return this->caller_closed; }));
+  EXPECT_EQ(this->received.rfind("ready 0 0 0\nrow x\nready 0 0 0\nfailure 12 ", 0), 0U) << this->received;
+  EXPECT_EQ(this->first.received, "open g\nread r1\n");
+}
+
 // Guards against a busy session that is never closed: a statement runs, and the next one is sent already.
 TEST_F(RelayedSessionTest, IsClosedAtTheEndOfTheRunningStatement) {
   this->first.answer = [](const std::string& bytes) {
