Find the ends of messages in one place for all readers

Callers saw: a line that begins as a notice between VMs was dropped without an answer by a closing session; a message of 1 MiB and one byte ran, depending on how it was divided into reads; a running write was answered as too large because of the messages sent after it, and its session closed; a relaying VM had no limit at all. A gateway got parts of messages before their ends were known.

Cause: five readers of streams, each with a buffer of its own, its own idea of where notices may stand and its own way to apply the limit. The limit was applied to all bytes that waited, also while a statement ran.

FrameReader is now what every reader of messages uses: callers' sessions, relaying VMs in both directions, closing sessions and connections to endpoints. It tells notices from messages only on streams between VMs, and applies the limit to each message, complete or not. A session whose callers send more than the limit ahead isn't read from until the running statement has ended. A relaying VM forwards whole messages only, and refuses one that is too large once the earlier ones are answered.

--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxFrameBytes = 1U << 20U;
 // How long the opening of a session waits until this VM has the newest configuration. A relayed session waits for less
 // time, so that the relaying VM can try another gateway.
 constexpr std::chrono::milliseconds kOpenTimeout{1500};
@@ -27,12 +26,14 @@
 }  // namespace
 
 CallerSession::CallerSession(boost::asio::ip::tcp::socket socket, SessionContext& context, SessionSource source)
-    : socket(std::move(socket)), context(context), source(source) {}
+    : socket(std::move(socket)),
+      context(context),
+      reader(context.Codec(), source == SessionSource::kRelay ? NoticePolicy::kAccept : NoticePolicy::kReject),
+      source(source) {}
 
 void CallerSession::Start(std::string initial_bytes) {
   SetSocketOptions(this->socket);
-  this->received = std::move(initial_bytes);
-  this->OnBytes();
+  this->OnReceived(initial_bytes);
 }
 
 void CallerSession::Read() {
@@ -47,44 +48,55 @@
                                    self->Close();
                                    return;
                                  }
-                                 self->received.append(self->read_buffer.data(), size);
-                                 self->OnBytes();
+                                 self->OnReceived(std::string_view(self->read_buffer.data(), size));
                                });
 }
 
+void CallerSession::OnReceived(std::string_view bytes) {
+  if (this->graceful_close) {
+    this->OnBytesWhileClosing(bytes);
+    return;
+  }
+  this->reader.Append(bytes);
+  this->OnBytes();
+}
+
 // Handles one message at a time. Further bytes are kept until it is answered.
 void CallerSession::OnBytes() {
   const std::shared_ptr<CallerSession> alive = this->shared_from_this();
   if (this->graceful_close) {
-    this->OnBytesWhileClosing();
+    this->OnBytesWhileClosing({});
     return;
   }
   while (!this->closed && !this->operation && !this->pending_open && !this->held_statement &&
          !this->close_after_write) {
     if (this->EndBetweenMessages()) {
-      this->OnBytesWhileClosing();
+      this->OnBytesWhileClosing({});
       return;
     }
-    if (this->TakeRelayNotice()) {
-      continue;
-    }
-    const std::size_t length = this->context.Codec().FrameLength(this->received);
-    if (length == 0) {
+    const std::optional<Frame> frame = this->reader.Next();
+    if (!frame) {
       break;
     }
-    const std::string frame = this->received.substr(0, length);
-    this->open_frame = this->database.empty() ? frame : std::string();
-    this->received.erase(0, length);
-    if (!this->HandleFrame(frame)) {
+    if (frame->kind == Frame::Kind::kNotice) {
+      this->OnRelayNotice(frame->bytes);
+      continue;
+    }
+    this->open_frame = this->database.empty() ? frame->bytes : std::string();
+    if (!this->HandleFrame(frame->bytes)) {
       return;
     }
   }
-  if (this->received.size() > kMaxFrameBytes) {
+  if (this->reader.TooLarge()) {
     this->ReportRejectedMessage(FailureCode::kTooLarge, "message exceeds 1 MiB");
     this->Send(this->context.Codec().EncodeFailure(FailureCode::kTooLarge, "message exceeds 1 MiB"));
     this->close_after_write = true;
     return;
   }
+  if (this->reader.Full()) {
+    // Reading goes on when the running statement has ended and the messages after it are handled.
+    return;
+  }
   // Reading continues during an operation to detect a caller that disconnects. A session that may still be relayed must
   // not have a pending read.
   if (!this->pending_open || this->source != SessionSource::kCaller) {
@@ -92,23 +104,14 @@
   }
 }
 
-bool CallerSession::TakeRelayNotice() {
-  if (this->source != SessionSource::kRelay || !BeginsWithRelayNotice(this->received)) {
-    return false;
-  }
-  const std::size_t length = RelayNoticeLength(this->received);
-  if (length == 0) {
-    return false;
-  }
+void CallerSession::OnRelayNotice(const std::string& notice) {
   try {
-    const KnownConfiguration known = ParseRelayNotice(std::string_view{this->received}.substr(0, length));
+    const KnownConfiguration known = ParseRelayNotice(notice);
     this->noticed_version = std::max(this->noticed_version.value_or(0), known.version);
     this->context.LearnConfiguration(known);
   } catch (const ParseError& failure) {
     logging::Write(logging::Level::kWarning, "malformed notice on a relayed session", {{"why", failure.what()}});
   }
-  this->received.erase(0, length);
-  return true;
 }
 
 void CallerSession::SendRelayNotice() {
@@ -119,8 +122,8 @@
   }
 }
 
-void CallerSession::OnBytesWhileClosing() {
-  const std::string answer = this->graceful_close->OnBytes(std::exchange(this->received, {}));
+void CallerSession::OnBytesWhileClosing(std::string_view bytes) {
+  const std::string answer = this->graceful_close->OnBytes(bytes);
   if (!answer.empty()) {
     this->Send(answer);
   }
@@ -238,7 +241,7 @@
     return false;
   }
   this->closed = true;
-  this->context.Relay(std::move(this->socket), this->open_frame + this->received, std::move(gateways), route);
+  this->context.Relay(std::move(this->socket), this->open_frame + this->reader.TakeRest(), std::move(gateways), route);
   return true;
 }
 
@@ -533,7 +536,7 @@
 bool CallerSession::CloseWhenIdle(const std::string& reason) {
   this->closing_reason = reason;
   if (!this->graceful_close && this->EndBetweenMessages()) {
-    this->OnBytesWhileClosing();
+    this->OnBytesWhileClosing({});
   }
   return this->closed;
 }
@@ -562,7 +565,7 @@
   if (this->closing_reason.empty() || this->transaction) {
     return false;
   }
-  this->graceful_close.emplace(this->context, this->closing_reason);
+  this->graceful_close.emplace(this->context, this->closing_reason, std::move(this->reader));
   this->Send(this->graceful_close->CloseNotice());
   return true;
 }
--- a/source/proxy/caller_session.h
+++ b/source/proxy/caller_session.h
@@ -12,6 +12,7 @@
 #include "common/boot_clock.h"
 #include "core/statements/session_restore.h"
 #include "core/statements/statement.h"
+#include "proxy/frame_reader.h"
 #include "proxy/graceful_close.h"
 #include "proxy/session.h"
 #include "proxy/session_context.h"
@@ -80,15 +81,17 @@
   };
 
   void Read();
+  void OnReceived(std::string_view bytes);
+  // Handles the messages that have been received, as far as the session may go on.
   void OnBytes();
   void AbortOpenTransaction(const std::string& reason);
   // Between two messages: aborts the transaction and begins the graceful close if they were asked for. Returns true
   // when no further message may be handled.
   bool EndBetweenMessages();
   // Handles bytes that arrive after the close notice was sent.
-  void OnBytesWhileClosing();
-  // Handles the notice of the relaying VM with which the received bytes begin, if they do.
-  bool TakeRelayNotice();
+  void OnBytesWhileClosing(std::string_view bytes);
+  // Handles a notice of the relaying VM.
+  void OnRelayNotice(const std::string& notice);
   // Tells the relaying VM of a newer configuration than the one that either side has mentioned.
   void SendRelayNotice();
   // Handles one frame. Returns false when no further frame may be handled.
@@ -146,7 +149,7 @@
   boost::asio::ip::tcp::socket socket;
   SessionContext& context;
   std::array<char, 4096> read_buffer{};
-  std::string received;
+  FrameReader reader;
   std::string pending_output;
   std::string write_buffer;
   bool write_in_progress = false;
--- a/source/proxy/endpoint_connection.cc
+++ b/source/proxy/endpoint_connection.cc
@@ -10,16 +10,9 @@
 
 namespace amaranthlane::proxy {
 
-namespace {
-
-// The largest message that an endpoint may send.
-constexpr std::size_t kMaxFrameBytes = 1U << 20U;
-
-}  // namespace
-
 EndpointConnection::EndpointConnection(boost::asio::io_context& loop, const StatementCodec& codec,
                                        failover::EndpointEntry endpoint)
-    : socket(loop), codec(codec), endpoint(std::move(endpoint)) {}
+    : socket(loop), codec(codec), endpoint(std::move(endpoint)), reader(codec, NoticePolicy::kReject) {}
 
 void EndpointConnection::Open(const VmName& vm, TimePoint new_deadline, OpenCallback callback) {
   this->open_callback = std::move(callback);
@@ -86,33 +79,25 @@
 
 void EndpointConnection::OnBytes(std::size_t size) {
   this->last_received_at = BootClock::now();
-  this->received.append(this->read_buffer.data(), size);
-  std::size_t consumed = 0;
+  this->reader.Append(std::string_view(this->read_buffer.data(), size));
   const std::shared_ptr<EndpointConnection> alive = this->shared_from_this();
-  while (!this->closed) {
-    const std::string_view bytes = this->received;
-    const std::string_view rest = bytes.substr(consumed);
-    const std::size_t length = this->codec.FrameLength(rest);
-    if (length == 0) {
-      if (rest.size() > kMaxFrameBytes) {
-        this->Fail(ExchangeStatus::kBroken);
-      }
-      break;
-    }
-    consumed += length;
+  while (const std::optional<Frame> frame = this->reader.Next()) {
     const bool awaited = this->answers.size() < this->expected_answers;
-    if (!this->HandleFrame(rest.substr(0, length))) {
+    if (!this->HandleFrame(frame->bytes)) {
       logging::Write(logging::Level::kWarning, "closing a connection to an endpoint because of its message",
                      {{"endpoint", this->endpoint.name},
                       {"why", awaited ? "the message is malformed" : "no statement awaits an answer"},
-                      {"message_bytes", length}});
+                      {"message_bytes", frame->bytes.size()}});
       this->Fail(ExchangeStatus::kBroken);
     }
+    if (this->closed) {
+      return;
+    }
   }
-  if (this->closed) {
+  if (this->reader.TooLarge()) {
+    this->Fail(ExchangeStatus::kBroken);
     return;
   }
-  this->received.erase(0, consumed);
   if (this->answer_callback && this->expected_answers > 0 && this->answers.size() == this->expected_answers) {
     this->Finish(ExchangeStatus::kAnswered);
   }
--- a/source/proxy/endpoint_connection.h
+++ b/source/proxy/endpoint_connection.h
@@ -12,6 +12,7 @@
 #include "common/boot_clock.h"
 #include "core/failover/endpoint_status.h"
 #include "core/statements/session_restore.h"
+#include "proxy/frame_reader.h"
 #include "proxy/statement_codec.h"
 
 namespace amaranthlane::proxy {
@@ -84,7 +85,7 @@
   const StatementCodec& codec;
   failover::EndpointEntry endpoint;
   std::array<char, 16384> read_buffer{};
-  std::string received;
+  FrameReader reader;
   std::string write_buffer;
   std::size_t expected_answers = 0;
   std::vector<EndpointAnswer> answers;
--- /dev/null
+++ b/source/proxy/frame_reader.cc
@@ -0,0 +1,46 @@
+#include "proxy/frame_reader.h"
+
+#include <utility>
+
+#include "proxy/relay_notice.h"
+
+namespace amaranthlane::proxy {
+
+FrameReader::FrameReader(const StatementCodec& codec, NoticePolicy notices) : codec(codec), notices(notices) {}
+
+void FrameReader::Append(std::string_view bytes) {
+  this->buffer.erase(0, std::exchange(this->consumed, 0));
+  this->buffer.append(bytes);
+}
+
+std::optional<Frame> FrameReader::Next() {
+  const std::string_view rest = std::string_view(this->buffer).substr(this->consumed);
+  if (rest.empty() || this->too_large) {
+    return std::nullopt;
+  }
+  const bool is_notice = this->notices == NoticePolicy::kAccept && BeginsWithRelayNotice(rest);
+  const std::size_t length = is_notice ? RelayNoticeLength(rest) : this->codec.FrameLength(rest);
+  this->too_large = (length == 0 ? rest.size() : length) > kMaxMessageBytes;
+  if (length == 0 || this->too_large) {
+    return std::nullopt;
+  }
+  Frame frame{is_notice ? Frame::Kind::kNotice : Frame::Kind::kMessage, std::string(rest.substr(0, length))};
+  this->consumed += length;
+  return frame;
+}
+
+bool FrameReader::TooLarge() const { return this->too_large; }
+
+bool FrameReader::Full() const { return this->buffer.size() - this->consumed > kMaxMessageBytes; }
+
+bool FrameReader::Empty() const { return this->consumed == this->buffer.size(); }
+
+std::string FrameReader::TakeRest() {
+  std::string rest = this->buffer.substr(this->consumed);
+  this->buffer.clear();
+  this->consumed = 0;
+  this->too_large = false;
+  return rest;
+}
+
+}  // namespace amaranthlane::proxy
--- a/source/proxy/graceful_close.cc
+++ b/source/proxy/graceful_close.cc
@@ -1,5 +1,6 @@
 #include "proxy/graceful_close.h"
 
+#include <optional>
 #include <utility>
 #include <variant>
 
@@ -16,29 +17,23 @@
 
 }  // namespace
 
-GracefulClose::GracefulClose(SessionContext& context, std::string reason)
-    : context(context), reason(std::move(reason)) {}
+GracefulClose::GracefulClose(SessionContext& context, std::string reason, FrameReader reader)
+    : context(context), reason(std::move(reason)), reader(std::move(reader)) {}
 
 std::string GracefulClose::CloseNotice() const {
   return this->context.Codec().EncodeFailure(FailureCode::kNotRun, kRetryAtOnce + this->reason);
 }
 
 std::string GracefulClose::OnBytes(std::string_view bytes) {
-  this->received.append(bytes);
+  this->reader.Append(bytes);
   std::string answer;
-  std::size_t length = 0;
-  while (!this->received.empty()) {
+  while (const std::optional<Frame> frame = this->reader.Next()) {
     // A relaying VM's notice is no message of the caller.
-    const bool notice = BeginsWithRelayNotice(this->received);
-    length = notice ? RelayNoticeLength(this->received) : this->context.Codec().FrameLength(this->received);
-    if (length == 0) {
-      break;
+    if (frame->kind == Frame::Kind::kMessage) {
+      answer += this->OnMessage(this->context.Codec().ParseCallerMessage(frame->bytes));
     }
-    if (!notice) {
-      answer += this->OnMessage(this->context.Codec().ParseCallerMessage(this->received.substr(0, length)));
-    }
-    this->received.erase(0, length);
   }
+  this->done = this->done || this->reader.TooLarge();
   return answer;
 }
 
--- a/source/proxy/graceful_close.h
+++ b/source/proxy/graceful_close.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "proxy/frame_reader.h"
 #include "proxy/session_context.h"
 
 namespace amaranthlane::proxy {
@@ -14,8 +15,8 @@
 // thread.
 class GracefulClose {
  public:
-  // `reason` goes to the caller and to the log.
-  GracefulClose(SessionContext& context, std::string reason);
+  // `reason` goes to the caller and to the log. `reader` holds what the caller has sent and the session hasn't handled.
+  GracefulClose(SessionContext& context, std::string reason, FrameReader reader);
 
   // The failure message to send at once.
   std::string CloseNotice() const;
@@ -31,7 +32,7 @@
 
   SessionContext& context;
   std::string reason;
-  std::string received;
+  FrameReader reader;
   bool done = false;
 };
 
--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -67,11 +67,13 @@
     self->connected = true;
     self->timer.cancel();
     SetSocketOptions(self->gateway);
-    self->from_caller.partial_message.clear();
-    self->from_gateway.partial_message.clear();
+    self->from_caller.reader.emplace(self->context.Codec(), NoticePolicy::kReject);
+    self->from_gateway.reader.emplace(self->context.Codec(),
+                                      self->noticed_version ? NoticePolicy::kAccept : NoticePolicy::kReject);
     self->unanswered = 0;
-    const std::string notice = self->NextNotice();
-    self->opening_bytes = notice + self->CountCallerMessages(self->initial_bytes);
+    self->from_caller.reader->Append(self->initial_bytes);
+    self->opening_bytes = self->NextNotice();
+    self->opening_bytes += self->TakeCallerMessages();
     // If statements follow the opening, another gateway must not get the same bytes, and the caller's further bytes are
     // forwarded without waiting for the answer to the opening.
     self->opened = self->unanswered > 1;
@@ -108,24 +110,34 @@
           self->OnBytesWhileClosing(std::string_view(self->from_caller.read_buffer.data(), size));
           return;
         }
-        const std::string_view bytes(self->from_caller.read_buffer.data(), size);
+        self->from_caller.reader->Append(std::string_view(self->from_caller.read_buffer.data(), size));
         if (self->HoldsCallerMessages()) {
-          self->held_messages.append(bytes);
+          self->holding_messages = true;
           self->EndBetweenAnswers();
           return;
         }
-        self->ForwardToGateway(bytes);
+        self->ForwardToGateway();
       });
 }
 
-void RelayedSession::ForwardToGateway(std::string_view bytes) {
-  const std::string notice = this->NextNotice();
-  this->gateway_write_buffer = notice + this->CountCallerMessages(bytes);
+void RelayedSession::ForwardToGateway() {
+  const std::string messages = this->TakeCallerMessages();
+  if (this->from_caller.reader->TooLarge()) {
+    // Nothing more is read from the caller.
+    this->EndBetweenAnswers();
+  }
+  if (messages.empty()) {
+    if (!this->from_caller.reader->TooLarge()) {
+      this->ForwardFromCaller();
+    }
+    return;
+  }
+  this->gateway_write_buffer = this->NextNotice() + messages;
   boost::asio::async_write(this->gateway, boost::asio::buffer(this->gateway_write_buffer),
                            [self = this->shared_from_this()](boost::system::error_code failed, std::size_t) {
                              if (!self->graceful_close && (failed || self->closed)) {
                                self->OnGatewayFailed("the gateway closed the connection");
-                             } else {
+                             } else if (!self->from_caller.reader->TooLarge()) {
                                self->ForwardFromCaller();
                              }
                            });
@@ -134,12 +146,13 @@
 bool RelayedSession::HoldsCallerMessages() const {
   const bool gateway_closes = this->mid_answer && this->unanswered == 0;
   return !this->closing_reason.empty() && this->opened && !gateway_closes &&
-         this->from_caller.partial_message.empty() && this->transaction_status == statements::TransactionStatus::kIdle;
+         this->transaction_status == statements::TransactionStatus::kIdle;
 }
 
 void RelayedSession::ReleaseHeldMessages() {
-  if (!this->held_messages.empty() && !this->HoldsCallerMessages()) {
-    this->ForwardToGateway(std::exchange(this->held_messages, {}));
+  if (this->holding_messages && !this->HoldsCallerMessages()) {
+    this->holding_messages = false;
+    this->ForwardToGateway();
   }
 }
 
@@ -154,17 +167,25 @@
           self->OnGatewayFailed("the gateway closed the connection");
           return;
         }
-        self->forwarded_messages =
+        const std::vector<std::string> messages =
             self->TakeGatewayMessages(std::string_view(self->from_gateway.read_buffer.data(), size));
-        if (self->RefusedAsUnknownDatabase(self->forwarded_messages)) {
+        if (self->RefusedAsUnknownDatabase(messages)) {
           self->OnGatewayFailed("the gateway does not know the database");
           return;
         }
-        if (self->forwarded_messages.empty()) {
+        if (self->from_gateway.reader->TooLarge()) {
+          self->OnGatewayFailed("the gateway sent a message that exceeds 1 MiB");
+          return;
+        }
+        if (messages.empty()) {
           self->ForwardFromGateway();
           return;
         }
-        self->CountGatewayMessages(self->forwarded_messages);
+        self->forwarded_messages.clear();
+        for (const std::string& message : messages) {
+          self->CountGatewayMessage(message);
+          self->forwarded_messages += message;
+        }
         self->writing_to_caller = true;
         boost::asio::async_write(self->caller, boost::asio::buffer(self->forwarded_messages),
                                  [self](boost::system::error_code failed, std::size_t) {
@@ -184,31 +205,38 @@
 
 std::string RelayedSession::NextNotice() {
   const KnownConfiguration& newest = this->context.NewestConfiguration();
-  if (!this->noticed_version || newest.version <= *this->noticed_version ||
-      !this->from_caller.partial_message.empty()) {
+  if (!this->noticed_version || newest.version <= *this->noticed_version) {
     return {};
   }
   this->noticed_version = newest.version;
   return EncodeRelayNotice(newest);
 }
 
-std::string RelayedSession::TakeGatewayMessages(std::string_view bytes) {
-  std::string& input = this->from_gateway.partial_message;
-  input.append(bytes);
+std::string RelayedSession::TakeCallerMessages() {
   std::string messages;
-  std::size_t length = 0;
-  while (!input.empty()) {
-    const bool notice = this->noticed_version && BeginsWithRelayNotice(input);
-    length = notice ? RelayNoticeLength(input) : this->context.Codec().FrameLength(input);
-    if (length == 0) {
-      break;
+  while (std::optional<Frame> frame = this->from_caller.reader->Next()) {
+    ++this->unanswered;
+    if (this->unanswered == 1) {
+      this->unanswered_since = BootClock::now();
     }
-    if (notice) {
-      this->OnNotice(std::string_view{input}.substr(0, length));
+    if (BeginsWithRelayNotice(frame->bytes)) {
+      // The gateway refuses the message as malformed, as it would without the relay.
+      frame->bytes.front() = kNoMessage;
+    }
+    messages += frame->bytes;
+  }
+  return messages;
+}
+
+std::vector<std::string> RelayedSession::TakeGatewayMessages(std::string_view bytes) {
+  this->from_gateway.reader->Append(bytes);
+  std::vector<std::string> messages;
+  while (std::optional<Frame> frame = this->from_gateway.reader->Next()) {
+    if (frame->kind == Frame::Kind::kNotice) {
+      this->OnNotice(frame->bytes);
     } else {
-      messages.append(input, 0, length);
+      messages.push_back(std::move(frame->bytes));
     }
-    input.erase(0, length);
   }
   return messages;
 }
@@ -226,53 +254,30 @@
 // A gateway that doesn't know the database has another configuration than the one by which this VM relays the session.
 // If it is older, another gateway may serve the session; if it is newer, this VM refuses the session itself once it has
 // that configuration.
-bool RelayedSession::RefusedAsUnknownDatabase(std::string_view messages) const {
-  const std::size_t length = this->context.Codec().FrameLength(messages);
-  if (this->opened || length == 0) {
+bool RelayedSession::RefusedAsUnknownDatabase(const std::vector<std::string>& messages) const {
+  if (this->opened || messages.empty()) {
     return false;
   }
-  const EndpointMessage message = this->context.Codec().ParseEndpointMessage(messages.substr(0, length));
+  const EndpointMessage message = this->context.Codec().ParseEndpointMessage(messages.front());
   return message.kind == EndpointMessage::Kind::kFailure && message.code == statements::FailureCode::kUnknownDatabase;
 }
 
-std::string RelayedSession::CountCallerMessages(std::string_view bytes) {
-  std::string forwarded(bytes);
-  std::string& message = this->from_caller.partial_message;
-  message.append(bytes);
-  std::size_t length = 0;
-  do {
-    message.erase(0, length);
-    this->unanswered += length > 0 ? 1 : 0;
-    if (length > 0 && this->unanswered == 1) {
-      this->unanswered_since = BootClock::now();
-    }
-    if (BeginsWithRelayNotice(message)) {
-      // The gateway refuses the message as malformed, as it would without the relay.
-      message.front() = kNoMessage;
-      forwarded.at(forwarded.size() - message.size()) = kNoMessage;
-    }
-    length = this->context.Codec().FrameLength(message);
-  } while (length > 0);
-  return forwarded;
-}
-
-void RelayedSession::CountGatewayMessages(std::string_view messages) {
-  std::size_t length = 0;
-  while ((length = this->context.Codec().FrameLength(messages)) > 0) {
-    const EndpointMessage message = this->context.Codec().ParseEndpointMessage(messages.substr(0, length));
-    messages.remove_prefix(length);
-    this->mid_answer = message.kind != EndpointMessage::Kind::kReady;
-    if (message.kind == EndpointMessage::Kind::kReady) {
-      this->transaction_status = message.state;
-      this->unanswered -= this->unanswered > 0 ? 1 : 0;
-      this->unanswered_since = BootClock::now();
-      if (!std::exchange(this->opened, true)) {
-        this->ForwardFromCaller();
-      }
-    }
+void RelayedSession::CountGatewayMessage(const std::string& message) {
+  const EndpointMessage parsed = this->context.Codec().ParseEndpointMessage(message);
+  this->mid_answer = parsed.kind != EndpointMessage::Kind::kReady;
+  if (parsed.kind != EndpointMessage::Kind::kReady) {
+    return;
+  }
+  this->transaction_status = parsed.state;
+  this->unanswered -= this->unanswered > 0 ? 1 : 0;
+  this->unanswered_since = BootClock::now();
+  if (!std::exchange(this->opened, true)) {
+    this->ForwardFromCaller();
   }
 }
 
+bool RelayedSession::BetweenAnswers() const { return !this->mid_answer && this->from_gateway.reader->Empty(); }
+
 void RelayedSession::OnGatewayFailed(const std::string& reason) {
   if (this->closed || this->sending_last_answer) {
     return;
@@ -280,7 +285,7 @@
   boost::system::error_code ignored;
   this->gateway.close(ignored);
   // The caller would take a failure in the middle of an answer for the rest of that answer.
-  const bool between_answers = !this->mid_answer && this->from_gateway.partial_message.empty();
+  const bool between_answers = this->BetweenAnswers();
   if (between_answers && !this->opened) {
     this->connected = false;
     this->TryNextGateway();
@@ -293,14 +298,18 @@
 
 // The gateway may have run the statement that it did not answer.
 void RelayedSession::AnswerOutcomeUnknown(const std::string& reason) {
+  this->SendLastAnswer(statements::FailureCode::kOutcomeUnknown, reason);
+}
+
+void RelayedSession::SendLastAnswer(statements::FailureCode code, const std::string& reason) {
   this->sending_last_answer = true;
   StatementReport report;
   report.kind = "relay";
-  report.outcome = statements::FailureCodeName(statements::FailureCode::kOutcomeUnknown);
+  report.outcome = statements::FailureCodeName(code);
   report.reason = reason;
   report.failed = true;
   this->context.OnStatementFinished(report);
-  this->caller_write_buffer = this->context.Codec().EncodeFailure(statements::FailureCode::kOutcomeUnknown, reason) +
+  this->caller_write_buffer = this->context.Codec().EncodeFailure(code, reason) +
                               this->context.Codec().EncodeReady(statements::TransactionStatus::kIdle);
   boost::asio::async_write(
       this->caller, boost::asio::buffer(this->caller_write_buffer),
@@ -340,12 +349,20 @@
 }
 
 bool RelayedSession::EndBetweenAnswers() {
-  // The gateway may be closing the session gracefully itself.
-  const bool between_answers =
-      !this->mid_answer && !this->writing_to_caller && this->from_gateway.partial_message.empty();
-  if (this->closed || this->sending_last_answer || !this->connected || this->unanswered > 0 || !between_answers) {
+  if (this->closed || this->sending_last_answer || !this->connected || this->unanswered > 0) {
     return this->closed || this->sending_last_answer;
   }
+  // The gateway may be closing the session gracefully itself.
+  if (!this->BetweenAnswers() || this->writing_to_caller) {
+    return false;
+  }
+  if (this->from_caller.reader->TooLarge()) {
+    ++this->attempt;
+    boost::system::error_code ignored;
+    this->gateway.close(ignored);
+    this->SendLastAnswer(statements::FailureCode::kTooLarge, "message exceeds 1 MiB");
+    return true;
+  }
   if (this->transaction_status != statements::TransactionStatus::kIdle) {
     if (this->abort_requested) {
       // The gateway rolls back an open transaction when its connection ends.
@@ -360,12 +377,9 @@
   this->sending_last_answer = true;
   boost::system::error_code ignored;
   this->gateway.close(ignored);
-  this->graceful_close.emplace(this->context, this->closing_reason);
-  // The gateway has received at most a part of a message, which it can't run.
-  const std::string held = std::exchange(this->held_messages, {});
-  this->SendWhileClosing(this->graceful_close->CloseNotice() +
-                         this->graceful_close->OnBytes(this->from_caller.partial_message + held));
-  if (!held.empty() && !this->graceful_close->Done()) {
+  this->graceful_close.emplace(this->context, this->closing_reason, std::move(*this->from_caller.reader));
+  this->SendWhileClosing(this->graceful_close->CloseNotice() + this->graceful_close->OnBytes({}));
+  if (std::exchange(this->holding_messages, false) && !this->graceful_close->Done()) {
     // Nothing was read from the caller since.
     this->ForwardFromCaller();
   }
--- a/source/proxy/relayed_session.h
+++ b/source/proxy/relayed_session.h
@@ -11,17 +11,17 @@
 #include <string_view>
 #include <vector>
 
+#include "proxy/frame_reader.h"
 #include "proxy/graceful_close.h"
 #include "proxy/session.h"
 #include "proxy/session_context.h"
 
 namespace amaranthlane::proxy {
 
-// A caller's session that is relayed to another VM, a gateway of its database group. Messages are forwarded unchanged
-// and counted, so that the session is closed only between them; between them, this VM and the gateway also notify each
-// other of newer configurations. If the gateway fails before the session is
-// open, the next one is tried. If it fails while a message is unanswered, the caller is told that the outcome is
-// unknown. Used on one thread.
+// A caller's session that is relayed to another VM, a gateway of its database group. Only whole messages are forwarded,
+// unchanged and counted, so that the session is closed only between them; between them, this VM and the gateway also
+// notify each other of newer configurations. If the gateway fails before the session is open, the next one is tried. If
+// it fails while a message is unanswered, the caller is told that the outcome is unknown. Used on one thread.
 class RelayedSession : public Session, public std::enable_shared_from_this<RelayedSession> {
  public:
   // `initial_bytes` are the caller's bytes so far. The gateways are tried in order; if none accepts the session, this
@@ -40,36 +40,37 @@
  private:
   struct Direction {
     std::array<char, 8192> read_buffer{};
-    // Bytes of an incomplete message. Those of the caller have been forwarded, those of the gateway haven't.
-    std::string partial_message;
+    // Made anew with each connection to a gateway; none before the first one.
+    std::optional<FrameReader> reader;
   };
 
   void TryNextGateway();
   void ServeLocally();
   void ForwardFromCaller();
   void ForwardFromGateway();
-  // The notice to send to the gateway before the caller's next message; empty if there is nothing newer to tell, or the
-  // caller is in the middle of a message.
+  // The notice to send to the gateway before the caller's next message; empty if there is nothing newer to tell.
   std::string NextNotice();
-  // Appends bytes from the gateway to `messages`, handles the notices between its messages, and returns the complete
-  // messages.
-  std::string TakeGatewayMessages(std::string_view bytes);
+  // Counts the caller's complete messages and returns them as they are to be forwarded.
+  std::string TakeCallerMessages();
+  // Handles the gateway's notices and returns its complete messages.
+  std::vector<std::string> TakeGatewayMessages(std::string_view bytes);
   void OnNotice(std::string_view notice);
   // True when the gateway's first message refuses the opening because it doesn't know the database.
-  bool RefusedAsUnknownDatabase(std::string_view messages) const;
-  // Count the caller's messages that these bytes complete, and these complete messages of the gateway.
-  // Returns the bytes to forward: those of the caller, of whose messages none begins as a notice does.
-  std::string CountCallerMessages(std::string_view bytes);
-  void CountGatewayMessages(std::string_view messages);
+  bool RefusedAsUnknownDatabase(const std::vector<std::string>& messages) const;
+  void CountGatewayMessage(const std::string& message);
   void UpdateStatementTimeout();
   void OnGatewayFailed(const std::string& reason);
   void AnswerOutcomeUnknown(const std::string& reason);
+  // Sends the caller a failure that ends the session.
+  void SendLastAnswer(statements::FailureCode code, const std::string& reason);
+  // True when the caller has received whole answers only.
+  bool BetweenAnswers() const;
   // True when the session is to be closed, and the caller's next message begins a statement outside a transaction as
   // far as the gateway's answers tell. False if the gateway closes the session itself: it answers the message then.
   bool HoldsCallerMessages() const;
-  void ForwardToGateway(std::string_view bytes);
-  // Between two answers: closes the session, gracefully or with its transaction, if that was asked for. Returns true
-  // when nothing more is to be read from the gateway.
+  void ForwardToGateway();
+  // Between two answers: closes the session, gracefully or with its transaction, if that was asked for, or if the
+  // caller's next message is too large. Returns true when nothing more is to be read from the gateway.
   bool EndBetweenAnswers();
   // Forwards the held messages if they aren't to be held any more, for example because a transaction has begun.
   void ReleaseHeldMessages();
@@ -101,9 +102,9 @@
   std::string pending_output;
   // Why the session is to be closed when it is idle; empty: it isn't.
   std::string closing_reason;
-  // The caller's messages that wait for the answers to earlier ones, because the session may then be closed. While
-  // there are any, nothing is read from the caller.
-  std::string held_messages;
+  // The caller's next messages wait for the answers to earlier ones, because the session may then be closed. Nothing is
+  // read from the caller meanwhile.
+  bool holding_messages = false;
   std::optional<GracefulClose> graceful_close;
   TimePoint graceful_close_deadline;
   Direction from_caller;
