Relay a message only if this VM could read it

A relaying VM sent malformed messages on as they were, but for a first byte that begins a notice. A gateway of another build, which may find the end of a message elsewhere or accept what this one refuses, would have run a part of one.

Cause: the relaying VM knew where messages end, and left to the gateway whether they are any.

It now parses each message, and sends one that every build refuses in place of a malformed one, so that the caller still gets one answer in its turn. The relaying VM logs why; the caller gets the gateway's reason. A byte that begins a notice can't begin a message then, so that the special case for it is gone.

--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -168,16 +168,8 @@
 }
 
 void CallerSession::ReportRejectedMessage(FailureCode code, const std::string& reason) {
-  StatementReport report;
-  report.database = this->database;
-  report.kind = "message";
-  report.outcome = statements::FailureCodeName(code);
-  report.reason = this->source == SessionSource::kRelay ? "relayed: " + reason : reason;
-  report.failed = true;
-  const Configuration* configuration = this->context.CurrentConfiguration();
-  report.configuration_version = configuration == nullptr ? 0 : configuration->version;
-  report.record_version = this->context.RecordVersion();
-  this->context.OnStatementFinished(report);
+  const std::string prefix = this->source == SessionSource::kRelay ? "relayed: " : "";
+  this->context.ReportRejectedMessage(this->database, code, prefix + reason);
 }
 
 void CallerSession::OnOpenSession(const OpenSession& message) {
--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -15,9 +15,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kConnectTimeout{250};
-// Takes the place of the first byte of a caller's message that begins as a notice does. No valid message begins with
-// it.
-constexpr char kNoMessage = '?';
 // How long an answer is awaited beyond the statement's timeout, which the gateway enforces.
 constexpr std::chrono::milliseconds kAnswerGracePeriod{400};
 
@@ -214,16 +211,17 @@
 
 std::string RelayedSession::TakeCallerMessages() {
   std::string messages;
-  while (std::optional<Frame> frame = this->from_caller.reader->Next()) {
+  while (const std::optional<Frame> frame = this->from_caller.reader->Next()) {
     ++this->unanswered;
     if (this->unanswered == 1) {
       this->unanswered_since = BootClock::now();
     }
-    if (BeginsWithRelayNotice(frame->bytes)) {
-      // The gateway refuses the message as malformed, as it would without the relay.
-      frame->bytes.front() = kNoMessage;
+    const CallerMessage message = this->context.Codec().ParseCallerMessage(frame->bytes);
+    const auto* malformed = std::get_if<MalformedMessage>(&message);
+    if (malformed != nullptr) {
+      this->context.ReportRejectedMessage(this->database, statements::FailureCode::kMalformed, malformed->reason);
     }
-    messages += frame->bytes;
+    messages += malformed != nullptr ? this->context.Codec().EncodeMalformedMessage() : frame->bytes;
   }
   return messages;
 }
--- a/source/proxy/relayed_session.h
+++ b/source/proxy/relayed_session.h
@@ -20,8 +20,9 @@
 
 // A caller's session that is relayed to another VM, a gateway of its database group. Only whole messages are forwarded,
 // unchanged and counted, so that the session is closed only between them; between them, this VM and the gateway also
-// notify each other of newer configurations. If the gateway fails before the session is open, the next one is tried. If
-// it fails while a message is unanswered, the caller is told that the outcome is unknown. Used on one thread.
+// notify each other of newer configurations. A malformed message is replaced by one that every build refuses, so that
+// no gateway reads it in another way than this VM. If the gateway fails before the session is open, the next one is
+// tried. If it fails while a message is unanswered, the caller is told that the outcome is unknown. Used on one thread.
 class RelayedSession : public Session, public std::enable_shared_from_this<RelayedSession> {
  public:
   // `initial_bytes` are the caller's bytes so far. The gateways are tried in order; if none accepts the session, this
--- a/source/proxy/session_context.h
+++ b/source/proxy/session_context.h
@@ -72,6 +72,9 @@
                      std::vector<gateways::FleetVm> gateways, const Route& route) = 0;
   virtual void ServeLocally(boost::asio::ip::tcp::socket socket, std::string initial_bytes) = 0;
   virtual void OnStatementFinished(const StatementReport& report) = 0;
+  // Logs and counts a caller's message that is no statement and was refused. `database` is empty before the session is
+  // open.
+  void ReportRejectedMessage(const std::string& database, statements::FailureCode code, const std::string& reason);
 };
 
 }  // namespace amaranthlane::proxy
--- a/source/proxy/statement_codec.h
+++ b/source/proxy/statement_codec.h
@@ -58,6 +58,9 @@
   virtual std::string EncodeComplete() const = 0;
   virtual std::string EncodeFailure(statements::FailureCode code, std::string_view text) const = 0;
 
+  // A caller's message that every build refuses as malformed. A relaying VM sends it in place of a malformed one.
+  virtual std::string EncodeMalformedMessage() const = 0;
+
   // Messages to endpoints.
   virtual std::string EncodeConnect(const GroupName& group, const VmName& vm, const EndpointName& endpoint) const = 0;
   // The caller's statement, with its id and text. A prepared statement is executed under `endpoint_statement_name`, its
--- a/tests/proxy/test_codec.cc
+++ b/tests/proxy/test_codec.cc
@@ -96,6 +96,8 @@
   return "failure " + std::to_string(static_cast<int>(code)) + " " + std::string(text) + "\n";
 }
 
+std::string TestCodec::EncodeMalformedMessage() const { return "?\n"; }
+
 std::string TestCodec::EncodeConnect(const GroupName& group, const VmName& vm, const EndpointName& endpoint) const {
   return "connect " + group + " " + vm + " " + endpoint + "\n";
 }
--- a/tests/proxy/test_codec.h
+++ b/tests/proxy/test_codec.h
@@ -23,6 +23,8 @@
   std::string EncodeComplete() const override;
   std::string EncodeFailure(statements::FailureCode code, std::string_view text) const override;
 
+  std::string EncodeMalformedMessage() const override;
+
   // `connect GROUP VM ENDPOINT`.
   std::string EncodeConnect(const GroupName& group, const VmName& vm, const EndpointName& endpoint) const override;
   // `forward KIND ID TERM OFFSET`, the kind as a number; TERM is 0 if no position is required.
