Check the names of endpoints that come from another VM

A name or group with CR LF in a peer's directory would have become messages to an endpoint, in the opening of each connection.

Cause: entries of the store were checked where they are decoded, those that another VM tells of weren't, and the line was made of whatever stood there. Both now use the rule of MessageField. Since that type makes no line of an unchecked value, an unchecked name would otherwise have ended the process.

Evidence: PeerSyncMessages.ADirectoryWithAnUnusableNameIsRefused failed before.

--- a/source/proxy/peer_sync_messages.cc
+++ b/source/proxy/peer_sync_messages.cc
@@ -7,6 +7,7 @@
 
 #include "common/error.h"
 #include "common/json.h"
+#include "common/message_field.h"
 
 namespace amaranthlane::proxy {
 
@@ -116,8 +117,8 @@
   for (const nlohmann::json& item : reader.Array("endpoints")) {
     const json::ObjectReader member(item, kDirectoryDocument);
     failover::EndpointEntry entry;
-    entry.name = member.String("name");
-    entry.group = member.String("group");
+    entry.name = RequireWord(member.String("name"), kDirectoryDocument, "name");
+    entry.group = RequireWord(member.String("group"), kDirectoryDocument, "group");
     entry.address = member.Address("address");
     entry.data_centre = member.String("data_centre");
     entry.draining = member.Bool("draining");
