Give long prepared statements a short name at endpoints

A prepared statement of a few hundred kilobytes fitted into the caller's message, but its name at the endpoint was up to three times as long as its text, and the message to the endpoint beyond the limit of 1 MiB. By reading: an endpoint that keeps to the limit breaks the connection, and each EXECUTE does it again.

Cause: the name is made of the escaped text, whatever its length.

Evidence: SessionRestore.EndpointNamesAreShort failed before (1.5 MB for 500 kB). Measured: SessionRestore, 5 passed.

--- a/source/core/statements/session_restore.cc
+++ b/source/core/statements/session_restore.cc
@@ -3,17 +3,40 @@
 #include <algorithm>
 #include <cctype>
 
+#include "common/sha256.h"
+
 namespace amaranthlane::statements {
 
-std::string EndpointStatementName(const PreparedStatement& prepared) {
+namespace {
+
+// The longest text, in bytes, that stands in the name itself. Each byte takes three at most.
+constexpr std::size_t kMaxTextInName = 64;
+
+void AppendHex(std::uint8_t byte, std::string& text) {
   static constexpr char kDigits[] = "0123456789abcdef";
-  std::string name = prepared.writes ? "w_" : "r_";
+  text += {kDigits[byte >> 4U], kDigits[byte & 0xFU]};
+}
+
+}  // namespace
+
+std::string EndpointStatementName(const PreparedStatement& prepared) {
+  std::string name = prepared.writes ? "w" : "r";
+  if (prepared.statement_text.size() > kMaxTextInName) {
+    // No name that holds its text begins so.
+    name += "h_";
+    for (const std::uint8_t byte : Sha256(prepared.statement_text)) {
+      AppendHex(byte, name);
+    }
+    return name;
+  }
+  name += '_';
   for (const char character : prepared.statement_text) {
     const auto byte = static_cast<unsigned char>(character);
     if (std::isalnum(byte) != 0) {
       name += character;
     } else {
-      name += {'_', kDigits[byte >> 4U], kDigits[byte & 0xFU]};
+      name += '_';
+      AppendHex(byte, name);
     }
   }
   return name;
