Refuse a statement that is too large for the endpoint

A caller's EXECUTE, or a read that must not miss a position, could become longer than 1 MiB on its way to the endpoint, by the name of the prepared statement or by the position, although it kept to the limit itself. By reading: such a message breaks the connection at an endpoint that keeps to the limit, once for each attempt.

It is refused as too large before it is sent; the session goes on. In a transaction it ends the transaction, of which nothing is kept.

Evidence: MessageFramingTest.AStatementThatIsTooLargeForTheEndpointIsRefused failed before.

--- a/source/proxy/caller_operation.cc
+++ b/source/proxy/caller_operation.cc
@@ -218,14 +218,18 @@
 
 void CallerSession::SendStatement() {
   Operation& current = *this->operation;
+  const statements::PreparedStatement* known = this->FindPrepared(current.statement);
+  const std::string name = known == nullptr ? std::string() : statements::EndpointStatementName(*known);
+  std::string message = this->context.Codec().EncodeStatement(current.statement, current.min_position, name);
+  if (message.size() > kMaxMessageBytes) {
+    this->RejectLargeStatement();
+    return;
+  }
   current.sent = true;
   if (this->transaction && (this->Writes(current.statement))) {
     this->transaction->has_writes = true;
   }
-  const statements::PreparedStatement* known = this->FindPrepared(current.statement);
-  const std::string name = known == nullptr ? std::string() : statements::EndpointStatementName(*known);
-  current.connection->Exchange(this->context.Codec().EncodeStatement(current.statement, current.min_position, name), 1,
-                               this->AnswerDeadline(),
+  current.connection->Exchange(std::move(message), 1, this->AnswerDeadline(),
                                [self = this->shared_from_this(), generation = this->generation](
                                    ExchangeStatus status, const std::vector<EndpointAnswer>& answers) {
                                  if (self->generation == generation) {
@@ -234,6 +238,17 @@
                                });
 }
 
+// The message to the endpoint may be longer than that of the caller, by a position or the name of a prepared statement.
+void CallerSession::RejectLargeStatement() {
+  const std::string reason = "the message to the endpoint exceeds 1 MiB";
+  if (this->transaction) {
+    this->FailTransaction(reason);
+    return;
+  }
+  this->ReturnConnection();
+  this->FailStatement(FailureCode::kTooLarge, reason);
+}
+
 void CallerSession::SendStatementLater(Duration delay) {
   auto timer = std::make_shared<boost::asio::steady_timer>(this->socket.get_executor(), delay);
   timer->async_wait([self = this->shared_from_this(), generation = this->generation, timer](boost::system::error_code) {
--- a/source/proxy/caller_session.h
+++ b/source/proxy/caller_session.h
@@ -121,6 +121,7 @@
   void SendStatement();
   void SendStatementLater(Duration delay);
   void OnAnswer(ExchangeStatus status, const std::vector<EndpointAnswer>& answers);
+  void RejectLargeStatement();
   void OnSuccess(const EndpointAnswer& answer);
   void OnEndpointFailure(const EndpointAnswer& answer);
   void OnLostAnswer(ExchangeStatus status);
--- a/tests/platform/line_endpoint.cc
+++ b/tests/platform/line_endpoint.cc
@@ -121,7 +121,7 @@
     }
     if (text == "STATUS") {
       answer = "ROW primary 1 1.0 0 0 0 1\r\n";
-    } else if (text.starts_with("READ ")) {
+    } else if (text.starts_with("READ ") || text.starts_with("EXECUTE r_")) {
       answer = this->rows;
     } else if (text.starts_with("BEGIN")) {
       connection.in_transaction = true;
--- a/tests/platform/message_framing_test.cc
+++ b/tests/platform/message_framing_test.cc
@@ -257,6 +257,19 @@
   }
 }
 
+// Guards against a statement that fits into the caller's message, and not into the one to the endpoint.
+TEST_F(MessageFramingTest, AStatementThatIsTooLargeForTheEndpointIsRefused) {
+  constexpr std::size_t kLimit = 1U << 20U;
+  RawCaller& caller = this->Open(0);
+  this->Exchange(caller, "QUERY prepare PREPARE s READ " + std::string(64, '%') + "\r\n", 1);
+  const std::string start = "QUERY large EXECUTE s ";
+  const std::string answer = this->Exchange(caller, start + std::string(kLimit - start.size() - 2, 'x') + "\r\n", 1);
+  EXPECT_EQ(answer.rfind("ERROR TOOLARGE ", 0), 0U) << answer.substr(0, 100);
+  const std::string served = this->Exchange(caller, "QUERY small EXECUTE s x\r\n", 1);
+  EXPECT_EQ(served.rfind("ROW x\r\n", 0), 0U) << served;
+  EXPECT_EQ(this->TextsById().count("large"), 0U);
+}
+
 // Each message gets one answer, and those that run are those that the caller sent, for any bytes and splits of reads.
 TEST_F(MessageFramingTest, AnyBytesAreReadAlikeOnBothSides) {
   std::mt19937_64 random(kSeed);
