Refuse a message that can't become valid without awaiting its end

Since only CR LF ends a message, a caller that ends its messages with a line feed alone got no answer at all: it waited until it gave up.

A message whose bytes so far hold a control character is malformed, whatever follows. Its end is awaited for a second, so that a caller whose data holds such bytes gets its one answer and keeps its session; then the message is refused as malformed, and the session closed. The relaying VM does the same, as it forwards nothing of an incomplete message.

Ways weighed: answering at the first such byte and dropping what follows up to CR LF (a caller that ends messages with line feeds would get one answer, and none to its next messages); closing at the first such byte (the session of a caller whose data holds one is lost, or not, depending on how its message is divided into reads).

--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -88,9 +88,7 @@
     }
   }
   if (this->reader.TooLarge()) {
-    this->ReportRejectedMessage(FailureCode::kTooLarge, "message exceeds 1 MiB");
-    this->Send(this->context.Codec().EncodeFailure(FailureCode::kTooLarge, "message exceeds 1 MiB"));
-    this->close_after_write = true;
+    this->RejectIncompleteMessage(FailureCode::kTooLarge, "message exceeds 1 MiB");
     return;
   }
   if (this->reader.Full()) {
@@ -172,6 +170,12 @@
   this->context.ReportRejectedMessage(this->database, code, prefix + reason);
 }
 
+void CallerSession::RejectIncompleteMessage(FailureCode code, const std::string& reason) {
+  this->ReportRejectedMessage(code, reason);
+  this->Send(this->context.Codec().EncodeFailure(code, reason));
+  this->close_after_write = true;
+}
+
 void CallerSession::OnOpenSession(const OpenSession& message) {
   this->pending_open = message;
   this->open_deadline = BootClock::now() + (this->source == SessionSource::kRelay ? kRelayedOpenTimeout : kOpenTimeout);
@@ -518,6 +522,10 @@
     this->ServeHeldStatement(now);
     return;
   }
+  if (!this->operation && !this->close_after_write && now >= this->reader.MalformedDeadline()) {
+    this->RejectIncompleteMessage(FailureCode::kMalformed, "control character in a message without an end");
+    return;
+  }
   const Configuration* configuration = this->context.CurrentConfiguration();
   if (configuration != nullptr && !this->operation && this->transaction && this->transaction->connection != nullptr &&
       now > this->transaction->idle_since + configuration->idle_transaction_timeout) {
--- a/source/proxy/caller_session.h
+++ b/source/proxy/caller_session.h
@@ -98,6 +98,8 @@
   bool HandleFrame(const std::string& frame);
   // Logs and counts a message that is no statement and was refused.
   void ReportRejectedMessage(statements::FailureCode code, const std::string& reason);
+  // Answers a message whose end isn't awaited with a failure, and closes the session.
+  void RejectIncompleteMessage(statements::FailureCode code, const std::string& reason);
   void OnOpenSession(const OpenSession& message);
   void TryOpen();
   // Hands the session over to be relayed to a gateway. Returns false when this VM serves it.
@@ -119,9 +121,9 @@
   void SetUpConnection();
   void SendBegin();
   void SendStatement();
+  void RejectLargeStatement();
   void SendStatementLater(Duration delay);
   void OnAnswer(ExchangeStatus status, const std::vector<EndpointAnswer>& answers);
-  void RejectLargeStatement();
   void OnSuccess(const EndpointAnswer& answer);
   void OnEndpointFailure(const EndpointAnswer& answer);
   void OnLostAnswer(ExchangeStatus status);
--- a/source/proxy/frame_reader.cc
+++ b/source/proxy/frame_reader.cc
@@ -1,11 +1,19 @@
 #include "proxy/frame_reader.h"
 
+#include <chrono>
 #include <utility>
 
 #include "proxy/relay_notice.h"
 
 namespace amaranthlane::proxy {
 
+namespace {
+
+// How long the end of a malformed message is awaited.
+constexpr std::chrono::milliseconds kMalformedMessageTimeout{1000};
+
+}  // namespace
+
 FrameReader::FrameReader(const StatementCodec& codec, NoticePolicy notices) : codec(codec), notices(notices) {}
 
 void FrameReader::Append(std::string_view bytes) {
@@ -22,8 +30,12 @@
   const std::size_t length = is_notice ? RelayNoticeLength(rest) : this->codec.FrameLength(rest);
   this->too_large = (length == 0 ? rest.size() : length) > kMaxMessageBytes;
   if (length == 0 || this->too_large) {
+    if (this->malformed_deadline == kNever && !is_notice && this->codec.IsMalformedStart(rest)) {
+      this->malformed_deadline = BootClock::now() + kMalformedMessageTimeout;
+    }
     return std::nullopt;
   }
+  this->malformed_deadline = kNever;
   Frame frame{is_notice ? Frame::Kind::kNotice : Frame::Kind::kMessage, std::string(rest.substr(0, length))};
   this->consumed += length;
   return frame;
@@ -33,6 +45,8 @@
 
 bool FrameReader::Full() const { return this->buffer.size() - this->consumed > kMaxMessageBytes; }
 
+TimePoint FrameReader::MalformedDeadline() const { return this->malformed_deadline; }
+
 bool FrameReader::Empty() const { return this->consumed == this->buffer.size(); }
 
 std::string FrameReader::TakeRest() {
@@ -40,6 +54,7 @@
   this->buffer.clear();
   this->consumed = 0;
   this->too_large = false;
+  this->malformed_deadline = kNever;
   return rest;
 }
 
--- a/source/proxy/frame_reader.h
+++ b/source/proxy/frame_reader.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "common/boot_clock.h"
 #include "proxy/statement_codec.h"
 
 namespace amaranthlane::proxy {
@@ -39,6 +40,9 @@
   // True when the bytes that haven't been returned exceed kMaxMessageBytes, so that nothing more should be read for
   // now.
   bool Full() const;
+  // Until when the end of a message is awaited whose bytes so far can't become valid; kNever if there is none. Its
+  // sender may end messages in another way, and be waiting for the answer.
+  TimePoint MalformedDeadline() const;
   // True when every byte has been returned.
   bool Empty() const;
   // Removes and returns the bytes that haven't been returned.
@@ -51,6 +55,7 @@
   // Bytes at the beginning of `buffer` that have been returned already.
   std::size_t consumed = 0;
   bool too_large = false;
+  TimePoint malformed_deadline = kNever;
 };
 
 }  // namespace amaranthlane::proxy
--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -108,6 +108,9 @@
           return;
         }
         self->from_caller.reader->Append(std::string_view(self->from_caller.read_buffer.data(), size));
+        if (self->sending_last_answer) {
+          return;
+        }
         if (self->HoldsCallerMessages()) {
           self->holding_messages = true;
           self->EndBetweenAnswers();
@@ -299,6 +302,13 @@
   this->SendLastAnswer(statements::FailureCode::kOutcomeUnknown, reason);
 }
 
+void RelayedSession::RejectIncompleteMessage(statements::FailureCode code, const std::string& reason) {
+  ++this->attempt;
+  boost::system::error_code ignored;
+  this->gateway.close(ignored);
+  this->SendLastAnswer(code, reason);
+}
+
 void RelayedSession::SendLastAnswer(statements::FailureCode code, const std::string& reason) {
   this->sending_last_answer = true;
   StatementReport report;
@@ -337,6 +347,8 @@
   } else if (this->connected && this->unanswered > 0 &&
              now > this->unanswered_since + this->statement_timeout + kAnswerGracePeriod) {
     this->OnGatewayFailed("the gateway did not answer in time");
+  } else if (this->connected && now >= this->from_caller.reader->MalformedDeadline()) {
+    this->EndBetweenAnswers();
   }
 }
 
@@ -355,10 +367,11 @@
     return false;
   }
   if (this->from_caller.reader->TooLarge()) {
-    ++this->attempt;
-    boost::system::error_code ignored;
-    this->gateway.close(ignored);
-    this->SendLastAnswer(statements::FailureCode::kTooLarge, "message exceeds 1 MiB");
+    this->RejectIncompleteMessage(statements::FailureCode::kTooLarge, "message exceeds 1 MiB");
+    return true;
+  }
+  if (BootClock::now() >= this->from_caller.reader->MalformedDeadline()) {
+    this->RejectIncompleteMessage(statements::FailureCode::kMalformed, "control character in a message without an end");
     return true;
   }
   if (this->transaction_status != statements::TransactionStatus::kIdle) {
--- a/source/proxy/relayed_session.h
+++ b/source/proxy/relayed_session.h
@@ -62,6 +62,8 @@
   void UpdateStatementTimeout();
   void OnGatewayFailed(const std::string& reason);
   void AnswerOutcomeUnknown(const std::string& reason);
+  // Answers a message whose end isn't awaited with a failure, and closes the session.
+  void RejectIncompleteMessage(statements::FailureCode code, const std::string& reason);
   // Sends the caller a failure that ends the session.
   void SendLastAnswer(statements::FailureCode code, const std::string& reason);
   // True when the caller has received whole answers only.
--- a/source/proxy/statement_codec.h
+++ b/source/proxy/statement_codec.h
@@ -49,6 +49,8 @@
 
   // The length of the first frame in `bytes` with its terminator, in bytes; 0 while it is incomplete.
   virtual std::size_t FrameLength(std::string_view bytes) const = 0;
+  // True when no message that begins with `bytes`, which hold no complete one, is valid.
+  virtual bool IsMalformedStart(std::string_view bytes) const = 0;
   virtual CallerMessage ParseCallerMessage(std::string_view frame) const = 0;
   virtual EndpointMessage ParseEndpointMessage(std::string_view frame) const = 0;
 
--- a/tests/platform/message_framing_test.cc
+++ b/tests/platform/message_framing_test.cc
@@ -257,6 +257,20 @@
   }
 }
 
+// Guards against a caller that ends its messages with a line feed alone and waits for an answer until it gives up.
+TEST_F(MessageFramingTest, AMessageThatCanNotBecomeValidIsRefusedWithoutItsEnd) {
+  for (std::size_t vm = 0; vm < kVms; ++vm) {
+    RawCaller& caller = this->Open(vm);
+    caller.received.clear();
+    const TimePoint sent_at = BootClock::now();
+    caller.Send("QUERY a READ item\nQUERY b READ item\n");
+    ASSERT_TRUE(this->RunUntil([&] { return caller.closed; }));
+    EXPECT_EQ(caller.received.rfind("ERROR MALFORMED ", 0), 0U) << caller.received;
+    EXPECT_LT(BootClock::now(), sent_at + std::chrono::seconds(3));
+  }
+  EXPECT_TRUE(this->TextsById().empty());
+}
+
 // Guards against a statement that fits into the caller's message, and not into the one to the endpoint.
 TEST_F(MessageFramingTest, AStatementThatIsTooLargeForTheEndpointIsRefused) {
   constexpr std::size_t kLimit = 1U << 20U;
--- a/tests/proxy/test_codec.cc
+++ b/tests/proxy/test_codec.cc
@@ -24,6 +24,8 @@
   return end == std::string_view::npos ? 0 : end + 1;
 }
 
+bool TestCodec::IsMalformedStart(std::string_view /*bytes*/) const { return false; }
+
 CallerMessage TestCodec::ParseCallerMessage(std::string_view frame) const {
   static const std::map<std::string, StatementKind> statement_kinds = {
       {"begin", StatementKind::kBegin},     {"begin_read", StatementKind::kBeginReadOnly},
