Handle messages that were sent ahead one after the other

A caller that sent 15,000 or more statements that fail at once behind a running one ended the whole VM, or its gateway, with a stack overflow. Callers also got two answers to a message that is too large, and two close notices.

Cause: a statement that ends calls OnBytes to go on with the next message. Where it ends at once it does so from within the loop of OnBytes itself, one level deeper for each message, and what follows the loop runs once for each level.

OnBytes now does nothing when it is called from within the loop, which goes on by itself. A message that is too large is answered as on relayed sessions, with a ready message.

ManyFailingStatementsBehindARunningOneAreAnswered ended the test program before; AMessageBeyondTheLimitIsAnsweredOnce and AnEndOfATransactionThatFailsAtOnceLeadsToOneCloseNotice failed.

--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -61,9 +61,19 @@
   this->OnBytes();
 }
 
-// Handles one message at a time. Further bytes are kept until it is answered.
 void CallerSession::OnBytes() {
+  // A statement that ends at once calls this from within HandleMessages, whose loop goes on with the next one.
+  if (this->handling_messages) {
+    return;
+  }
   const std::shared_ptr<CallerSession> alive = this->shared_from_this();
+  this->handling_messages = true;
+  this->HandleMessages();
+  this->handling_messages = false;
+}
+
+// Handles one message at a time. Further bytes are kept until it is answered.
+void CallerSession::HandleMessages() {
   if (this->graceful_close) {
     this->OnBytesWhileClosing({});
     return;
@@ -172,7 +182,8 @@
 
 void CallerSession::RejectIncompleteMessage(FailureCode code, const std::string& reason) {
   this->ReportRejectedMessage(code, reason);
-  this->Send(this->context.Codec().EncodeFailure(code, reason));
+  this->Send(this->context.Codec().EncodeFailure(code, reason) +
+             (this->database.empty() ? "" : this->context.Codec().EncodeReady(TransactionStatus::kIdle)));
   this->close_after_write = true;
 }
 
--- a/source/proxy/caller_session.h
+++ b/source/proxy/caller_session.h
@@ -84,6 +84,7 @@
   void OnReceived(std::string_view bytes);
   // Handles the messages that have been received, as far as the session may go on.
   void OnBytes();
+  void HandleMessages();
   void AbortOpenTransaction(const std::string& reason);
   // Between two messages: aborts the transaction and begins the graceful close if they were asked for. Returns true
   // when no further message may be handled.
@@ -159,6 +160,7 @@
   bool close_after_write = false;
   bool reading = false;
   bool closed = false;
+  bool handling_messages = false;
   SessionSource source = SessionSource::kCaller;
 
   std::optional<OpenSession> pending_open;
