Take nothing for an answer that no statement awaits

What an endpoint sends behind the end of an answer, short of a whole message, became the beginning of the answer to the next statement on that connection, which may be another caller's. A ready message alone passed for a success, and a row behind the completion for a row of the answer.

Cause: a connection was checked for whole messages that nobody awaits, and an answer for its last message only.

An answer is now one completion or failure, rows before it, and the ready message behind it; anything else breaks the connection. Bytes that are left when an answer has ended close the connection, and the statement that was answered keeps its answer.

--- a/source/proxy/endpoint_connection.cc
+++ b/source/proxy/endpoint_connection.cc
@@ -98,7 +98,18 @@
     this->Fail(ExchangeStatus::kBroken);
     return;
   }
-  if (this->answer_callback && this->expected_answers > 0 && this->answers.size() == this->expected_answers) {
+  const bool complete =
+      this->answer_callback && this->expected_answers > 0 && this->answers.size() == this->expected_answers;
+  const bool awaiting = this->open_callback || (this->answer_callback && !complete);
+  if (!awaiting && !this->reader.Empty()) {
+    // What has arrived belongs to no answer, and would be read as part of the next one.
+    logging::Write(logging::Level::kWarning, "closing a connection to an endpoint because of its message",
+                   {{"endpoint", this->endpoint.name}, {"why", "a part of a message that no statement awaits"}});
+    this->closed = true;
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+  }
+  if (complete) {
     this->Finish(ExchangeStatus::kAnswered);
   }
   if (!this->closed) {
@@ -112,6 +123,9 @@
     return false;
   }
   EndpointMessage message = this->codec.ParseEndpointMessage(frame);
+  if (this->current_answer.ended && message.kind != EndpointMessage::Kind::kReady) {
+    return false;
+  }
   switch (message.kind) {
     case EndpointMessage::Kind::kRow:
       this->current_answer.frames += frame;
@@ -119,9 +133,11 @@
       return true;
     case EndpointMessage::Kind::kComplete:
       this->current_answer.frames += frame;
+      this->current_answer.ended = true;
       return true;
     case EndpointMessage::Kind::kFailure:
       this->current_answer.failed = true;
+      this->current_answer.ended = true;
       this->current_answer.code = message.code;
       this->current_answer.text = std::move(message.text);
       if (this->open_callback) {
@@ -132,6 +148,9 @@
       }
       return true;
     case EndpointMessage::Kind::kReady:
+      if (!this->open_callback && !this->current_answer.ended) {
+        return false;
+      }
       this->current_answer.state = message.state;
       this->current_answer.position = message.position;
       this->answers.push_back(std::exchange(this->current_answer, {}));
--- a/source/proxy/endpoint_connection.h
+++ b/source/proxy/endpoint_connection.h
@@ -23,6 +23,8 @@
   std::string frames;
   std::vector<std::string> rows;
   bool failed = false;
+  // The endpoint has sent the completion or a failure; only the ready message may follow.
+  bool ended = false;
   statements::FailureCode code = statements::FailureCode::kFailed;
   std::string text;
   statements::TransactionStatus state = statements::TransactionStatus::kIdle;
--- a/tests/proxy/message_stream_test.cc
+++ b/tests/proxy/message_stream_test.cc
@@ -184,5 +184,40 @@
   std::shared_ptr<EndpointConnection> connection;
 };
 
+// Guards against the rest of a message that nobody awaits, which becomes the answer to the next statement.
+TEST_F(EndpointStreamTest, BytesBehindAnAnswerAreNoAnswerToTheNextStatement) {
+  this->Open();
+  const auto first = this->Exchange("forward 4 r1 0 0\n");
+  this->Send(this->peer, "row r1\ncomplete\nready 0 0 0\nrow nob");
+  this->RunFor(milliseconds(20));
+  ASSERT_TRUE(first->ended);
+  ASSERT_EQ(first->status, ExchangeStatus::kAnswered);
+  const auto second = this->Exchange("forward 4 r2 0 0\n");
+  this->Send(this->peer, "ody\ncomplete\nready 0 0 0\n");
+  this->RunFor(milliseconds(20));
+  ASSERT_TRUE(second->ended);
+  EXPECT_EQ(second->status, ExchangeStatus::kBroken) << second->answers.at(0).frames;
+}
+
+// Guards against an answer without completion or failure that passes for a success.
+TEST_F(EndpointStreamTest, AnAnswerWithoutCompletionIsNoSuccess) {
+  this->Open();
+  const auto only = this->Exchange("forward 5 w1 0 0\n");
+  this->Send(this->peer, "ready 0 0 0\n");
+  this->RunFor(milliseconds(20));
+  ASSERT_TRUE(only->ended);
+  EXPECT_TRUE(only->status == ExchangeStatus::kBroken || only->answers.at(0).failed);
+}
+
+// Guards against a row behind the end of an answer.
+TEST_F(EndpointStreamTest, ARowBehindTheCompletionIsNoPartOfTheAnswer) {
+  this->Open();
+  const auto only = this->Exchange("forward 4 r1 0 0\n");
+  this->Send(this->peer, "row r1\ncomplete\nrow r2\ncomplete\nready 0 0 0\n");
+  this->RunFor(milliseconds(20));
+  ASSERT_TRUE(only->ended);
+  EXPECT_EQ(only->status, ExchangeStatus::kBroken);
+}
+
 }  // namespace
 }  // namespace amaranthlane::proxy
