Don't repeat a read whose row can't be forwarded

A read of a row with a control character ran on five endpoints, or five times on one, before its caller got FAIL. A relaying VM forwarded such rows from a gateway of an earlier build, and malformed messages.

Cause: the answer counted as a failure that another endpoint may not have. It is permanent, and gets a kind of its own among the messages of endpoints, by which a relaying VM recognises it, too, and ends the session rather than pass it on.

Ways weighed: FAIL without the row (chosen: the caller learns that the statement ran, and why it gets no row), breaking the connection (a new one costs a slot and 12 ms, and the next read does it again).

--- a/source/proxy/caller_operation.cc
+++ b/source/proxy/caller_operation.cc
@@ -357,8 +357,8 @@
   }
   current.may_have_run = true;
   current.avoided_endpoint = current.endpoint;
-  const bool permanent = answer.code == FailureCode::kMalformed || answer.code == FailureCode::kTooLarge ||
-                         answer.code == FailureCode::kDenied;
+  const bool permanent = answer.permanent || answer.code == FailureCode::kMalformed ||
+                         answer.code == FailureCode::kTooLarge || answer.code == FailureCode::kDenied;
   if (permanent || this->Writes(current.statement) || !this->Retry(now)) {
     this->ReturnConnection();
     this->FailStatement(answer.code, reason);
--- a/source/proxy/endpoint_connection.cc
+++ b/source/proxy/endpoint_connection.cc
@@ -135,6 +135,12 @@
       this->current_answer.frames += frame;
       this->current_answer.ended = true;
       return true;
+    case EndpointMessage::Kind::kUnforwardable:
+      this->current_answer.failed = true;
+      this->current_answer.permanent = true;
+      this->current_answer.code = statements::FailureCode::kFailed;
+      this->current_answer.text = "the answer holds a control character";
+      return true;
     case EndpointMessage::Kind::kFailure:
       this->current_answer.failed = true;
       this->current_answer.ended = true;
@@ -148,7 +154,7 @@
       }
       return true;
     case EndpointMessage::Kind::kReady:
-      if (!this->open_callback && !this->current_answer.ended) {
+      if (!this->open_callback && !this->current_answer.ended && !this->current_answer.failed) {
         return false;
       }
       this->current_answer.state = message.state;
--- a/source/proxy/endpoint_connection.h
+++ b/source/proxy/endpoint_connection.h
@@ -25,6 +25,8 @@
   bool failed = false;
   // The endpoint has sent the completion or a failure; only the ready message may follow.
   bool ended = false;
+  // Another attempt would fail in the same way.
+  bool permanent = false;
   statements::FailureCode code = statements::FailureCode::kFailed;
   std::string text;
   statements::TransactionStatus state = statements::TransactionStatus::kIdle;
--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -1,5 +1,6 @@
 #include "proxy/relayed_session.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <utility>
@@ -167,14 +168,14 @@
           self->OnGatewayFailed("the gateway closed the connection");
           return;
         }
-        const std::vector<std::string> messages =
+        const std::vector<GatewayMessage> messages =
             self->TakeGatewayMessages(std::string_view(self->from_gateway.read_buffer.data(), size));
         if (self->RefusedAsUnknownDatabase(messages)) {
           self->OnGatewayFailed("the gateway does not know the database");
           return;
         }
-        if (self->from_gateway.reader->TooLarge()) {
-          self->OnGatewayFailed("the gateway sent a message that exceeds 1 MiB");
+        if (self->from_gateway.reader->TooLarge() || !AreForwardable(messages)) {
+          self->OnGatewayFailed("the gateway sent a malformed message");
           return;
         }
         if (messages.empty()) {
@@ -182,9 +183,9 @@
           return;
         }
         self->forwarded_messages.clear();
-        for (const std::string& message : messages) {
-          self->CountGatewayMessage(message);
-          self->forwarded_messages += message;
+        for (const GatewayMessage& message : messages) {
+          self->CountGatewayMessage(message.parsed);
+          self->forwarded_messages += message.bytes;
         }
         self->writing_to_caller = true;
         boost::asio::async_write(self->caller, boost::asio::buffer(self->forwarded_messages),
@@ -229,14 +230,15 @@
   return messages;
 }
 
-std::vector<std::string> RelayedSession::TakeGatewayMessages(std::string_view bytes) {
+std::vector<RelayedSession::GatewayMessage> RelayedSession::TakeGatewayMessages(std::string_view bytes) {
   this->from_gateway.reader->Append(bytes);
-  std::vector<std::string> messages;
+  std::vector<GatewayMessage> messages;
   while (std::optional<Frame> frame = this->from_gateway.reader->Next()) {
     if (frame->kind == Frame::Kind::kNotice) {
       this->OnNotice(frame->bytes);
     } else {
-      messages.push_back(std::move(frame->bytes));
+      EndpointMessage parsed = this->context.Codec().ParseEndpointMessage(frame->bytes);
+      messages.push_back({std::move(frame->bytes), std::move(parsed)});
     }
   }
   return messages;
@@ -255,21 +257,24 @@
 // A gateway that doesn't know the database has another configuration than the one by which this VM relays the session.
 // If it is older, another gateway may serve the session; if it is newer, this VM refuses the session itself once it has
 // that configuration.
-bool RelayedSession::RefusedAsUnknownDatabase(const std::vector<std::string>& messages) const {
-  if (this->opened || messages.empty()) {
-    return false;
-  }
-  const EndpointMessage message = this->context.Codec().ParseEndpointMessage(messages.front());
-  return message.kind == EndpointMessage::Kind::kFailure && message.code == statements::FailureCode::kUnknownDatabase;
+bool RelayedSession::RefusedAsUnknownDatabase(const std::vector<GatewayMessage>& messages) const {
+  return !this->opened && !messages.empty() && messages.front().parsed.kind == EndpointMessage::Kind::kFailure &&
+         messages.front().parsed.code == statements::FailureCode::kUnknownDatabase;
+}
+
+bool RelayedSession::AreForwardable(const std::vector<GatewayMessage>& messages) {
+  return std::none_of(messages.begin(), messages.end(), [](const GatewayMessage& message) {
+    return message.parsed.kind == EndpointMessage::Kind::kUnforwardable ||
+           message.parsed.kind == EndpointMessage::Kind::kMalformed;
+  });
 }
 
-void RelayedSession::CountGatewayMessage(const std::string& message) {
-  const EndpointMessage parsed = this->context.Codec().ParseEndpointMessage(message);
-  this->mid_answer = parsed.kind != EndpointMessage::Kind::kReady;
-  if (parsed.kind != EndpointMessage::Kind::kReady) {
+void RelayedSession::CountGatewayMessage(const EndpointMessage& message) {
+  this->mid_answer = message.kind != EndpointMessage::Kind::kReady;
+  if (message.kind != EndpointMessage::Kind::kReady) {
     return;
   }
-  this->transaction_status = parsed.state;
+  this->transaction_status = message.state;
   this->unanswered -= this->unanswered > 0 ? 1 : 0;
   this->unanswered_since = BootClock::now();
   if (!std::exchange(this->opened, true)) {
--- a/source/proxy/relayed_session.h
+++ b/source/proxy/relayed_session.h
@@ -45,6 +45,12 @@
     std::optional<FrameReader> reader;
   };
 
+  // A complete message of the gateway, as it was received and as it was parsed.
+  struct GatewayMessage {
+    std::string bytes;
+    EndpointMessage parsed;
+  };
+
   void TryNextGateway();
   void ServeLocally();
   void ForwardFromCaller();
@@ -54,11 +60,13 @@
   // Counts the caller's complete messages and returns them as they are to be forwarded.
   std::string TakeCallerMessages();
   // Handles the gateway's notices and returns its complete messages.
-  std::vector<std::string> TakeGatewayMessages(std::string_view bytes);
+  std::vector<GatewayMessage> TakeGatewayMessages(std::string_view bytes);
   void OnNotice(std::string_view notice);
   // True when the gateway's first message refuses the opening because it doesn't know the database.
-  bool RefusedAsUnknownDatabase(const std::vector<std::string>& messages) const;
-  void CountGatewayMessage(const std::string& message);
+  bool RefusedAsUnknownDatabase(const std::vector<GatewayMessage>& messages) const;
+  // False if a message is malformed, or the caller's reader may find others in it.
+  static bool AreForwardable(const std::vector<GatewayMessage>& messages);
+  void CountGatewayMessage(const EndpointMessage& message);
   void UpdateStatementTimeout();
   void OnGatewayFailed(const std::string& reason);
   void AnswerOutcomeUnknown(const std::string& reason);
--- a/source/proxy/statement_codec.h
+++ b/source/proxy/statement_codec.h
@@ -30,7 +30,8 @@
 
 // One message of an endpoint.
 struct EndpointMessage {
-  enum class Kind : std::uint8_t { kRow, kComplete, kFailure, kReady, kMalformed };
+  // kUnforwardable: a row or completion in which a caller's reader may find other messages.
+  enum class Kind : std::uint8_t { kRow, kComplete, kFailure, kReady, kUnforwardable, kMalformed };
   Kind kind = Kind::kMalformed;
   // For kRow.
   std::string row;
--- a/tests/platform/message_framing_test.cc
+++ b/tests/platform/message_framing_test.cc
@@ -284,6 +284,14 @@
   EXPECT_EQ(this->TextsById().count("large"), 0U);
 }
 
+// Guards against a read whose row can't be forwarded and that runs on one endpoint after the other.
+TEST_F(MessageFramingTest, AReadOfARowWithAControlCharacterRunsOnce) {
+  RawCaller& caller = this->Open(0);
+  this->endpoint.rows = "ROW x\ry\r\n";
+  EXPECT_EQ(this->Exchange(caller, "QUERY read READ item\r\n", 1).rfind("ERROR FAIL ", 0), 0U);
+  EXPECT_EQ(this->TextsById().at("read").size(), EndpointReaders().size());
+}
+
 // Each message gets one answer, and those that run are those that the caller sent, for any bytes and splits of reads.
 TEST_F(MessageFramingTest, AnyBytesAreReadAlikeOnBothSides) {
   std::mt19937_64 random(kSeed);
