Let no failure interrupt an answer on a relayed session

A caller that read slowly got the failure of its gateway in the middle of a row, and a caller that ended its session got one that it hadn't asked for.

Cause: a failure was written whether or not an answer was being written, a gateway was given up for not answering while nothing was read from it, and the end of a session counted as a message that awaits an answer.

The failure now waits for the end of the answer in progress; the time that the caller takes isn't the gateway's; and the end of a session has no answer.

--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -191,6 +191,8 @@
         boost::asio::async_write(self->caller, boost::asio::buffer(self->forwarded_messages),
                                  [self](boost::system::error_code failed, std::size_t) {
                                    self->writing_to_caller = false;
+                                   // While the caller was slow, nothing was read from the gateway.
+                                   self->unanswered_since = BootClock::now();
                                    if (failed || self->closed) {
                                      self->Close();
                                      return;
@@ -216,11 +218,12 @@
 std::string RelayedSession::TakeCallerMessages() {
   std::string messages;
   while (const std::optional<Frame> frame = this->from_caller.reader->Next()) {
-    ++this->unanswered;
+    const CallerMessage message = this->context.Codec().ParseCallerMessage(frame->bytes);
+    // The end of the session has no answer.
+    this->unanswered += std::holds_alternative<CloseSession>(message) ? 0 : 1;
     if (this->unanswered == 1) {
       this->unanswered_since = BootClock::now();
     }
-    const CallerMessage message = this->context.Codec().ParseCallerMessage(frame->bytes);
     const auto* malformed = std::get_if<MalformedMessage>(&message);
     if (malformed != nullptr) {
       this->context.ReportRejectedMessage(this->database, statements::FailureCode::kMalformed, malformed->reason);
@@ -290,6 +293,10 @@
   }
   boost::system::error_code ignored;
   this->gateway.close(ignored);
+  if (this->writing_to_caller) {
+    // The caller gets whole answers first. Reading from the gateway fails when they have been written.
+    return;
+  }
   // The caller would take a failure in the middle of an answer for the rest of that answer.
   const bool between_answers = this->BetweenAnswers();
   if (between_answers && !this->opened) {
@@ -349,7 +356,7 @@
     if (!this->writing_to_caller && now >= this->graceful_close_deadline) {
       this->Close();
     }
-  } else if (this->connected && this->unanswered > 0 &&
+  } else if (this->connected && this->unanswered > 0 && !this->writing_to_caller &&
              now > this->unanswered_since + this->statement_timeout + kAnswerGracePeriod) {
     this->OnGatewayFailed("the gateway did not answer in time");
   } else if (this->connected && now >= this->from_caller.reader->MalformedDeadline()) {
--- a/tests/proxy/message_stream_test.cc
+++ b/tests/proxy/message_stream_test.cc
@@ -148,6 +148,48 @@
   EXPECT_EQ(this->context.reports.back().id, "w1");
 }
 
+// Guards against bytes of this VM in the middle of an answer that a slow caller is still receiving.
+TEST_F(SessionStreamTest, AFailureOfTheGatewayDoesNotInterruptAnAnswer) {
+  tcp::acceptor gateways(this->loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const std::string address = "127.0.0.1:" + std::to_string(gateways.local_endpoint().port());
+  constexpr std::size_t kAnswers = 24;
+  std::string opening = "open g\n";
+  for (std::size_t number = 0; number <= kAnswers; ++number) {
+    opening += "read r" + std::to_string(number) + "\n";
+  }
+  const auto session = std::make_shared<RelayedSession>(
+      this->ConnectTo(this->caller), this->context, opening,
+      std::vector<gateways::FleetVm>{{address, address, "dc-1", false}}, this->context.configuration.routes["g"]);
+  gateways.async_accept(this->peer, [](boost::system::error_code) {});
+  session->Start();
+  this->RunFor(milliseconds(50));
+  this->Send(this->peer, "ready 0 0 0\n");
+  const std::string answer = "row " + std::string(900'000, 'x') + "\nready 0 0 0\n";
+  std::string answers;
+  for (std::size_t number = 0; number < kAnswers; ++number) {
+    answers += answer;
+  }
+  // The caller reads nothing, so that the relaying VM can't send more after some answers.
+  boost::asio::async_write(this->peer, boost::asio::buffer(answers), [](boost::system::error_code, std::size_t) {});
+  for (int round = 0; round < 45; ++round) {
+    this->RunFor(milliseconds(50));
+    session->Tick(BootClock::now());
+  }
+  std::string received;
+  for (int round = 0; round < 400; ++round) {
+    this->RunFor(milliseconds(5));
+    session->Tick(BootClock::now());
+    received += TakeReceived(this->caller);
+  }
+  const std::size_t failure = received.find("failure ");
+  ASSERT_NE(failure, std::string::npos) << received.size() << " bytes";
+  ASSERT_GT(failure, 0U);
+  EXPECT_EQ(received[failure - 1], '\n') << "it stands inside a row of the caller, after "
+                                         << failure - received.rfind('\n', failure) << " bytes of it";
+  // The gateway has answered all but the last statement.
+  EXPECT_EQ(Count(received, answer), kAnswers);
+}
+
 class EndpointStreamTest : public SessionStreamTest {
  protected:
   void Open() {
@@ -219,5 +261,26 @@
   EXPECT_EQ(only->status, ExchangeStatus::kBroken);
 }
 
+// Guards against a failure that a caller gets after it has ended its session.
+TEST_F(SessionStreamTest, ACallerThatEndsItsRelayedSessionGetsNoAnswer) {
+  tcp::acceptor gateways(this->loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const std::string address = "127.0.0.1:" + std::to_string(gateways.local_endpoint().port());
+  const auto session = std::make_shared<RelayedSession>(
+      this->ConnectTo(this->caller), this->context, "open g\n",
+      std::vector<gateways::FleetVm>{{address, address, "dc-1", false}}, this->context.configuration.routes["g"]);
+  gateways.async_accept(this->peer, [](boost::system::error_code) {});
+  session->Start();
+  this->RunFor(milliseconds(20));
+  this->Send(this->peer, "ready 0 0 0\n");
+  this->RunFor(milliseconds(20));
+  this->Send(this->caller, "close\n");
+  this->RunFor(milliseconds(20));
+  this->peer.close();
+  this->RunFor(milliseconds(20));
+  EXPECT_EQ(TakeReceived(this->caller), "ready 0 0 0\n");
+  EXPECT_TRUE(session->Closed());
+  EXPECT_TRUE(this->context.reports.empty());
+}
+
 }  // namespace
 }  // namespace amaranthlane::proxy
