Refuse to prepare a statement that is too large for an endpoint

A statement near the limit could be prepared, and its preparation at the endpoint, with a longer name, was beyond the limit.

It is refused as too large when it is prepared, rather than at each execution.

--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -345,9 +345,22 @@
              this->context.Codec().EncodeReady(TransactionStatus::kInTransaction));
 }
 
+bool CallerSession::FitsEndpoint(const Statement& preparation) const {
+  statements::RestoreStep step;
+  step.kind = statements::RestoreStep::Kind::kPrepare;
+  step.prepared = {preparation.writes, preparation.argument};
+  step.name = statements::EndpointStatementName(step.prepared);
+  return this->context.Codec().EncodeRestoreStep(step).size() <= kMaxMessageBytes;
+}
+
 void CallerSession::OnSessionChange(const Statement& statement) {
   if (statement.kind == StatementKind::kSetValue) {
     this->values[statement.name] = statement.argument;
+  } else if (statement.kind == StatementKind::kPrepare && !this->FitsEndpoint(statement)) {
+    this->Send(
+        this->context.Codec().EncodeFailure(FailureCode::kTooLarge, "the message to the endpoint exceeds 1 MiB") +
+        this->context.Codec().EncodeReady(this->CurrentStatus()));
+    return;
   } else if (statement.kind == StatementKind::kPrepare) {
     this->prepared[statement.name] = {statement.writes, statement.argument};
   } else if (this->prepared.erase(statement.name) == 0) {
--- a/source/proxy/caller_session.h
+++ b/source/proxy/caller_session.h
@@ -113,6 +113,8 @@
   void OnStatement(const statements::Statement& statement);
   void OnBegin(const statements::Statement& statement);
   void OnSessionChange(const statements::Statement& statement);
+  // True when the statement to prepare can be sent to an endpoint.
+  bool FitsEndpoint(const statements::Statement& preparation) const;
   void EndTransactionLocally(const statements::Statement& statement);
   void StartOperation(const statements::Statement& statement);
 
@@ -158,9 +160,9 @@
   std::string write_buffer;
   bool write_in_progress = false;
   bool close_after_write = false;
+  bool handling_messages = false;
   bool reading = false;
   bool closed = false;
-  bool handling_messages = false;
   SessionSource source = SessionSource::kCaller;
 
   std::optional<OpenSession> pending_open;
--- a/tests/platform/message_framing_test.cc
+++ b/tests/platform/message_framing_test.cc
@@ -284,6 +284,26 @@
   EXPECT_EQ(this->TextsById().count("large"), 0U);
 }
 
+// A message of the caller that is within the limit makes one for the endpoint that is within it, too.
+TEST_F(MessageFramingTest, NoMessageToAnEndpointIsLongerThanTheLimit) {
+  constexpr std::size_t kLimit = 1U << 20U;
+  RawCaller& caller = this->Open(0);
+  const auto fill = [](const std::string& start) {
+    return start + std::string(kLimit - start.size() - 2, 'x') + "\r\n";
+  };
+  this->Exchange(caller, fill("QUERY p PREPARE s WRITE "), 1);
+  this->Exchange(caller, "QUERY e EXECUTE s item data\r\n", 1);
+  this->Exchange(caller, "QUERY p2 PREPARE s WRITE " + std::string(100, 'x') + "\r\n", 1);
+  this->Exchange(caller, fill("QUERY e2 EXECUTE s item "), 1);
+  for (const std::string& stream : this->endpoint.Streams()) {
+    std::size_t begin = 0;
+    for (std::size_t end = stream.find("\r\n"); end != std::string::npos; end = stream.find("\r\n", begin)) {
+      EXPECT_LE(end + 2 - begin, kLimit) << stream.substr(begin, 60);
+      begin = end + 2;
+    }
+  }
+}
+
 // Guards against a read whose row can't be forwarded and that runs on one endpoint after the other.
 TEST_F(MessageFramingTest, AReadOfARowWithAControlCharacterRunsOnce) {
   RawCaller& caller = this->Open(0);
