Let a refusal reach a caller that is still sending

A caller whose message was refused before all of it had been read could lose the refusal: its connection was reset under it.

Cause: the session was closed as soon as its last answer had been written, with bytes of the caller unread.

The session now ends its own side of the connection, and drops what the caller still sends until it closes, for 400 ms at most.

--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -53,6 +53,10 @@
 }
 
 void CallerSession::OnReceived(std::string_view bytes) {
+  if (this->close_after_write && !this->graceful_close) {
+    this->Read();
+    return;
+  }
   if (this->graceful_close) {
     this->OnBytesWhileClosing(bytes);
     return;
@@ -520,15 +524,31 @@
                              self->write_in_progress = false;
                              self->graceful_close_deadline = BootClock::now() + kGracefulCloseTimeout;
                              const bool done = self->pending_output.empty();
-                             if (error || (done && self->close_after_write)) {
+                             if (error) {
                                self->Close();
+                             } else if (done && self->close_after_write) {
+                               self->Linger();
                              } else if (!done) {
                                self->Write();
                              }
                            });
 }
 
+void CallerSession::Linger() {
+  if (this->closed) {
+    return;
+  }
+  this->linger_deadline = BootClock::now() + kLingerTimeout;
+  boost::system::error_code ignored;
+  this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  this->Read();
+}
+
 void CallerSession::Tick(TimePoint now) {
+  if (now >= this->linger_deadline) {
+    this->Close();
+    return;
+  }
   if (this->graceful_close) {
     if (!this->write_in_progress && now >= this->graceful_close_deadline) {
       this->Close();
--- a/source/proxy/caller_session.h
+++ b/source/proxy/caller_session.h
@@ -148,6 +148,8 @@
   void ReportFinished(const std::string& outcome, const std::string& reason, bool failed);
   void Send(std::string bytes);
   void Write();
+  // After the last answer: ends this side of the connection, and drops what the caller still sends until it closes.
+  void Linger();
   void ReleaseTransactionConnection(bool ended);
   void RollBackAndRelease(const std::shared_ptr<EndpointConnection>& connection, const GroupName& owning_group);
   statements::TransactionStatus CurrentStatus() const;
@@ -161,6 +163,8 @@
   bool write_in_progress = false;
   bool close_after_write = false;
   bool handling_messages = false;
+  // When a session whose last answer has been sent is closed; kNever before that.
+  TimePoint linger_deadline = kNever;
   bool reading = false;
   bool closed = false;
   SessionSource source = SessionSource::kCaller;
--- a/source/proxy/relayed_session.cc
+++ b/source/proxy/relayed_session.cc
@@ -97,9 +97,14 @@
 }
 
 void RelayedSession::ForwardFromCaller() {
+  if (this->reading_from_caller) {
+    return;
+  }
+  this->reading_from_caller = true;
   this->caller.async_read_some(
       boost::asio::buffer(this->from_caller.read_buffer),
       [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
+        self->reading_from_caller = false;
         if (error || self->closed) {
           self->Close();
           return;
@@ -108,10 +113,11 @@
           self->OnBytesWhileClosing(std::string_view(self->from_caller.read_buffer.data(), size));
           return;
         }
-        self->from_caller.reader->Append(std::string_view(self->from_caller.read_buffer.data(), size));
         if (self->sending_last_answer) {
+          self->ForwardFromCaller();
           return;
         }
+        self->from_caller.reader->Append(std::string_view(self->from_caller.read_buffer.data(), size));
         if (self->HoldsCallerMessages()) {
           self->holding_messages = true;
           self->EndBetweenAnswers();
@@ -331,9 +337,24 @@
   this->context.OnStatementFinished(report);
   this->caller_write_buffer = this->context.Codec().EncodeFailure(code, reason) +
                               this->context.Codec().EncodeReady(statements::TransactionStatus::kIdle);
-  boost::asio::async_write(
-      this->caller, boost::asio::buffer(this->caller_write_buffer),
-      [self = this->shared_from_this()](boost::system::error_code, std::size_t) { self->Close(); });
+  boost::asio::async_write(this->caller, boost::asio::buffer(this->caller_write_buffer),
+                           [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
+                             if (error) {
+                               self->Close();
+                             } else {
+                               self->Linger();
+                             }
+                           });
+}
+
+void RelayedSession::Linger() {
+  if (this->closed) {
+    return;
+  }
+  this->linger_deadline = BootClock::now() + kLingerTimeout;
+  boost::system::error_code ignored;
+  this->caller.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  this->ForwardFromCaller();
 }
 
 void RelayedSession::UpdateStatementTimeout() {
@@ -351,6 +372,10 @@
   if (this->closed) {
     return;
   }
+  if (now >= this->linger_deadline) {
+    this->Close();
+    return;
+  }
   this->UpdateStatementTimeout();
   if (this->graceful_close) {
     if (!this->writing_to_caller && now >= this->graceful_close_deadline) {
--- a/source/proxy/relayed_session.h
+++ b/source/proxy/relayed_session.h
@@ -74,6 +74,8 @@
   void RejectIncompleteMessage(statements::FailureCode code, const std::string& reason);
   // Sends the caller a failure that ends the session.
   void SendLastAnswer(statements::FailureCode code, const std::string& reason);
+  // After the last answer: ends this side of the connection, and drops what the caller still sends until it closes.
+  void Linger();
   // True when the caller has received whole answers only.
   bool BetweenAnswers() const;
   // True when the session is to be closed, and the caller's next message begins a statement outside a transaction as
@@ -135,6 +137,9 @@
   bool writing_to_caller = false;
   // The gateway is disconnected, and this VM sends the last answer.
   bool sending_last_answer = false;
+  bool reading_from_caller = false;
+  // When a session whose last answer has been sent is closed; kNever before that.
+  TimePoint linger_deadline = kNever;
   bool abort_requested = false;
   bool closed = false;
 };
--- a/source/proxy/session.h
+++ b/source/proxy/session.h
@@ -11,6 +11,10 @@
 // How long a caller may take to close its session after the notice that the VM ends it.
 inline constexpr std::chrono::milliseconds kGracefulCloseTimeout{400};
 
+// How long a session whose last answer has been sent takes what its caller still sends. Closing it with unread bytes
+// would reset the connection, and the caller could lose the answer.
+inline constexpr std::chrono::milliseconds kLingerTimeout{400};
+
 // A caller's session on this VM, which either serves it or relays it to another VM.
 class Session {
  public:
--- a/tests/platform/message_framing_test.cc
+++ b/tests/platform/message_framing_test.cc
@@ -46,6 +46,15 @@
     boost::asio::write(this->socket, boost::asio::buffer(bytes.data(), bytes.size()), ignored);
   }
 
+  // Sends bytes that the socket may not take at once. They must live until `sent` is true.
+  void SendInBackground(std::string_view bytes) {
+    boost::asio::async_write(this->socket, boost::asio::buffer(bytes.data(), bytes.size()),
+                             [this](boost::system::error_code error, std::size_t) {
+                               this->sent = true;
+                               this->reset = this->reset || error;
+                             });
+  }
+
   // The number of complete answers so far; the first one answers the opening.
   std::size_t Answers() const {
     std::size_t count = 0;
@@ -58,6 +67,9 @@
 
   std::string received;
   bool closed = false;
+  // What was sent in the background has been taken, or can't be; the connection was reset.
+  bool sent = false;
+  bool reset = false;
 
  private:
   void Read() {
@@ -67,6 +79,7 @@
                                      return;
                                    }
                                    if (error) {
+                                     this->reset = this->reset || error != boost::asio::error::eof;
                                      this->closed = true;
                                      return;
                                    }
@@ -304,6 +317,19 @@
   }
 }
 
+// Guards against a refusal that is lost because the session is closed while bytes of the caller are unread.
+TEST_F(MessageFramingTest, ARefusalReachesACallerThatHasSentMore) {
+  const std::string message = "QUERY a WRITE item " + std::string(8U << 20U, 'x') + "\r\n";
+  for (std::size_t round = 0; round < 3 * kVms; ++round) {
+    RawCaller& caller = this->Open(round % kVms);
+    caller.received.clear();
+    caller.SendInBackground(message);
+    ASSERT_TRUE(this->RunUntil([&] { return caller.closed && caller.sent; }));
+    EXPECT_EQ(caller.received.rfind("ERROR TOOLARGE ", 0), 0U) << round << ": " << caller.received;
+    EXPECT_FALSE(caller.reset) << round;
+  }
+}
+
 // Guards against a read whose row can't be forwarded and that runs on one endpoint after the other.
 TEST_F(MessageFramingTest, AReadOfARowWithAControlCharacterRunsOnce) {
   RawCaller& caller = this->Open(0);
