Let the soak's endpoints compare statements with what callers sent

Each caller now notes id and text before it sends them. An endpoint reports UNASKED for an id that no caller sent, for another text, for work of a refused message and for work under the id `-`; PINNED for a prepared statement of another shape; SIZE for a message above 1 MiB. It doesn't run what it reports. Texts are Latin-1, so that any bytes can be compared. Endpoints have a reader of their own: by the seed it ends a message at CR LF only, at LF, or at CR, LF or CR LF. A write without an attempt in its data counts under its id.

`--daemon PATH` runs another build, and a failed seed prints its violations by rule.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -46,7 +46,7 @@
     async def read_answer(self):
         rows, error_code, signature = [], None, None
         while True:
-            line = (await asyncio.wait_for(self.reader.readline(), 4)).decode()
+            line = (await asyncio.wait_for(self.reader.readline(), 4)).decode("latin-1")
             if not line:
                 raise ConnectionLost
             word, _, rest = line[:-2].partition(" ")
@@ -64,6 +64,7 @@
     async def send_query(self, text):
         self.query_count += 1
         statement_id = f"{self.name}q{self.query_count}"
+        self.group.sent.add(statement_id, text)
         self.writer.write(f"QUERY {statement_id} {text}\r\n".encode())
         rows, signature, error_code, state = await self.read_answer()
         if error_code is None and signature not in (None, "-") and not signature.startswith(statement_id + "."):
@@ -182,6 +183,7 @@
             while True:
                 self.count += 1
                 statement_id, sent_at = f"{self.name}q{self.count}", time.monotonic()
+                self.group.sent.add(statement_id, "READ k1")
                 writer.write(f"QUERY {statement_id} READ k1\r\n".encode())
                 try:
                     await self.read_answer(reader)
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -125,6 +125,9 @@
                 self.count += 1
                 sent_at, undisturbed_since = time.monotonic(), self.soak.undisturbed_since(vm)
                 opening = text.startswith("CONNECT")
+                if not opening:
+                    # The routes of these databases lead to the first group.
+                    self.soak.groups[0].sent.add(f"{self.name}q{self.count}", text)
                 writer.write(f"{text if opening else f'QUERY {self.name}q{self.count} {text}'}\r\n".encode())
                 error, rows = await self.read_answer(reader)
                 if error == "NOSUCHDB" or (error is None and rows):
@@ -139,7 +142,7 @@
         rows = 0
         error = None
         while True:
-            line = (await asyncio.wait_for(reader.readuntil(b"\r\n"), 4)).decode()
+            line = (await asyncio.wait_for(reader.readuntil(b"\r\n"), 4)).decode("latin-1")
             word, _, rest = line[:-2].partition(" ")
             rows += word == "ROW"
             if word == "ERROR":
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -2,6 +2,7 @@
 """Runs the real daemons under faults drawn from a seed and checks the guarantees to callers. See README.md."""
 import argparse
 import asyncio
+import collections
 import itertools
 import json
 import os
@@ -16,7 +17,7 @@
 from callers import BusyCaller, Caller
 from configuration import CONTACT_S, ConfigurationChanges, Probe
 from links import Link
-from wire_platform import Connection, Group, Platform
+from wire_platform import LENIENT_ENDS, STRICT_END, Connection, Group, Platform
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DAEMON = ROOT / "build" / "platform" / "amaranthlane-platformd"
@@ -44,7 +45,8 @@
 class Vm:
     """One daemon, and the links between it, the store and its peers."""
 
-    def __init__(self, number, folder):
+    def __init__(self, number, folder, daemon):
+        self.daemon = daemon
         self.name, self.folder, self.process, self.paused = f"vm-{number}", folder, None, False
         self.callers, self.peers, self.ready, self.relay = (free_port() for _ in range(4))
         self.store_link, self.peer_link = None, Link(f"peers of {self.name}", self.peers)
@@ -80,7 +82,7 @@
         self.note_end()
         output = self.log.open("ab")
         self.disturbed_at = time.monotonic()
-        self.process = await asyncio.create_subprocess_exec(str(DAEMON), "--settings", str(path), stdout=output,
+        self.process = await asyncio.create_subprocess_exec(str(self.daemon), "--settings", str(path), stdout=output,
                                                             stderr=output)
 
     def note_end(self):
@@ -98,7 +100,7 @@
 class Soak:
     """The run of one seed."""
 
-    def __init__(self, seed, vms, seconds, folder):
+    def __init__(self, seed, vms, seconds, folder, daemon):
         self.seed, self.seconds, self.folder = seed, seconds, folder
         self.random = random.Random(seed)
         random.seed(seed + 2)
@@ -107,7 +109,7 @@
         self.groups = [Group(name, 3, connections) for name in ("g", "h")[:self.random.randint(1, 2)]]
         self.platform = Platform(self.groups)
         self.platform.random = random.Random(seed + 1)
-        self.vms = [Vm(number, folder) for number in range(vms)]
+        self.vms = [Vm(number, folder, daemon) for number in range(vms)]
         self.links, self.faults = [], []
         self.changes = ConfigurationChanges(self.platform, self.groups, seed)
         # When a fault of the store, or of a link that it doesn't share with one VM alone, was last in effect.
@@ -119,6 +121,10 @@
         self.order_random, self.replica_random = random.Random(seed + 5), random.Random(seed + 6)
         for group in self.groups:
             group.sync_replicas = self.replica_random.randint(0, 1)
+        # The same for the endpoints that read leniently.
+        reader_random = random.Random(seed + 7)
+        for _, endpoint in self.endpoints:
+            endpoint.message_end = reader_random.choice([STRICT_END, *LENIENT_ENDS])
         # The directory entries that the endpoints have written, by name.
         self.published = {}
         for group in self.groups:
@@ -451,7 +457,7 @@
 async def run_seed(seed, arguments):
     asyncio.get_running_loop().set_exception_handler(report_unless_cancelled)
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(seed, arguments.vms, arguments.seconds, folder)
+    soak = Soak(seed, arguments.vms, arguments.seconds, folder, arguments.daemon)
     try:
         await soak.run()
     finally:
@@ -463,7 +469,10 @@
           flush=True)
     if violations:
         print("  faults: " + "; ".join(soak.faults))
-        print("\n".join("  " + text for text in violations[:10]))
+        rules = collections.Counter(text.partition(":")[0] for text in violations)
+        print("  " + ", ".join(f"{count} {rule}" for rule, count in rules.items()))
+        for rule in rules:
+            print("\n".join("  " + text for text in [v for v in violations if v.startswith(rule + ":")][:5]))
         print(f"  logs: {folder}", flush=True)
     else:
         for path in folder.iterdir():
@@ -480,6 +489,7 @@
     parser.add_argument("--seconds", type=float, default=12,
                         help="seconds during which faults are injected (default: 12)")
     parser.add_argument("--vms", type=int, default=0, help="number of VMs (default, and for 0: drawn from the seed)")
+    parser.add_argument("--daemon", type=pathlib.Path, default=DAEMON, help="the daemon to run (default: %(default)s)")
     parser.add_argument("--results", help="file for the results, in the JSON format of GoogleTest")
     return parser.parse_args()
 
--- a/soak/wire_platform.py
+++ b/soak/wire_platform.py
@@ -8,12 +8,22 @@
 import asyncio
 import json
 import random
+import re
 import time
 import urllib.parse
 
+from sent_statements import SentStatements
+
 # A write whose answer is lost may be executed up to this much later, if its condition still holds then.
 LATE_WRITE_S = 5
 
+MAX_MESSAGE_BYTES = 1 << 20
+# What an endpoint takes for the end of a message: CR LF, as the wire protocol has it, or more than that.
+STRICT_END = re.compile(b"\r\n")
+LENIENT_ENDS = [re.compile(b"\r?\n"), re.compile(b"\r\n|\r(?=[^\n])|\n")]
+# The statements that begin or end work. The system sends them only for a caller, under the caller's id.
+WORK = ("BEGIN", "READ", "WRITE", "EXECUTE", "COMMIT")
+
 
 class Endpoint:
     """One database instance. Its log is a list of (term, number, attempt, item, data, time appended)."""
@@ -23,6 +33,8 @@
     lag_s, work_s, draining, lost_share = 0.01, 0.002, False, 0.0
     # Since when the store has had it as draining; none: it hasn't.
     draining_since = None
+    # What it takes for the end of a message.
+    message_end = STRICT_END
 
     def __init__(self, name, group):
         self.name, self.group = name, group
@@ -55,6 +67,7 @@
         self.arrived, self.highest_token = set(), 0
         # Called with the endpoint and the name of the VM for each statement that begins work.
         self.on_work = lambda endpoint, vm: None
+        self.sent = SentStatements(self.report_violation)
         # Attempts that a promotion rolled back; acknowledged commits as (time, attempt, position).
         self.rolled_back, self.acknowledged = set(), []
 
@@ -134,18 +147,34 @@
         self.group, self.endpoint, self.reader, self.writer = group, endpoint, reader, writer
         self.state, self.session_values, self.prepared, self.buffer = "I", {}, {}, []
         self.read_write, self.term, self.answer, self.vm = False, 0, b"", ""
+        self.received = b""
 
     def send(self, *lines):
         position = self.endpoint.position()
         text = "".join(line + "\r\n" for line in lines)
-        self.answer = (text + f"READY {self.state} {position}\r\n").encode()
+        self.answer = (text + f"READY {self.state} {position}\r\n").encode("latin-1")
+
+    async def read_message(self):
+        """Returns the next message without its end, or None if the connection ends or the message is too long."""
+        while not (found := self.endpoint.message_end.search(self.received)):
+            data = await self.reader.read(1 << 16) if len(self.received) <= MAX_MESSAGE_BYTES else b""
+            if not data:
+                break
+            self.received += data
+        length = found.end() if found else len(self.received)
+        if length > MAX_MESSAGE_BYTES:
+            self.group.report_violation(f"SIZE: {self.vm} sent {self.endpoint.name} a message of {length} bytes or "
+                                        f"more: {self.received[:80]!r}")
+            return None
+        message, self.received = self.received[:found.start() if found else 0], self.received[length:]
+        return message.decode("latin-1") if found else None
 
     async def serve(self):
         while True:
-            line = (await self.reader.readline()).decode()
-            if not line.endswith("\r\n") or not self.endpoint.alive:
+            message = await self.read_message()
+            if message is None or not self.endpoint.alive:
                 return
-            word, _, rest = line[:-2].partition(" ")
+            word, _, rest = message.partition(" ")
             if word == "CONNECT":
                 fields = rest.split(" ")
                 self.vm = fields[1]
@@ -172,11 +201,16 @@
 
     async def query(self, statement_id, text):
         verb, _, rest = text.partition(" ")
+        position = None
         if verb == "WAITPOS":
             position, _, text = rest.partition(" ")
             verb, _, rest = text.partition(" ")
-            if not self.endpoint.has_position(position):
-                return self.send("ERROR LAGGING -")
+        prepared = self.prepared.get(rest.partition(" ")[0]) if verb == "EXECUTE" else None
+        if (statement_id != "-" or verb in WORK) and not self.group.sent.check(
+                f"{self.endpoint.name} ({self.vm})", statement_id, text, prepared):
+            return self.send("ERROR FAIL -")
+        if position and not self.endpoint.has_position(position):
+            return self.send("ERROR LAGGING -")
         if self.state == "I" and verb in ("BEGIN", "READ", "WRITE", "EXECUTE"):
             self.group.on_work(self.endpoint, self.vm)
         handlers = {"STATUS": self.status, "RESET": self.reset, "SET": self.set_value, "PREPARE": self.prepare,
@@ -261,7 +295,7 @@
             return self.send(f"ROW {self.endpoint.position()} {value}", f"COMPLETE {self.signature(statement_id)}")
         if not self.endpoint.is_primary or self.lost_primary_role():
             return self.send("ERROR READONLY -")
-        attempt, _, value = data.partition("/")
+        attempt, _, value = data.partition("/") if "/" in data else (statement_id, "", data)
         if self.state == "T":
             self.buffer.append((attempt, item.partition("@")[0], value))
         else:
