Send hostile messages in every soak

Four hostile callers, with random numbers of their own, put CR, LF, NUL, other control characters, notices between VMs, tabs, blanks, 0x85, U+0085, U+2028 and whole messages into ids, items, data, values, shapes, names and CONNECT, or before a message; three of them send one message each of about 1 MiB. They send several messages at a time, in any pieces, and leave in the middle of one. Checked: one answer for each message that ends with CR LF, MALFORMED for a malformed one and never for a valid one, nothing before the end of a message, a plain read after each few messages with the session's values, nothing of a refused message at an endpoint, and no end of a session without a fault or a notice. "kill all" counts as a fault of its VMs from its begin.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -16,6 +16,7 @@
 
 from callers import BusyCaller, Caller
 from configuration import CONTACT_S, ConfigurationChanges, Probe
+from hostile_callers import HostileCaller
 from links import Link
 from wire_platform import LENIENT_ENDS, STRICT_END, Connection, Group, Platform
 
@@ -183,6 +184,10 @@
         """The time since which no fault has affected the VM, its links or the store."""
         return max(vm.disturbed_at, self.store_disturbed_at)
 
+    def last_disturbance(self):
+        """When a fault last affected any VM, its links or the store; in the future while such a fault lasts."""
+        return max(self.undisturbed_since(vm) for vm in self.vms)
+
     def disturb(self, link):
         """Notes that a fault of this link is in effect."""
         for vm in self.vms:
@@ -228,6 +233,7 @@
     async def kill_all(self, duration_s):
         for vm in self.vms:
             vm.send_signal(signal.SIGKILL)
+            vm.disturbed_at = time.monotonic()
         await asyncio.sleep(duration_s)
         await asyncio.gather(*(vm.start() for vm in self.vms))
 
@@ -411,6 +417,8 @@
         stop = asyncio.Event()
         running = [asyncio.create_task(caller.run(stop)) for caller in callers]
         running += [asyncio.create_task(Probe(n, self.changes, self).run(stop)) for n in range(6)]
+        hostile_callers = [HostileCaller(n, self, self.groups[n % len(self.groups)]) for n in range(4)]
+        running += [asyncio.create_task(caller.run(stop)) for caller in hostile_callers]
         active_faults = [asyncio.create_task(faults) for faults in
                          (self.run_restores(), self.run_held_orders(), self.run_deaf_replicas())]
         while time.monotonic() < end:
@@ -437,6 +445,7 @@
                 if attempt in group.commits and attempt not in group.rolled_back:
                     group.report_violation(f"REFUSED: {attempt} was reported as not executed but was committed")
         self.totals = {k: sum(c.outcomes[k] for c in callers) for k in callers[0].outcomes}
+        self.totals["hostile"] = sum(caller.message_count for caller in hostile_callers)
 
     async def stop_all(self):
         for vm in self.vms:
