Compare both sides of the proxy in fuzzers and properties of framing

What the tests couldn't see: the fuzzers called ParseCallerMessage and ParseEndpointMessage with one line at a time, and asked for nothing but a value or a typed error. Nobody divided the bytes into messages first, and nobody read what is sent to the other side. No test fed a stream to the code that finds the ends of messages.

What they compare now: - Fuzzers, CallersLine: the whole stream is divided by FrameReader. Each accepted statement must be one that the wire's own reader finds in the same bytes, in order. Encoded with and without a position, and as the reset, session value or prepared statement of PlanRestore, it must be exactly one message with its id and text for each of five readers (CR LF; LF; CR, LF or CR LF; NUL; VT, FF, 0x1c to 0x1e). An accepted field that can't be encoded is a failure too. - Fuzzers, EndpointsLine: each row, completion, failure and READY that goes on to a caller must be one message for each of these readers. - Both refuse input without a valid complete message now, so that "accepted" counts what was compared; they accepted everything before. - The mutator inserts control characters, ends of lines and whole samples behind an end of a line in 3 of 8 mutations.

ReadStatements and the readers moved from line_endpoint to stream_readers, which the fuzzers share.

Not run: integration tests, the sanitized build, the soak.

--- a/fuzz/mutator.cc
+++ b/fuzz/mutator.cc
@@ -13,6 +13,8 @@
 constexpr std::size_t kMaxMutations = 4;
 constexpr std::size_t kMaxSpanBytes = 16;
 constexpr std::size_t kByteValues = 256;
+// The bytes below this one are control characters.
+constexpr std::size_t kControlCharacters = 0x20;
 
 constexpr std::array<std::string_view, 22> kTokens = {"null",         "-1",       "1e999", "18446744073709551616",
                                                       "\"\"",         "[]",       "{}",    "\xff",
@@ -20,6 +22,8 @@
                                                       "!!binary x",   "[[[[",     "{{",    "#",
                                                       "0.0000000001", "\t",       "1e308", "-1e999",
                                                       "\"\\ud800\"",  "-Infinity"};
+// What a reader may take for the end of a message.
+constexpr std::array<std::string_view, 8> kLineEnds = {"\r\n", "\n", "\r", "\n\r", "\r\r\n", {"\0", 1}, "\v", "\x1e"};
 // Beyond and far beyond what parsers accept. The larger depth overflows the stack of code that recurses into a value.
 constexpr std::array<std::size_t, 2> kDepths = {65, 100UL * 1000};
 constexpr std::size_t kInputsPerDeepInput = 1000;
@@ -64,7 +68,7 @@
   for (std::size_t i = 0; i < mutations; ++i) {
     const std::size_t position = this->RandomBelow(text.size() + 1);
     const std::size_t length = std::min(1 + this->RandomBelow(kMaxSpanBytes), text.size() - position);
-    switch (this->RandomBelow(5)) {
+    switch (this->RandomBelow(8)) {
       case 0:
         text.insert(position, 1, static_cast<char>(this->RandomBelow(kByteValues)));
         break;
@@ -77,6 +81,15 @@
       case 3:
         text.insert(position, text.substr(this->RandomBelow(text.size() + 1), kMaxSpanBytes));
         break;
+      case 4:
+        text.insert(position, 1, static_cast<char>(this->RandomBelow(kControlCharacters)));
+        break;
+      case 5:
+        text.insert(position, kLineEnds.at(this->RandomBelow(kLineEnds.size())));
+        break;
+      case 6:
+        text.insert(position, this->InnerMessage());
+        break;
       default:
         text.replace(position, length, kTokens.at(this->RandomBelow(kTokens.size())));
         break;
@@ -115,6 +128,11 @@
   return *node;
 }
 
+std::string Mutator::InnerMessage() {
+  std::string message(kLineEnds.at(this->RandomBelow(kLineEnds.size())));
+  return message + this->samples[this->RandomBelow(this->samples.size())];
+}
+
 nlohmann::json Mutator::PickValue() {
   const std::array<nlohmann::json, 12> values = {nullptr,
                                                  true,
--- a/fuzz/mutator.h
+++ b/fuzz/mutator.h
@@ -21,6 +21,8 @@
   std::size_t RandomBelow(std::size_t count);
   std::string InsertDeepValue(std::string text);
   std::string MutateText(std::string text);
+  // A whole sample after bytes that a reader may take for the end of the message before it.
+  std::string InnerMessage();
   // Replaces, removes or adds values at any depth; the result is still JSON.
   std::string MutateJson(nlohmann::json document);
   nlohmann::json& PickPart(nlohmann::json& document);
--- a/fuzz/process_parse_functions.cc
+++ b/fuzz/process_parse_functions.cc
@@ -4,6 +4,7 @@
 #include "daemon/endpoint_protocol.h"
 #include "daemon/heartbeat_message.h"
 #include "daemon/work.h"
+#include "line_round_trip.h"
 #include "load/profile.h"
 #include "net/address.h"
 #include "parse_functions.h"
@@ -84,10 +85,6 @@
   RequireUnchanged(!context || tracing::ParseTraceparent(tracing::FormatTraceparent(*context)) == context);
 }
 
-void ParseCallerLine(std::string_view text) { platform::LineCodec().ParseCallerMessage(text); }
-
-void ParseEndpointLine(std::string_view text) { platform::LineCodec().ParseEndpointMessage(text); }
-
 void ParseStatusRow(std::string_view text) { platform::LineCodec().ParseStatus(text); }
 
 void ParseStoreObject(std::string_view text) {
@@ -161,10 +158,11 @@
        {"duration_ms: 100\nvms: [\"127.0.0.1:1\"]\nstreams:\n  - {kind: a, mode: write, rank: bulk, rate: 5,\n"
         "     changes: [{from_ms: 1, until_ms: 2, factor: 3}]}\n"}},
       {"CallersLine",
-       ParseCallerLine,
-       {"CONNECT db who\r\n", "QUERY 5c PREPARE s1 WRITE q\r\n", "QUERY 5c EXECUTE s1 a x y\r\n", "QUIT\r\n"}},
+       RoundTripCallersLines,
+       {"CONNECT db who\r\n", "QUERY 5c PREPARE s1 WRITE q\r\n", "QUERY 5c EXECUTE s1 a x y\r\n", "QUIT\r\n",
+        "QUERY 5d WRITE 1a4 some data\r\n", "QUERY 5e SET zone a b\r\n", "QUERY 5f READ 1a4\r\n"}},
       {"EndpointsLine",
-       ParseEndpointLine,
+       RoundTripEndpointsLines,
        {"ROW x y\r\n", "COMPLETE 7.1f\r\n", "ERROR LAGGING x\r\n", "READY T 3.1209\r\n"}},
       {"ConfigurationMessage",
        ParseOnly<proxy::ParseConfigurationMessage>,
--- a/tests/platform/line_endpoint.cc
+++ b/tests/platform/line_endpoint.cc
@@ -9,51 +9,11 @@
 namespace {
 
 using boost::asio::ip::tcp;
-using std::literals::string_view_literals::operator""sv;
 
 constexpr std::string_view kQuery = "QUERY ";
 
 }  // namespace
 
-std::vector<SentStatement> ReadStatements(std::string_view stream, const std::vector<std::string_view>& terminators) {
-  std::vector<SentStatement> statements;
-  while (!stream.empty()) {
-    std::size_t end = std::string_view::npos;
-    std::size_t terminator_length = 0;
-    for (const std::string_view terminator : terminators) {
-      const std::size_t found = stream.find(terminator);
-      if (found < end) {
-        end = found;
-        terminator_length = terminator.size();
-      }
-    }
-    if (end == std::string_view::npos) {
-      break;
-    }
-    std::string_view line = stream.substr(0, end);
-    stream.remove_prefix(end + terminator_length);
-    if (!line.starts_with(kQuery)) {
-      continue;
-    }
-    line.remove_prefix(kQuery.size());
-    const std::size_t blank = std::min(line.find(' '), line.size());
-    statements.push_back(
-        {std::string(line.substr(0, blank)), std::string(line.substr(std::min(blank + 1, line.size())))});
-  }
-  return statements;
-}
-
-const std::vector<std::vector<std::string_view>>& EndpointReaders() {
-  static const std::vector<std::vector<std::string_view>> readers = {
-      {"\r\n"sv},
-      {"\r\n"sv, "\n"sv},
-      {"\r\n"sv, "\r"sv, "\n"sv},
-      {"\r\n"sv, "\0"sv},
-      {"\r\n"sv, "\r"sv, "\n"sv, "\v"sv, "\f"sv, "\x1c"sv, "\x1d"sv, "\x1e"sv},
-  };
-  return readers;
-}
-
 LineEndpoint::LineEndpoint(boost::asio::io_context& loop)
     : acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
   this->Accept();
--- a/tests/platform/line_endpoint.h
+++ b/tests/platform/line_endpoint.h
@@ -12,21 +12,6 @@
 
 namespace amaranthlane::platform {
 
-// One statement that an endpoint was asked to run.
-struct SentStatement {
-  std::string id;
-  std::string text;
-
-  bool operator==(const SentStatement&) const = default;
-};
-
-// Reads a stream as an endpoint does, with messages that end at any of `terminators`. An endpoint may read leniently,
-// so each such list must lead to the same statements.
-std::vector<SentStatement> ReadStatements(std::string_view stream, const std::vector<std::string_view>& terminators);
-
-// The readers that an endpoint may use: the page's own, and lenient ones.
-const std::vector<std::vector<std::string_view>>& EndpointReaders();
-
 // The primary of a group, on the test's event loop. It speaks the platform's wire protocol, keeps every byte that it
 // receives, and answers each message that ends with CR LF. It has one row, whose text the test may change.
 class LineEndpoint {
--- a/tests/platform/message_framing_test.cc
+++ b/tests/platform/message_framing_test.cc
@@ -14,6 +14,7 @@
 #include "net/free_port.h"
 #include "platform/line_codec.h"
 #include "platform/line_endpoint.h"
+#include "platform/stream_readers.h"
 #include "proxy/in_memory_platform.h"
 #include "proxy/node.h"
 
@@ -193,7 +194,7 @@
   // The statements of callers that any reader would find in what reached the endpoint.
   std::map<std::string, std::vector<std::string>> TextsById() const {
     std::map<std::string, std::vector<std::string>> texts;
-    for (const auto& reader : EndpointReaders()) {
+    for (const auto& reader : StreamReaders()) {
       for (const std::string& stream : this->endpoint.Streams()) {
         for (const SentStatement& statement : ReadStatements(stream, reader)) {
           if (statement.id != "-") {
@@ -335,7 +336,7 @@
   RawCaller& caller = this->Open(0);
   this->endpoint.rows = "ROW x\ry\r\n";
   EXPECT_EQ(this->Exchange(caller, "QUERY read READ item\r\n", 1).rfind("ERROR FAIL ", 0), 0U);
-  EXPECT_EQ(this->TextsById().at("read").size(), EndpointReaders().size());
+  EXPECT_EQ(this->TextsById().at("read").size(), StreamReaders().size());
 }
 
 // Each message gets one answer, and those that run are those that the caller sent, for any bytes and splits of reads.
@@ -384,7 +385,7 @@
   for (const auto& [id, texts] : this->TextsById()) {
     ASSERT_EQ(sent.count(id), 1U) << "seed " << kSeed << ": " << id << " ran " << texts.front();
     // A read may have been repeated; each reader finds it as often as the others do.
-    ASSERT_EQ(texts.size() % EndpointReaders().size(), 0U) << "seed " << kSeed << ": " << id;
+    ASSERT_EQ(texts.size() % StreamReaders().size(), 0U) << "seed " << kSeed << ": " << id;
     for (const std::string& text : texts) {
       const bool renamed = sent.at(id).rfind("EXECUTE ", 0) == 0;
       ASSERT_TRUE(renamed || text == sent.at(id)) << "seed " << kSeed << ": " << id << " ran " << text;
