Compare when a message can't become valid with its bytes

For any bytes and splits, a reader now must have a deadline exactly while its incomplete message holds a control character other than a last CR, and none for notices.

--- a/tests/platform/line_framing_test.cc
+++ b/tests/platform/line_framing_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "common/message_field.h"
 #include "platform/line_codec.h"
 #include "platform/stream_readers.h"
 #include "proxy/framing_properties.h"
@@ -39,6 +40,29 @@
   EXPECT_TRUE(read.frames.empty());
 }
 
+// Guards against a message whose end is awaited for ever, or that is refused though its end could make it valid.
+TEST(LineFraming, OnlyAMessageThatCanNotBecomeValidHasADeadline) {
+  const bool passed = rc::check("only a message that can't become valid has a deadline", [] {
+    const auto parts = *rc::gen::container<std::vector<std::string>>(rc::gen::elementOf(kFraming.parts));
+    const auto notices = *rc::gen::element(NoticePolicy::kReject, NoticePolicy::kAccept);
+    proxy::FrameReader reader(kCodec, notices);
+    for (const std::string& part : parts) {
+      reader.Append(part);
+      while (reader.Next()) {
+        RC_ASSERT(reader.MalformedDeadline() == kNever);
+      }
+    }
+    const bool has_deadline = reader.MalformedDeadline() != kNever;
+    const std::string rest = reader.TakeRest();
+    RC_ASSERT(reader.MalformedDeadline() == kNever);
+    const bool is_notice = notices == NoticePolicy::kAccept && rest.starts_with('\x02');
+    const bool may_be_valid = !FindControlCharacter(rest.ends_with('\r') ? rest.substr(0, rest.size() - 1) : rest);
+    RC_CLASSIFY(has_deadline);
+    RC_ASSERT(has_deadline == (!is_notice && !may_be_valid));
+  });
+  EXPECT_TRUE(passed);
+}
+
 // A caller's statements as this side accepts them are among those that the page's reader finds in the same bytes.
 TEST(LineFraming, NoStatementIsAcceptedThatTheCallerDidNotSend) {
   const bool passed = rc::check("accepted statements were sent", [] {
