Send no HTTP message whose parts a reader may take for another message

What callers saw: a value with CR and LF in a header of the client library (an idempotency key, a bearer key) added a header or a whole request to a kept connection, so that the next call got the answer to the added one. A line feed alone, NUL, a blank in a target, and a caller's Transfer-Encoding did the same or ended the connection. A response with such a value split in two. A header of 64 KiB threw std::length_error out of the call. A relayed response kept the sender's Connection header beside our own.

Cause: HttpConnection::Call and HttpServer put method, target, header names and values into the message as plain strings; neither Beast's writer nor RESTinio's checks them.

Change: FindInvalidPart in net/http_message is the one rule for all parts. HttpConnection ends such a call as kNotSent, with a log line that holds no header value. HttpServer answers 500 in place of such a response. Headers that frame a message are the connection's own: nobody else may set them, and a received response doesn't hold them.

--- a/source/net/http_connection.cc
+++ b/source/net/http_connection.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <utility>
 
+#include "logging/log.h"
 #include "net/source_address.h"
 
 namespace amaranthlane::net {
@@ -27,7 +28,7 @@
   response.status = message.result_int();
   response.content_type = message[http::field::content_type].to_string();
   for (const auto& field : message) {
-    if (field.name() != http::field::content_length && field.name() != http::field::content_type) {
+    if (!IsFramingHeader(field.name_string().to_string())) {
       response.headers.push_back(HttpHeader{field.name_string().to_string(), field.value().to_string()});
     }
   }
@@ -45,6 +46,15 @@
     callback(CallResult{CallStatus::kNotSent, {}});
     return;
   }
+  if (const std::optional<MessagePart> invalid = FindInvalidPart(request)) {
+    logging::Write(logging::Level::kError, "not sending a request with an invalid part",
+                   {{"part", MessagePartName(*invalid)},
+                    {"method", request.method},
+                    {"target", request.target},
+                    {"peer", this->target.address().to_string()}});
+    callback(CallResult{CallStatus::kNotSent, {}});
+    return;
+  }
   this->callback = std::move(callback);
   this->write_started = false;
   this->sent_bytes = 0;
--- a/source/net/http_connection.h
+++ b/source/net/http_connection.h
@@ -32,7 +32,7 @@
 
 struct CallResult {
   CallStatus status = CallStatus::kNotSent;
-  // Set only when status is kAnswered.
+  // Set only when status is kAnswered. Holds no framing headers.
   HttpResponse response;
   // Bytes of the request and of the response on the connection, headers included; 0 for a message that was not
   // transferred completely.
@@ -54,7 +54,8 @@
   HttpConnection(boost::asio::io_context& loop, const Address& address);
 
   // Sends a request and passes its result to `callback`. `deadline` covers connecting, sending and receiving together.
-  // A call made while another is in progress, or after the connection was closed, ends as kNotSent.
+  // A call made while another is in progress, or after the connection was closed, ends as kNotSent. So does a request
+  // with an invalid part; it leaves the connection usable.
   void Call(HttpRequest request, TimePoint deadline, Callback callback);
 
   // Closes the connection at once. A call in progress ends as kBroken, or as kNotSent if nothing was sent.
--- a/source/net/http_message.cc
+++ b/source/net/http_message.cc
@@ -1,8 +1,9 @@
 #include "net/http_message.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/beast/core/string.hpp>
 #include <cctype>
-#include <optional>
 
 namespace amaranthlane::net {
 
@@ -28,6 +29,64 @@
   return bytes;
 }
 
+constexpr std::string_view kTokenSymbols = "!#$%&'*+-.^_`|~";
+// Longer values don't fit into a header of the HTTP library.
+constexpr std::size_t kMaxHeaderBytes = 32U << 10U;
+constexpr unsigned kMinFinalStatus = 200;
+constexpr unsigned kMaxStatus = 599;
+// The headers that HttpConnection and HttpServer write themselves, and those that belong to one connection only.
+constexpr std::array<std::string_view, 10> kFramingHeaders = {
+    "connection", "content-length", "content-type", "host",   "keep-alive",
+    "te",         "trailer",        "upgrade",      "expect", "transfer-encoding"};
+
+bool EqualsIgnoringCase(std::string_view left, std::string_view right) {
+  return boost::beast::iequals(boost::beast::string_view(left.data(), left.size()),
+                               boost::beast::string_view(right.data(), right.size()));
+}
+
+bool IsVisibleAscii(char character) { return character > ' ' && character <= '~'; }
+
+bool IsTokenCharacter(char character) {
+  return IsVisibleAscii(character) && (std::isalnum(static_cast<unsigned char>(character)) != 0 ||
+                                       kTokenSymbols.find(character) != std::string_view::npos);
+}
+
+bool IsToken(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxHeaderBytes && std::all_of(text.begin(), text.end(), IsTokenCharacter);
+}
+
+bool IsTarget(std::string_view text) {
+  return text.starts_with('/') && std::all_of(text.begin(), text.end(), IsVisibleAscii) &&
+         text.find('#') == std::string_view::npos;
+}
+
+bool IsBlank(char character) { return character == ' ' || character == '\t'; }
+
+bool IsHeaderValueCharacter(char character) {
+  constexpr char kDelete = '\x7f';
+  return character == '\t' || (static_cast<unsigned char>(character) >= ' ' && character != kDelete);
+}
+
+bool IsHeaderValue(std::string_view text) {
+  if (text.empty()) {
+    return true;
+  }
+  return !IsBlank(text.front()) && !IsBlank(text.back()) && text.size() <= kMaxHeaderBytes &&
+         std::all_of(text.begin(), text.end(), IsHeaderValueCharacter);
+}
+
+std::optional<MessagePart> FindInvalidPart(const std::vector<HttpHeader>& headers) {
+  for (const HttpHeader& header : headers) {
+    if (!IsToken(header.name) || IsFramingHeader(header.name)) {
+      return MessagePart::kHeaderName;
+    }
+    if (!IsHeaderValue(header.value)) {
+      return MessagePart::kHeaderValue;
+    }
+  }
+  return std::nullopt;
+}
+
 std::string PercentDecode(std::string_view text) {
   std::string decoded;
   decoded.reserve(text.size());
@@ -49,15 +108,45 @@
 }  // namespace
 
 std::string_view FindHeader(const std::vector<HttpHeader>& headers, std::string_view name) {
-  const boost::beast::string_view wanted(name.data(), name.size());
   for (const HttpHeader& header : headers) {
-    if (boost::beast::iequals(header.name, wanted)) {
+    if (EqualsIgnoringCase(header.name, name)) {
       return header.value;
     }
   }
   return {};
 }
 
+bool IsFramingHeader(std::string_view name) {
+  return std::any_of(kFramingHeaders.begin(), kFramingHeaders.end(),
+                     [name](std::string_view framing) { return EqualsIgnoringCase(framing, name); });
+}
+
+std::string_view MessagePartName(MessagePart part) {
+  static constexpr std::array<std::string_view, 5> kNames = {"method", "target", "header name", "header value",
+                                                             "status"};
+  return kNames.at(static_cast<std::size_t>(part));
+}
+
+std::optional<MessagePart> FindInvalidPart(const HttpRequest& request) {
+  if (!IsToken(request.method)) {
+    return MessagePart::kMethod;
+  }
+  if (!IsTarget(request.target)) {
+    return MessagePart::kTarget;
+  }
+  return FindInvalidPart(request.headers);
+}
+
+std::optional<MessagePart> FindInvalidPart(const HttpResponse& response) {
+  if (response.status < kMinFinalStatus || response.status > kMaxStatus) {
+    return MessagePart::kStatus;
+  }
+  if (!IsHeaderValue(response.content_type)) {
+    return MessagePart::kHeaderValue;
+  }
+  return FindInvalidPart(response.headers);
+}
+
 std::size_t WireSize(const HttpRequest& request) {
   constexpr std::string_view kFixedPart = "  HTTP/1.1\r\n\r\n";
   return request.method.size() + request.target.size() + kFixedPart.size() + WireSize(request.headers) +
--- a/source/net/http_message.h
+++ b/source/net/http_message.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,22 @@
   std::string body;
 };
 
+// True for a header that says where a message ends or that concerns one connection only (case-insensitive).
+bool IsFramingHeader(std::string_view name);
+
+// A part of a message that stands outside of its body. Readers disagree on which bytes end such a part.
+enum class MessagePart : std::uint8_t { kMethod, kTarget, kHeaderName, kHeaderValue, kStatus };
+
+// The part's name in logs.
+std::string_view MessagePartName(MessagePart part);
+
+// The first part that could change what a reader takes the message for; nullopt if there is none. A method and a
+// header name are tokens of RFC 9110. A target is a path with an optional query, in visible ASCII. A header value holds
+// no control character but tabs, and doesn't begin or end with a blank. No header may frame the message: the connection
+// writes those headers itself. A status is a final one, 200 to 599.
+std::optional<MessagePart> FindInvalidPart(const HttpRequest& request);
+std::optional<MessagePart> FindInvalidPart(const HttpResponse& response);
+
 // The size in bytes of a message on an HTTP/1.1 connection, headers included. The size of a response includes the
 // headers that HttpServer adds on a keep-alive connection.
 std::size_t WireSize(const HttpRequest& request);
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -6,6 +6,7 @@
 #include <restinio/all.hpp>
 #include <string>
 
+#include "logging/log.h"
 #include "net/error.h"
 
 namespace amaranthlane::net {
@@ -33,6 +34,7 @@
 };
 
 constexpr int kListenBacklog = 1024;
+constexpr unsigned kInternalServerError = 500;
 constexpr std::size_t kReadBufferBytes = 2048;
 // Interval at which the timeouts of all open connections are checked. Each check costs time for every connection,
 // including idle ones.
@@ -50,6 +52,17 @@
   return request;
 }
 
+// Returns the response, or one with status 500 in place of a response with an invalid part.
+HttpResponse WithValidParts(HttpResponse response) {
+  const std::optional<MessagePart> invalid = FindInvalidPart(response);
+  if (!invalid) {
+    return response;
+  }
+  logging::Write(logging::Level::kError, "replacing a response with an invalid part",
+                 {{"part", MessagePartName(*invalid)}, {"status", response.status}});
+  return HttpResponse{kInternalServerError, {}, "text/plain", "the response has an invalid header"};
+}
+
 }  // namespace
 
 class HttpServer::Implementation {
@@ -93,7 +106,8 @@
     return restinio::request_accepted();
   }
 
-  void Send(restinio::request_t& incoming, HttpResponse response) const {
+  void Send(restinio::request_t& incoming, HttpResponse unchecked) const {
+    HttpResponse response = WithValidParts(std::move(unchecked));
     auto builder = incoming.create_response(
         restinio::http_status_line_t(restinio::http_status_code_t(static_cast<std::uint16_t>(response.status)), ""));
     builder.append_header(restinio::http_field::content_type, std::move(response.content_type));
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -28,7 +28,7 @@
 class HttpServer {
  public:
   // Sends the response to one request. It may be called after the handler has returned, at most once, on the event
-  // loop's thread.
+  // loop's thread. A response with an invalid part is replaced by one with status 500.
   using ResponseCallback = std::function<void(HttpResponse)>;
   using Handler = std::function<void(HttpRequest, ResponseCallback)>;
 
