Give no later request the response that a peer sends unasked

What callers saw: a peer that answers a request twice, or sends a response on an idle connection (a time-out notice before it closes, for example), answered the next request on that connection with it: each later caller got the answer to another request.

Cause: HttpConnection looks for surplus bytes only at the moment a response is complete. Bytes that arrive after that stayed in the socket until the next call's read.

Change: a connection that has received bytes while it is idle isn't usable. A call on it ends as kNotSent and closes it; HttpPool closes it and takes another one, so that the call isn't lost. A log line names the peer.

Cost: one ioctl for each call on a kept connection; not measured. Bytes that arrive after this check and before the request are not told apart: HTTP/1.1 has no ids.

--- a/source/net/http_connection.cc
+++ b/source/net/http_connection.cc
@@ -42,7 +42,10 @@
     : socket(loop), timer(loop), target(boost::asio::ip::make_address(address.ip), address.port) {}
 
 void HttpConnection::Call(HttpRequest request, TimePoint deadline, Callback callback) {
-  if (this->Busy() || this->closed) {
+  if (this->Busy() || !this->Usable()) {
+    if (!this->Busy()) {
+      this->Close();
+    }
     callback(CallResult{CallStatus::kNotSent, {}});
     return;
   }
@@ -82,6 +85,10 @@
 }
 
 void HttpConnection::Close() {
+  if (this->HasUnrequestedBytes()) {
+    logging::Write(logging::Level::kWarning, "closing a connection whose peer sent bytes that no request awaits",
+                   {{"peer", this->target.address().to_string()}, {"port", this->target.port()}});
+  }
   if (!this->closed) {
     this->Finish(this->write_started ? CallStatus::kBroken : CallStatus::kNotSent, {});
   }
@@ -89,7 +96,15 @@
 
 bool HttpConnection::Busy() const { return static_cast<bool>(this->callback); }
 
-bool HttpConnection::Usable() const { return !this->closed; }
+bool HttpConnection::Usable() const { return !this->closed && !this->HasUnrequestedBytes(); }
+
+bool HttpConnection::HasUnrequestedBytes() const {
+  if (this->Busy() || this->closed || !this->connected) {
+    return false;
+  }
+  boost::system::error_code ignored;
+  return this->socket.available(ignored) > 0;
+}
 
 void HttpConnection::Connect() {
   boost::system::error_code failure;
--- a/source/net/http_connection.h
+++ b/source/net/http_connection.h
@@ -54,7 +54,7 @@
   HttpConnection(boost::asio::io_context& loop, const Address& address);
 
   // Sends a request and passes its result to `callback`. `deadline` covers connecting, sending and receiving together.
-  // A call made while another is in progress, or after the connection was closed, ends as kNotSent. So does a request
+  // A call made while another is in progress, or on a connection that isn't usable, ends as kNotSent. So does a request
   // with an invalid part; it leaves the connection usable.
   void Call(HttpRequest request, TimePoint deadline, Callback callback);
 
@@ -64,10 +64,13 @@
   // True while a call is in progress.
   bool Busy() const;
 
-  // True until the connection failed or was closed.
+  // True until the connection failed, was closed, or received bytes that no request awaits: they would be taken for the
+  // response to the next request.
   bool Usable() const;
 
  private:
+  // True if the connection is idle and has received bytes.
+  bool HasUnrequestedBytes() const;
   void Connect();
   void Write();
   void Read();
--- a/source/net/http_pool.cc
+++ b/source/net/http_pool.cc
@@ -26,9 +26,7 @@
 
 void HttpPool::Call(HttpRequest request, TimePoint deadline, HttpConnection::Callback callback) {
   WaitingCall call{std::move(request), deadline, std::move(callback)};
-  if (!this->state->idle_connections.empty()) {
-    const std::shared_ptr<HttpConnection> connection = std::move(this->state->idle_connections.back());
-    this->state->idle_connections.pop_back();
+  if (const std::shared_ptr<HttpConnection> connection = TakeIdleConnection(this->state)) {
     StartCall(this->state, connection, std::move(call));
     return;
   }
@@ -56,6 +54,19 @@
                    });
 }
 
+std::shared_ptr<HttpConnection> HttpPool::TakeIdleConnection(const std::shared_ptr<State>& state) {
+  while (!state->idle_connections.empty()) {
+    std::shared_ptr<HttpConnection> connection = std::move(state->idle_connections.back());
+    state->idle_connections.pop_back();
+    if (connection->Usable()) {
+      return connection;
+    }
+    connection->Close();
+    --state->open_connections;
+  }
+  return nullptr;
+}
+
 void HttpPool::CloseIdleConnections(const std::shared_ptr<State>& state) {
   state->open_connections -= state->idle_connections.size();
   for (const std::shared_ptr<HttpConnection>& connection : state->idle_connections) {
@@ -87,13 +98,11 @@
 }
 
 void HttpPool::StartWaitingCall(const std::shared_ptr<State>& state, WaitingCall call) {
-  if (state->idle_connections.empty()) {
+  std::shared_ptr<HttpConnection> connection = TakeIdleConnection(state);
+  if (connection == nullptr) {
     ++state->open_connections;
-    StartCall(state, std::make_shared<HttpConnection>(state->loop, state->address), std::move(call));
-    return;
+    connection = std::make_shared<HttpConnection>(state->loop, state->address);
   }
-  const std::shared_ptr<HttpConnection> connection = std::move(state->idle_connections.back());
-  state->idle_connections.pop_back();
   StartCall(state, connection, std::move(call));
 }
 
--- a/source/net/http_pool.h
+++ b/source/net/http_pool.h
@@ -34,6 +34,8 @@
 
   static void StartCall(const std::shared_ptr<State>& state, const std::shared_ptr<HttpConnection>& connection,
                         WaitingCall call);
+  // Returns an idle connection that is usable, and closes those that aren't; null if there is none.
+  static std::shared_ptr<HttpConnection> TakeIdleConnection(const std::shared_ptr<State>& state);
   // Called when a call times out, because the idle connections may be unresponsive for the same reason.
   static void CloseIdleConnections(const std::shared_ptr<State>& state);
   static void Release(const std::shared_ptr<State>& state, const std::shared_ptr<HttpConnection>& connection);
