Check the idempotency key of every call, not only of statements

What callers saw: `GET /v1/groups/G/outcomes/%FF`, or a transaction's call with such a byte in Idempotency-Key, got no answer, and where the call was sent on from a timer (while the group's leader changes) it could end the entry VM.

Cause: only statements had their key checked. The key of another call went into FormatWorkRequest as it was; nlohmann's dump() throws type_error 316 on bytes that aren't UTF-8. On a timer nothing below io_context::run() catches it.

Change: ParseCallerRequest checks the key of every call, so that no call holds an unchecked one. Such a call is answered 400 `invalid-idempotency-key`, as a statement is.

That a process ends was read, not run.

--- a/source/core/outcomes/retry_rule.cc
+++ b/source/core/outcomes/retry_rule.cc
@@ -17,13 +17,17 @@
 
 }  // namespace
 
+void CheckIdempotencyKeyFormat(std::string_view key) {
+  if (key.size() > kMaxKeyLength || !std::all_of(key.begin(), key.end(), IsVisibleAscii)) {
+    throw InvalidIdempotencyKeyError();
+  }
+}
+
 void CheckIdempotencyKey(const ServiceRequirements& requirements, StatementMode mode, std::string_view key) {
   if (key.empty() && mode == StatementMode::kWrite && !requirements.idempotent) {
     throw MissingIdempotencyKeyError();
   }
-  if (key.size() > kMaxKeyLength || !std::all_of(key.begin(), key.end(), IsVisibleAscii)) {
-    throw InvalidIdempotencyKeyError();
-  }
+  CheckIdempotencyKeyFormat(key);
 }
 
 bool MayRepeat(const Request& request) {
--- a/source/core/outcomes/retry_rule.h
+++ b/source/core/outcomes/retry_rule.h
@@ -13,6 +13,9 @@
 // Maximum length of an idempotency key, in bytes.
 inline constexpr std::size_t kMaxKeyLength = 128;
 
+// Throws InvalidIdempotencyKeyError. An empty key is a missing one.
+void CheckIdempotencyKeyFormat(std::string_view key);
+
 // Checks the idempotency key of a request at the entry VM. Throws MissingIdempotencyKeyError or
 // InvalidIdempotencyKeyError.
 void CheckIdempotencyKey(const ServiceRequirements& requirements, StatementMode mode, std::string_view key);
--- a/source/daemon/caller_request.cc
+++ b/source/daemon/caller_request.cc
@@ -5,6 +5,7 @@
 
 #include "common/error.h"
 #include "common/json.h"
+#include "core/outcomes/retry_rule.h"
 
 namespace amaranthlane::daemon {
 
@@ -94,6 +95,7 @@
   if (parsed.work != WorkKind::kOutcomeQuery) {
     parsed.idempotency_key = std::string(net::FindHeader(request.headers, "Idempotency-Key"));
   }
+  outcomes::CheckIdempotencyKeyFormat(parsed.idempotency_key);
   return parsed;
 }
 
--- a/source/daemon/caller_request.h
+++ b/source/daemon/caller_request.h
@@ -31,7 +31,7 @@
   UnknownCallError();
 };
 
-// Throws ParseError for a malformed request, and UnknownCallError.
+// Throws ParseError for a malformed request, UnknownCallError, and outcomes::InvalidIdempotencyKeyError.
 CallerRequest ParseCallerRequest(const net::HttpRequest& request);
 
 // The name of a transaction on the callers' interface. It contains the group and the kind of work, so that every VM can
--- a/source/daemon/request_forwarder.cc
+++ b/source/daemon/request_forwarder.cc
@@ -120,6 +120,8 @@
     return call;
   } catch (const UnknownCallError& failure) {
     respond(ProblemResponse(kStatusNotFound, "unknown-call", failure.what()));
+  } catch (const outcomes::InvalidIdempotencyKeyError& failure) {
+    respond(ProblemResponse(400, "invalid-idempotency-key", failure.what()));
   } catch (const ParseError& failure) {
     respond(ProblemResponse(400, "invalid-request", failure.what()));
   }
@@ -158,9 +160,6 @@
   } catch (const outcomes::MissingIdempotencyKeyError&) {
     call.respond(WorkProblemResponse(MakeFailedReply(WorkProblem::kMissingKey), ""));
     return false;
-  } catch (const outcomes::InvalidIdempotencyKeyError& failure) {
-    call.respond(ProblemResponse(400, "invalid-idempotency-key", failure.what()));
-    return false;
   }
   work.traceparent = tracing::FormatTraceparent(tracing::ContextOf(*call.span));
   call.id = this->next_call++;
