Count control messages with unknown paths under one kind

What operators saw: each path below the peers' address that anyone asked for became a label of two counters, with its bytes (an escape sequence, for example) on the metrics page, and stayed for the life of the process.

Cause: PeerTrafficKind took the last segment of any target for the kind.

Change: a kind is one of the five that VMs send; everything else is `unknown`.

--- a/source/daemon/control_traffic.cc
+++ b/source/daemon/control_traffic.cc
@@ -1,10 +1,26 @@
 #include "daemon/control_traffic.h"
 
+#include <algorithm>
+#include <array>
+
 namespace amaranthlane::daemon {
 
+namespace {
+
+constexpr std::string_view kPeerPrefix = "/v1/peer/";
+constexpr std::array<std::string_view, 5> kPeerKinds = {"beat", "promise", "close", "objects", "promote"};
+constexpr std::string_view kUnknownKind = "unknown";
+
+}  // namespace
+
 std::string_view PeerTrafficKind(std::string_view target) {
-  const std::string_view path = net::TargetPath(target);
-  return path.substr(path.rfind('/') + 1);
+  std::string_view path = net::TargetPath(target);
+  if (!path.starts_with(kPeerPrefix)) {
+    return kUnknownKind;
+  }
+  path.remove_prefix(kPeerPrefix.size());
+  const auto* const kind = std::find(kPeerKinds.begin(), kPeerKinds.end(), path);
+  return kind == kPeerKinds.end() ? kUnknownKind : *kind;
 }
 
 ControlTraffic::ControlTraffic(metrics::Registry& registry) : registry(registry) {}
--- a/source/daemon/control_traffic.h
+++ b/source/daemon/control_traffic.h
@@ -17,7 +17,7 @@
 inline constexpr std::string_view kPlatformTraffic = "platform";
 inline constexpr std::string_view kProbeTraffic = "probe";
 
-// The kind of a call between VMs: the last segment of its path, such as `beat`.
+// The kind of a call between VMs, such as `beat`; `unknown` if the target is none of theirs. Lives forever.
 std::string_view PeerTrafficKind(std::string_view target);
 
 // Counts the control messages that a VM sends and receives, and their bytes including HTTP headers. A request and its
