Refuse HTTP requests whose ends readers disagree on

What callers saw: `Content-Length : 5` was taken for a length, although RFC 9112 wants such a request refused: a proxy that reads it as another header sends two requests where this VM reads one, or the other way round. A target with a tab, '#' or a byte above 0x7f reached the handlers.

Cause: the parser below RESTinio accepts blanks in header names, and nearly any byte in a target; HttpServer passed on what it got.

Change: HttpServer checks a request by the rule for the requests we send, but for framing headers and values. An invalid one is answered 400 and its connection ends, so that nothing behind it is read as a request.

Not mended: the parser takes a line feed alone for the end of a header line, and joins a folded line to the value before it. Both are gone from what it hands over, so that nothing above it can tell.

--- a/source/net/http_message.cc
+++ b/source/net/http_message.cc
@@ -128,13 +128,20 @@
 }
 
 std::optional<MessagePart> FindInvalidPart(const HttpRequest& request) {
+  const std::optional<MessagePart> invalid = FindInvalidReceivedPart(request);
+  return invalid ? invalid : FindInvalidPart(request.headers);
+}
+
+std::optional<MessagePart> FindInvalidReceivedPart(const HttpRequest& request) {
   if (!IsToken(request.method)) {
     return MessagePart::kMethod;
   }
   if (!IsTarget(request.target)) {
     return MessagePart::kTarget;
   }
-  return FindInvalidPart(request.headers);
+  const bool named = std::all_of(request.headers.begin(), request.headers.end(),
+                                 [](const HttpHeader& header) { return IsToken(header.name); });
+  return named ? std::nullopt : std::optional(MessagePart::kHeaderName);
 }
 
 std::optional<MessagePart> FindInvalidPart(const HttpResponse& response) {
--- a/source/net/http_message.h
+++ b/source/net/http_message.h
@@ -50,6 +50,10 @@
 std::optional<MessagePart> FindInvalidPart(const HttpRequest& request);
 std::optional<MessagePart> FindInvalidPart(const HttpResponse& response);
 
+// The same for a request that was read from a connection: its framing headers are the sender's, and the parser has
+// delimited its header values.
+std::optional<MessagePart> FindInvalidReceivedPart(const HttpRequest& request);
+
 // The size in bytes of a message on an HTTP/1.1 connection, headers included. The size of a response includes the
 // headers that HttpServer adds on a keep-alive connection.
 std::size_t WireSize(const HttpRequest& request);
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -35,6 +35,8 @@
 
 constexpr int kListenBacklog = 1024;
 constexpr unsigned kInternalServerError = 500;
+constexpr double kRefusalLinesPerSecond = 1;
+constexpr double kMaxRefusalLines = 10;
 constexpr std::size_t kReadBufferBytes = 2048;
 // Interval at which the timeouts of all open connections are checked. Each check costs time for every connection,
 // including idle ones.
@@ -98,6 +100,10 @@
 
   restinio::request_handling_status_t Handle(restinio::request_handle_t incoming) {
     HttpRequest request = ToRequest(*incoming);
+    if (const std::optional<MessagePart> invalid = FindInvalidReceivedPart(request)) {
+      this->Refuse(*incoming, *invalid);
+      return restinio::request_accepted();
+    }
     ++this->in_flight;
     this->handler(std::move(request), [this, incoming = std::move(incoming)](HttpResponse response) {
       --this->in_flight;
@@ -106,6 +112,19 @@
     return restinio::request_accepted();
   }
 
+  // What follows the request on its connection may be a part of it to its sender, so the connection ends.
+  void Refuse(restinio::request_t& incoming, MessagePart invalid) {
+    if (this->refusal_log_limiter.Admit(BootClock::now())) {
+      logging::Write(
+          logging::Level::kInfo, "refusing a request with an invalid part",
+          {{"part", MessagePartName(invalid)}, {"lines_suppressed", this->refusal_log_limiter.TakeSuppressedCount()}});
+    }
+    auto builder = incoming.create_response(restinio::status_bad_request());
+    builder.append_header(restinio::http_field::content_type, "text/plain");
+    builder.connection_close();
+    builder.set_body("the request has an invalid " + std::string(MessagePartName(invalid))).done();
+  }
+
   void Send(restinio::request_t& incoming, HttpResponse unchecked) const {
     HttpResponse response = WithValidParts(std::move(unchecked));
     auto builder = incoming.create_response(
@@ -125,6 +144,7 @@
   HttpServer::Handler handler;
   std::shared_ptr<ConnectionCounter> counter;
   std::string address_text;
+  logging::RateLimiter refusal_log_limiter{kRefusalLinesPerSecond, kMaxRefusalLines};
   std::size_t in_flight = 0;
   bool closing = false;
   restinio::http_server_t<ServerTraits> server;
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -30,6 +30,8 @@
   // Sends the response to one request. It may be called after the handler has returned, at most once, on the event
   // loop's thread. A response with an invalid part is replaced by one with status 500.
   using ResponseCallback = std::function<void(HttpResponse)>;
+  // Handles one request. A request with an invalid part doesn't get this far: it is answered with status 400, and its
+  // connection ends.
   using Handler = std::function<void(HttpRequest, ResponseCallback)>;
 
   HttpServer(boost::asio::io_context& loop, const Address& address, const HttpServerLimits& limits, Handler handler);
--- a/tests/net/message_part_test.cc
+++ b/tests/net/message_part_test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -53,9 +54,21 @@
   // What a client without a parser gets for a request.
   std::string RawResponse() {
     testing::RawPeer peer(this->loop, this->address);
-    peer.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
-    this->loop.run_for(milliseconds(50));
-    return peer.Received();
+    peer.Send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    std::string bytes;
+    this->RunUntil([&peer, &bytes] {
+      bytes += peer.Received();
+      return peer.AtEnd();
+    });
+    return bytes;
+  }
+
+  void RunUntil(const std::function<bool()>& done) {
+    const TimePoint end = BootClock::now() + kCallTimeout;
+    while (!done() && BootClock::now() < end) {
+      this->loop.restart();
+      this->loop.run_for(milliseconds(2));
+    }
   }
 
   boost::asio::io_context loop;
@@ -109,8 +122,8 @@
   for (const char* target : {"/a", "/a b", "/b"}) {
     connection->Call(HttpRequest{"GET", target, {}, {}}, BootClock::now() + kCallTimeout,
                      [&statuses](const CallResult& result) { statuses.push_back(result.status); });
-    this->loop.restart();
-    this->loop.run_for(milliseconds(50));
+    this->RunUntil(
+        [&statuses, expected = statuses.size() + (connection->Busy() ? 1 : 0)] { return statuses.size() == expected; });
   }
   EXPECT_EQ(statuses, (std::vector<CallStatus>{CallStatus::kAnswered, CallStatus::kNotSent, CallStatus::kAnswered}));
 }
@@ -127,7 +140,6 @@
   };
   for (const HttpResponse& candidate : responses) {
     this->response = candidate;
-    this->loop.restart();
     const std::string bytes = this->RawResponse();
     EXPECT_EQ(bytes.substr(0, 13), "HTTP/1.1 500 ") << bytes;
     EXPECT_EQ(bytes.find("Set-Cookie"), std::string::npos) << bytes;
@@ -141,7 +153,7 @@
   CallResult result;
   connection->Call(HttpRequest{"GET", "/", {}, {}}, BootClock::now() + kCallTimeout,
                    [&result](const CallResult& ended) { result = ended; });
-  this->loop.run_for(milliseconds(50));
+  this->RunUntil([&connection] { return !connection->Busy(); });
   ASSERT_EQ(result.status, CallStatus::kAnswered);
   ASSERT_EQ(result.response.headers.size(), 1U);
   EXPECT_EQ(result.response.headers.front().name, "Retry-After");
--- a/tests/net/raw_peer.cc
+++ b/tests/net/raw_peer.cc
@@ -1,6 +1,7 @@
 #include "net/raw_peer.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -24,4 +25,13 @@
   return bytes;
 }
 
+bool RawPeer::AtEnd() {
+  char byte = 0;
+  boost::system::error_code error;
+  this->socket.non_blocking(true);
+  this->socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error);
+  this->socket.non_blocking(false);
+  return error && error != boost::asio::error::would_block;
+}
+
 }  // namespace amaranthlane::net::testing
--- a/tests/net/raw_peer.h
+++ b/tests/net/raw_peer.h
@@ -23,6 +23,9 @@
   // The bytes that have arrived and weren't returned before. Doesn't wait.
   std::string Received();
 
+  // True if the other side has closed the connection and all its bytes were returned. Doesn't wait.
+  bool AtEnd();
+
  private:
   boost::asio::ip::tcp::socket socket;
 };
--- a/tests/net/unexpected_response_test.cc
+++ b/tests/net/unexpected_response_test.cc
@@ -35,12 +35,17 @@
     this->result.reset();
     this->connection->Call(HttpRequest{"GET", target, {}, {}}, BootClock::now() + kCallTimeout,
                            [this](const CallResult& ended) { this->result = ended; });
-    this->Run();
   }
 
-  void Run() {
+  // Runs until the call in progress ends. What follows its callback in the event loop runs too.
+  void AwaitResult() {
+    const TimePoint end = BootClock::now() + kCallTimeout;
+    while (!this->result && BootClock::now() < end) {
+      this->loop.restart();
+      this->loop.run_for(milliseconds(2));
+    }
     this->loop.restart();
-    this->loop.run_for(milliseconds(50));
+    this->loop.poll();
   }
 
   boost::asio::io_context loop;
@@ -53,13 +58,13 @@
   this->StartCall("/first");
   testing::RawPeer peer(this->acceptor.accept());
   peer.Send(ResponseText("first"));
-  this->Run();
+  this->AwaitResult();
   ASSERT_TRUE(this->result);
   EXPECT_EQ(this->result->response.body, "first");
   peer.Received();
   peer.Send(ResponseText("first again"));
-  this->Run();
   this->StartCall("/second");
+  this->AwaitResult();
   ASSERT_TRUE(this->result);
   EXPECT_EQ(this->result->status, CallStatus::kNotSent) << this->result->response.body;
   EXPECT_FALSE(this->connection->Usable());
@@ -70,7 +75,7 @@
   this->StartCall("/first");
   testing::RawPeer peer(this->acceptor.accept());
   peer.Send(ResponseText("first") + ResponseText("first again"));
-  this->Run();
+  this->AwaitResult();
   ASSERT_TRUE(this->result);
   EXPECT_EQ(this->result->response.body, "first");
   EXPECT_FALSE(this->connection->Usable());
@@ -83,18 +88,18 @@
     this->result.reset();
     pool.Call(HttpRequest{"GET", target, {}, {}}, BootClock::now() + kCallTimeout,
               [this](const CallResult& ended) { this->result = ended; });
-    this->Run();
   };
   call("/first");
   testing::RawPeer first(this->acceptor.accept());
   first.Send(ResponseText("first"));
-  this->Run();
+  this->AwaitResult();
   first.Send(ResponseText("first again"));
   call("/second");
+  // The second connection is opened at once, or never.
   this->acceptor.non_blocking(true);
   testing::RawPeer second(this->acceptor.accept());
   second.Send(ResponseText("second"));
-  this->Run();
+  this->AwaitResult();
   ASSERT_TRUE(this->result);
   EXPECT_EQ(this->result->response.body, "second");
 }
