Bound each log line by what a pipe takes at once

What operators saw: a statement's id or another value of a caller may have a megabyte; the line that says that the statement failed held all of it, two megabytes for two such values, twelve if they are control characters. The log is a pipe that never blocks: such a line is cut where the pipe is full, and the next one stands inside it.

Change: a value has at most 512 bytes, followed by its size; fields that make the line longer than PIPE_BUF are left out and counted in `fields_omitted`.

Evidence: LogTest.ALongValueIsCut fails on the former code (2,097,272 to 12,583,032 bytes a line) and passes with the change (at most 4,096). The property AnyValueStaysInItsField passed before and after (300 cases): no value ends a line, starts a field, or stands for one of the library's specifiers such as %datetime. A pipe that is full was not tried.

--- a/source/logging/log.cc
+++ b/source/logging/log.cc
@@ -2,6 +2,7 @@
 
 #include <easylogging++.h>
 #include <fcntl.h>
+#include <limits.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -19,6 +20,13 @@
 
 constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info", "warning", "error"};
 
+// A longer value is cut.
+constexpr std::size_t kMaxValueBytes = 512;
+// A line of at most PIPE_BUF bytes is written to a pipe as a whole or not at all. The rest is for the time, the last
+// two counts and the line feed.
+constexpr std::size_t kReservedBytes = 128;
+constexpr std::size_t kMaxFieldsBytes = PIPE_BUF - kReservedBytes;
+
 Level min_level = Level::kInfo;
 std::string vm_name;
 std::uint64_t dropped_lines = 0;
@@ -27,6 +35,13 @@
   return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+std::string QuoteValue(std::string_view text) {
+  if (text.size() <= kMaxValueBytes) {
+    return QuoteJson(text);
+  }
+  return QuoteJson(std::string(text.substr(0, kMaxValueBytes)) + "... (" + std::to_string(text.size()) + " bytes)");
+}
+
 }  // namespace
 
 void Initialize(std::string_view vm, std::string_view level) {
@@ -53,9 +68,18 @@
     return;
   }
   std::string line = "\"level\":\"" + std::string(kLevelNames[static_cast<std::size_t>(level)]) +
-                     "\",\"vm\":" + QuoteJson(vm_name) + ",\"event\":" + QuoteJson(event);
+                     "\",\"vm\":" + QuoteValue(vm_name) + ",\"event\":" + QuoteValue(event);
+  std::size_t omitted_fields = 0;
   for (const Field& field : fields) {
-    line += "," + QuoteJson(field.name) + ":" + (field.quoted ? QuoteJson(field.text) : field.text);
+    const std::string member = "," + QuoteJson(field.name) + ":" + (field.quoted ? QuoteValue(field.text) : field.text);
+    if (line.size() + member.size() > kMaxFieldsBytes) {
+      ++omitted_fields;
+      continue;
+    }
+    line += member;
+  }
+  if (omitted_fields > 0) {
+    line += ",\"fields_omitted\":" + std::to_string(omitted_fields);
   }
   if (!std::cout) {
     // The output rejected a line because its reader fell behind.
--- a/source/logging/log.h
+++ b/source/logging/log.h
@@ -10,7 +10,8 @@
 #include "common/boot_clock.h"
 
 // Structured logging: one event per line, as a JSON object on standard output. Callers never pass secrets. When the
-// reader of the output falls behind, lines are dropped and counted, so that logging never blocks the process.
+// reader of the output falls behind, lines are dropped and counted, so that logging never blocks the process. A line
+// has at most PIPE_BUF bytes: long values are cut, with their size, and fields that don't fit are left out and counted.
 namespace amaranthlane::logging {
 
 enum class Level : std::uint8_t { kDebug, kInfo, kWarning, kError };
