Keep the kind of work inside its member of the response

What callers saw: a transaction of kind `a","outcome":"not_run` was answered with `outcome` not_run although it was open; a kind with a quote or a backslash gave a response that is no JSON, so that the transaction couldn't be used or ended. An endpoint's name did the same to each answered statement.

Cause: the response to a call that was done was put together as text, with both names as they were.

Change: FormatSuccessBody quotes names through json::QuoteJson, which replaces the two copies of it in the log and in the endpoint's protocol.

The cost of quoting was not measured.

--- a/source/common/json_text.cc
+++ b/source/common/json_text.cc
@@ -109,4 +109,8 @@
   return readable;
 }
 
+std::string QuoteJson(std::string_view text) {
+  return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 }  // namespace amaranthlane::json
--- a/source/daemon/caller_request.cc
+++ b/source/daemon/caller_request.cc
@@ -5,6 +5,7 @@
 
 #include "common/error.h"
 #include "common/json.h"
+#include "common/json_text.h"
 #include "core/outcomes/retry_rule.h"
 
 namespace amaranthlane::daemon {
@@ -104,4 +105,19 @@
   return group + kNameSeparator + kind + kNameSeparator + transactions::FormatTransactionId(id);
 }
 
+std::string FormatSuccessBody(const WorkRequest& work, const std::string& kind, const WorkReply& reply) {
+  std::string body = "{\"outcome\":\"done\"";
+  if (work.kind == WorkKind::kBegin) {
+    return body + ",\"transaction\":" + json::QuoteJson(FormatTransactionName(work.group, kind, reply.transaction)) +
+           "}";
+  }
+  body += ",\"result\":" + reply.result;
+  body += reply.replayed ? ",\"replayed\":true" : ",\"replayed\":false";
+  body += ",\"served_by\":{\"endpoint\":" + json::QuoteJson(reply.endpoint) + ",\"role\":";
+  body += reply.from_replica ? "\"replica\"}" : "\"primary\"}";
+  body += ",\"age_bound_ms\":" + std::to_string(reply.age_bound.count());
+  return body + ",\"position\":{\"term\":" + std::to_string(reply.position.term) +
+         ",\"offset\":" + std::to_string(reply.position.offset) + "}}";
+}
+
 }  // namespace amaranthlane::daemon
--- a/source/daemon/caller_request.h
+++ b/source/daemon/caller_request.h
@@ -39,6 +39,9 @@
 std::string FormatTransactionName(const GroupName& group, const std::string& kind,
                                   const transactions::TransactionId& id);
 
+// The body of the response to a call that was done: JSON text. `kind` is the kind of work that the caller named.
+std::string FormatSuccessBody(const WorkRequest& work, const std::string& kind, const WorkReply& reply);
+
 }  // namespace amaranthlane::daemon
 
 #endif  // AMARANTHLANE_DAEMON_CALLER_REQUEST_H_
--- a/source/daemon/endpoint_protocol.cc
+++ b/source/daemon/endpoint_protocol.cc
@@ -6,6 +6,7 @@
 
 #include "common/error.h"
 #include "common/json.h"
+#include "common/json_text.h"
 #include "core/replicas/position_reply.h"
 
 namespace amaranthlane::daemon {
@@ -32,11 +33,9 @@
     {"invalid-statement", outcomes::EndpointRefusalReason::kInvalidStatement},
 }};
 
-std::string QuoteJson(std::string_view text) { return Json(text).dump(-1, ' ', false, Json::error_handler_t::replace); }
-
 void AppendIdempotencyKey(std::string& body, std::string_view idempotency_key) {
   if (!idempotency_key.empty()) {
-    body += ",\"idempotency_key\":" + QuoteJson(idempotency_key);
+    body += ",\"idempotency_key\":" + json::QuoteJson(idempotency_key);
   }
 }
 
--- a/source/daemon/request_forwarder.cc
+++ b/source/daemon/request_forwarder.cc
@@ -320,19 +320,10 @@
 }
 
 net::HttpResponse RequestForwarder::SuccessResponse(Call& call, const WorkReply& reply) const {
-  std::string body = "{\"outcome\":\"done\"";
+  net::HttpResponse response = JsonResponse(FormatSuccessBody(call.work, call.kind, reply));
   if (call.work.kind == WorkKind::kBegin) {
-    body += ",\"transaction\":\"" + FormatTransactionName(call.work.group, call.kind, reply.transaction) + "\"}";
-    return JsonResponse(std::move(body));
+    return response;
   }
-  body += ",\"result\":" + reply.result;
-  body += reply.replayed ? ",\"replayed\":true" : ",\"replayed\":false";
-  body += ",\"served_by\":{\"endpoint\":\"" + reply.endpoint + "\",\"role\":";
-  body += reply.from_replica ? "\"replica\"}" : "\"primary\"}";
-  body += ",\"age_bound_ms\":" + std::to_string(reply.age_bound.count());
-  body += ",\"position\":{\"term\":" + std::to_string(reply.position.term) +
-          ",\"offset\":" + std::to_string(reply.position.offset) + "}}";
-  net::HttpResponse response = JsonResponse(std::move(body));
   const bool wrote = call.work.kind == WorkKind::kCommit ||
                      (call.work.kind == WorkKind::kStatement && call.work.mode == outcomes::StatementMode::kWrite) ||
                      call.work.kind == WorkKind::kOutcomeQuery;
--- a/source/logging/log.cc
+++ b/source/logging/log.cc
@@ -9,9 +9,10 @@
 #include <array>
 #include <chrono>
 #include <iostream>
-#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "common/json_text.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace amaranthlane::logging {
@@ -31,15 +32,12 @@
 std::string vm_name;
 std::uint64_t dropped_lines = 0;
 
-std::string QuoteJson(std::string_view text) {
-  return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 std::string QuoteValue(std::string_view text) {
   if (text.size() <= kMaxValueBytes) {
-    return QuoteJson(text);
+    return json::QuoteJson(text);
   }
-  return QuoteJson(std::string(text.substr(0, kMaxValueBytes)) + "... (" + std::to_string(text.size()) + " bytes)");
+  return json::QuoteJson(std::string(text.substr(0, kMaxValueBytes)) + "... (" + std::to_string(text.size()) +
+                         " bytes)");
 }
 
 }  // namespace
@@ -71,7 +69,8 @@
                      "\",\"vm\":" + QuoteValue(vm_name) + ",\"event\":" + QuoteValue(event);
   std::size_t omitted_fields = 0;
   for (const Field& field : fields) {
-    const std::string member = "," + QuoteJson(field.name) + ":" + (field.quoted ? QuoteValue(field.text) : field.text);
+    const std::string member =
+        "," + json::QuoteJson(field.name) + ":" + (field.quoted ? QuoteValue(field.text) : field.text);
     if (line.size() + member.size() > kMaxFieldsBytes) {
       ++omitted_fields;
       continue;
