Refuse to delete an object whose name can't be one

What an operator saw: DELETE of an object named %FF was sent to the platform. If the platform reports a conflict, the response with both objects can't be written (`invalid UTF-8 byte`, type_error 316), and the exception leaves the event loop: the process ends.

Cause: an edit's name was checked with its value, and a deletion has none.

Change: the name is checked for both.

Evidence: EditSystemTest.ADeletionOfAnInvalidNameIsRefusedBeforeAnythingIsSent fails on the former code (the deletion goes on to a read) and passes with the change; unit_tests passes 338 of 338 (300 cases each). The end of the process was read, not run.

--- a/source/core/configuration/edit_system.cc
+++ b/source/core/configuration/edit_system.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/error.h"
+#include "common/names.h"
 #include "core/configuration/object_validation.h"
 
 namespace amaranthlane::configuration {
@@ -67,6 +68,7 @@
     if (event.request.remove && !IsEditableKind(event.request.kind)) {
       throw ParseError("edit", "kind", "a kind that operators may edit");
     }
+    RequireName(event.request.name, "edit", "name");
     if (!event.request.remove) {
       ValidateObject(event.request.kind, event.request.name, event.request.value);
     }
--- a/tests/core/configuration/edit_system_test.cc
+++ b/tests/core/configuration/edit_system_test.cc
@@ -41,6 +41,16 @@
   EXPECT_EQ(std::get<EditInvalid>(ended.result).key, "rank");
 }
 
+// Guards against a name that no response can hold, as in a conflict with the current object.
+TEST(EditSystemTest, ADeletionOfAnInvalidNameIsRefusedBeforeAnythingIsSent) {
+  for (const std::string& name : {std::string("\xff"), std::string("a b"), std::string("a/b"), std::string()}) {
+    EditSystem system("dub-a-1", 1);
+    const EditSubmitted submitted{1, {kSelectorsKind, name, true, nullptr, 4}, kStart + seconds(5)};
+    const EditEnded ended = ExpectAction<EditEnded>(system, kStart, submitted);
+    EXPECT_EQ(std::get<EditInvalid>(ended.result).key, "name");
+  }
+}
+
 TEST(EditSystemTest, AStaleVersionGivesAConflictWithBothObjects) {
   EditSystem system("dub-a-1", 1);
   ExpectAction<EditRead>(system, kStart, Submit(1, "urgent", 4));
