Send only statements that are JSON objects from the client library

What callers saw: a statement's text went into the request as it was. The text `{},"mode":"write"` turned a read into a write without an idempotency key; a kind that isn't UTF-8 threw out of the call.

Change: Caller checks the text and the kind once for each statement. One that isn't well-formed ends as not_run with the problem `invalid-statement`, and nothing is sent.

The cost of the check in the load generator was not measured.

--- a/source/client/caller.cc
+++ b/source/client/caller.cc
@@ -17,6 +17,7 @@
     "key-conflict",    "invalid-statement", "missing-idempotency-key", "position-lost", "unknown-group",
     "invalid-request", "unknown-caller",    "invalid-session-token",   "unknown-call",  "invalid-idempotency-key"};
 
+constexpr char kInvalidStatement[] = "invalid-statement";
 constexpr char kOverload[] = "overload";
 
 }  // namespace
@@ -69,6 +70,11 @@
   pending->result.idempotency_key = pending->statement.idempotency_key;
   pending->callback = std::move(callback);
   pending->vm_index = vm_index % this->pools.size();
+  if (!IsWellFormed(pending->statement)) {
+    pending->result.problem = kInvalidStatement;
+    boost::asio::post(this->loop, [this, pending] { this->Complete(pending, Outcome::kNotRun); });
+    return;
+  }
   this->StartAttempt(pending);
 }
 
--- a/source/client/statement.cc
+++ b/source/client/statement.cc
@@ -6,6 +6,7 @@
 
 #include "common/error.h"
 #include "common/json.h"
+#include "common/json_text.h"
 
 namespace amaranthlane::client {
 
@@ -15,6 +16,7 @@
 
 constexpr char kDocument[] = "answer";
 constexpr std::string_view kUrnPrefix = "urn:amaranthlane:";
+constexpr std::string_view kJsonBlanks = " \t\r\n";
 constexpr unsigned kStatusOk = 200;
 constexpr std::int64_t kMaxTimeLimitMs = 24LL * 60 * 60 * 1000;
 
@@ -70,12 +72,20 @@
   return attempt;
 }
 
+bool IsWellFormed(const Statement& statement) {
+  const std::size_t start = statement.statement.find_first_not_of(kJsonBlanks);
+  return start != std::string::npos && statement.statement[start] == '{' && Json::accept(statement.statement) &&
+         Json::parse(json::QuoteJson(statement.kind)) == statement.kind;
+}
+
 net::HttpRequest BuildStatementRequest(const Statement& statement, std::string_view bearer_key,
                                        std::string_view session_token, TimePoint now) {
   net::HttpRequest request;
   request.method = "POST";
   request.target = "/v1/groups/" + net::EncodePathSegment(statement.group) + "/statements";
-  request.headers.push_back({"Authorization", "Bearer " + std::string(bearer_key)});
+  if (!bearer_key.empty()) {
+    request.headers.push_back({"Authorization", "Bearer " + std::string(bearer_key)});
+  }
   if (!session_token.empty()) {
     request.headers.push_back({"Session-Token", std::string(session_token)});
   }
@@ -84,7 +94,7 @@
   }
   const std::int64_t remaining_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(statement.deadline - now).count();
-  request.body = "{\"kind\":" + Json(statement.kind).dump() + ",\"mode\":\"" +
+  request.body = "{\"kind\":" + json::QuoteJson(statement.kind) + ",\"mode\":\"" +
                  std::string(outcomes::StatementModeName(statement.mode)) +
                  "\",\"time_limit_ms\":" + std::to_string(std::clamp<std::int64_t>(remaining_ms, 0, kMaxTimeLimitMs)) +
                  ",\"statement\":" + statement.statement + "}";
--- a/source/client/statement.h
+++ b/source/client/statement.h
@@ -38,7 +38,7 @@
   std::chrono::milliseconds age_bound{0};
   LogPosition position;
   // Why the last attempt failed: the type of a problem document, such as `overload`, or a failure of the connection,
-  // such as `no-answer`. Empty if the outcome is kDone.
+  // such as `no-answer`, or `invalid-statement` if the statement isn't well-formed. Empty if the outcome is kDone.
   std::string problem;
   // The key of a write. After kUnknown, a retry with this key can't run the write a second time.
   std::string idempotency_key;
@@ -58,7 +58,10 @@
 // Parses a VM's response to a statement. Throws ParseError when the body is neither a result nor a problem document.
 AttemptResult ParseStatementResponse(const net::HttpResponse& response);
 
-// Builds the HTTP request for one attempt. `session_token` may be empty.
+// True if the statement's text is a JSON object and its kind is UTF-8, so that neither changes the rest of a request.
+bool IsWellFormed(const Statement& statement);
+
+// Builds the HTTP request for one attempt at a well-formed statement. `bearer_key` and `session_token` may be empty.
 net::HttpRequest BuildStatementRequest(const Statement& statement, std::string_view bearer_key,
                                        std::string_view session_token, TimePoint now);
 
