Check that a statement from another VM is one JSON object

What an endpoint saw: the statement of a peer's work request goes into the message to the endpoint as text. A peer of another build that sends `{},"mode":"write"` changed the mode, the term or the key of that message, and so could any process that reaches the peers' port.

Cause: ParseWorkRequest took any string for a statement; only the entry VM had parsed it.

Change: ParseWorkRequest accepts one JSON object only (json::IsObjectText, which the client library uses too). Other work is answered 400 as malformed.

The cost of the check for a forwarded statement was not measured.

--- a/source/client/statement.cc
+++ b/source/client/statement.cc
@@ -16,7 +16,6 @@
 
 constexpr char kDocument[] = "answer";
 constexpr std::string_view kUrnPrefix = "urn:amaranthlane:";
-constexpr std::string_view kJsonBlanks = " \t\r\n";
 constexpr unsigned kStatusOk = 200;
 constexpr std::int64_t kMaxTimeLimitMs = 24LL * 60 * 60 * 1000;
 
@@ -73,9 +72,7 @@
 }
 
 bool IsWellFormed(const Statement& statement) {
-  const std::size_t start = statement.statement.find_first_not_of(kJsonBlanks);
-  return start != std::string::npos && statement.statement[start] == '{' && Json::accept(statement.statement) &&
-         Json::parse(json::QuoteJson(statement.kind)) == statement.kind;
+  return json::IsObjectText(statement.statement) && Json::parse(json::QuoteJson(statement.kind)) == statement.kind;
 }
 
 net::HttpRequest BuildStatementRequest(const Statement& statement, std::string_view bearer_key,
--- a/source/common/json_text.cc
+++ b/source/common/json_text.cc
@@ -10,6 +10,7 @@
 constexpr char kQuote = '"';
 constexpr std::string_view kNull = "null";
 constexpr std::string_view kUnreadableString = "\"?\"";
+constexpr std::string_view kBlanks = " \t\r\n";
 constexpr std::string_view kWordEnds = " \t\r\n,:[]{}\"";
 
 bool Opens(char character) { return character == '[' || character == '{'; }
@@ -109,6 +110,11 @@
   return readable;
 }
 
+bool IsObjectText(std::string_view text) {
+  const std::size_t start = text.find_first_not_of(kBlanks);
+  return start != std::string_view::npos && text[start] == '{' && nlohmann::json::accept(text);
+}
+
 std::string QuoteJson(std::string_view text) {
   return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/source/common/json_text.h
+++ b/source/common/json_text.h
@@ -21,6 +21,9 @@
 // outside printable ASCII become '?'. Returns text that parses if brackets, commas and quotes are in order.
 std::string ReplaceUnreadableValues(std::string_view text);
 
+// Whether the text is one JSON object and nothing else, so that it can stand as a member of another document.
+bool IsObjectText(std::string_view text);
+
 // The text as a JSON string with its quotes. Bytes that aren't UTF-8 are replaced.
 std::string QuoteJson(std::string_view text);
 
--- a/source/daemon/work.cc
+++ b/source/daemon/work.cc
@@ -6,6 +6,7 @@
 
 #include "common/error.h"
 #include "common/json.h"
+#include "common/json_text.h"
 
 namespace amaranthlane::daemon {
 
@@ -90,6 +91,8 @@
   return static_cast<std::size_t>(found - names.begin());
 }
 
+bool HasStatement(WorkKind kind) { return kind == WorkKind::kStatement || kind == WorkKind::kTransactionStatement; }
+
 Outcome ParseOutcome(std::string_view name) {
   for (const Outcome outcome : {Outcome::kDone, Outcome::kNotRun, Outcome::kUnknown}) {
     if (OutcomeName(outcome) == name) {
@@ -174,6 +177,9 @@
   request.group = reader.String("group");
   request.mode = outcomes::ParseStatementMode(reader.String("mode"));
   request.statement = reader.String("statement");
+  if (HasStatement(request.kind) && !json::IsObjectText(request.statement)) {
+    throw ParseError(kRequestDocument, "statement", "the text of a JSON object");
+  }
   request.requirements = ParseRequirements(reader.Object("obligation"));
   request.deadline = now + reader.Milliseconds("left_ms");
   request.data_centre = reader.String("data_centre");
