Keep values of up to 2 KiB whole in log lines

Lists of groups and members in the lines on the coordination record are longer than 512 bytes with twenty groups, and were cut there. Only a value that takes more than 2 KiB with its quotes is cut now, to the 512 bytes it was cut to before.

--- a/source/core/statements/session_restore.h
+++ b/source/core/statements/session_restore.h
@@ -19,8 +19,8 @@
 };
 
 // The name of a prepared statement at the endpoints. It is derived from the statement itself, so sessions that prepare
-// the same statement share it, and statements to which two callers gave the same name never collide. It has 255 bytes at
-// most: that of a long statement holds a hash of it.
+// the same statement share it, and statements to which two callers gave the same name never collide. It has 255 bytes
+// at most: that of a long statement holds a hash of it.
 std::string EndpointStatementName(const PreparedStatement& prepared);
 
 // One command that changes the session state of a connection.
--- a/source/logging/log.cc
+++ b/source/logging/log.cc
@@ -21,8 +21,9 @@
 
 constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info", "warning", "error"};
 
-// A longer value is cut.
-constexpr std::size_t kMaxValueBytes = 512;
+// A value that takes more is cut to the second number of bytes, before they are quoted.
+constexpr std::size_t kMaxValueBytes = 2048;
+constexpr std::size_t kCutValueBytes = 512;
 // A line of at most PIPE_BUF bytes is written to a pipe as a whole or not at all. The rest is for the time, the last
 // two counts and the line feed.
 constexpr std::size_t kReservedBytes = 128;
@@ -34,9 +35,12 @@
 
 std::string QuoteValue(std::string_view text) {
   if (text.size() <= kMaxValueBytes) {
-    return json::QuoteJson(text);
+    std::string quoted = json::QuoteJson(text);
+    if (quoted.size() <= kMaxValueBytes) {
+      return quoted;
+    }
   }
-  return json::QuoteJson(std::string(text.substr(0, kMaxValueBytes)) + "... (" + std::to_string(text.size()) +
+  return json::QuoteJson(std::string(text.substr(0, kCutValueBytes)) + "... (" + std::to_string(text.size()) +
                          " bytes)");
 }
 
--- a/source/proxy/frame_reader.h
+++ b/source/proxy/frame_reader.h
@@ -35,7 +35,7 @@
   void Append(std::string_view bytes);
   // Removes the first complete frame and returns it. Returns nullopt while it is incomplete, and once it is too large.
   std::optional<Frame> Next();
-  // True when the first frame is longer than kMaxMessageBytes, whether it is complete or not.
+  // True when the last Next() found the first frame longer than kMaxMessageBytes, whether it is complete or not.
   bool TooLarge() const;
   // True when the bytes that haven't been returned exceed kMaxMessageBytes, so that nothing more should be read for
   // now.
