--- a/review/stand_in_2/deployment.py
+++ b/review/stand_in_2/deployment.py
@@ -4,7 +4,7 @@
 project's own stand-ins for its soak. All processes and ports are on loopback.
 """
 import asyncio
-import json
+import itertools
 import os
 import pathlib
 import re
@@ -46,14 +46,19 @@
         self.file.flush()
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+# Below the kernel's range for outgoing connections, so that a port stays free until its process listens on it.
+PORTS = itertools.count(os.getpid() * 61)
+
+
+def free_port():
+    while True:
+        port = 12000 + next(PORTS) % 20000
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
 
 
 def render(template, fields):
@@ -72,7 +77,7 @@
     def __init__(self, number, deployment):
         self.name, self.deployment, self.process = f"front-{number}", deployment, None
         self.zone = f"zone-{'abc'[number % 3]}"
-        self.front, self.ready, *self.range = free_ports(4)
+        self.front, self.ready, *self.range = (free_port() for _ in range(4))
         # How often a process ended without a signal of the case, the ends by the memory limit included.
         self.own_ends = 0
         self.restarts = True
