review: a case that is ended early ends its processes

Cause: a script ended by SIGTERM left its daemons running. Change: SIGTERM cancels the case, which then stops what it started.

--- a/review/stand_in_2/deployment.py
+++ b/review/stand_in_2/deployment.py
@@ -298,10 +298,12 @@
     record.note(f"TROUBLE={int(TROUBLE)}")
 
     async def limited():
+        # A case that is ended early still ends its processes.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         return await asyncio.wait_for(body(record), 110)
     try:
         held = asyncio.run(limited())
-    except (CouldNotRun, OSError, asyncio.TimeoutError) as failure:
+    except (CouldNotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as failure:
         record.note(f"could not run: {failure!r}")
         sys.exit(COULD_NOT_RUN)
     record.note("the rule held" if held else "the rule was broken")
