metrics: tell what memory a VM takes and how long its event loop stands still

Logs and metrics couldn't tell where the memory goes: kept documents, documents that are being parsed, or memory that the allocator keeps, nor for how long nothing else is served meanwhile.

/metrics now tells the physical memory of the process, what it has allocated, what its allocator keeps, and the longest time for which the event loop was kept from its timer. Memory is read only for a request of /metrics, as it costs system calls.

--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "metrics/process_memory.h"
 #include "net/address.h"
 #include "net/error.h"
 
@@ -133,6 +134,9 @@
 
 void Node::Tick() {
   const TimePoint now = BootClock::now();
+  if (this->next_tick > TimePoint()) {
+    this->longest_stall = std::max(this->longest_stall, now - this->next_tick);
+  }
   this->TickCoordination(now);
   this->TickEndpoints(now);
   this->TickQuotas(now);
@@ -145,6 +149,7 @@
     this->UpdateGauges(now);
   }
   this->TickShutdown(now);
+  this->next_tick = BootClock::now() + kTickInterval;
   this->timer.expires_after(kTickInterval);
   this->timer.async_wait([this](boost::system::error_code error) {
     if (!error) {
@@ -211,6 +216,21 @@
       this->configuration ? this->configuration->version : 0);
 }
 
+void Node::UpdateProcessGauges() {
+  const auto set = [this](const char* name, const char* help, double value) {
+    this->registry.GetGauge(name, help).value = value;
+  };
+  const metrics::ProcessMemory memory = metrics::ReadProcessMemory();
+  set("amaranthlane_resident_bytes", "Physical memory of this process.", static_cast<double>(memory.resident));
+  set("amaranthlane_allocated_bytes", "Memory that this process has allocated and not released.",
+      static_cast<double>(memory.allocated));
+  set("amaranthlane_allocator_free_bytes", "Memory that the allocator keeps for later allocations.",
+      static_cast<double>(memory.kept_by_allocator));
+  set("amaranthlane_event_loop_longest_stall_seconds",
+      "The longest time for which the event loop was kept from its timer, since the process started.",
+      std::chrono::duration<double>(this->longest_stall).count());
+}
+
 void Node::Shutdown() {
   if (this->shutdown_at) {
     return;
@@ -268,6 +288,7 @@
 void Node::AnswerOperatorRequest(const net::HttpRequest& request, const net::HttpServer::ResponseCallback& answer) {
   net::HttpResponse response;
   if (net::TargetPath(request.target) == "/metrics") {
+    this->UpdateProcessGauges();
     response.content_type = "text/plain; version=0.0.4";
     response.body = this->registry.Expose();
   } else {
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -101,6 +101,8 @@
   void Tick();
   void TickSessions(TimePoint now);
   void UpdateGauges(TimePoint now);
+  // Reads the memory of the process, which costs system calls, for an operator who asks.
+  void UpdateProcessGauges();
   void TickShutdown(TimePoint now);
   void AnswerOperatorRequest(const net::HttpRequest& request, const net::HttpServer::ResponseCallback& answer);
   bool Ready() const;
@@ -232,6 +234,9 @@
 
   std::optional<TimePoint> shutdown_at;
   TimePoint next_session_tick;
+  // When the timer is due; none: it wasn't set yet.
+  TimePoint next_tick;
+  Duration longest_stall{};
   // Since when this VM has had no lease; none: it has one.
   std::optional<TimePoint> without_lease_since;
   logging::RateLimiter statement_log_limiter;
