platform: read the store's answers as they arrive, and keep only what is used

Cause: ObjectWatcher parsed whole pages and watch answers and kept the document of every object, of unusable ones too, by name. A parsed entry takes thirty times its text for as long as it stands; a second tree is built beside it; a removal carries all of them once more. Nothing bounded bytes, values or entries. An answer above the HTTP client's 16 MiB was refused and asked for again, for ever. Ruled out: the copy for a second parse, decoded entries, a leak.

Now a call may pass its answer's body on in parts (BodySink), json::ListReader reads such a body element by element and keeps the selected members only, and an object is judged when it is read and forgotten if it isn't usable. The memory is bounded by one element's selection, however many there are, and the loop serves others between two parts. The same reader serves the configurations, the coordination records of earlier eras, and the lists and watches of amaranthlaned. Every other document is counted before it is parsed (kMaxValues).

--- a/fuzz/common_parse_functions.cc
+++ b/fuzz/common_parse_functions.cc
@@ -1,5 +1,6 @@
 #include "common/ip_address.h"
 #include "common/json.h"
+#include "common/list_reader.h"
 #include "common/settings.h"
 #include "common/sha256.h"
 #include "parse_functions.h"
@@ -21,6 +22,16 @@
   ParseSettings(kSettings, "vm.yaml", {override});
 }
 
+// Reads the text as a list of entries, in two parts.
+void ReadList(std::string_view text) {
+  const json::Selection entry = json::Members({{"name", {}}, {"spec", json::Whole()}});
+  json::ListReader reader(json::Members({{"items", json::Elements(entry)}}), "fuzz",
+                          [](std::string_view /*list*/, const nlohmann::json& element) { element.size(); });
+  reader.Append(text.substr(0, text.size() / 2));
+  reader.Append(text.substr(text.size() / 2));
+  reader.Finish();
+}
+
 }  // namespace
 
 std::vector<ParseFunction> CommonParseFunctions() {
@@ -28,6 +39,7 @@
       {"Json",
        [](std::string_view text) { json::Parse(text, "fuzz"); },
        {R"({"a":[1,-2,3.5e7,"é\u00e9",null,true,{}]})"}},
+      {"List", ReadList, {R"({"items":[{"name":"a","status":[{}],"spec":{"b":[1,"\"",null]}},7],"has_more":true})"}},
       {"Settings", ParseSettingsFile, {kSettings}},
       {"SettingOverride", ParseOverrides, {"leadership.beat_ms=100", "seeds=127.0.0.1:1,[::1]:2", "log.level=debug"}},
       {"IpAndPort", [](std::string_view text) { IsIpAndPort(text); }, {"127.0.0.1:7000", "[::1]:65535"}},
--- a/fuzz/process_parse_functions.cc
+++ b/fuzz/process_parse_functions.cc
@@ -10,7 +10,7 @@
 #include "parse_functions.h"
 #include "platform/decoders.h"
 #include "platform/line_codec.h"
-#include "platform/store_client.h"
+#include "platform/stored_object.h"
 #include "proxy/peer_sync_messages.h"
 #include "proxy/relay_notice.h"
 #include "round_trip.h"
--- a/source/common/json.cc
+++ b/source/common/json.cc
@@ -16,8 +16,8 @@
 }  // namespace
 
 nlohmann::json Parse(std::string_view text, std::string_view document) {
-  if (IsNestedTooDeeply(text)) {
-    throw ParseError(std::string(document), "", "arrays and objects nested less deeply");
+  if (ExceedsParsingLimits(text)) {
+    throw ParseError(std::string(document), "", "fewer values, nested less deeply");
   }
   nlohmann::json parsed = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (parsed.is_discarded()) {
--- a/source/common/json.h
+++ b/source/common/json.h
@@ -12,8 +12,8 @@
 // invalid input always results in a ParseError that names the document, the key and the expected value.
 namespace amaranthlane::json {
 
-// Parses `text`. Throws ParseError if it is not valid JSON or nested deeper than kMaxNesting. `document` names the kind
-// of message in the error.
+// Parses `text`. Throws ParseError if it is not valid JSON, nested deeper than kMaxNesting or of more than kMaxValues
+// values. `document` names the kind of message in the error.
 nlohmann::json Parse(std::string_view text, std::string_view document);
 
 // Parses text that holds the values of several writers. A value that can't be read is replaced as by
--- a/source/common/json_text.cc
+++ b/source/common/json_text.cc
@@ -63,8 +63,9 @@
 
 }  // namespace
 
-bool IsNestedTooDeeply(std::string_view text) {
+bool ExceedsParsingLimits(std::string_view text) {
   std::size_t depth = 0;
+  std::size_t values = 0;
   std::size_t position = 0;
   while (position < text.size()) {
     const char next = text[position];
@@ -75,6 +76,10 @@
     if (Opens(next) && ++depth > kMaxNesting) {
       return true;
     }
+    values += Opens(next) || next == ',' ? 1 : 0;
+    if (values > kMaxValues) {
+      return true;
+    }
     depth -= Closes(next) && depth > 0 ? 1 : 0;
     ++position;
   }
--- a/source/common/json_text.h
+++ b/source/common/json_text.h
@@ -13,8 +13,12 @@
 // recurse into it, so a document that is nested much deeper would exhaust the stack.
 constexpr std::size_t kMaxNesting = 64;
 
-// Whether arrays and objects are nested deeper than kMaxNesting.
-bool IsNestedTooDeeply(std::string_view text);
+// The largest number of values that a document may have, a container counted twice. A parsed value takes some hundred
+// bytes, however short its text.
+constexpr std::size_t kMaxValues = 1UL << 18U;
+
+// Whether arrays and objects are nested deeper than kMaxNesting, or there are more than kMaxValues values.
+bool ExceedsParsingLimits(std::string_view text);
 
 // Replaces each value that can't be represented, and nothing else: arrays and objects beyond kMaxNesting, numbers
 // beyond the range of a double and words that aren't JSON become null, and in a string that isn't valid the bytes
--- a/source/daemon/platform_client.cc
+++ b/source/daemon/platform_client.cc
@@ -4,6 +4,7 @@
 
 #include "common/error.h"
 #include "common/json.h"
+#include "common/list_reader.h"
 #include "logging/log.h"
 
 namespace amaranthlane::daemon {
@@ -16,6 +17,9 @@
 constexpr std::chrono::seconds kWatchTimeoutMargin{2};
 constexpr std::size_t kMaxPoolConnections = 4;
 constexpr char kDocument[] = "platform reply";
+constexpr char kObjects[] = "objects";
+constexpr char kVms[] = "vms";
+constexpr char kVersion[] = "version";
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusNotFound = 404;
 constexpr unsigned kStatusConflict = 409;
@@ -35,37 +39,28 @@
   return vm;
 }
 
-// Appends what `parse` reads from each element. An element that it rejects is left out, so that one invalid entry
-// doesn't hide the others. `name_key` is the member that names an element in the log.
+// Appends what `parse` reads from an element. An element that it rejects is left out, so that one invalid entry doesn't
+// hide the others. `name_key` is the member that names an element in the log.
 template <typename Element>
-void ParseElements(const Json& elements, Element (*parse)(const Json&), const char* name_key,
-                   std::vector<Element>& parsed, PlatformReply& reply) {
-  for (const Json& element : elements) {
-    try {
-      parsed.push_back(parse(element));
-    } catch (const ParseError& failure) {
-      ++reply.invalid_entries;
-      const bool named = element.is_object() && element.contains(name_key) && element[name_key].is_string();
-      logging::Write(
-          logging::Level::kWarning, "ignoring an invalid entry of the platform's reply",
-          {{"entry", named ? element[name_key].get<std::string>() : std::string()}, {"why", failure.what()}});
-    }
+void ParseElement(const Json& element, Element (*parse)(const Json&), const char* name_key,
+                  std::vector<Element>& parsed, PlatformReply& reply) {
+  try {
+    parsed.push_back(parse(element));
+  } catch (const ParseError& failure) {
+    ++reply.invalid_entries;
+    const bool named = element.is_object() && element.contains(name_key) && element[name_key].is_string();
+    logging::Write(logging::Level::kWarning, "ignoring an invalid entry of the platform's reply",
+                   {{"entry", named ? element[name_key].get<std::string>() : std::string()}, {"why", failure.what()}});
   }
 }
 
 void ParseSuccess(const Json& body, PlatformReply& reply) {
   const json::ObjectReader reader(body, kDocument);
   reply.status = PlatformStatus::kDone;
-  reply.version = reader.UnsignedOr("version", 0);
+  reply.version = reader.UnsignedOr(kVersion, 0);
   if (reader.Has("kind")) {
     reply.object = configuration::ParsePlatformObject(body);
   }
-  if (reader.Has("objects")) {
-    ParseElements(reader.Array("objects"), configuration::ParsePlatformObject, "name", reply.objects, reply);
-  }
-  if (reader.Has("vms")) {
-    ParseElements(reader.Array("vms"), ParseListedVm, "vm", reply.vms, reply);
-  }
 }
 
 void ParseConflict(const Json& body, PlatformReply& reply) {
@@ -105,8 +100,58 @@
   }
 }
 
+json::Selection ListSelection() {
+  return json::Members(
+      {{kObjects, json::Elements(json::Whole())}, {kVms, json::Elements(json::Whole())}, {kVersion, {}}});
+}
+
 }  // namespace
 
+// Reads the reply to a list or a watch as it arrives, entry by entry.
+class PlatformClient::ListReply {
+ public:
+  ListReply()
+      : reader(ListSelection(), kDocument,
+               [this](std::string_view list, const Json& element) { this->ReadElement(list, element); }) {}
+
+  void Append(std::string_view part) {
+    try {
+      if (this->readable) {
+        this->reader.Append(part);
+      }
+    } catch (const ParseError&) {
+      this->readable = false;
+    }
+  }
+
+  PlatformReply Finish(const net::CallResult& result) {
+    if (result.status != net::CallStatus::kAnswered || result.response.status != kStatusOk || !this->readable) {
+      PlatformReply failed;
+      failed.status = result.status == net::CallStatus::kNotSent ? PlatformStatus::kNotSent : PlatformStatus::kUnknown;
+      return failed;
+    }
+    try {
+      ParseSuccess(this->reader.Finish(), this->reply);
+      return std::move(this->reply);
+    } catch (const ParseError&) {
+      return PlatformReply{};
+    }
+  }
+
+ private:
+  void ReadElement(std::string_view list, const Json& element) {
+    if (list == kObjects) {
+      ParseElement(element, configuration::ParsePlatformObject, "name", this->reply.objects, this->reply);
+    } else {
+      ParseElement(element, ParseListedVm, "vm", this->reply.vms, this->reply);
+    }
+  }
+
+  PlatformReply reply;
+  json::ListReader reader;
+  bool readable = true;
+};
+
 PlatformClient::PlatformClient(boost::asio::io_context& loop, const net::Address& address, metrics::Registry& metrics,
                                ControlTraffic& traffic)
     : loop(loop),
@@ -131,12 +176,13 @@
 
 void PlatformClient::List(const std::string& kind, Callback callback) {
   ++this->reads.value;
-  this->Call(net::HttpRequest{"GET", "/v1/objects/" + net::EncodePathSegment(kind), {}, {}}, std::move(callback));
+  this->CallForList(net::HttpRequest{"GET", "/v1/objects/" + net::EncodePathSegment(kind), {}, {}},
+                    std::move(callback));
 }
 
 void PlatformClient::ListVms(Callback callback) {
   ++this->reads.value;
-  this->Call(net::HttpRequest{"GET", "/v1/vms", {}, {}}, std::move(callback));
+  this->CallForList(net::HttpRequest{"GET", "/v1/vms", {}, {}}, std::move(callback));
 }
 
 void PlatformClient::Put(const std::string& kind, const std::string& name, ObjectVersion expected_version,
@@ -166,13 +212,16 @@
     this->watch = std::make_shared<net::HttpConnection>(this->loop, this->pool.Target());
   }
   const std::uint64_t watch_id = ++this->latest_watch_id;
-  this->watch->Call(net::HttpRequest{"GET", target, {}, {}}, BootClock::now() + wait + kWatchTimeoutMargin,
-                    [this, watch_id, callback = std::move(callback)](const net::CallResult& result) {
-                      PlatformReply reply = this->ProcessResult(result);
-                      if (watch_id == this->latest_watch_id) {
-                        callback(std::move(reply));
-                      }
-                    });
+  const auto list = std::make_shared<ListReply>();
+  this->watch->Call(
+      net::HttpRequest{"GET", target, {}, {}}, BootClock::now() + wait + kWatchTimeoutMargin,
+      [this, watch_id, list, callback = std::move(callback)](const net::CallResult& result) {
+        PlatformReply reply = this->CountReply(result, list->Finish(result));
+        if (watch_id == this->latest_watch_id) {
+          callback(std::move(reply));
+        }
+      },
+      [list](std::string_view part) { list->Append(part); });
 }
 
 void PlatformClient::CloseWatch() {
@@ -184,14 +233,24 @@
 }
 
 void PlatformClient::Call(net::HttpRequest request, Callback callback) {
+  this->pool.Call(std::move(request), BootClock::now() + kCallTimeout,
+                  [this, callback = std::move(callback)](const net::CallResult& result) {
+                    callback(this->CountReply(result, ToReply(result)));
+                  });
+}
+
+void PlatformClient::CallForList(net::HttpRequest request, Callback callback) {
+  const auto list = std::make_shared<ListReply>();
   this->pool.Call(
       std::move(request), BootClock::now() + kCallTimeout,
-      [this, callback = std::move(callback)](const net::CallResult& result) { callback(this->ProcessResult(result)); });
+      [this, list, callback = std::move(callback)](const net::CallResult& result) {
+        callback(this->CountReply(result, list->Finish(result)));
+      },
+      [list](std::string_view part) { list->Append(part); });
 }
 
-PlatformReply PlatformClient::ProcessResult(const net::CallResult& result) {
+PlatformReply PlatformClient::CountReply(const net::CallResult& result, PlatformReply reply) {
   this->traffic.CountCall(kPlatformTraffic, result);
-  PlatformReply reply = ToReply(result);
   this->invalid_entries.value += reply.invalid_entries;
   return reply;
 }
--- a/source/daemon/platform_client.h
+++ b/source/daemon/platform_client.h
@@ -65,9 +65,13 @@
   void CloseWatch();
 
  private:
-  // Parses the result of a call and counts it.
-  PlatformReply ProcessResult(const net::CallResult& result);
+  class ListReply;
+
+  // Counts the call and its reply, and returns the reply.
+  PlatformReply CountReply(const net::CallResult& result, PlatformReply reply);
   void Call(net::HttpRequest request, Callback callback);
+  // The same for a reply with any number of entries.
+  void CallForList(net::HttpRequest request, Callback callback);
 
   boost::asio::io_context& loop;
   net::HttpPool pool;
--- a/source/net/http_connection.cc
+++ b/source/net/http_connection.cc
@@ -23,7 +23,10 @@
 // For calls with a later deadline, or none.
 constexpr std::chrono::milliseconds kMaxTransmissionTime{60'000};
 
-HttpResponse ToResponse(http::response<http::string_body> message) {
+// A response whose body stops arriving for this long has failed.
+constexpr std::chrono::milliseconds kBodyProgressTimeout{1500};
+
+HttpResponse ToResponse(http::response<ReceivedBody> message) {
   HttpResponse response;
   response.status = message.result_int();
   response.content_type = message[http::field::content_type].to_string();
@@ -32,7 +35,7 @@
       response.headers.push_back(HttpHeader{field.name_string().to_string(), field.value().to_string()});
     }
   }
-  response.body = std::move(message.body());
+  response.body = std::move(message.body().text);
   return response;
 }
 
@@ -41,7 +44,7 @@
 HttpConnection::HttpConnection(boost::asio::io_context& loop, const Address& address)
     : socket(loop), timer(loop), target(boost::asio::ip::make_address(address.ip), address.port) {}
 
-void HttpConnection::Call(HttpRequest request, TimePoint deadline, Callback callback) {
+void HttpConnection::Call(HttpRequest request, TimePoint deadline, Callback callback, BodySink sink) {
   if (this->Busy() || !this->Usable()) {
     if (!this->Busy()) {
       this->Close();
@@ -59,6 +62,7 @@
     return;
   }
   this->callback = std::move(callback);
+  this->sink = std::move(sink);
   this->write_started = false;
   this->sent_bytes = 0;
   this->received_bytes = 0;
@@ -166,7 +170,18 @@
 
 void HttpConnection::Read() {
   this->incoming.emplace();
-  this->incoming->body_limit(kMaxBodyBytes);
+  if (this->sink) {
+    this->incoming->body_limit(boost::none);
+    this->incoming->get().body().sink = [this](std::string_view part) {
+      // A part that was read when the connection was closed belongs to no call.
+      if (this->sink) {
+        this->deadline = std::max(this->deadline, BootClock::now() + kBodyProgressTimeout);
+        this->sink(part);
+      }
+    };
+  } else {
+    this->incoming->body_limit(kMaxBodyBytes);
+  }
   http::async_read(this->socket, this->buffer, *this->incoming,
                    [self = this->shared_from_this()](boost::system::error_code error, std::size_t bytes) {
                      if (self->closed) {
@@ -223,6 +238,7 @@
     return;
   }
   const Callback completed_callback = std::exchange(this->callback, nullptr);
+  this->sink = nullptr;
   completed_callback(CallResult{status, std::move(response), this->sent_bytes, this->received_bytes, this->refused});
 }
 
--- a/source/net/http_connection.h
+++ b/source/net/http_connection.h
@@ -15,6 +15,7 @@
 #include "common/boot_clock.h"
 #include "net/address.h"
 #include "net/http_message.h"
+#include "net/received_body.h"
 
 namespace amaranthlane::net {
 
@@ -56,7 +57,9 @@
   // Sends a request and passes its result to `callback`. `deadline` covers connecting, sending and receiving together.
   // A call made while another is in progress, or on a connection that isn't usable, ends as kNotSent. So does a request
   // with an invalid part; it leaves the connection usable.
-  void Call(HttpRequest request, TimePoint deadline, Callback callback);
+  // If `sink` is set, it receives the body of the response, of any size, in place of the response passed to `callback`;
+  // the deadline moves on while the body arrives, to kBodyProgressTimeout after each part.
+  void Call(HttpRequest request, TimePoint deadline, Callback callback, BodySink sink = {});
 
   // Closes the connection at once. A call in progress ends as kBroken, or as kNotSent if nothing was sent.
   void Close();
@@ -87,8 +90,9 @@
   boost::asio::ip::tcp::endpoint target;
   boost::beast::flat_buffer buffer;
   boost::beast::http::request<boost::beast::http::string_body> outgoing;
-  std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> incoming;
+  std::optional<boost::beast::http::response_parser<ReceivedBody>> incoming;
   Callback callback;
+  BodySink sink;
   TimePoint deadline = kNever;
   std::size_t sent_bytes = 0;
   std::size_t received_bytes = 0;
--- a/source/net/http_pool.cc
+++ b/source/net/http_pool.cc
@@ -24,8 +24,8 @@
   this->state->waiting_calls.clear();
 }
 
-void HttpPool::Call(HttpRequest request, TimePoint deadline, HttpConnection::Callback callback) {
-  WaitingCall call{std::move(request), deadline, std::move(callback)};
+void HttpPool::Call(HttpRequest request, TimePoint deadline, HttpConnection::Callback callback, BodySink sink) {
+  WaitingCall call{std::move(request), deadline, std::move(callback), std::move(sink)};
   if (const std::shared_ptr<HttpConnection> connection = TakeIdleConnection(this->state)) {
     StartCall(this->state, connection, std::move(call));
     return;
@@ -43,15 +43,17 @@
 void HttpPool::StartCall(const std::shared_ptr<State>& state, const std::shared_ptr<HttpConnection>& connection,
                          WaitingCall call) {
   HttpConnection::Callback callback = std::move(call.callback);
-  connection->Call(std::move(call.request), call.deadline,
-                   [state, connection, callback = std::move(callback)](CallResult result) {
-                     if (result.status == CallStatus::kTimedOut) {
-                       CloseIdleConnections(state);
-                     }
-                     // The connection returns to the pool in a handler of its own, which runs after the callback.
-                     boost::asio::post(state->loop, [state, connection] { Release(state, connection); });
-                     callback(std::move(result));
-                   });
+  connection->Call(
+      std::move(call.request), call.deadline,
+      [state, connection, callback = std::move(callback)](CallResult result) {
+        if (result.status == CallStatus::kTimedOut) {
+          CloseIdleConnections(state);
+        }
+        // The connection returns to the pool in a handler of its own, which runs after the callback.
+        boost::asio::post(state->loop, [state, connection] { Release(state, connection); });
+        callback(std::move(result));
+      },
+      std::move(call.sink));
 }
 
 std::shared_ptr<HttpConnection> HttpPool::TakeIdleConnection(const std::shared_ptr<State>& state) {
--- a/source/net/http_pool.h
+++ b/source/net/http_pool.h
@@ -20,7 +20,8 @@
   HttpPool(const HttpPool&) = delete;
   HttpPool& operator=(const HttpPool&) = delete;
 
-  void Call(HttpRequest request, TimePoint deadline, HttpConnection::Callback callback);
+  // As HttpConnection::Call.
+  void Call(HttpRequest request, TimePoint deadline, HttpConnection::Callback callback, BodySink sink = {});
 
   const Address& Target() const;
 
@@ -29,6 +30,7 @@
     HttpRequest request;
     TimePoint deadline;
     HttpConnection::Callback callback;
+    BodySink sink;
   };
   struct State;
 
--- a/tests/common/json_test.cc
+++ b/tests/common/json_test.cc
@@ -39,6 +39,20 @@
   EXPECT_NO_THROW(Parse("\"" + std::string(250000, '[') + "\"", "sample"));
 }
 
+// Guards against a message of legal size whose values take many times its length.
+TEST(JsonTest, RejectsMoreValuesThanTheLimit) {
+  const auto list = [](std::size_t count) {
+    std::string text = "[{}";
+    for (std::size_t added = 1; added < count; ++added) {
+      text += ",{}";
+    }
+    return text + "]";
+  };
+  EXPECT_NO_THROW(Parse(list(kMaxValues / 2), "sample"));
+  EXPECT_THROW(Parse(list(kMaxValues / 2 + 1), "sample"), ParseError);
+  EXPECT_NO_THROW(Parse("\"" + std::string(2 * kMaxValues, ',') + "\"", "sample"));
+}
+
 TEST(JsonTest, ReplacesOnlyUnreadableValues) {
   const std::string deep = std::string(250000, '[') + std::string(250000, ']');
   const nlohmann::json value = ParseSharedDocument(R"({"a":[1,-2.5e3,true,null,"\"[{"],"deep":{"x":)" + deep +
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -4,7 +4,7 @@
 
 #include "common/error.h"
 #include "common/json.h"
-#include "platform/store_client.h"
+#include "platform/stored_object.h"
 
 namespace amaranthlane::platform {
 namespace {
--- a/tests/platform/object_watcher_test.cc
+++ b/tests/platform/object_watcher_test.cc
@@ -53,7 +53,7 @@
                [this](const net::HttpRequest& request, net::HttpServer::ResponseCallback answer) {
                  this->Serve(request, std::move(answer));
                }),
-        watcher(this->loop, this->address, "things", [this](const ObjectSnapshot& snapshot) {
+        watcher(this->loop, this->address, ObjectKind{"things", json::Whole()}, [this](const ObjectSnapshot& snapshot) {
           this->received = snapshot.objects;
           this->as_of_revision = snapshot.as_of.revision;
         }) {
