proxy: use only endpoints of groups that a configuration has named

An entry of another writer may be valid and name a service that isn't there. Each such entry got a pool, connection attempts from every VM, its own status queries, and its group a place in the coordination record and changes of primary: connections and memory grew with entries that name no instance to use.

Now the directory holds all valid entries, so that one revision has one content on all VMs, and what is used of it are the groups that a configuration has named since the process started. When one names a group for the first time its endpoints are added; for how long they have been draining isn't known then, so a draining one gets no new work. Ruled out: leaving such entries out of the directory, since VMs with different configurations would hold different directories of one revision.

NodeTest.EndpointsOfAGroupThatNoConfigurationNamesAreNotUsed: the endpoint had connections and its group was in the record before.

--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -326,7 +326,12 @@
   for (const auto& [group, group_settings] : this->configuration->groups) {
     this->synchronous_replicas[group] = group_settings.synchronous_replicas;
   }
-  this->failover.OnDirectory(this->known_directory, this->synchronous_replicas, BootClock::now());
+  if (this->AddNamedGroups(update) && this->directory_known) {
+    // For how long the endpoints of the new groups have been draining isn't known.
+    this->UseDirectory(TimePoint());
+  } else {
+    this->failover.OnDirectory(this->known_directory, this->synchronous_replicas, BootClock::now());
+  }
 }
 
 const StatementCodec& Node::Codec() const { return this->codec; }
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -111,6 +111,12 @@
 
   // node_endpoints.cc
   void OnDirectory(DirectorySnapshot update);
+  // Returns true if the configuration names a group that none before has named.
+  bool AddNamedGroups(const Configuration& update);
+  // The entries of the directory whose group a configuration has named. Another writer may have left any others.
+  failover::EndpointDirectory EndpointsOfNamedGroups() const;
+  // Adds, changes and removes endpoints by the directory. `former_current_at` as for EndpointPool::SetEndpoint.
+  void UseDirectory(TimePoint former_current_at);
   void TickEndpoints(TimePoint now);
   // `former_current_at` as for EndpointPool::SetEndpoint.
   void AddEndpoint(const failover::EndpointEntry& entry, TimePoint former_current_at, TimePoint now);
@@ -191,7 +197,10 @@
   bool directory_known = false;
   DirectorySnapshot directory;
   DirectoryChangeLog directory_change_log;
-  // The directory with what this VM knows besides: endpoints that had begun to drain before a restore of the store.
+  // The groups that a configuration has named since the process started.
+  std::set<GroupName> named_groups;
+  // The endpoints of these groups, with what this VM knows besides: those that had begun to drain before a restore of
+  // the store.
   failover::EndpointDirectory known_directory;
   DrainingEndpoints draining_endpoints;
   // True when a peer's changes could not be applied to this VM's directory.
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -68,11 +68,35 @@
     this->store_sync.SetDirectory(this->directory.revision, this->store_sync.Versions().directory_digest);
     return;
   }
-  const TimePoint now = BootClock::now();
-  const TimePoint former_current_at = this->store_sync.Currency().directory_at;
   this->directory_known = true;
   this->store_sync.SetDirectory(this->directory.revision, failover::DirectoryDigest(this->directory.endpoints));
-  this->known_directory = this->draining_endpoints.Apply(this->directory.endpoints);
+  this->UseDirectory(this->store_sync.Currency().directory_at);
+}
+
+bool Node::AddNamedGroups(const Configuration& update) {
+  const std::size_t former_count = this->named_groups.size();
+  for (const auto& [group, group_settings] : update.groups) {
+    this->named_groups.insert(group);
+  }
+  for (const auto& [database, route] : update.routes) {
+    this->named_groups.insert(route.group);
+  }
+  return this->named_groups.size() > former_count;
+}
+
+failover::EndpointDirectory Node::EndpointsOfNamedGroups() const {
+  failover::EndpointDirectory endpoints;
+  for (const auto& [name, entry] : this->directory.endpoints) {
+    if (this->named_groups.count(entry.group) > 0) {
+      endpoints.emplace(name, entry);
+    }
+  }
+  return endpoints;
+}
+
+void Node::UseDirectory(TimePoint former_current_at) {
+  const TimePoint now = BootClock::now();
+  this->known_directory = this->draining_endpoints.Apply(this->EndpointsOfNamedGroups());
   const failover::EndpointDirectory& update = this->known_directory;
   this->failover.OnDirectory(update, this->synchronous_replicas, now);
   for (const auto& [name, entry] : update) {
--- a/tests/proxy/node_test.cc
+++ b/tests/proxy/node_test.cc
@@ -203,6 +203,22 @@
   EXPECT_EQ(this->SendAndWait(*caller, "write w1"), std::string("row e1 w1\n") + kDone);
 }
 
+// Guards against connections to, and changes of primary for, any number of entries that another writer has left.
+TEST_F(NodeTest, EndpointsOfAGroupThatNoConfigurationNamesAreNotUsed) {
+  FakeGroup unnamed{"h", {}, "h1", 1};
+  FakeEndpoint endpoint(this->loop, unnamed, "h1");
+  this->store.directory.endpoints.emplace("h1", endpoint.Entry());
+  this->store.Publish();
+  this->RunFor(milliseconds(800));
+  EXPECT_EQ(endpoint.OpenConnections(), 0U);
+  EXPECT_EQ(this->store.Record()->groups.count("h"), 0U);
+  ++this->store.configuration.version;
+  this->store.configuration.groups["h"] = this->store.configuration.groups.at("g");
+  this->store.Publish();
+  EXPECT_TRUE(this->RunUntil([this] { return this->store.Record()->groups.count("h") > 0; }));
+  EXPECT_GT(endpoint.OpenConnections(), 0U);
+}
+
 TEST_F(NodeTest, ADrainingPrimaryIsReplacedWithoutALostWrite) {
   const auto caller = this->Open(1, "exact");
   this->endpoints[0]->draining = true;
