soak: series of foreign entries, lists in pages, and a limit of memory

Another writer now leaves series of up to 12 entries near the store's limit of 1 MiB, or up to 800 small ones, at once or at a pace, and removes them; lists come in pages; MEMORY: no process may take more than 160 MB, the memory of the users' smallest VMs. The store's stand-in forgets copies of more than 20 s, which no restore reaches.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -16,6 +16,7 @@
 
 from callers import BusyCaller, Caller
 from configuration import CONTACT_S, ConfigurationChanges, Probe
+from foreign_entries import ForeignWriter
 from hostile_callers import HostileCaller
 from links import Link
 from organisations import REVOCABLE_MARKER, FloodCaller, KeyProbe, OperationWindow, key_of, organisation_of, tenants
@@ -28,6 +29,8 @@
 # A VM that no fault has affected for CONTACT_S sends no new work to an endpoint that has drained for this time. The
 # users' bound at their smallest deployments.
 DRAIN_S = 7
+# The memory of the smallest VMs of the users.
+MEMORY_MB = 160
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
 
 
@@ -92,6 +95,14 @@
         if self.process and self.process.returncode not in (None, 0, -signal.SIGKILL):
             self.crashes.append(self.process.returncode)
 
+    def resident_mb(self):
+        """The physical memory that the process takes; 0 if it doesn't run."""
+        try:
+            pages = int(pathlib.Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        except (AttributeError, OSError, IndexError):
+            return 0
+        return pages * os.sysconf("SC_PAGESIZE") / (1 << 20)
+
     def send_signal(self, number):
         if number == signal.SIGKILL:
             self.killed = self.process
@@ -112,7 +123,7 @@
         self.platform = Platform(self.groups)
         self.platform.random = random.Random(seed + 1)
         self.vms = [Vm(number, folder, daemon) for number in range(vms)]
-        self.links, self.faults = [], []
+        self.links, self.faults, self.begin = [], [], None
         self.changes = ConfigurationChanges(self.platform, self.groups, seed)
         # When a fault of the store, or of a link that it doesn't share with one VM alone, was last in effect.
         self.store_disturbed_at = 0.0
@@ -133,6 +144,10 @@
         self.limited_operations = OperationWindow(self.groups[0].report_violation)
         if self.has_organisations:
             self.changes.tenants, self.changes.key_marker = tenants, REVOCABLE_MARKER
+        # The same for the entries of another writer.
+        self.foreign_writer = ForeignWriter(self.platform, random.Random(seed + 9), self.note_fault)
+        # The most memory that each VM's processes have taken.
+        self.peak_mb = {vm.name: 0 for vm in self.vms}
         # The directory entries that the endpoints have written, by name.
         self.published = {}
         for group in self.groups:
@@ -158,6 +173,8 @@
         self.tasks = [asyncio.create_task(group.run_replication()) for group in self.groups]
         self.tasks.append(asyncio.create_task(self.publish_endpoints()))
         self.tasks.append(asyncio.create_task(self.platform.leave_odd_entries()))
+        self.tasks.append(asyncio.create_task(self.foreign_writer.run()))
+        self.tasks.append(asyncio.create_task(self.watch_memory()))
         self.changes.publish(())
         self.tasks.append(asyncio.create_task(self.changes.run()))
         await asyncio.gather(*(vm.start() for vm in self.vms))
@@ -187,6 +204,16 @@
                     e.draining_since = time.monotonic() if e.draining else None
             await asyncio.sleep(0.1)
 
+    async def watch_memory(self):
+        """Notes the most memory of each VM, which none of its callers and of the store's writers may drive beyond the limit."""
+        while True:
+            for vm in self.vms:
+                self.peak_mb[vm.name] = max(self.peak_mb[vm.name], vm.resident_mb())
+            await asyncio.sleep(0.05)
+
+    def note_fault(self, text):
+        self.faults.append(f"{time.monotonic() - self.begin:.2f} s {text}" if self.begin else text)
+
     def undisturbed_since(self, vm):
         """The time since which no fault has affected the VM, its links or the store."""
         return max(vm.disturbed_at, self.store_disturbed_at)
@@ -468,6 +495,8 @@
             self.groups[0].report_violation("RECOVER: no operation succeeded after the last fault")
         self.groups[0].violations += self.changes.violations
         for vm in self.vms:
+            if self.peak_mb[vm.name] > MEMORY_MB:
+                self.groups[0].report_violation(f"MEMORY: {vm.name} took {self.peak_mb[vm.name]:.0f} MB of {MEMORY_MB}")
             vm.note_end()
             if vm.crashes:
                 self.groups[0].report_violation(f"ENDED: {vm.name} ended by itself with {vm.crashes}")
@@ -506,7 +535,7 @@
     violations = [violation for group in soak.groups for violation in group.violations]
     promotions = sum(len(group.promotions) for group in soak.groups)
     print(f"seed {seed}: {len(soak.vms)} VMs, {len(soak.groups)} groups, {soak.groups[0].connections} connections, "
-          f"{soak.totals}, {promotions} promotions, {len(soak.faults)} faults, {len(violations)} violations",
+          f"{soak.totals}, {promotions} promotions, {len(soak.faults)} faults, up to {max(soak.peak_mb.values()):.0f} MB, {len(violations)} violations",
           flush=True)
     if violations:
         print("  faults: " + "; ".join(soak.faults))
--- a/soak/wire_platform.py
+++ b/soak/wire_platform.py
@@ -17,6 +17,9 @@
 # A write whose answer is lost may be executed up to this much later, if its condition still holds then.
 LATE_WRITE_S = 5
 
+# The store can be restored to a copy of at most this age.
+COPY_AGE_S = 20
+
 MAX_MESSAGE_BYTES = 1 << 20
 # What an endpoint takes for the end of a message: CR LF, as the wire protocol has it, or more than that.
 STRICT_END = re.compile(b"\r\n")
@@ -321,6 +324,32 @@
              '{"service":"g","address":"[::1]:1","slots":5,"state":"ready","db_role":"replica"}']
 
 
+# A list is answered in pages of about this size.
+PAGE_ITEMS, PAGE_BYTES = 500, 1 << 20
+
+
+class SpecText(str):
+    """A spec as another writer spelled it, which need not be a JSON value."""
+
+
+def encode(document):
+    """The document as JSON, in which each SpecText stands as it is."""
+    texts = []
+
+    def place(value):
+        if isinstance(value, SpecText):
+            texts.append(value)
+            return f"spec text {len(texts) - 1}"
+        if isinstance(value, dict):
+            return {name: place(member) for name, member in value.items()}
+        return [place(element) for element in value] if isinstance(value, list) else value
+
+    encoded = json.dumps(place(document))
+    if texts:
+        encoded = re.sub('"spec text ([0-9]+)"', lambda found: texts[int(found.group(1))], encoded)
+    return encoded
+
+
 class Platform:
     """The object store and the promotion call, on one HTTP port."""
 
@@ -344,18 +373,28 @@
                 "finalizers": [], "deletion_started": False}
         self.objects[(kind, name)] = {"meta": meta, "spec": spec, "status": None}
         self.history.append((self.revision, kind, {"object": self.objects[(kind, name)], "deleted": False}))
-        self.copies.append((time.monotonic(), dict(self.objects), self.revision))
+        self.keep_copy()
         self.notify()
         return self.objects[(kind, name)]
 
+    def put_text(self, kind, name, text):
+        """Writes an object whose spec has this text."""
+        return self.put(kind, name, SpecText(text))
+
     def delete(self, kind, name):
         self.revision += 1
         removed = self.objects.pop((kind, name))
         removed = {**removed, "meta": {**removed["meta"], "revision": self.revision}}
         self.history.append((self.revision, kind, {"object": removed, "deleted": True}))
-        self.copies.append((time.monotonic(), dict(self.objects), self.revision))
+        self.keep_copy()
         self.notify()
 
+    def keep_copy(self):
+        now = time.monotonic()
+        while len(self.copies) > 1 and self.copies[1][0] < now - COPY_AGE_S:
+            self.copies.pop(0)
+        self.copies.append((now, dict(self.objects), self.revision))
+
     def notify(self):
         self.changed.set()
         self.changed = asyncio.Event()
@@ -395,7 +434,7 @@
                 status, answer = (503, {}) if self.mode == "refuse" else await self.handle(method, target, body, headers)
                 if method in ("PUT", "POST") and self.random and self.random.random() < self.lost_share:
                     return
-                text = json.dumps(answer)
+                text = encode(answer)
                 for number, spec in enumerate(ODD_SPECS):
                     text = text.replace(f'"odd spec {number}"', spec)
                 data = text.encode()
@@ -423,10 +462,21 @@
         if method == "GET" and "watch" in query:
             return await self.watch(kind, int(query["watch"]), int(query["wait_ms"]) / 1000)
         if method == "GET":
-            items = [o for (k, _), o in sorted(self.objects.items()) if k == kind]
-            return 200, {"items": items, "has_more": False, "as_of_rev": self.revision}
+            return 200, self.page(kind, query.get("after", ""))
         return self.write(method, target, body)
 
+    def page(self, kind, after):
+        """The objects of a kind that follow a name, as many as a list shows at a time."""
+        following = sorted(name for k, name in self.objects if k == kind and name > after)
+        items, size = [], 0
+        for name in following:
+            item = self.objects[(kind, name)]
+            size += len(item["spec"]) if isinstance(item["spec"], str) else len(json.dumps(item))
+            if items and (len(items) == PAGE_ITEMS or size > PAGE_BYTES):
+                break
+            items.append(item)
+        return {"items": items, "has_more": len(items) < len(following), "as_of_rev": self.revision}
+
     def write(self, method, target, body):
         parts = urllib.parse.urlsplit(target).path.strip("/").split("/")
         document = json.loads(body)
