proxy: nothing of a transaction runs whose BEGIN was refused

A client that sends BEGIN, a write and COMMIT ahead in one piece was told RETRY for the BEGIN, which promises that nothing of the attempt is kept, and the write was committed by itself.

Cause: a BEGIN that had been held back for a newer configuration and was then refused left the session idle, so the statements behind it in the stream ran as statements of their own. Ruled out: telling apart what was sent before the refusal, as it may still be on its way.

Now the refused BEGIN begins a transaction that has failed: state E, MALFORMED until it is ended, ABORTED for its COMMIT.

RelayedConfigurationTest.NothingOfARefusedTransactionRuns: without the change "failure 0, row e1 w1, no transaction is open" and one entry in the log; with it none.

--- a/source/proxy/caller_session.cc
+++ b/source/proxy/caller_session.cc
@@ -212,10 +212,20 @@
     this->operation->statement = std::move(*this->held_statement);
     this->operation->received_at = this->hold_deadline - kStatementHoldTimeout;
     this->held_statement.reset();
+    this->FailRefusedTransaction();
     this->OnRefusal({"this VM does not have the newest configuration", kStatementHoldTimeout});
   }
 }
 
+void CallerSession::FailRefusedTransaction() {
+  const Statement& refused = this->operation->statement;
+  if (refused.kind == StatementKind::kBegin || refused.kind == StatementKind::kBeginReadOnly) {
+    this->transaction = Transaction{};
+    this->transaction->begin_statement = refused;
+    this->transaction->idle_since = BootClock::now();
+  }
+}
+
 void CallerSession::OnStatement(const Statement& statement) {
   if (this->transaction && this->transaction->failed && statement.kind != StatementKind::kCommit &&
       statement.kind != StatementKind::kRollback) {
--- a/source/proxy/caller_session.h
+++ b/source/proxy/caller_session.h
@@ -113,6 +113,9 @@
   // True when the route in force decides how the statement is served, so that it must be the newest one.
   bool DependsOnRoute(const statements::Statement& statement) const;
   void ServeHeldStatement(TimePoint now);
+  // Begins a transaction that has failed if the operation's statement is a BEGIN, which is then refused. The statements
+  // that its caller has sent ahead would run by themselves otherwise, though nothing of the transaction may be kept.
+  void FailRefusedTransaction();
   void OnStatement(const statements::Statement& statement);
   void OnBegin(const statements::Statement& statement);
   void OnSessionChange(const statements::Statement& statement);
--- a/tests/proxy/relayed_configuration_test.cc
+++ b/tests/proxy/relayed_configuration_test.cc
@@ -104,6 +104,24 @@
   EXPECT_EQ(caller.received.rfind("failure", 0), 0U) << caller.received;
 }
 
+// Guards against a write that runs by itself, though its caller sent it ahead in a transaction that was refused.
+TEST_F(RelayedConfigurationTest, NothingOfARefusedTransactionRuns) {
+  std::size_t vm = 0;
+  while (!this->vms[vm].node->GatewaysFor("g", {}).empty()) {
+    ++vm;
+  }
+  const auto caller = this->Open(vm, "exact");
+  this->Change([](Configuration& configuration) { configuration.routes["fresh"] = configuration.routes["exact"]; });
+  this->vms[vm].node->LearnConfiguration({this->store.configuration.version, "127.0.0.1:1"});
+  const std::size_t answered = caller->ready_count;
+  caller->Send("begin b1\nwrite w1\ncommit c1");
+  ASSERT_TRUE(this->RunUntil([&] { return caller->ready_count > answered; }));
+  EXPECT_EQ(caller->received.rfind("failure", 0), 0U) << caller->received;
+  this->Apply(vm);
+  ASSERT_TRUE(this->RunUntil([&] { return caller->ready_count == answered + 3; }));
+  EXPECT_TRUE(this->group.log.empty()) << caller->received;
+}
+
 // Guards against VMs that keep an old configuration because they learn only from members, none of which has the store.
 TEST_F(LargeFleetTest, AConfigurationIsInForceInTimeWhenNoMemberHasTheStore) {
   constexpr milliseconds kInForceTime{3000};
