soak: the configuration's probe reads an answer to its end

Cause: the probe returned at ERROR RETRY, DENIED or NOSUCHDB without the READY that follows and took it, and from then on each answer, for that of the next request, so it judged an answer by another request's time.

It now reads up to READY. Only a refused opening has none, and a session that ends after an error, or doesn't go on within 4 s, ends the answer. No error is judged less: each is passed on as before, with the request that it answers.

--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -145,7 +145,7 @@
                     # The routes of these databases lead to the first group.
                     self.soak.groups[0].sent.add(f"{self.name}q{self.count}", text)
                 writer.write(f"{text if opening else f'QUERY {self.name}q{self.count} {text}'}\r\n".encode())
-                error, rows = await self.read_answer(reader)
+                error, rows = await self.read_answer(reader, opening)
                 if error in ("NOSUCHDB", "DENIED") or (error is None and rows):
                     self.changes.check(vm, process, subject, error is None, sent_at, undisturbed_since)
                 if error is not None and (opening or error in ("NOSUCHDB", "DENIED")):
@@ -154,16 +154,21 @@
         finally:
             writer.close()
 
-    async def read_answer(self, reader):
+    async def read_answer(self, reader, opening):
+        """Reads up to the end of an answer: its READY, a refusal to open the session, or the end of the session after an
+        error. What is left unread would be taken for the answer to the next request."""
         rows = 0
         error = None
         while True:
-            line = (await asyncio.wait_for(reader.readuntil(b"\r\n"), 4)).decode("latin-1")
+            try:
+                line = (await asyncio.wait_for(reader.readuntil(b"\r\n"), 4)).decode("latin-1")
+            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+                if error is None:
+                    raise
+                return error, rows
             word, _, rest = line[:-2].partition(" ")
             rows += word == "ROW"
             if word == "ERROR":
                 error = rest.partition(" ")[0]
-                if error in ("NOSUCHDB", "RETRY", "DENIED"):
-                    return error, rows
-            elif word == "READY":
+            if word == "READY" or (word == "ERROR" and opening):
                 return error, rows
