--- a/source/net/http_connection.h
+++ b/source/net/http_connection.h
@@ -57,8 +57,8 @@
   // Sends a request and passes its result to `callback`. `deadline` covers connecting, sending and receiving together.
   // A call made while another is in progress, or on a connection that isn't usable, ends as kNotSent. So does a request
   // with an invalid part; it leaves the connection usable.
-  // If `sink` is set, it receives the body of the response, of any size, in place of the response passed to `callback`;
-  // the deadline moves on while the body arrives, to kBodyProgressTimeout after each part.
+  // If `sink` is set, it receives the body of the response, of any size, in place of the response passed to `callback`.
+  // While the body arrives the deadline moves on, to 1.5 s after each part.
   void Call(HttpRequest request, TimePoint deadline, Callback callback, BodySink sink = {});
 
   // Closes the connection at once. A call in progress ends as kBroken, or as kNotSent if nothing was sent.
