--- a/tests/platform/platform_adapter_test.cc
+++ b/tests/platform/platform_adapter_test.cc
@@ -86,6 +86,62 @@
   EXPECT_TRUE(this->RunUntil([this] { return this->directory.endpoints.at("e1").draining; }));
 }
 
+// Guards against an entry that is hidden for good once another writer has changed it, or that stays as it was before.
+TEST_F(PlatformAdapterTest, AnEntryIsLeftOutUntilItIsRepaired) {
+  this->store.Put("servers", "e2", EndpointSpec("ready", 2));
+  for (const nlohmann::json& odd : {nlohmann::json(nullptr), nlohmann::json::array({1, 2}), EndpointSpec("odd", 2)}) {
+    this->store.Put("servers", "e1", odd);
+    ASSERT_TRUE(this->RunUntil([this] { return this->directory.endpoints.count("e1") == 0; })) << odd;
+    EXPECT_EQ(this->directory.invalid_entries, 1U);
+    EXPECT_EQ(this->directory.endpoints.count("e2"), 1U);
+    this->store.Put("servers", "e1", EndpointSpec("draining", 5));
+    ASSERT_TRUE(this->RunUntil([this] { return this->directory.endpoints.count("e1") == 1; })) << odd;
+    EXPECT_EQ(this->directory.endpoints.at("e1").slots, 5U);
+    EXPECT_EQ(this->directory.invalid_entries, 0U);
+  }
+}
+
+// Guards against a copy that keeps an unusable entry's former state when the store is restored.
+TEST_F(PlatformAdapterTest, FollowsARestoredStoreBesideForeignEntries) {
+  for (int number = 0; number < 50; ++number) {
+    this->store.Put("servers", "foreign-" + std::to_string(number), nlohmann::json::array({number}));
+  }
+  const StoreStandIn::Content copy = this->store.content;
+  this->store.Put("servers", "foreign-1", EndpointSpec("ready", 2));
+  this->store.Put("servers", "e1", nlohmann::json::array());
+  ASSERT_TRUE(this->RunUntil([this] {
+    return this->directory.endpoints.count("foreign-1") == 1 && this->directory.endpoints.count("e1") == 0;
+  }));
+  this->store.Restore(copy);
+  ASSERT_TRUE(this->RunUntil([this] {
+    return this->directory.endpoints.count("foreign-1") == 0 && this->directory.endpoints.count("e1") == 1;
+  }));
+  EXPECT_EQ(this->directory.invalid_entries, 50U);
+}
+
+// Guards against a limit that hides a configuration which the store takes: nearly 1 MiB of short keys and routes.
+TEST_F(PlatformAdapterTest, ReadsTheLargestConfiguration) {
+  constexpr std::size_t kKeys = 70000;
+  constexpr std::size_t kRoutes = 5000;
+  constexpr std::size_t kMaxValueBytes = 1U << 20U;
+  nlohmann::json spec = ConfigurationSpec(2);
+  nlohmann::json keys = nlohmann::json::array();
+  for (std::size_t number = 0; number < kKeys; ++number) {
+    keys.push_back(std::to_string(10000 + number));
+  }
+  spec["tenants"] = {{{"name", "t"}, {"api_keys", keys}}};
+  for (std::size_t number = 0; number < kRoutes; ++number) {
+    const std::string database = "d" + std::to_string(number);
+    spec["routes"].push_back({{"name", database}, {"host", database}, {"service", "g"}, {"route_type", "primary"}});
+  }
+  ASSERT_GT(spec.dump().size(), kMaxValueBytes * 3 / 4);
+  ASSERT_LT(spec.dump().size(), kMaxValueBytes);
+  this->store.Put("config", "main", spec);
+  ASSERT_TRUE(this->RunUntil([this] { return this->configuration.version == 2; }));
+  EXPECT_EQ(this->configuration.routes.size(), kRoutes);
+  EXPECT_EQ(this->configuration.access.Organisations().at("t").keys.size(), kKeys);
+}
+
 // The adapter before a platform that accepts connections and answers nothing.
 class PromotionTest : public ::testing::Test {
  protected:
--- a/tests/platform/store_memory_test.cc
+++ b/tests/platform/store_memory_test.cc
@@ -5,6 +5,8 @@
 #include <functional>
 #include <string>
 
+#include "common/error.h"
+#include "common/json.h"
 #include "platform/heap_meter.h"
 #include "platform/platform_adapter.h"
 #include "platform/shared_store.h"
@@ -59,8 +61,8 @@
       {"AStatus", "\"status\":[" + Repeated("{}", ",", kTextBytes) + "],\"spec\":{}"}};
 }
 
-// Reads a store with these objects beside an endpoint's two entries, until their last change is known.
-void ReadStoreWith(const ForeignObjects& foreign) {
+// Reads a store with these objects beside the entries of two endpoints, until the last change of those is known.
+void ReadStoreWith(const ForeignObjects& foreign, std::size_t max_kept_bytes = kMaxKeptBytes) {
   const SharedStore store(foreign);
   const testing::HeapMeter heap;
   boost::asio::io_context loop;
@@ -84,7 +86,7 @@
   EXPECT_TRUE(done());
   EXPECT_EQ(directory.endpoints.count("a"), 1U);
   EXPECT_LE(heap.PeakBytes(), kMaxPeakBytes);
-  EXPECT_LE(heap.CurrentBytes(), kMaxKeptBytes);
+  EXPECT_LE(heap.CurrentBytes(), max_kept_bytes);
 }
 
 constexpr std::size_t kCount = 24;
@@ -115,5 +117,34 @@
   ReadStoreWith({"servers", kMany, R"("spec":{"slots":null})", kPerPage, /*arrive_at_once=*/true});
 }
 
+// Entries that are valid are kept, as a configuration may name their group at any time. No number of them hides
+// another.
+TEST(StoreMemory, ManyValidForeignEntries) {
+  constexpr std::size_t kMany = 20000;
+  constexpr std::size_t kPerPage = 500;
+  const std::string entry =
+      R"("spec":{"service":"unnamed","address":"127.0.0.1:7000","db_role":"replica","state":"ready","slots":1})";
+  ReadStoreWith({"servers", kMany, entry, kPerPage}, kMaxPeakBytes);
+}
+
+// Guards against a message of another VM, or a single object of the store, of legal size that takes many times its
+// length.
+TEST(StoreMemory, OneParsedText) {
+  const std::string keys = Repeated("\"a\":0", ",", kTextBytes);
+  for (const std::string& text :
+       {"[" + Repeated("{}", ",", kTextBytes) + "]", "[" + Repeated("\"\"", ",", kTextBytes) + "]",
+        "[" + Repeated("{\"a\":0}", ",", kTextBytes) + "]", "[" + Repeated("{\"a\":{}}", ",", kTextBytes) + "]",
+        "[" + Repeated("\"a long string of 22 b\"", ",", kTextBytes) + "]",
+        "[" + Repeated("1e999", ",", kTextBytes) + "]", "{" + keys + "}"}) {
+    const testing::HeapMeter heap;
+    try {
+      json::ParseSharedDocument(text, "sample");
+    } catch (const ParseError&) {
+      // It has too many values.
+    }
+    EXPECT_LE(heap.PeakBytes(), kMaxPeakBytes) << text.substr(0, 20);
+  }
+}
+
 }  // namespace
 }  // namespace amaranthlane::platform
