--- a/review/common-3/rig.py
+++ b/review/common-3/rig.py
@@ -199,7 +199,7 @@
         self.vms = [Vm(self, number, f"zone-{number % zones}") for number in range(1, vms + 1)]
         self.ports = free_ports(self.vms[0].ip, 4)
         self.lines, self.begin, self.tasks, self.version = [], time.monotonic(), [], 0
-        self.published = {}
+        self.published, self.timeout_ms = {}, 1000
         # The addresses of the VMs that are cut off from the store and from each other.
         self.with_links, self.links, self.cut_off = with_links, {}, set()
         # The endpoints that are cut off from the store, but not from the VMs and from each other.
@@ -272,7 +272,7 @@
 
     def routes(self):
         return [{"name": f"r-{kind}-{group.name}", "host": f"{kind}-{group.name}", "route_type": word,
-                 "timeout_ms": 1000, "target_latency_ms": 200, "priority": 1, "service": group.name,
+                 "timeout_ms": self.timeout_ms, "target_latency_ms": 200, "priority": 1, "service": group.name,
                  "max_staleness_ms": 1500}
                 for group in self.groups for kind, word in (("exact", "primary"), ("own", "read_your_writes"),
                                                             ("bounded", "bounded_staleness"))]
@@ -344,7 +344,7 @@
         self.rig, self.vm, self.database, self.name, self.count = rig, vm, database, name, 0
 
     async def open(self, limit_s=2):
-        self.reader, self.writer = await asyncio.wait_for(asyncio.open_connection(*self.vm.front), limit_s)
+        self.reader, self.writer = await asyncio.wait_for(asyncio.open_connection(*self.vm.front, limit=2 << 20), limit_s)
         self.writer.write(f"CONNECT {self.database} {self.name}\r\n".encode())
         return await self.answer(limit_s)
 
