Review: a script that fails by itself ends with 2

Cause: an error in a case's own script, or a SIGTERM, would have ended it with 1 and left its daemons. Change: review/common-3/rig.py ends its daemons then, removes its temporary folder, and exits with 2.

--- a/review/common-3/rig.py
+++ b/review/common-3/rig.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -22,6 +23,8 @@
 from wire_platform import Connection, Group, Platform  # noqa: E402
 
 GRACE_S = 6
+# A case takes less than this.
+LIMIT_S = 110
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
@@ -330,6 +333,8 @@
             vm.send_signal(signal.SIGCONT)
             vm.send_signal(signal.SIGKILL)
         await asyncio.gather(*(vm.process.wait() for vm in self.vms if vm.process))
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Answer:
@@ -387,17 +392,23 @@
         return rigs[-1]
 
     async def run():
+        task, loop = asyncio.current_task(), asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
-            return await asyncio.wait_for(case(make, trouble), 110)
+            return await asyncio.wait_for(case(make, trouble), LIMIT_S)
         finally:
             for rig in rigs:
                 await rig.stop()
     try:
         result = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError) as failure:
+    except (Exception, asyncio.CancelledError) as failure:
+        # Whatever goes wrong in the script itself breaks no rule.
         result = NOT_RUN
         for rig in rigs:
             rig.note(f"the case could not run: {failure!r}")
+        if not rigs:
+            print(failure)
     lines = [line for rig in rigs for line in rig.lines]
     verdict = {HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "the case could not run"}[result]
     lines.append(verdict)
