--- a/review/12/case.py
+++ b/review/12/case.py
@@ -15,6 +15,8 @@
 GAP_S = 1.3
 # For how long one machine is cut off; the users' days have up to 12 s.
 CUT_S = 9.0
+# `drain_ms`.
+DRAIN_S = 7
 # How far replicas are behind, as on the sheet for Almaty.
 LAG_S = 0.06
 LIMIT_S = 5
@@ -32,6 +34,13 @@
     raise CannotRun(f"no record in which {what}")
 
 
+async def leave(rig, endpoint):
+    """A draining endpoint goes on serving for the time that the page gives it, and ends."""
+    await asyncio.sleep(DRAIN_S)
+    endpoint.alive = False
+    rig.note(f"{endpoint.name} has left")
+
+
 async def restart(rig, vm, delay_s):
     """The VM is stopped and started, as planned work."""
     await asyncio.sleep(delay_s)
@@ -86,7 +95,7 @@
     rig.note(f"{released.name}, a primary of the other service, is replaced as planned")
     await await_record(rig, lambda r: r["groups"]["svc2"]["primary"] != released.name and
                        not r["groups"]["svc2"]["changing"], 8, "the other service has a new primary")
-    released.alive = False
+    leaving = asyncio.create_task(leave(rig, released))
     alone = next(vm for vm in rig.vms if vm.name == rig.coordination()["members"][0]["vm"])
     others = [vm for vm in rig.vms if vm is not alone]
     await asyncio.sleep(COPY_AGE_S)
@@ -110,6 +119,7 @@
         fresh = await write_and_read(rig, number, others[number % 2], alone)
         stale_reads += fresh is False
         await asyncio.sleep(0.05)
+    leaving.cancel()
     rig.note(f"the ready probe of {alone.name}: {await alone.ready()}")
     rig.note(f"the primary is {group.current_primary().name} in term {group.current_primary().term}; "
              f"promotions: {[(name, term) for _, name, term in group.promotions]}")
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,18 +1,20 @@
-"""With a synchronous replica, the primary and the replica that has its newest commits crash. The VMs wait for their logs,
-are restarted one after the other, and then promote a replica that lacks acknowledged commits.
+"""With a synchronous replica: one replica receives nothing for a while, the other one, which has the newest commits, is lost
+for good, and the primary crashes meanwhile. VMs whose processes are new promote the replica that lacks acknowledged commits,
+though the primary is back soon.
 """
 import asyncio
 import pathlib
-import signal
 import time
 
 from rig import BROKEN, HELD, Session, play
 
-# How far the replicas are behind, within what the sheet for Almaty has. Commits wait for one of them.
-NEAR_LAG_S, FAR_LAG_S = 0.03, 0.12
-WRITES_S = 3
-# For how long the crashed endpoints are down; they come back with their logs.
-DOWN_S = 25
+# How far the replicas are behind, within what the sheet for the register has. Commits wait for one of them.
+NEAR_LAG_S, FAR_LAG_S = 0.005, 0.048
+# For how long a replica receives nothing, and the primary is down.
+DEAF_S, DOWN_S = 6.5, 7.0
+# When, from the time at which that replica receives nothing, the other one is lost, the processes of all VMs are killed, and
+# the primary crashes.
+GONE_AT_S, KILL_AT_S, CRASH_AT_S = 0.5, 4.4, 5.4
 
 
 def crash(rig, endpoint):
@@ -48,31 +50,44 @@
     near.lag_s, far.lag_s = NEAR_LAG_S, FAR_LAG_S
     acknowledged, stop = [], asyncio.Event()
     writing = asyncio.create_task(write_until(rig, rig.vms[0], stop, acknowledged))
-    await asyncio.sleep(WRITES_S)
+    await asyncio.sleep(2)
+    begin = time.monotonic()
+
+    async def until(second):
+        await asyncio.sleep(max(0, begin + second - time.monotonic()))
+    if trouble:
+        far.replication_paused = True
+        rig.note(f"{far.name} receives nothing any more")
+    await until(GONE_AT_S)
     if trouble:
-        crash(rig, primary)
         crash(rig, near)
-    crashed_at = time.monotonic()
-    stop.set()
-    await writing
-    rig.note(f"{len(acknowledged)} writes were acknowledged, {acknowledged[-1]} last; {far.name} is at {far.position()}")
-    await asyncio.sleep(8)
-    rig.note(f"8 s later: directory {sorted(rig.published)}, promotions {[(n, t) for _, n, t in group.promotions]}")
+        rig.note(f"{near.name} is lost for good")
+    await until(KILL_AT_S)
+    rig.note(f"{len(acknowledged)} writes were acknowledged, {acknowledged[-1]} last; directory {sorted(rig.published)}")
     for vm in rig.vms:
-        vm.send_signal(signal.SIGTERM)
-        await vm.process.wait()
-        await vm.start()
-        await rig.await_ready([vm])
-        rig.note(f"{vm.name} was stopped and started, as planned")
-    end = crashed_at + DOWN_S
-    while time.monotonic() < end and not group.promotions:
-        await asyncio.sleep(0.1)
+        await vm.kill()
+    rig.note("the processes of all VMs are killed")
+    await asyncio.sleep(0.2)
+    await asyncio.gather(*(vm.start() for vm in rig.vms))
+    await rig.await_ready(rig.vms)
+    await until(CRASH_AT_S)
+    if trouble:
+        crash(rig, primary)
+    await until(DEAF_S)
+    far.replication_paused = False
+    await until(CRASH_AT_S + DOWN_S)
+    primary.alive = True
+    rig.note(f"{primary.name} is back at {primary.position()}")
+    await until(CRASH_AT_S + DOWN_S + 2)
+    stop.set()
+    writing.cancel()
     lost = []
-    for _, name, term in group.promotions:
+    for at, name, term in group.promotions:
         promoted = next(endpoint for endpoint in group.endpoints if endpoint.name == name)
         has = {entry[2] for entry in promoted.log}
         lost = [attempt for attempt in acknowledged if attempt not in has]
-        rig.note(f"{name} leads term {term}; its log lacks {len(lost)} acknowledged commits: {', '.join(lost)}")
+        rig.note(f"{name} leads term {term} since {at - rig.begin:.3f} s; its log lacks {len(lost)} acknowledged commits: "
+                 f"{', '.join(lost[:3])}{' and others' if len(lost) > 3 else ''}")
     if not group.promotions:
         rig.note("no endpoint was promoted")
     return BROKEN if lost else HELD
