Bound how long a VM may act on a record that the store has lost

One: how long may a VM use or change primaries by a record that the store may have lost?

Whoever acts on a record is bounded: without contact to the store in the last 3 s a lease must also be one of each set of members that a restore may bring back (MemberHistory), and promotions are ordered within 3 s of contact only. The others wait 5 s in a new era before a primary is changed, whoever they have heard of (LostRecordUse is gone), and the record says when that is over. A primary that is well is confirmed after them without a release, so that VMs that are gone for good delay it no longer, also where a lost coordinator had begun a change in the same era. Former members whose grants have expired leave the record in calm.

A record that only bookkeeping has changed is no longer announced at once: its heartbeats made VMs read the store in ConfigurationFleet.OnlyMembersAskTheStoreWithoutFaults.

--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -20,7 +20,7 @@
 }  // namespace
 
 CoordinationSystem::CoordinationSystem(Self self, const CoordinationSettings& settings)
-    : self(std::move(self)), settings(settings), primary_lease(settings) {}
+    : self(std::move(self)), settings(settings), member_history(settings), primary_lease(settings) {}
 
 void CoordinationSystem::Tick(TimePoint now, Actions& actions) {
   if (this->started_at == kNever) {
@@ -37,6 +37,7 @@
   this->ConsiderNewEra(now, actions);
   this->ReplaceMembers(now, actions);
   this->ConsiderTakeover(now, actions);
+  this->TidyRecord(now, actions);
 }
 
 void CoordinationSystem::PollStore(TimePoint now, Actions& actions) {
@@ -48,6 +49,8 @@
   if (this->record) {
     read_needed = read_needed || this->recorded_era < this->store_era;
     read_needed = read_needed || this->record->MemberIndex(this->self.vm) < this->settings.store_poller_count;
+    read_needed = read_needed || (this->record->IsMember(this->self.vm) &&
+                                  now >= this->NewestStoreContact() + this->settings.store_poll_interval * 2);
     for (const Member& member : this->record->members) {
       read_needed =
           read_needed || (member.vm != this->self.vm && this->IsSilent(member.vm, this->settings.failure_timeout, now));
@@ -55,6 +58,7 @@
   }
   if (read_needed) {
     this->read_in_flight = true;
+    this->read_sent_at = now;
     this->next_read = now + this->settings.store_poll_interval;
     actions.emplace_back(ReadRecord{});
   }
@@ -73,7 +77,7 @@
       this->SendHeartbeatTo(member, now, actions);
     }
   }
-  this->primary_lease.Extend(*this->record);
+  this->primary_lease.Extend(*this->record, this->member_history);
 }
 
 void CoordinationSystem::SendHeartbeatTo(const Member& member, TimePoint now, Actions& actions) {
@@ -165,7 +169,7 @@
   const std::uint64_t asked_version = this->record ? this->record->version : 0;
   if (reply.granted && this->record && reply.version == this->record->version) {
     this->primary_lease.AddGrant(member, this->record->epoch, sent_at, reply.store_contact_age);
-    this->primary_lease.Extend(*this->record);
+    this->primary_lease.Extend(*this->record, this->member_history);
   }
   if (reply.record) {
     this->Adopt(*reply.record, "heartbeat reply from " + member, now, actions);
@@ -205,7 +209,7 @@
     return;
   }
   this->recorded_era = read_revision.era;
-  this->last_store_contact = now;
+  this->last_store_contact = std::max(this->last_store_contact, this->read_sent_at);
   this->store_confirmed = true;
   if (this->pending_write && read->update_id == this->pending_write->record.update_id) {
     this->FinishWrite(read_revision, now, actions);
@@ -226,6 +230,7 @@
       this->record && this->pending_write->record.Coordinator()->vm == this->self.vm && !this->IsCoordinator();
   if (this->pending_write->expected_revision == this->revision && (!takeover || !this->TakeoverReason(now).empty())) {
     this->pending_write->in_flight = true;
+    this->pending_write->sent_at = now;
     actions.emplace_back(WriteRecord{this->pending_write->record, this->pending_write->expected_revision});
   } else {
     this->pending_write.reset();
@@ -246,7 +251,7 @@
   }
   if (result == WriteResult::kWritten) {
     this->last_store_answer = now;
-    this->last_store_contact = now;
+    this->last_store_contact = std::max(this->last_store_contact, this->pending_write->sent_at);
     this->FinishWrite(written_revision, now, actions);
     return;
   }
@@ -301,11 +306,12 @@
   if (this->recorded_era == this->store_era) {
     this->era_missing_since = kNever;
   }
-  if (!this->record || newer.store_era > this->record->store_era) {
-    this->era_adopted_at = now;
-  }
+  const bool new_era = !this->record || newer.store_era > this->record->store_era;
+  // Otherwise the grants that this VM has stay valid, and no change awaits its release.
+  const bool is_urgent = new_era || newer.epoch != this->record->epoch || newer.groups != this->record->groups;
   this->MarkChangedGroupsInUse(newer);
   this->record = newer;
+  this->member_history.OnAdopted(newer, now);
   for (const Member& member : newer.members) {
     const bool known = std::any_of(former.begin(), former.end(), [&](const Member& m) { return m.vm == member.vm; });
     if (!known) {
@@ -313,12 +319,15 @@
     }
   }
   this->UpdateRetirements(now);
+  if (this->IsCoordinator() && (new_era || !was_coordinator)) {
+    this->coordinator_from = now;
+  }
   if (this->IsCoordinator() && !was_coordinator) {
     this->next_replacement = now + this->settings.initial_heartbeat_wait;
   }
   actions.emplace_back(RecordAdopted{source});
   for (const Member& member : newer.members) {
-    if (member.vm != this->self.vm) {
+    if (is_urgent && member.vm != this->self.vm) {
       this->SendHeartbeatTo(member, now, actions);
     }
   }
@@ -393,7 +402,7 @@
   }
   next.update_id =
       this->self.vm + "/" + std::to_string(this->self.incarnation) + "/" + std::to_string(++this->update_count);
-  this->pending_write = PendingWrite{next, expected, now, true};
+  this->pending_write = PendingWrite{next, expected, now, now, true};
   actions.emplace_back(WriteRecord{std::move(next), expected});
 }
 
@@ -418,7 +427,8 @@
 TimePoint CoordinationSystem::LeaseExpiry() const { return this->primary_lease.Expiry(); }
 
 bool CoordinationSystem::MayPromote(TimePoint now) const {
-  return this->IsCoordinator() && now + this->settings.promotion_window < this->primary_lease.Expiry();
+  return this->IsCoordinator() && now + this->settings.promotion_window < this->primary_lease.Expiry() &&
+         now <= this->last_store_contact + this->settings.fresh_contact_timeout;
 }
 
 bool CoordinationSystem::CanRelease(TimePoint now) const {
@@ -435,14 +445,13 @@
 }
 
 bool CoordinationSystem::Released(const GroupName& group, TimePoint now) const {
-  return this->ReleaseBlockers(group, now).empty();
+  return !this->LostRecordsInUse(now) && this->ReleaseBlockers(group, now).empty();
 }
 
 std::vector<VmName> CoordinationSystem::ReleaseBlockers(const GroupName& group, TimePoint now) const {
   std::vector<VmName> blockers;
   if (!this->HasDeclaredRelease(this->self.vm, group)) {
-    blockers = this->grant_table.ReleaseBlockers(group, this->record->ReleaseVersion(group), this->self.vm, now,
-                                                 this->PossibleLostRecordUse(now));
+    blockers = this->grant_table.ReleaseBlockers(group, this->record->ReleaseVersion(group), this->self.vm, now);
     blockers.push_back(this->self.vm);
   }
   for (const std::vector<VmName>& members : this->GrantingSets(now)) {
@@ -489,6 +498,15 @@
   return vm != this->self.vm && entry.last_heartbeat + this->settings.heartbeat_interval * kFleetHeartbeats >= now;
 }
 
+TimePoint CoordinationSystem::NewestStoreContact() const {
+  TimePoint newest = this->last_store_contact;
+  for (const Member& member : this->record->members) {
+    const auto contact = this->contacts.find(member.vm);
+    newest = contact == this->contacts.end() ? newest : std::max(newest, contact->second.last_store_contact);
+  }
+  return newest;
+}
+
 bool CoordinationSystem::WritePending() const { return this->pending_write.has_value(); }
 
 bool CoordinationSystem::WriteOverdue(TimePoint now) const {
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/coordination/grant_table.h"
+#include "core/coordination/member_history.h"
 #include "core/coordination/messages.h"
 #include "core/coordination/primary_lease.h"
 #include "core/coordination/record.h"
@@ -86,7 +87,8 @@
 // While a group is changing, each member declares the group released once every VM that it gave grants to has released
 // it or its grant has expired. The coordinator changes the primary once so many members have declared the release that
 // the grants of the others can't make up a lease. Nothing is written to the store while nothing changes, so leases
-// outlast an outage of the store of up to `store_contact_timeout`.
+// outlast an outage of the store of up to `store_contact_timeout`, or `fresh_contact_timeout` where the grants don't
+// include those of a set of members that a restore of the store may bring back (see MemberHistory).
 // A restore of the store may lose records that VMs have acted on. Each era of the store therefore has a record of its
 // own, which the coordinator, or whoever takes over from it, begins with the newest state that it knows. No primary may
 // be used by that state until it is confirmed.
@@ -139,8 +141,9 @@
   // True when this VM may use the group's primary now.
   bool MayUsePrimary(const GroupName& group, TimePoint now) const;
   TimePoint LeaseExpiry() const;
-  // True while this VM is the coordinator and its lease lasts for `promotion_window` at least. A successor orders
-  // nothing until this VM has adopted its record or this VM's lease has expired.
+  // True while this VM is the coordinator, its lease lasts for `promotion_window` at least, and it has had recent
+  // contact to the store. A successor orders nothing until this VM has adopted its record or this VM's lease has
+  // expired.
   bool MayPromote(TimePoint now) const;
   // When another VM was last heard to have adopted the record in which this VM became the coordinator; the epoch of the
   // clock if none was.
@@ -166,6 +169,14 @@
   // True when this VM, the coordinator, has begun the record of the store's era, and the group's primary can't have
   // been changed, nor can be, by a record of an earlier era that the store has lost.
   bool OutlastedRestore(const GroupName& group, TimePoint now) const;
+  // True while a VM may use primaries by a record that the store has lost, and that names members of whom the known
+  // records tell nothing. No primary may be changed meanwhile.
+  bool LostRecordsInUse(TimePoint now) const;
+  // True until the record says that no VM can act on one that a restore of the store has lost.
+  bool RestoreUnsettled() const;
+  // From when on nobody but this VM, the coordinator, can order a change of primary, nor can an earlier order take
+  // effect, though not all VMs may have released the primaries.
+  TimePoint EarlierOrdersEndAt() const;
   // The newest era of the store that this VM knows of.
   StoreEra NewestStoreEra() const;
   // True when this VM itself can't reach the endpoint.
@@ -182,6 +193,7 @@
     CoordinationRecord record;
     StoreRevision expected_revision;
     TimePoint proposed_at;
+    TimePoint sent_at;
     bool in_flight = true;
   };
   struct MemberContact {
@@ -247,6 +259,8 @@
   // true when at most two members remain, because then silence doesn't show which of them is isolated.
   bool HearsMajority(TimePoint now) const;
   bool StoreReachable(TimePoint now) const;
+  // When a member last had contact to the store, as far as this VM knows.
+  TimePoint NewestStoreContact() const;
   void UpdateFleetSize(TimePoint now);
   std::vector<Member> ChooseMembers(TimePoint now, const std::vector<Member>& preferred, bool keep_coordinator) const;
   // The reason to replace a member other than this VM; empty if there is none.
@@ -266,9 +280,12 @@
   void ConsiderNewEra(TimePoint now, Actions& actions);
   // Turns `next` into the first record of an era.
   void BeginEra(StoreEra era, CoordinationRecord& next);
-  // The VMs that may use primaries by a record of an earlier era that the store has lost. A confirmation shows that
-  // none of them can change a primary, not that none uses it.
-  LostRecordUse PossibleLostRecordUse(TimePoint now) const;
+  // How long after its last contact to the store a VM may act on a record of whose members a restored copy tells
+  // nothing: use primaries, or have orders in flight.
+  Duration MaxLostRecordUse() const;
+  // Writes the record anew without former members whose grants have expired, and notes the end of LostRecordsInUse().
+  // VMs that start later would wait for both again.
+  void TidyRecord(TimePoint now, Actions& actions);
   // Sends a write whose outcome is unknown again if the store was read and still holds the revision that it expects.
   void RepeatWrite(TimePoint now, Actions& actions);
   bool IsSilent(const VmName& member, Duration limit, TimePoint now) const;
@@ -285,8 +302,11 @@
   StoreEra recorded_era = 0;
   // Since when the store is known to have no record of its era; kNever: it has one, or isn't known to have none.
   TimePoint era_missing_since = kNever;
-  // When this VM adopted its first record of the record's era.
-  TimePoint era_adopted_at;
+  // When this VM first knew of `store_era`. No VM has had contact to the store in an earlier era since.
+  TimePoint era_known_since;
+  // When this VM became the coordinator of the present era.
+  TimePoint coordinator_from;
+  MemberHistory member_history;
   std::optional<EraStart> era_start;
   // False until this process has read the record from the store or written it.
   bool store_confirmed = false;
@@ -298,8 +318,9 @@
   std::optional<PendingWrite> pending_write;
   std::uint64_t update_count = 0;
   bool read_in_flight = false;
+  TimePoint read_sent_at;
   TimePoint next_read;
-  // When the store last answered, and when it last showed this VM the newest record.
+  // When the store last answered, and when the call was sent by which it last showed this VM the newest record.
   TimePoint last_store_answer;
   TimePoint last_store_contact;
   // When this process started. Grants that an earlier process of this VM gave may still be valid then.
--- a/source/core/coordination/grant_table.cc
+++ b/source/core/coordination/grant_table.cc
@@ -23,18 +23,16 @@
   return entry;
 }
 
-bool GrantTable::Released(const GroupName& group, std::uint64_t version, const VmName& self, TimePoint now,
-                          const LostRecordUse& lost) const {
-  return this->ReleaseBlockers(group, version, self, now, lost).empty();
+bool GrantTable::Released(const GroupName& group, std::uint64_t version, const VmName& self, TimePoint now) const {
+  return this->ReleaseBlockers(group, version, self, now).empty();
 }
 
 std::vector<VmName> GrantTable::ReleaseBlockers(const GroupName& group, std::uint64_t version, const VmName& self,
-                                                TimePoint now, const LostRecordUse& lost) const {
+                                                TimePoint now) const {
   std::vector<VmName> blockers;
   for (const auto& [vm, entry] : this->entries) {
     const bool released = entry.version >= version && entry.groups_in_use.count(group) == 0;
-    const bool may_use_lost_record = entry.last_heartbeat >= lost.heard_since && entry.version < lost.first_version;
-    if (vm != self && !released && (entry.granted_until > now || may_use_lost_record)) {
+    if (vm != self && !released && entry.granted_until > now) {
       blockers.push_back(vm);
     }
   }
--- a/source/core/coordination/grant_table.h
+++ b/source/core/coordination/grant_table.h
@@ -33,14 +33,6 @@
   bool leaving = false;
 };
 
-// VMs that may use a primary by a record that a restore of the store has lost, and by grants that nobody knows of:
-// those that have sent a heartbeat at `heard_since` or later and have adopted no record from `first_version` on. By
-// default none.
-struct LostRecordUse {
-  TimePoint heard_since = kNever;
-  std::uint64_t first_version = 0;
-};
-
 // The grants that this VM has given to other VMs, and what their heartbeats report. Used on one thread.
 class GrantTable {
  public:
@@ -49,14 +41,12 @@
   GrantEntry& RecordHeartbeat(const HeartbeatRequest& heartbeat, TimePoint now);
 
   // True when no VM but `self` can still use the group's former primary: each one has adopted `version`, in which the
-  // group is changing, and has no request in flight, or its grant has expired and it isn't one of those that `lost`
-  // describes.
-  bool Released(const GroupName& group, std::uint64_t version, const VmName& self, TimePoint now,
-                const LostRecordUse& lost = {}) const;
+  // group is changing, and has no request in flight, or its grant has expired.
+  bool Released(const GroupName& group, std::uint64_t version, const VmName& self, TimePoint now) const;
 
   // The VMs that keep Released() from being true.
-  std::vector<VmName> ReleaseBlockers(const GroupName& group, std::uint64_t version, const VmName& self, TimePoint now,
-                                      const LostRecordUse& lost = {}) const;
+  std::vector<VmName> ReleaseBlockers(const GroupName& group, std::uint64_t version, const VmName& self,
+                                      TimePoint now) const;
 
   // The VMs whose last heartbeat came at `since` or later and that aren't shutting down.
   std::vector<gateways::FleetVm> AliveSince(TimePoint since) const;
--- a/source/core/coordination/primary_lease.cc
+++ b/source/core/coordination/primary_lease.cc
@@ -1,6 +1,8 @@
 #include "core/coordination/primary_lease.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "core/coordination/quorum.h"
@@ -16,28 +18,35 @@
   }
 }
 
-void PrimaryLease::Extend(const CoordinationRecord& record) {
-  std::vector<LeaseGrant> current;
+void PrimaryLease::Extend(const CoordinationRecord& record, const MemberHistory& history) {
+  std::vector<std::pair<VmName, LeaseGrant>> current;
   for (const Member& member : record.members) {
     const auto found = this->grants.find(member.vm);
     if (found != this->grants.end() && found->second.epoch == record.epoch) {
-      current.push_back(found->second);
+      current.emplace_back(member.vm, found->second);
     }
   }
-  const std::size_t needed = LeaseQuorum(record.members.size());
-  if (needed == 0 || current.size() < needed) {
-    return;
-  }
   std::sort(current.begin(), current.end(),
-            [](const LeaseGrant& a, const LeaseGrant& b) { return a.sent_at > b.sent_at; });
-  current.resize(needed);
-  const TimePoint earliest = current.back().sent_at;
+            [](const auto& a, const auto& b) { return a.second.sent_at > b.second.sent_at; });
+  const std::size_t needed = std::max<std::size_t>(LeaseQuorum(record.members.size()), 1);
+  std::set<VmName> granters;
   Duration store_contact_age = Duration::max();
-  for (const LeaseGrant& grant : current) {
+  TimePoint store_contact = TimePoint::min();
+  // The newest grants that suffice give the longest lease.
+  for (const auto& [member, grant] : current) {
+    granters.insert(member);
     store_contact_age = std::min(store_contact_age, grant.store_contact_age);
-  }
-  if (store_contact_age <= this->settings.store_contact_timeout) {
-    this->expiry = std::max(this->expiry, earliest + this->settings.grant_duration - this->settings.clock_drift_margin);
+    store_contact = std::max(store_contact, grant.sent_at - grant.store_contact_age);
+    if (granters.size() < needed) {
+      continue;
+    }
+    const Duration limit = history.CoversAllSets(granters, store_contact) ? this->settings.store_contact_timeout
+                                                                          : this->settings.fresh_contact_timeout;
+    if (store_contact_age <= limit) {
+      this->expiry =
+          std::max(this->expiry, grant.sent_at + this->settings.grant_duration - this->settings.clock_drift_margin);
+      return;
+    }
   }
 }
 
--- a/source/core/coordination/primary_lease.h
+++ b/source/core/coordination/primary_lease.h
@@ -3,6 +3,7 @@
 
 #include <map>
 
+#include "core/coordination/member_history.h"
 #include "core/coordination/record.h"
 #include "core/coordination/settings.h"
 #include "core/types.h"
@@ -20,8 +21,9 @@
   // the member last had an answer from the store.
   void AddGrant(const VmName& member, std::uint64_t epoch, TimePoint sent_at, Duration store_contact_age);
 
-  // Extends the lease as far as the grants of the record's members allow.
-  void Extend(const CoordinationRecord& record);
+  // Extends the lease as far as the grants of the record's members allow. Without recent contact to the store, the
+  // grants must also make up a lease of each set of members that a restore may bring back.
+  void Extend(const CoordinationRecord& record, const MemberHistory& history);
 
   TimePoint Expiry() const;
 
--- a/source/core/coordination/record.cc
+++ b/source/core/coordination/record.cc
@@ -69,6 +69,8 @@
           {"members", members},
           {"former", former},
           {"groups", groups},
+          {"restored_to_beginning", record.restored_to_beginning},
+          {"restore_outlived", record.restore_outlived},
           {"update_id", record.update_id},
           {"duty_since", record.coordinator_since}};
 }
@@ -90,6 +92,9 @@
   for (const nlohmann::json& set : reader.Array("former")) {
     record.former.push_back(ParseFormerMembers(set));
   }
+  // Earlier builds wrote none.
+  record.restored_to_beginning = reader.BoolOr("restored_to_beginning", false);
+  record.restore_outlived = reader.BoolOr("restore_outlived", false);
   record.coordinator_since = reader.Unsigned("duty_since");
   record.update_id = reader.String("update_id");
   return record;
--- a/source/core/coordination/record.h
+++ b/source/core/coordination/record.h
@@ -56,6 +56,9 @@
   return era <= kFirstStoreEra ? 0 : (era - kFirstStoreEra) << kUpdateBits;
 }
 
+// The epoch of the first record of a deployment, which names only the VM that wrote it.
+constexpr std::uint64_t kFirstEpoch = 1;
+
 // The state that is shared through the store, as one object for each era of the store. Each update is conditional on
 // the revision that it was derived from.
 struct CoordinationRecord {
@@ -75,6 +78,11 @@
   // Earlier sets of members, oldest first, until a coordinator knows that their grants have expired.
   std::vector<FormerMembers> former;
   std::map<GroupName, GroupState> groups;
+  // True once no VM can use or change a primary any more by a record that the restore which began this era has lost.
+  bool restore_outlived = false;
+  // The copy from which the store was restored when this era began was made in the first moments of the deployment. It
+  // tells nothing of the VMs that may use primaries by a lost record.
+  bool restored_to_beginning = false;
   // Unique to the update that wrote this version, so that a writer that got no answer recognises its own update.
   std::string update_id;
 
--- a/source/core/coordination/releases.cc
+++ b/source/core/coordination/releases.cc
@@ -22,7 +22,7 @@
     const std::vector<GroupName>& groups_in_use = this->report.groups_in_use;
     const bool own_use = std::find(groups_in_use.begin(), groups_in_use.end(), name) != groups_in_use.end();
     if (group.changing && !own_use && this->released_groups.count(name) == 0 &&
-        this->grant_table.Released(name, version, this->self.vm, now, this->PossibleLostRecordUse(now))) {
+        this->grant_table.Released(name, version, this->self.vm, now)) {
       this->released_groups[name] = version;
       declared_any = true;
     }
--- a/source/core/coordination/settings.h
+++ b/source/core/coordination/settings.h
@@ -39,6 +39,11 @@
   // A lease is no longer extended once none of the members that gave its grants has had an answer from the store for
   // this long, so that a VM that isn't a member can take over.
   Duration store_contact_timeout = std::chrono::seconds(20);
+  // The same where a restore of the store may have lost the record that names these members, and for ordering
+  // promotions. It bounds how long a VM can act on a record of which those that follow the restored one know nothing.
+  Duration fresh_contact_timeout = std::chrono::seconds(3);
+  // The store is restored from a copy that is this old at most.
+  Duration max_copy_age = std::chrono::seconds(20);
   // Between two changes of the members by the coordinator.
   Duration member_replacement_interval = std::chrono::milliseconds(500);
   // Between two checks whether larger VMs can take the place of members.
--- a/source/core/coordination/store_eras.cc
+++ b/source/core/coordination/store_eras.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "core/coordination/coordination_system.h"
 #include "core/coordination/quorum.h"
@@ -12,6 +13,7 @@
     return;
   }
   this->store_era = era;
+  this->era_known_since = now;
   // A revision of an earlier era says nothing about the store's content now.
   this->revision.reset();
   this->era_missing_since = kNever;
@@ -69,6 +71,8 @@
   next.epoch = std::max(next.epoch, first) + 1;
   next.fencing_token = std::max(next.fencing_token, first) + 1;
   next.coordinator_since = next.version;
+  next.restore_outlived = false;
+  next.restored_to_beginning = era > kFirstStoreEra && (!this->record || this->record->epoch <= kFirstEpoch);
   EraStart start{next.version, {}, this->primary_lease.Expiry(), {}};
   for (const Member& member : this->record ? this->record->members : std::vector<Member>{}) {
     start.former_members.push_back(member.vm);
@@ -102,12 +106,49 @@
          static_cast<std::size_t>(members_adopted) >= LeaseQuorum(start.former_members.size());
 }
 
-LostRecordUse CoordinationSystem::PossibleLostRecordUse(TimePoint now) const {
-  const Duration max_use = this->settings.store_contact_timeout + this->settings.grant_duration;
-  if (now >= this->era_adopted_at + max_use) {
-    return {};
+Duration CoordinationSystem::MaxLostRecordUse() const {
+  return this->settings.fresh_contact_timeout + this->settings.grant_duration;
+}
+
+bool CoordinationSystem::LostRecordsInUse(TimePoint now) const {
+  const bool to_beginning = this->record && this->record->restored_to_beginning;
+  const Duration max_use =
+      to_beginning ? this->settings.store_contact_timeout + this->settings.grant_duration : this->MaxLostRecordUse();
+  return this->RestoreUnsettled() && now < this->era_known_since + max_use;
+}
+
+bool CoordinationSystem::RestoreUnsettled() const {
+  const bool outlived = this->record && this->record->store_era == this->store_era && this->record->restore_outlived;
+  return this->store_era > kFirstStoreEra && !outlived;
+}
+
+// A coordinator orders promotions for `fresh_contact_timeout` after its last contact to the store, and a
+// `grant_duration` later such an order has taken effect. In an earlier era, nobody has had contact since this VM knew
+// of the present one. In this era, an earlier coordinator has had none since the store acknowledged that this VM took
+// over.
+TimePoint CoordinationSystem::EarlierOrdersEndAt() const {
+  const bool began_era = this->era_start && this->record->coordinator_since == this->era_start->version;
+  const TimePoint ended_from = began_era ? this->era_known_since : this->coordinator_from;
+  return ended_from + this->MaxLostRecordUse();
+}
+
+void CoordinationSystem::TidyRecord(TimePoint now, Actions& actions) {
+  const bool may_write = this->IsCoordinator() && !this->pending_write && this->revision &&
+                         this->revision->revision != 0 && !this->report.leaving;
+  if (!may_write || std::any_of(this->record->groups.begin(), this->record->groups.end(),
+                                [](const auto& group) { return group.second.changing; })) {
+    return;
+  }
+  const bool has_expired = std::any_of(this->record->former.begin(), this->record->former.end(),
+                                       [&](const FormerMembers& former) { return this->GrantsExpired(former, now); });
+  const bool outlived = !this->record->groups.empty() && this->RestoreUnsettled() && !this->LostRecordsInUse(now);
+  if (has_expired || outlived) {
+    actions.emplace_back(Decision{"tidying the record", has_expired ? "grants of former members have expired"
+                                                                    : "no VM can act on a lost record any more"});
+    CoordinationRecord next = *this->record;
+    next.restore_outlived = next.restore_outlived || outlived;
+    this->Propose(std::move(next), now, actions);
   }
-  return {this->era_adopted_at - max_use, FirstNumberOfEra(this->record->store_era)};
 }
 
 }  // namespace amaranthlane::coordination
--- a/source/core/failover/primary_change_system.cc
+++ b/source/core/failover/primary_change_system.cc
@@ -33,11 +33,11 @@
   return newest;
 }
 
-bool PrimaryChangeSystem::AllAnswered(const TickContext& context, const GroupName& group, const GroupChange& change) {
-  const std::vector<const EndpointEntry*> endpoints = context.Endpoints(group);
-  return std::all_of(endpoints.begin(), endpoints.end(), [&change](const EndpointEntry* entry) {
+bool PrimaryChangeSystem::AnsweredSince(const std::vector<const EndpointEntry*>& endpoints, const GroupChange& change,
+                                        TimePoint since) {
+  return std::all_of(endpoints.begin(), endpoints.end(), [&](const EndpointEntry* entry) {
     const auto known = change.statuses.find(entry->name);
-    return known != change.statuses.end() && known->second.sent_at >= change.released_at;
+    return known != change.statuses.end() && known->second.sent_at >= since;
   });
 }
 
@@ -92,7 +92,7 @@
       this->CheckPrimary(context, group, state, change);
     }
     if (change.phase == Phase::kReleasing) {
-      this->AwaitRelease(context, group, change);
+      this->AwaitRelease(context, group, state, change);
     }
     if (change.phase == Phase::kChoosing) {
       this->ChooseCandidate(context, group, state, change);
@@ -120,7 +120,7 @@
   }
   for (const auto& [group, state] : context.proposed) {
     GroupChange& change = this->changes[group];
-    if (state.changing && change.phase == Phase::kIdle) {
+    if (state.changing && !state.unconfirmed && change.phase == Phase::kIdle) {
       change.started_here = true;
       context.Log(group, "change of primary begins", change.reason);
     }
@@ -142,7 +142,9 @@
     this->QueryForPrimary(context, group, change);
     return;
   }
-  context.Propose(group, {term, *primary, false}, group + " has primary " + *primary);
+  // After a restore of the store, a lost record may have named a newer primary that doesn't answer now.
+  const bool unconfirmed = context.coordination.RestoreUnsettled();
+  context.Propose(group, {term, *primary, unconfirmed, 0, unconfirmed}, group + " has primary " + *primary);
 }
 
 void PrimaryChangeSystem::QueryForPrimary(TickContext& context, const GroupName& group, GroupChange& change) const {
@@ -269,8 +271,45 @@
          context.now > *change.directory_disagrees_since + this->settings.disagreement_timeout;
 }
 
-void PrimaryChangeSystem::AwaitRelease(const TickContext& context, const GroupName& group, GroupChange& change) {
-  this->QueryEndpoints(context, group, change, this->settings.query_interval);
+// Ends the wait for the release of a primary that is well, if nobody else can have ordered a change of which the
+// endpoints don't tell. It may be used though VMs that are gone for good have released nothing. Returns true if the
+// wait ended.
+bool PrimaryChangeSystem::ConfirmPrimary(const TickContext& context, const GroupName& group, const GroupState& state,
+                                         GroupChange& change) {
+  const TimePoint orders_ended_at = context.coordination.EarlierOrdersEndAt();
+  const std::vector<const EndpointEntry*> endpoints = context.Endpoints(group);
+  if (change.started_here || !change.may_abort || context.now < orders_ended_at ||
+      !AnsweredSince(endpoints, change, orders_ended_at)) {
+    return false;
+  }
+  const Term newest_term = NewestTerm(change);
+  const auto primary = std::find_if(endpoints.begin(), endpoints.end(), [&](const EndpointEntry* entry) {
+    const EndpointStatus& status = change.statuses.at(entry->name).status;
+    return status.is_primary && status.term == newest_term && newest_term >= state.term && !entry->draining &&
+           context.UnreachableShare(group, entry->name) < this->settings.unreachable_share;
+  });
+  if (primary == endpoints.end()) {
+    return false;
+  }
+  this->Finish(context, group, {newest_term, (*primary)->name, false},
+               "all endpoints have answered, and no order by a lost record can be under way", change);
+  return true;
+}
+
+void PrimaryChangeSystem::AwaitRelease(const TickContext& context, const GroupName& group, const GroupState& state,
+                                       GroupChange& change) {
+  const bool lost_records_in_use = context.coordination.LostRecordsInUse(context.now);
+  this->QueryEndpoints(context, group, change,
+                       lost_records_in_use ? this->settings.tracking_interval : this->settings.query_interval);
+  if (this->ConfirmPrimary(context, group, state, change)) {
+    return;
+  }
+  if (lost_records_in_use) {
+    if (!std::exchange(change.lost_records_logged, true)) {
+      context.Log(group, "waiting until no VM can use the primary by a record that the store has lost", change.reason);
+    }
+    return;
+  }
   const std::vector<VmName> blockers = context.coordination.ReleaseBlockers(group, context.now);
   // Every VM has adopted the record of this coordinator, and has thereby ended its own orders, or has been without a
   // lease for so long that its last order has taken effect. The former are waited for here.
@@ -317,7 +356,7 @@
   const bool former_is_primary = former != change.statuses.end() && former->second.sent_at >= change.released_at &&
                                  former->second.status.is_primary && former->second.status.term == state.term &&
                                  newest_term == state.term;
-  const bool confirmed = !state.unconfirmed || AllAnswered(context, group, change);
+  const bool confirmed = !state.unconfirmed || AnsweredSince(context.Endpoints(group), change, change.released_at);
   // A draining primary stays if no replica could take its place without the loss of a commit.
   const bool may_stay =
       entry != context.directory.end() &&
--- a/source/core/failover/primary_change_system.h
+++ b/source/core/failover/primary_change_system.h
@@ -163,6 +163,7 @@
     // The group's state to record when the change ends.
     coordination::GroupState result;
     bool waiting_logged = false;
+    bool lost_records_logged = false;
     bool no_candidate_logged = false;
     bool no_better_replica_logged = false;
     bool lag_logged = false;
@@ -185,8 +186,9 @@
 
   // The newest term that an endpoint of the group has reported.
   static Term NewestTerm(const GroupChange& change);
-  // True when all endpoints of the group have answered since its primary was released.
-  static bool AllAnswered(const TickContext& context, const GroupName& group, const GroupChange& change);
+  // True when all these endpoints have answered a query sent at `since` or later.
+  static bool AnsweredSince(const std::vector<const EndpointEntry*>& endpoints, const GroupChange& change,
+                            TimePoint since);
   // Writes the states that were proposed for the groups to the record.
   void Submit(TickContext& context);
   void Discover(TickContext& context, const GroupName& group, GroupChange& change);
@@ -202,7 +204,10 @@
                                const coordination::GroupState& state, double share) const;
   bool DirectoryDisagrees(const TickContext& context, const std::vector<const EndpointEntry*>& endpoints,
                           const coordination::GroupState& state, GroupChange& change) const;
-  void AwaitRelease(const TickContext& context, const GroupName& group, GroupChange& change);
+  bool ConfirmPrimary(const TickContext& context, const GroupName& group, const coordination::GroupState& state,
+                      GroupChange& change);
+  void AwaitRelease(const TickContext& context, const GroupName& group, const coordination::GroupState& state,
+                    GroupChange& change);
   void ChooseCandidate(const TickContext& context, const GroupName& group, const coordination::GroupState& state,
                        GroupChange& change);
   // A replica that has answered and could become primary.
--- a/tests/core/coordination/messages_test.cc
+++ b/tests/core/coordination/messages_test.cc
@@ -22,6 +22,8 @@
   record.members = {{"a", "10.0.0.1:1"}, {"b", "10.0.0.2:1"}};
   record.groups = {{"g", {3, "e1", true}}};
   record.update_id = "a/1/4";
+  record.restore_outlived = true;
+  record.restored_to_beginning = true;
   return record;
 }
 
@@ -85,10 +87,10 @@
   const CoordinationSettings settings;
   PrimaryLease lease(settings);
   lease.AddGrant("a", 2, kNow, {});
-  lease.Extend(MakeRecord());
+  lease.Extend(MakeRecord(), MemberHistory(CoordinationSettings{}));
   EXPECT_EQ(lease.Expiry(), TimePoint());
   lease.AddGrant("b", 2, kNow - milliseconds(300), {});
-  lease.Extend(MakeRecord());
+  lease.Extend(MakeRecord(), MemberHistory(CoordinationSettings{}));
   EXPECT_EQ(lease.Expiry(), kNow - milliseconds(300) + settings.grant_duration - settings.clock_drift_margin);
 }
 
@@ -96,7 +98,7 @@
   PrimaryLease lease{CoordinationSettings{}};
   lease.AddGrant("a", 2, kNow, {});
   lease.AddGrant("b", 1, kNow, {});
-  lease.Extend(MakeRecord());
+  lease.Extend(MakeRecord(), MemberHistory(CoordinationSettings{}));
   EXPECT_EQ(lease.Expiry(), TimePoint());
 }
 
@@ -104,7 +106,7 @@
   PrimaryLease lease{CoordinationSettings{}};
   lease.AddGrant("a", 2, kNow, std::chrono::seconds(30));
   lease.AddGrant("b", 2, kNow, std::chrono::seconds(30));
-  lease.Extend(MakeRecord());
+  lease.Extend(MakeRecord(), MemberHistory(CoordinationSettings{}));
   EXPECT_EQ(lease.Expiry(), TimePoint());
 }
 
--- a/tests/core/coordination/vm_fleet.cc
+++ b/tests/core/coordination/vm_fleet.cc
@@ -44,6 +44,7 @@
   Vm& vm = this->vms[index];
   ++vm.incarnation;
   vm.alive = true;
+  vm.leaving = false;
   vm.system = std::make_unique<CoordinationSystem>(
       Self{vm.name, vm.incarnation, vm.name, vm.name, "dc-" + std::to_string(index % 3),
            this->shares.empty() ? Millicores{} : this->shares.at(index)},
@@ -244,10 +245,11 @@
 }
 
 void VmFleet::FetchConfiguration(std::size_t vm, const store_sync::FetchConfiguration& action) {
-  const std::size_t peer = this->Find(action.address).value();
-  if (!this->CanDeliver(vm, peer) || !this->vms[peer].alive) {
+  const std::optional<std::size_t> found = this->Find(action.address);
+  if (!found || !this->CanDeliver(vm, *found) || !this->vms[*found].alive) {
     return;
   }
+  const std::size_t peer = *found;
   const Incarnation incarnation = this->vms[vm].incarnation;
   this->Schedule(peer, this->RandomStoreSyncDelay(), [this, vm, peer, incarnation] {
     const std::uint64_t version = this->ConfigurationVersion(peer);
@@ -292,6 +294,7 @@
 
 LocalReport VmFleet::MakeReport(std::size_t vm) const {
   LocalReport report;
+  report.leaving = this->vms[vm].leaving;
   report.store = this->vms[vm].store_sync->Versions();
   report.store_currency = this->vms[vm].store_sync->Currency();
   const CoordinationRecord* record = this->vms[vm].system->Record();
@@ -349,13 +352,14 @@
 void VmFleet::Perform(std::size_t vm, Actions& actions) {
   const Overloaded perform = {[&](const SendHeartbeat& action) { this->DeliverHeartbeat(vm, action); },
                               [&](const SendRecordNotice& action) {
-                                const std::size_t to = this->Find(action.vm).value();
-                                if (this->CanDeliver(vm, to)) {
-                                  this->Schedule(to, this->RandomDelay(), [this, to, record = action.record] {
-                                    Actions resulting_actions;
-                                    this->vms[to].system->OnRecordNotice(record, this->now, resulting_actions);
-                                    this->Perform(to, resulting_actions);
-                                  });
+                                const std::optional<std::size_t> found = this->Find(action.vm);
+                                if (found && this->CanDeliver(vm, *found)) {
+                                  this->Schedule(
+                                      *found, this->RandomDelay(), [this, to = *found, record = action.record] {
+                                        Actions resulting_actions;
+                                        this->vms[to].system->OnRecordNotice(record, this->now, resulting_actions);
+                                        this->Perform(to, resulting_actions);
+                                      });
                                 }
                               },
                               [&](const ReadRecord&) { this->ReadStore(vm); },
@@ -372,7 +376,7 @@
 }
 
 void VmFleet::DeliverHeartbeat(std::size_t from, const SendHeartbeat& action) {
-  const std::size_t to = this->Find(action.member.vm).value();
+  const std::optional<std::size_t> target = this->Find(action.member.vm);
   const TimePoint sent_at = this->now;
   // The sender's timeout, which applies whether the heartbeat or its reply was lost.
   const auto completed = std::make_shared<bool>(false);
@@ -381,9 +385,10 @@
       this->vms[from].system->OnHeartbeatFailed(member, false, this->now);
     }
   });
-  if (!this->CanDeliver(from, to) || !this->vms[to].alive) {
+  if (!target || !this->CanDeliver(from, *target) || !this->vms[*target].alive) {
     return;
   }
+  const std::size_t to = *target;
   const Incarnation sender_incarnation = this->vms[from].incarnation;
   this->Schedule(
       to, this->RandomDelay(), [this, from, to, sender_incarnation, heartbeat = action.heartbeat, sent_at, completed] {
@@ -636,6 +641,16 @@
   }
 }
 
+void VmFleet::BeginShutdown(std::size_t vm) { this->vms[vm].leaving = true; }
+
+void VmFleet::Replace(std::size_t vm) {
+  this->Kill(vm);
+  this->vms[vm].name = "vm-" + std::to_string(vm) + "-" + std::to_string(++this->replaced_vms);
+  this->vms[vm].frozen = false;
+  this->vms[vm].isolated = false;
+  this->Start(vm);
+}
+
 void VmFleet::SetFrozen(std::size_t vm, bool frozen) { this->vms[vm].frozen = frozen; }
 
 void VmFleet::SetPartition(std::set<std::size_t> side) { this->partition = std::move(side); }
--- a/tests/core/coordination/vm_fleet.h
+++ b/tests/core/coordination/vm_fleet.h
@@ -32,6 +32,10 @@
 
   void Kill(std::size_t vm);
   void Restart(std::size_t vm);
+  // Tells the other VMs that this one is shutting down. Until it is killed.
+  void BeginShutdown(std::size_t vm);
+  // The VM is gone for good. Another one starts in its place, under another name and address.
+  void Replace(std::size_t vm);
   // Frozen VMs do nothing and receive nothing until they are unfrozen; messages sent to them arrive then.
   void SetFrozen(std::size_t vm, bool frozen);
   // Cuts the VM off from the other VMs and the store, but not from the endpoints.
@@ -120,6 +124,7 @@
     Incarnation incarnation = 0;
     bool alive = true;
     bool frozen = false;
+    bool leaving = false;
     bool isolated = false;
     std::unique_ptr<CoordinationSystem> system;
     std::unique_ptr<failover::PrimaryChangeSystem> failover;
@@ -198,6 +203,7 @@
   std::mt19937_64 store_sync_random;
   TimePoint now;
   std::vector<Vm> vms;
+  std::size_t replaced_vms = 0;
   std::vector<Millicores> shares;
   std::set<std::size_t> partition;
   std::vector<Event> events;
