Keep the logs that may hold acknowledged commits in the record

What callers saw.

LogHolders in place of DepartedEndpoints: a log belongs to one start of an endpoint; the coordinator keeps all in the record; endpoints that have left the store are asked at their addresses; a departed log is forgotten only when its process is known to have ended and enough others have reached a later position of the primary, or when it was drained and transferred. An answer counts only if it is younger than the endpoint's entry and not behind what the endpoint has reported before.

What waiting costs: a replica that remains when the other one left without a trace is no longer promoted, however long ago; the operator is told by amaranthlane_departed_logs before, and by amaranthlane_groups_awaiting_log. One whose neighbour was replaced or refuses connections is, as before.

The node asks a departed endpoint over a pool of its own.

--- a/source/core/coordination/coordination_system.cc
+++ b/source/core/coordination/coordination_system.cc
@@ -369,8 +369,8 @@
   }
 }
 
-bool CoordinationSystem::ProposeGroups(const std::map<GroupName, GroupState>& groups, const std::string& reason,
-                                       TimePoint now, Actions& actions) {
+bool CoordinationSystem::ProposeGroups(const std::map<GroupName, GroupState>& groups, const LogHoldersByGroup& logs,
+                                       const std::string& reason, TimePoint now, Actions& actions) {
   if (!this->IsCoordinator() || this->pending_write || !this->revision) {
     return false;
   }
@@ -379,6 +379,7 @@
     next.groups[name] = group;
     next.groups[name].changed_at = next.version + 1;
   }
+  next.logs = logs;
   actions.emplace_back(Decision{"proposing group states", reason});
   this->Propose(std::move(next), now, actions);
   return true;
--- a/source/core/coordination/coordination_system.h
+++ b/source/core/coordination/coordination_system.h
@@ -125,10 +125,10 @@
   // endpoints or `leaving` changed.
   void Report(const LocalReport& report, TimePoint now, Actions& actions);
 
-  // Writes new states of groups to the record. Returns false when this VM isn't the coordinator, another write is
-  // pending, or the record's revision is unknown.
-  bool ProposeGroups(const std::map<GroupName, GroupState>& groups, const std::string& reason, TimePoint now,
-                     Actions& actions);
+  // Writes new states of groups, and all logs that may hold acknowledged commits, to the record. Returns false when
+  // this VM isn't the coordinator, another write is pending, or the record's revision is unknown.
+  bool ProposeGroups(const std::map<GroupName, GroupState>& groups, const LogHoldersByGroup& logs,
+                     const std::string& reason, TimePoint now, Actions& actions);
 
   // Asks the other members to take over as coordinator, or withdraws the request.
   void RequestHandover(bool wanted);
--- a/source/core/coordination/record.cc
+++ b/source/core/coordination/record.cc
@@ -26,6 +26,41 @@
   return {reader.Unsigned("epoch"), reader.Unsigned("replaced_at"), reader.Strings("vms")};
 }
 
+LogHolder ParseLogHolder(const nlohmann::json& document) {
+  const json::ObjectReader reader(document, kDocument);
+  return {reader.String("endpoint"), reader.Unsigned("incarnation"), reader.Address("address"),
+          reader.Bool("draining")};
+}
+
+// Earlier builds wrote none.
+LogHoldersByGroup ParseLogs(const json::ObjectReader& record) {
+  LogHoldersByGroup logs;
+  if (!record.Has("logs")) {
+    return logs;
+  }
+  const json::ObjectReader groups(record.Object("logs"), kDocument);
+  for (const auto& [group, unused] : record.Object("logs").items()) {
+    for (const nlohmann::json& holder : groups.Array(group.c_str())) {
+      logs[group].push_back(ParseLogHolder(holder));
+    }
+  }
+  return logs;
+}
+
+nlohmann::json ToJson(const LogHoldersByGroup& logs) {
+  nlohmann::json groups = nlohmann::json::object();
+  for (const auto& [group, holders] : logs) {
+    groups[group] = nlohmann::json::array();
+    for (const LogHolder& holder : holders) {
+      groups[group].push_back({{"endpoint", holder.endpoint},
+                               {"incarnation", holder.incarnation},
+                               {"address", holder.address},
+                               {"draining", holder.draining}});
+    }
+  }
+  return groups;
+}
+
 }  // namespace
 
 const Member* CoordinationRecord::Coordinator() const {
@@ -69,6 +104,7 @@
           {"members", members},
           {"former", former},
           {"groups", groups},
+          {"logs", ToJson(record.logs)},
           {"restored_to_beginning", record.restored_to_beginning},
           {"restore_outlived", record.restore_outlived},
           {"update_id", record.update_id},
@@ -92,6 +128,7 @@
   for (const nlohmann::json& set : reader.Array("former")) {
     record.former.push_back(ParseFormerMembers(set));
   }
+  record.logs = ParseLogs(reader);
   // Earlier builds wrote none.
   record.restored_to_beginning = reader.BoolOr("restored_to_beginning", false);
   record.restore_outlived = reader.BoolOr("restore_outlived", false);
--- a/source/core/coordination/record.h
+++ b/source/core/coordination/record.h
@@ -49,6 +49,20 @@
   bool operator==(const FormerMembers&) const = default;
 };
 
+// An endpoint whose log may hold acknowledged commits of a group in which commits wait for replicas.
+struct LogHolder {
+  EndpointName endpoint;
+  // An endpoint that has started again under its name has another log.
+  Incarnation incarnation = 0;
+  // ip:port.
+  std::string address;
+  // It was seen draining: when it ends, its log is transferred to another endpoint at its address.
+  bool draining = false;
+
+  bool operator==(const LogHolder&) const = default;
+};
+using LogHoldersByGroup = std::map<GroupName, std::vector<LogHolder>>;
+
 // The versions, epochs and fencing tokens of the records that are written in an era of the store are above this number.
 // They are above all those of earlier eras, and so unique, though a restore may have lost the newest record.
 constexpr std::uint64_t FirstNumberOfEra(StoreEra era) {
@@ -78,6 +92,9 @@
   // Earlier sets of members, oldest first, until a coordinator knows that their grants have expired.
   std::vector<FormerMembers> former;
   std::map<GroupName, GroupState> groups;
+  // The logs that may hold acknowledged commits, those of endpoints that have left included. Only for groups in which
+  // commits wait for replicas.
+  LogHoldersByGroup logs;
   // True once no VM can use or change a primary any more by a record that the restore which began this era has lost.
   bool restore_outlived = false;
   // The copy from which the store was restored when this era began was made in the first moments of the deployment. It
--- a/source/core/failover/candidate_choice.cc
+++ b/source/core/failover/candidate_choice.cc
@@ -42,7 +42,8 @@
   std::uint64_t reached = 0;
   for (const EndpointEntry* entry : context.Endpoints(group)) {
     const auto known = change.statuses.find(entry->name);
-    if (entry->name == state.primary || known == change.statuses.end() ||
+    // An earlier answer may be that of a log which the endpoint has lost since.
+    if (entry->name == state.primary || known == change.statuses.end() || known->second.sent_at < change.reference_at ||
         known->second.status.position < change.reference) {
       continue;
     }
@@ -52,7 +53,7 @@
     }
   }
   if (reached >= context.SynchronousReplicas(group)) {
-    this->departed_endpoints.OnPositionReached(group, change.reference_at);
+    this->log_holders.OnPositionReached(group, change.reference_at);
   }
 }
 
@@ -97,7 +98,8 @@
     // An unconfirmed primary is promoted once more where nothing shows that it wasn't replaced.
     const bool former = entry->name == state.primary && !state.unconfirmed;
     const bool came_back_as_replica = answered && !known->second.status.is_primary;
-    if (answered && (!former || came_back_as_replica)) {
+    const bool shows_log = answered && this->ShowsLog(entry->name, known->second);
+    if (shows_log && (!former || came_back_as_replica)) {
       ++found.logs_answered;
       found.newest = std::max(found.newest, known->second.status.position);
     }
@@ -117,20 +119,36 @@
       found.silent_only_here = found.silent_only_here || (unreachable_here && unreachable == 1);
       continue;
     }
-    if (accepts_orders) {
+    if (accepts_orders && shows_log) {
       found.Add({entry->name, known->second.status.position, unreachable, entry->name == state.primary},
                 entry->draining);
     }
   }
+  // Endpoints that have left can't become primary, but may show that there is nothing newer.
+  for (const coordination::LogHolder& departed : this->log_holders.Askable(group)) {
+    const auto known = change.statuses.find(departed.endpoint);
+    const bool answered = known != change.statuses.end() && known->second.sent_at >= change.released_at;
+    const bool is_former = answered && departed.endpoint == state.primary && known->second.status.is_primary;
+    if (answered && !is_former && this->ShowsLog(departed.endpoint, known->second)) {
+      ++found.logs_answered;
+      found.newest = std::max(found.newest, known->second.status.position);
+    }
+  }
   found.more_reachable_exists = !found.best.name.empty() && min_unreachable < found.best.unreachable_count;
   return found;
 }
 
+bool PrimaryChangeSystem::ShowsLog(const EndpointName& endpoint, const KnownStatus& answer) const {
+  return this->log_holders.ShowsLog(endpoint, answer.status.position, answer.sent_at);
+}
+
 bool PrimaryChangeSystem::ShowsAcknowledgedCommits(const TickContext& context, const GroupName& group,
                                                    const GroupState& state, const Candidates& found) const {
-  const std::vector<EndpointName> departed = this->departed_endpoints.Of(group);
-  const bool primary_known = context.directory.count(state.primary) > 0 ||
-                             std::find(departed.begin(), departed.end(), state.primary) != departed.end();
+  const std::vector<coordination::LogHolder> departed = this->log_holders.Departed(group);
+  const bool primary_known =
+      context.directory.count(state.primary) > 0 ||
+      std::any_of(departed.begin(), departed.end(),
+                  [&state](const coordination::LogHolder& log) { return log.endpoint == state.primary; });
   const std::size_t logs = context.Endpoints(group).size() + departed.size() + (primary_known ? 0 : 1);
   return found.logs_answered + context.SynchronousReplicas(group) >= logs;
 }
@@ -181,8 +199,8 @@
       const std::string primary =
           former_answers ? ", the former primary is at " + PositionText(former->second.status.position) : "";
       std::string missing;
-      for (const EndpointName& departed : this->departed_endpoints.Of(group)) {
-        missing += ", the log of " + departed + ", which has left, may be newer";
+      for (const coordination::LogHolder& departed : this->log_holders.Departed(group)) {
+        missing += ", " + departed.endpoint + ", whose log may hold acknowledged commits, has left";
       }
       context.Log(group, "no candidate yet", (choice.name.empty() ? "nobody" : summary) + primary + missing);
     }
@@ -198,6 +216,8 @@
   context.Log(group, "candidate chosen", summary);
 }
 
+std::size_t PrimaryChangeSystem::DepartedLogCount() const { return this->log_holders.DepartedCount(); }
+
 std::size_t PrimaryChangeSystem::GroupsAwaitingLog() const {
   return static_cast<std::size_t>(std::count_if(this->changes.begin(), this->changes.end(),
                                                 [](const auto& change) { return change.second.awaits_log; }));
--- a/source/core/failover/primary_change_system.cc
+++ b/source/core/failover/primary_change_system.cc
@@ -114,8 +114,14 @@
 }
 
 void PrimaryChangeSystem::Submit(TickContext& context) {
-  if (context.proposed.empty() || !context.coordination.ProposeGroups(context.proposed, context.reasons, context.now,
-                                                                      context.coordination_actions)) {
+  const coordination::LogHoldersByGroup logs = this->log_holders.All();
+  if (logs != context.coordination.Record()->logs) {
+    context.reasons += context.reasons.empty() ? "the logs that may hold acknowledged commits have changed" : "";
+  } else if (context.proposed.empty()) {
+    return;
+  }
+  if (!context.coordination.ProposeGroups(context.proposed, logs, context.reasons, context.now,
+                                          context.coordination_actions)) {
     return;
   }
   for (const auto& [group, state] : context.proposed) {
@@ -178,7 +184,8 @@
                                        GroupChange& change) {
   const auto entry = context.directory.find(state.primary);
   const bool draining = entry != context.directory.end() && entry->second.draining;
-  if (context.SynchronousReplicas(group) > 0 && (draining || !this->departed_endpoints.Of(group).empty())) {
+  this->QueryDeparted(context, group, change, this->settings.departed_query_interval);
+  if (context.SynchronousReplicas(group) > 0 && (draining || this->log_holders.AwaitsPosition(group))) {
     this->TrackReplicas(context, group, state, change);
   } else {
     change.tracked_since = kNever;
@@ -413,10 +420,20 @@
 
 void PrimaryChangeSystem::OnDirectory(const EndpointDirectory& directory,
                                       const std::map<GroupName, std::uint64_t>& synchronous_replicas, TimePoint now) {
-  this->departed_endpoints.Update(directory, synchronous_replicas, now);
+  this->log_holders.OnDirectory(directory, synchronous_replicas, now);
+}
+
+void PrimaryChangeSystem::OnPosition(const EndpointName& endpoint, const LogPosition& position) {
+  this->log_holders.OnPosition(endpoint, position);
+}
+
+void PrimaryChangeSystem::OnEndpointEnded(const EndpointName& endpoint, TimePoint now) {
+  this->log_holders.OnProcessEnded(endpoint, now);
 }
 
-void PrimaryChangeSystem::OnRecordAdopted(const coordination::CoordinationSystem& coordination, Actions& actions) {
+void PrimaryChangeSystem::OnRecordAdopted(const coordination::CoordinationSystem& coordination, TimePoint now,
+                                          Actions& actions) {
+  this->log_holders.OnRecord(*coordination.Record(), now);
   const bool same_term =
       coordination.IsCoordinator() && coordination.Record()->coordinator_since == this->coordinator_since;
   if (!same_term && !this->orders_in_flight.empty()) {
@@ -450,6 +467,18 @@
   for (const EndpointEntry* entry : context.Endpoints(group)) {
     context.actions.emplace_back(QueryStatus{entry->name});
   }
+  this->QueryDeparted(context, group, change, this->settings.urgent_departed_query_interval);
+}
+
+void PrimaryChangeSystem::QueryDeparted(const TickContext& context, const GroupName& group, GroupChange& change,
+                                        Duration interval) const {
+  if (context.now < change.next_departed_query) {
+    return;
+  }
+  change.next_departed_query = context.now + interval;
+  for (const coordination::LogHolder& log : this->log_holders.Askable(group)) {
+    context.actions.emplace_back(QueryDepartedEndpoint{group, log});
+  }
 }
 
 void PrimaryChangeSystem::SendStepDowns(const TickContext& context) {
@@ -467,6 +496,7 @@
 
 void PrimaryChangeSystem::OnStatus(const GroupName& group, const EndpointName& endpoint, const EndpointStatus& status,
                                    TimePoint sent_at) {
+  this->log_holders.OnPosition(endpoint, status.position);
   const auto found = this->changes.find(group);
   if (found == this->changes.end()) {
     return;
--- a/source/core/failover/primary_change_system.h
+++ b/source/core/failover/primary_change_system.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "core/coordination/coordination_system.h"
-#include "core/failover/departed_endpoints.h"
 #include "core/failover/endpoint_status.h"
+#include "core/failover/log_holders.h"
 #include "core/types.h"
 
 // Replaces primaries that are gone, unreachable or draining. Runs on the coordinator.
@@ -21,6 +21,11 @@
 struct QueryStatus {
   EndpointName endpoint;
 };
+// Ask an endpoint for its status that the directory doesn't list any more.
+struct QueryDepartedEndpoint {
+  GroupName group;
+  coordination::LogHolder log;
+};
 // Order the platform to make the endpoint the group's primary. An order that the platform hasn't received by the
 // deadline must never reach it.
 struct OrderPromotion {
@@ -42,7 +47,7 @@
   std::string step;
   std::string reason;
 };
-using Action = std::variant<QueryStatus, OrderPromotion, CancelPromotions, StepDown, ChangeStep>;
+using Action = std::variant<QueryStatus, QueryDepartedEndpoint, OrderPromotion, CancelPromotions, StepDown, ChangeStep>;
 using Actions = std::vector<Action>;
 
 struct FailoverSettings {
@@ -66,6 +71,10 @@
   Duration max_replica_lag = std::chrono::milliseconds(300);
   // Between two queries of the endpoints by which that is known.
   Duration tracking_interval = std::chrono::milliseconds(100);
+  // Between two queries of an endpoint that has left the directory with a log that may hold acknowledged commits.
+  Duration departed_query_interval = std::chrono::milliseconds(1000);
+  // The same during a change.
+  Duration urgent_departed_query_interval = std::chrono::milliseconds(100);
   // How long a change waits for the most advanced replica to be matched by one that is reachable from more VMs.
   Duration reachability_timeout = std::chrono::milliseconds(300);
   // How long an accepted promotion order may take before a candidate is chosen again.
@@ -116,10 +125,16 @@
   void OnPromotionResult(const GroupName& group, const EndpointName& endpoint, PromotionResult result, TimePoint now);
   // This VM has adopted a newer record. Must run before any other VM learns that it has: a successor relies on it that
   // the orders of a coordinator that has adopted its record have ended.
-  void OnRecordAdopted(const coordination::CoordinationSystem& coordination, Actions& actions);
+  void OnRecordAdopted(const coordination::CoordinationSystem& coordination, TimePoint now, Actions& actions);
   // The directory of endpoints or the numbers of synchronous replicas have changed.
   void OnDirectory(const EndpointDirectory& directory, const std::map<GroupName, std::uint64_t>& synchronous_replicas,
                    TimePoint now);
+  // The endpoint has reported its position in any answer.
+  void OnPosition(const EndpointName& endpoint, const LogPosition& position);
+  // Nothing listens at the address of this endpoint any more, or another endpoint does.
+  void OnEndpointEnded(const EndpointName& endpoint, TimePoint now);
+  // The number of endpoints that have left with a log that may hold acknowledged commits.
+  std::size_t DepartedLogCount() const;
   // The number of groups whose change waits for a log that may hold acknowledged commits which no replica that could
   // become primary is known to have. Their writes wait with it, and the operator has to act if the log doesn't return.
   std::size_t GroupsAwaitingLog() const;
@@ -136,6 +151,7 @@
     TimePoint started_at;
     TimePoint released_at;
     TimePoint next_query;
+    TimePoint next_departed_query;
     TimePoint next_order;
     TimePoint chosen_at;
     TimePoint ordered_at;
@@ -237,6 +253,8 @@
 
     void Add(const Replica& replica, bool draining);
   };
+  // True when the answer tells what the log of the endpoint holds.
+  bool ShowsLog(const EndpointName& endpoint, const KnownStatus& answer) const;
   // True when the answers show the newest commit that was acknowledged in a group with synchronous replicas.
   bool ShowsAcknowledgedCommits(const TickContext& context, const GroupName& group,
                                 const coordination::GroupState& state, const Candidates& found) const;
@@ -257,6 +275,7 @@
   void ProposeResult(TickContext& context, const GroupName& group, const coordination::GroupState& state,
                      GroupChange& change);
   void QueryEndpoints(const TickContext& context, const GroupName& group, GroupChange& change, Duration interval) const;
+  void QueryDeparted(const TickContext& context, const GroupName& group, GroupChange& change, Duration interval) const;
   void SendStepDowns(const TickContext& context);
 
   FailoverSettings settings;
@@ -265,7 +284,7 @@
   std::map<GroupName, GroupChange> changes;
   // The groups with a promotion order in flight. Each has one at most, so that no earlier order can follow a later one.
   std::set<GroupName> orders_in_flight;
-  DepartedEndpoints departed_endpoints;
+  LogHolders log_holders;
   std::vector<PendingStepDown> pending_step_downs;
 };
 
--- a/source/proxy/endpoint_connection.cc
+++ b/source/proxy/endpoint_connection.cc
@@ -1,5 +1,6 @@
 #include "proxy/endpoint_connection.h"
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -28,6 +29,7 @@
       return;
     }
     if (error) {
+      self->refused = error == boost::asio::error::connection_refused;
       self->Fail(ExchangeStatus::kBroken);
       return;
     }
@@ -212,6 +214,8 @@
 
 bool EndpointConnection::Closed() const { return this->closed; }
 
+bool EndpointConnection::Refused() const { return this->refused; }
+
 bool EndpointConnection::Busy() const { return this->answer_callback || this->open_callback; }
 
 const failover::EndpointEntry& EndpointConnection::Endpoint() const { return this->endpoint; }
--- a/source/proxy/endpoint_connection.h
+++ b/source/proxy/endpoint_connection.h
@@ -64,6 +64,8 @@
   void Close();
 
   bool Closed() const;
+  // True when nothing listened at the endpoint's address.
+  bool Refused() const;
   bool Busy() const;
   const failover::EndpointEntry& Endpoint() const;
   // The organisation on whose behalf the connection was opened, or this VM.
@@ -103,6 +105,7 @@
   OpenCallback open_callback;
   AnswerCallback answer_callback;
   bool closed = false;
+  bool refused = false;
 };
 
 }  // namespace amaranthlane::proxy
--- a/source/proxy/endpoint_pool.cc
+++ b/source/proxy/endpoint_pool.cc
@@ -177,6 +177,10 @@
     this->SetReachable(true, "the endpoint answered that it has too many connections");
     return;
   }
+  const bool other_endpoint = answer.failed && answer.code == statements::FailureCode::kWrongEndpoint;
+  if ((connection->Refused() || other_endpoint) && this->events.process_ended) {
+    this->events.process_ended(this->endpoint);
+  }
   this->next_attempt = now + this->settings.retry_interval;
   // A single connection that can't be opened is no sign of an unreachable endpoint while others get answers.
   if (now - this->last_received_at > this->settings.silence_timeout / 2 || this->connections.empty()) {
--- a/source/proxy/endpoint_pool.h
+++ b/source/proxy/endpoint_pool.h
@@ -45,6 +45,8 @@
   std::function<void(const failover::EndpointEntry& endpoint, const failover::EndpointStatus& status,
                      TimePoint sent_at)>
       status_received;
+  // Nothing listens at the endpoint's address, or another endpoint does.
+  std::function<void(const failover::EndpointEntry& endpoint)> process_ended;
   // The replica has rejected reads for a while because it lags, or it answers them again. For the log.
   std::function<void(const failover::EndpointEntry& endpoint, bool lagging, const LogPosition& known)> lagging_changed;
   // For the log.
--- a/source/proxy/node.cc
+++ b/source/proxy/node.cc
@@ -201,6 +201,9 @@
   set("amaranthlane_groups_awaiting_log",
       "Groups without a primary because a log that may hold acknowledged commits is missing; on the coordinator.",
       this->failover.GroupsAwaitingLog());
+  set("amaranthlane_departed_logs",
+      "Endpoints that have left the directory with a log that may hold acknowledged commits.",
+      this->failover.DepartedLogCount());
   set("amaranthlane_record_version", "Version of the coordination record that this VM uses.", this->RecordVersion());
   set("amaranthlane_store_era", "Era of the store, which rises when it is restored from an older copy.",
       this->coordination.NewestStoreEra());
--- a/source/proxy/node.h
+++ b/source/proxy/node.h
@@ -69,6 +69,10 @@
     // Since when the directory has had no entry for it.
     std::optional<TimePoint> missing_since;
   };
+  struct DepartedEndpoint {
+    std::unique_ptr<EndpointPool> pool;
+    TimePoint last_query;
+  };
   // Which VMs hold connections to a group's endpoints.
   struct GroupPlan {
     gateways::GatewayPlan gateway_plan;
@@ -121,6 +125,8 @@
   // `former_current_at` as for EndpointPool::SetEndpoint.
   void AddEndpoint(const failover::EndpointEntry& entry, TimePoint former_current_at, TimePoint now);
   PoolEvents MakePoolEvents(const failover::EndpointEntry& entry);
+  void QueryDepartedEndpoint(const failover::QueryDepartedEndpoint& action, TimePoint now);
+  void TickDepartedEndpoints(TimePoint now);
   GroupPlan MakePlan(const GroupName& group, const gateways::FleetCounts& counts) const;
   bool ServesGroup(const GroupName& group) const;
   void UpdateFleet(std::vector<gateways::FleetVm> update);
@@ -194,6 +200,8 @@
   std::optional<Configuration> configuration;
   KnownConfiguration newest_configuration;
   std::map<EndpointName, KnownEndpoint> endpoints;
+  // Connections to endpoints that have left the directory with a log that may hold acknowledged commits.
+  std::map<EndpointName, DepartedEndpoint> departed_endpoints;
   bool directory_known = false;
   DirectorySnapshot directory;
   DirectoryChangeLog directory_change_log;
--- a/source/proxy/node_coordination.cc
+++ b/source/proxy/node_coordination.cc
@@ -397,7 +397,7 @@
                   {"members", members},
                   {"changed_groups", changed}});
   failover::Actions failover_actions;
-  this->failover.OnRecordAdopted(this->coordination, failover_actions);
+  this->failover.OnRecordAdopted(this->coordination, BootClock::now(), failover_actions);
   this->PerformFailover(failover_actions, BootClock::now());
   this->UpdateChangingGroups(BootClock::now());
   this->platform.SetWatching(record.IsMember(this->settings.vm));
@@ -416,6 +416,7 @@
           pool->QueryStatus(now);
         }
       },
+      [this, now](const failover::QueryDepartedEndpoint& action) { this->QueryDepartedEndpoint(action, now); },
       [this, now](const failover::StepDown& action) {
         EndpointPool* pool = this->FindPool(action.endpoint);
         if (pool != nullptr) {
--- a/source/proxy/node_endpoints.cc
+++ b/source/proxy/node_endpoints.cc
@@ -20,6 +20,11 @@
 // Longer than the two seconds for which entries can be missing after an outage of the store.
 constexpr std::chrono::milliseconds kEndpointRemovalDelay{2600};
 
+// How often an endpoint that has left the directory is tried again, and after which time without queries its connection
+// is closed.
+constexpr std::chrono::milliseconds kDepartedRetryInterval{500};
+constexpr std::chrono::seconds kDepartedQueryTimeout{5};
+
 constexpr std::size_t kMaxGatewaysTried = 3;
 // Up to this number of gateways, each queries the primary's position itself.
 constexpr std::size_t kMaxQueryingGateways = 5;
@@ -160,11 +165,15 @@
   events.position_reported = [this, group = entry.group](const failover::EndpointEntry& endpoint, TimePoint sent_at,
                                                          const LogPosition& position) {
     this->FindDispatcher(group)->UpdatePosition(endpoint.name, sent_at, position, BootClock::now());
+    this->failover.OnPosition(endpoint.name, position);
   };
   events.status_received = [this, group = entry.group](const failover::EndpointEntry& endpoint,
                                                        const failover::EndpointStatus& status, TimePoint sent_at) {
     this->failover.OnStatus(group, endpoint.name, status, sent_at);
   };
+  events.process_ended = [this](const failover::EndpointEntry& endpoint) {
+    this->failover.OnEndpointEnded(endpoint.name, BootClock::now());
+  };
   events.lagging_changed = [](const failover::EndpointEntry& endpoint, bool lagging, const LogPosition& known) {
     logging::Write(
         logging::Level::kInfo,
@@ -179,7 +188,45 @@
   return events;
 }
 
+void Node::QueryDepartedEndpoint(const failover::QueryDepartedEndpoint& action, TimePoint now) {
+  if (EndpointPool* pool = this->FindPool(action.log.endpoint)) {
+    // Its entry has gone so recently that its pool is kept.
+    pool->QueryStatus(now);
+    return;
+  }
+  DepartedEndpoint& departed = this->departed_endpoints[action.log.endpoint];
+  if (departed.pool == nullptr) {
+    failover::EndpointEntry entry;
+    entry.name = action.log.endpoint;
+    entry.group = action.group;
+    entry.address = action.log.address;
+    entry.incarnation = action.log.incarnation;
+    PoolSettings pool_settings;
+    pool_settings.retry_interval = kDepartedRetryInterval;
+    PoolEvents events = this->MakePoolEvents(entry);
+    events.availability_changed = nullptr;
+    events.position_reported = nullptr;
+    departed.pool = std::make_unique<EndpointPool>(this->loop, this->codec, this->settings.vm, entry, pool_settings,
+                                                   std::move(events));
+    departed.pool->SetLimits(1, 1);
+  }
+  departed.last_query = now;
+  departed.pool->QueryStatus(now);
+}
+
+void Node::TickDepartedEndpoints(TimePoint now) {
+  for (auto found = this->departed_endpoints.begin(); found != this->departed_endpoints.end();) {
+    if (now > found->second.last_query + kDepartedQueryTimeout || this->FindPool(found->first) != nullptr) {
+      found = this->departed_endpoints.erase(found);
+    } else {
+      found->second.pool->Tick(now, kDepartedQueryTimeout);
+      ++found;
+    }
+  }
+}
+
 void Node::TickEndpoints(TimePoint now) {
+  this->TickDepartedEndpoints(now);
   const coordination::CoordinationRecord* record = this->coordination.Record();
   const bool member = record != nullptr && record->IsMember(this->settings.vm);
   if (now >= this->next_plan_update) {
--- a/tests/core/coordination/coordination_system_test.cc
+++ b/tests/core/coordination/coordination_system_test.cc
@@ -329,7 +329,7 @@
   const CoordinationRecord first = std::get<WriteRecord>(actions.back()).record;
   system.OnRecordRead(first, {1, 5}, now, actions);
   ASSERT_FALSE(system.WritePending());
-  ASSERT_TRUE(system.ProposeGroups({{"g", {1, "e1", false}}}, "a primary was found", now, actions));
+  ASSERT_TRUE(system.ProposeGroups({{"g", {1, "e1", false}}}, {}, "a primary was found", now, actions));
   system.OnRecordWritten(first.update_id, WriteResult::kWritten, {1, 5}, now, actions);
   EXPECT_TRUE(system.WritePending());
   EXPECT_EQ(system.Record()->version, first.version);
--- a/tests/core/coordination/messages_test.cc
+++ b/tests/core/coordination/messages_test.cc
@@ -22,6 +22,7 @@
   record.members = {{"a", "10.0.0.1:1"}, {"b", "10.0.0.2:1"}};
   record.groups = {{"g", {3, "e1", true}}};
   record.update_id = "a/1/4";
+  record.logs = {{"g", {{"e1", 5, "10.0.0.9:1", true}, {"e1", 7, "10.0.0.9:1", false}}}};
   record.restore_outlived = true;
   record.restored_to_beginning = true;
   return record;
--- a/tests/core/coordination/synchronous_replicas_test.cc
+++ b/tests/core/coordination/synchronous_replicas_test.cc
@@ -117,6 +117,120 @@
   EXPECT_EQ(this->fleet.primary, "e2");
 }
 
+// Guards against the promotion of a replica that has caught up with an endpoint which has lost only the store, and
+// still lets commits be acknowledged.
+TEST_P(SynchronousReplicas, AnEndpointThatHasLostOnlyTheStoreIsWaitedFor) {
+  this->fleet.SetCutFromStore("e2", true);
+  this->fleet.RunFor(seconds(4));
+  this->fleet.SetDeaf("e3", true);
+  this->fleet.RunFor(milliseconds(200));
+  this->fleet.primary_responds = false;
+  this->fleet.RunFor(seconds(4));
+  EXPECT_EQ(this->fleet.primary, "e1");
+  EXPECT_EQ(this->GroupsAwaitingLog(), 1U);
+  this->fleet.SetCutFromStore("e2", false);
+  this->fleet.RunFor(seconds(3));
+  EXPECT_EQ(this->fleet.primary, "e2");
+  EXPECT_EQ(this->fleet.PrimaryUsers(), 6U);
+}
+
+// Guards against a wait for an endpoint that has lost only the store, and answers that it has nothing newer.
+TEST_P(SynchronousReplicas, AnEndpointThatHasLostOnlyTheStoreIsAsked) {
+  this->fleet.SetCutFromStore("e2", true);
+  this->fleet.RunFor(seconds(4));
+  this->fleet.primary_responds = false;
+  this->fleet.RunFor(seconds(2));
+  EXPECT_EQ(this->fleet.primary, "e3");
+  EXPECT_EQ(this->fleet.PrimaryUsers(), 6U);
+}
+
+// Guards against new processes that don't know which endpoints have left.
+TEST_P(SynchronousReplicas, NewProcessesWaitForAnEndpointThatLeftBefore) {
+  this->fleet.SetDeaf("e3", true);
+  this->fleet.RunFor(milliseconds(500));
+  this->fleet.SetPowerless("e2", true);
+  this->fleet.RunFor(seconds(2));
+  for (std::size_t vm = 0; vm < this->fleet.VmCount(); ++vm) {
+    this->fleet.Kill(vm);
+  }
+  this->fleet.RunFor(milliseconds(200));
+  for (std::size_t vm = 0; vm < this->fleet.VmCount(); ++vm) {
+    this->fleet.Restart(vm);
+  }
+  this->fleet.RunFor(seconds(1));
+  this->fleet.primary_responds = false;
+  this->fleet.RunFor(seconds(7));
+  EXPECT_EQ(this->fleet.primary, "e1");
+  this->fleet.primary_responds = true;
+  this->fleet.RunFor(seconds(3));
+  EXPECT_EQ(this->fleet.primary, "e1");
+  EXPECT_EQ(this->fleet.PrimaryUsers(), 6U);
+}
+
+// The same when the store has lost the record that first named them, and the other replica is back.
+TEST_P(SynchronousReplicas, ARestoreForgetsNoEndpointThatLeft) {
+  this->fleet.SetDeaf("e3", true);
+  this->fleet.RunFor(milliseconds(500));
+  this->fleet.SetPowerless("e2", true);
+  this->fleet.RunFor(seconds(2));
+  this->fleet.RestoreStore(seconds(60));
+  this->fleet.RunFor(seconds(8));
+  this->fleet.primary_responds = false;
+  this->fleet.SetDeaf("e3", false);
+  this->fleet.RunFor(seconds(7));
+  EXPECT_EQ(this->fleet.primary, "e1");
+  EXPECT_EQ(this->GroupsAwaitingLog(), 1U);
+}
+
+// Guards against the promotion of the first replica that is back when both had left.
+TEST_P(SynchronousReplicas, BothReplicasMayHaveLeftAtOnce) {
+  this->fleet.SetDeaf("e3", true);
+  this->fleet.RunFor(seconds(1));
+  this->fleet.SetCutFromStore("e2", true);
+  this->fleet.SetCutFromStore("e3", true);
+  this->fleet.RunFor(seconds(2));
+  this->fleet.SetPowerless("e2", true);
+  this->fleet.primary_responds = false;
+  this->fleet.RunFor(seconds(2));
+  this->fleet.SetCutFromStore("e3", false);
+  this->fleet.RunFor(seconds(4));
+  EXPECT_EQ(this->fleet.primary, "e1");
+  this->fleet.SetPowerless("e2", false);
+  this->fleet.SetCutFromStore("e2", false);
+  this->fleet.RunFor(seconds(3));
+  EXPECT_EQ(this->fleet.primary, "e2");
+}
+
+// Guards against an endpoint that counts as one with all commits though it has started again with an empty log.
+TEST_P(SynchronousReplicas, AnEndpointThatStartsAgainHasLostItsLog) {
+  this->fleet.SetDeaf("e3", true);
+  this->fleet.RunFor(seconds(2));
+  this->fleet.primary_responds = false;
+  this->fleet.StartAgain("e2");
+  this->fleet.RunFor(seconds(5));
+  EXPECT_EQ(this->fleet.primary, "e1");
+  EXPECT_EQ(this->GroupsAwaitingLog(), 1U);
+  this->fleet.primary_responds = true;
+  this->fleet.RunFor(seconds(3));
+  EXPECT_EQ(this->fleet.primary, "e1");
+  EXPECT_EQ(this->fleet.PrimaryUsers(), 6U);
+}
+
+// Nobody can tell an endpoint without power from one that can't be reached and still lets commits be acknowledged. It
+// is waited for, or for the primary, also if it left long ago.
+TEST_P(SynchronousReplicas, AnEndpointWithoutPowerIsWaitedForUntilThePrimaryIsBack) {
+  this->fleet.SetPowerless("e2", true);
+  this->fleet.RunFor(seconds(60));
+  this->fleet.primary_responds = false;
+  this->fleet.RunFor(seconds(7));
+  EXPECT_EQ(this->fleet.primary, "e1");
+  EXPECT_EQ(this->GroupsAwaitingLog(), 1U);
+  this->fleet.primary_responds = true;
+  this->fleet.RunFor(seconds(2));
+  EXPECT_EQ(this->fleet.PrimaryUsers(), 6U);
+  EXPECT_EQ(this->GroupsAwaitingLog(), 0U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, SynchronousReplicas, testing::Range<std::uint64_t>(1, 9));
 
 }  // namespace
--- a/tests/core/coordination/vm_fleet.cc
+++ b/tests/core/coordination/vm_fleet.cc
@@ -50,7 +50,7 @@
            this->shares.empty() ? Millicores{} : this->shares.at(index)},
       CoordinationSettings{});
   vm.failover = std::make_unique<failover::PrimaryChangeSystem>(failover::FailoverSettings{});
-  vm.known_endpoints = 0;
+  vm.known_directory.clear();
   vm.store_sync = std::make_unique<store_sync::StoreSyncSystem>(vm.name, store_sync::StoreSyncSettings{});
   vm.watch = {};
   vm.unread = true;
@@ -288,7 +288,9 @@
 
 bool VmFleet::Responds(const EndpointName& endpoint, std::size_t vm) const {
   const auto silent = this->unreachable_from.find(endpoint);
-  const bool dead = this->endpoints.count(endpoint) == 0 || (endpoint == this->primary && !this->primary_responds);
+  const auto found = this->endpoints.find(endpoint);
+  const bool dead = found == this->endpoints.end() || found->second.powerless ||
+                    (endpoint == this->primary && !this->primary_responds);
   return !dead && (silent == this->unreachable_from.end() || silent->second.count(vm) == 0);
 }
 
@@ -319,8 +321,9 @@
   vm.system->Report(this->MakeReport(index), this->now, actions);
   vm.system->Tick(this->now, actions);
   const std::map<GroupName, std::uint64_t> synchronous = {{kGroup, this->synchronous_replicas}};
-  if (std::exchange(vm.known_endpoints, this->endpoints.size()) != this->endpoints.size()) {
-    vm.failover->OnDirectory(this->Directory(), synchronous, this->now);
+  if (failover::EndpointDirectory directory = this->Directory(); directory != vm.known_directory) {
+    vm.known_directory = std::move(directory);
+    vm.failover->OnDirectory(vm.known_directory, synchronous, this->now);
   }
   if (vm.system->Record() != nullptr) {
     vm.failover->Tick(this->Directory(), synchronous, *vm.system, this->now, actions, failover_actions);
@@ -350,26 +353,26 @@
 }
 
 void VmFleet::Perform(std::size_t vm, Actions& actions) {
-  const Overloaded perform = {[&](const SendHeartbeat& action) { this->DeliverHeartbeat(vm, action); },
-                              [&](const SendRecordNotice& action) {
-                                const std::optional<std::size_t> found = this->Find(action.vm);
-                                if (found && this->CanDeliver(vm, *found)) {
-                                  this->Schedule(
-                                      *found, this->RandomDelay(), [this, to = *found, record = action.record] {
-                                        Actions resulting_actions;
-                                        this->vms[to].system->OnRecordNotice(record, this->now, resulting_actions);
-                                        this->Perform(to, resulting_actions);
-                                      });
-                                }
-                              },
-                              [&](const ReadRecord&) { this->ReadStore(vm); },
-                              [&](const WriteRecord& action) { this->WriteStore(vm, action); },
-                              [&](const RecordAdopted&) {
-                                failover::Actions resulting_actions;
-                                this->vms[vm].failover->OnRecordAdopted(*this->vms[vm].system, resulting_actions);
-                                this->PerformFailover(vm, resulting_actions);
-                              },
-                              [](const Decision&) {}};
+  const Overloaded perform = {
+      [&](const SendHeartbeat& action) { this->DeliverHeartbeat(vm, action); },
+      [&](const SendRecordNotice& action) {
+        const std::optional<std::size_t> found = this->Find(action.vm);
+        if (found && this->CanDeliver(vm, *found)) {
+          this->Schedule(*found, this->RandomDelay(), [this, to = *found, record = action.record] {
+            Actions resulting_actions;
+            this->vms[to].system->OnRecordNotice(record, this->now, resulting_actions);
+            this->Perform(to, resulting_actions);
+          });
+        }
+      },
+      [&](const ReadRecord&) { this->ReadStore(vm); },
+      [&](const WriteRecord& action) { this->WriteStore(vm, action); },
+      [&](const RecordAdopted&) {
+        failover::Actions resulting_actions;
+        this->vms[vm].failover->OnRecordAdopted(*this->vms[vm].system, this->now, resulting_actions);
+        this->PerformFailover(vm, resulting_actions);
+      },
+      [](const Decision&) {}};
   for (const Action& action : std::exchange(actions, {})) {
     std::visit(perform, action);
   }
@@ -475,18 +478,9 @@
 void VmFleet::PerformFailover(std::size_t vm, const failover::Actions& actions) {
   for (const failover::Action& action : actions) {
     if (const auto* query = std::get_if<failover::QueryStatus>(&action)) {
-      if (!this->Responds(query->endpoint, vm)) {
-        continue;
-      }
-      const bool is_queried_primary = query->endpoint == this->primary;
-      const TimePoint sent_at = this->now;
-      failover::EndpointStatus status;
-      status.is_primary = is_queried_primary;
-      status.term = this->term;
-      status.position = this->Position(query->endpoint);
-      this->Schedule(vm, this->RandomDelay(), [this, vm, name = query->endpoint, status, sent_at] {
-        this->vms[vm].failover->OnStatus(kGroup, name, status, sent_at);
-      });
+      this->AnswerQuery(vm, query->endpoint);
+    } else if (const auto* departed = std::get_if<failover::QueryDepartedEndpoint>(&action)) {
+      this->AnswerDepartedQuery(vm, *departed);
     } else if (const auto* order = std::get_if<failover::OrderPromotion>(&action)) {
       this->Promote(vm, *order);
     } else if (std::holds_alternative<failover::CancelPromotions>(action)) {
@@ -495,6 +489,29 @@
   }
 }
 
+void VmFleet::AnswerQuery(std::size_t vm, const EndpointName& endpoint) {
+  if (!this->Responds(endpoint, vm)) {
+    return;
+  }
+  failover::EndpointStatus status;
+  status.is_primary = endpoint == this->primary;
+  status.term = this->term;
+  status.position = this->Position(endpoint);
+  this->Schedule(vm, this->RandomDelay(), [this, vm, endpoint, status, sent_at = this->now] {
+    this->vms[vm].failover->OnStatus(kGroup, endpoint, status, sent_at);
+  });
+}
+
+void VmFleet::AnswerDepartedQuery(std::size_t vm, const failover::QueryDepartedEndpoint& query) {
+  const EndpointName& endpoint = query.log.endpoint;
+  if (this->absent_endpoints.count(endpoint) == 0) {
+    this->AnswerQuery(vm, endpoint);
+    return;
+  }
+  this->Schedule(vm, this->RandomDelay(),
+                 [this, vm, endpoint] { this->vms[vm].failover->OnEndpointEnded(endpoint, this->now); });
+}
+
 void VmFleet::Promote(std::size_t vm, const failover::OrderPromotion& order) {
   ++this->promotions;
   for (const Vm& other : this->vms) {
@@ -520,14 +537,17 @@
                       std::to_string(this->highest_token);
   }
   this->highest_token = std::max(this->highest_token, order.fencing_token);
-  const bool runs = this->endpoints.count(order.endpoint) > 0;
+  const auto ordered = this->endpoints.find(order.endpoint);
+  const bool runs = ordered != this->endpoints.end() && !ordered->second.powerless;
   this->ReportPromotionResult(vm, order,
                               runs ? failover::PromotionResult::kAccepted : failover::PromotionResult::kRefused,
                               this->RandomDelay());
   // The platform carries out the order even if the VM dies.
   if (runs && order.endpoint != this->primary) {
-    this->events.push_back(
-        {this->now + kPromotionDuration, kNoVm, 0, [this, endpoint = order.endpoint] { this->TakeOver(endpoint); }});
+    this->events.push_back({this->now + kPromotionDuration, kNoVm, 0,
+                            [this, endpoint = order.endpoint, started = ordered->second.incarnation] {
+                              this->TakeOver(endpoint, started);
+                            }});
   }
 }
 
@@ -551,12 +571,13 @@
   }
 }
 
-void VmFleet::TakeOver(const EndpointName& endpoint) {
-  if (this->endpoints.count(endpoint) == 0) {
+void VmFleet::TakeOver(const EndpointName& endpoint, Incarnation started) {
+  const auto found = this->endpoints.find(endpoint);
+  // An endpoint that has started again, or has lost power, knows nothing of the order.
+  if (found == this->endpoints.end() || found->second.incarnation != started || found->second.powerless) {
     return;
   }
-  if (this->synchronous_replicas > 0 && this->endpoints.at(endpoint).position < this->acknowledged &&
-      !this->violation) {
+  if (this->synchronous_replicas > 0 && found->second.position < this->acknowledged && !this->violation) {
     this->violation = endpoint + " became primary without an acknowledged commit";
   }
   this->primary = endpoint;
@@ -566,7 +587,8 @@
 
 void VmFleet::Replicate() {
   const auto found = this->endpoints.find(this->primary);
-  if (this->synchronous_replicas == 0 || found == this->endpoints.end() || !this->primary_responds) {
+  if (this->synchronous_replicas == 0 || found == this->endpoints.end() || found->second.powerless ||
+      !this->primary_responds) {
     return;
   }
   LogPosition& end = found->second.position;
@@ -574,7 +596,7 @@
     end = {this->term, end.offset + 1};
   }
   for (auto& [name, endpoint] : this->endpoints) {
-    if (name != this->primary && !endpoint.deaf) {
+    if (name != this->primary && !endpoint.deaf && !endpoint.powerless) {
       endpoint.position = end;
       this->acknowledged = end;
     }
@@ -591,11 +613,15 @@
 failover::EndpointDirectory VmFleet::Directory() const {
   failover::EndpointDirectory directory;
   for (const auto& [name, endpoint] : this->endpoints) {
+    if (endpoint.cut_from_store || endpoint.powerless) {
+      continue;
+    }
     failover::EndpointEntry entry;
     entry.name = name;
     entry.group = kGroup;
     entry.address = name;
     entry.draining = endpoint.draining;
+    entry.incarnation = endpoint.incarnation;
     directory.emplace(name, entry);
   }
   return directory;
@@ -629,6 +655,25 @@
   to.insert(from.extract(endpoint));
 }
 
+void VmFleet::SetCutFromStore(const EndpointName& endpoint, bool cut) {
+  this->endpoints.at(endpoint).cut_from_store = cut;
+}
+
+void VmFleet::SetPowerless(const EndpointName& endpoint, bool powerless) {
+  this->endpoints.at(endpoint).powerless = powerless;
+  if (endpoint == this->primary) {
+    this->primary_responds = !powerless;
+  }
+}
+
+void VmFleet::StartAgain(const EndpointName& endpoint) {
+  Endpoint& started = this->endpoints.at(endpoint);
+  started.position = {};
+  // It registers itself.
+  started.cut_from_store = false;
+  ++started.incarnation;
+}
+
 void VmFleet::Kill(std::size_t vm) {
   this->vms[vm].alive = false;
   // The kernel resets the connections of a process that was killed.
--- a/tests/core/coordination/vm_fleet.h
+++ b/tests/core/coordination/vm_fleet.h
@@ -46,8 +46,15 @@
   // A deaf replica receives nothing of the log.
   void SetDeaf(const EndpointName& endpoint, bool deaf);
   void SetDraining(const EndpointName& endpoint, bool draining);
-  // An absent endpoint has left with its log: it neither runs nor has a directory entry.
+  // An absent endpoint has left with its log: it neither runs nor has a directory entry. Nothing listens at its
+  // address.
   void SetAbsent(const EndpointName& endpoint, bool absent);
+  // An endpoint that is cut off from the store has no directory entry, but runs and receives.
+  void SetCutFromStore(const EndpointName& endpoint, bool cut);
+  // An endpoint without power neither runs nor has a directory entry, and what is sent to it gets no answer.
+  void SetPowerless(const EndpointName& endpoint, bool powerless);
+  // The endpoint starts again under its name, with an empty log.
+  void StartAgain(const EndpointName& endpoint);
   // Separates these VMs from the others. The store stays reachable from both sides.
   void SetPartition(std::set<std::size_t> side);
   // The store acknowledges a new version of the configuration, if it is up.
@@ -130,8 +137,8 @@
     std::unique_ptr<failover::PrimaryChangeSystem> failover;
     std::unique_ptr<store_sync::StoreSyncSystem> store_sync;
     Watch watch;
-    // The number of endpoints in the directory that it knows.
-    std::size_t known_endpoints = 0;
+    // The directory that it knows.
+    failover::EndpointDirectory known_directory;
     // No list of the store has succeeded since the start.
     bool unread = true;
     TimePoint next_first_read;
@@ -142,6 +149,9 @@
     LogPosition position = {1, 1};
     bool deaf = false;
     bool draining = false;
+    bool cut_from_store = false;
+    bool powerless = false;
+    Incarnation incarnation = 1;
   };
   // A promotion order that the platform hasn't received.
   struct HeldOrder {
@@ -174,13 +184,16 @@
   // Acknowledges the newest configuration again once the store is up.
   void RewriteConfiguration();
   void PerformFailover(std::size_t vm, const failover::Actions& actions);
+  void AnswerQuery(std::size_t vm, const EndpointName& endpoint);
+  void AnswerDepartedQuery(std::size_t vm, const failover::QueryDepartedEndpoint& query);
   void Promote(std::size_t vm, const failover::OrderPromotion& order);
   void ReceiveOrder(std::size_t vm, const failover::OrderPromotion& order);
   // The orders of this VM that the platform hasn't received end: their deadline is over, or `all` of them end.
   void EndOrders(std::size_t vm, bool all);
   void ReportPromotionResult(std::size_t vm, const failover::OrderPromotion& order, failover::PromotionResult result,
                              Duration delay);
-  void TakeOver(const EndpointName& endpoint);
+  // The endpoint becomes primary, unless it has started again since.
+  void TakeOver(const EndpointName& endpoint, Incarnation started);
   // The primary commits, and replicas receive.
   void Replicate();
   LogPosition Position(const EndpointName& endpoint) const;
