--- a/soak/soak.py
+++ b/soak/soak.py
@@ -16,6 +16,7 @@
 
 from callers import BusyCaller, Caller
 from configuration import CONTACT_S, ConfigurationChanges, Probe
+from departures import ENTRY_LAPSES_S, Departures
 from foreign_entries import ForeignWriter
 from hostile_callers import HostileCaller
 from links import Link
@@ -146,6 +147,7 @@
             self.changes.tenants, self.changes.key_marker = tenants, REVOCABLE_MARKER
         # The same for the entries of another writer.
         self.foreign_writer = ForeignWriter(self.platform, random.Random(seed + 9), self.note_fault)
+        self.departures = Departures(self, free_port)
         # The most memory that each VM's processes have taken.
         self.peak_mb = {vm.name: 0 for vm in self.vms}
         # The directory entries that the endpoints have written, by name.
@@ -197,11 +199,17 @@
             for group, e in self.endpoints:
                 entry = {"service": group.name, "address": f"127.0.0.1:{e.link.port}", "zone": "dc-0", "version": "v1",
                          "slots": 5, "state": "draining" if e.draining else "ready",
-                         "db_role": "primary" if e.is_primary else "replica"}
-                if e.alive and self.platform.mode == "up" and self.published.get(e.name) != entry:
+                         "db_role": "primary" if e.is_primary else "replica", "born": e.born}
+                heard = e.alive and not e.cut_from_store
+                e.heard_at = time.monotonic() if heard else e.heard_at
+                if heard and self.platform.mode == "up" and self.published.get(e.name) != entry:
                     self.published[e.name] = entry
                     self.platform.put("servers", e.name, entry)
                     e.draining_since = time.monotonic() if e.draining else None
+                elif e.name in self.published and self.platform.mode == "up" and \
+                        time.monotonic() > e.heard_at + ENTRY_LAPSES_S:
+                    del self.published[e.name]
+                    self.platform.delete("servers", e.name)
             await asyncio.sleep(0.1)
 
     async def watch_memory(self):
@@ -478,7 +486,8 @@
         hostile_callers = [HostileCaller(n, self, self.groups[n % len(self.groups)]) for n in range(4)]
         running += [asyncio.create_task(caller.run(stop)) for caller in hostile_callers]
         active_faults = [asyncio.create_task(faults) for faults in
-                         (self.run_restores(), self.run_held_orders(), self.run_deaf_replicas())]
+                         (self.run_restores(), self.run_held_orders(), self.run_deaf_replicas(),
+                          self.departures.run())]
         while time.monotonic() < end:
             await asyncio.sleep(self.random.random() * 1.5)
             name, coroutine = self.choose_fault()
@@ -488,6 +497,8 @@
         done_during_faults = sum(caller.outcomes["done"] for caller in callers)
         # The last faults may end long after the last one began.
         await asyncio.sleep(RECOVERY_S)
+        if self.departures.has_final_fault:
+            await self.departures.run_final_fault(callers)
         stop.set()
         await asyncio.gather(*running)
         done_in_total = sum(caller.outcomes["done"] for caller in callers)
--- a/soak/wire_platform.py
+++ b/soak/wire_platform.py
@@ -36,6 +36,8 @@
     lag_s, work_s, draining, lost_share = 0.01, 0.002, False, 0.0
     # Since when the store has had it as draining; none: it hasn't.
     draining_since = None
+    # The store doesn't hear it, though it runs; when the store last heard it; which start of it this is.
+    cut_from_store, heard_at, born = False, 0.0, 1
     # What it takes for the end of a message.
     message_end = STRICT_END
 
